--- /dev/null
+++ b/src/chervilwing/exceptions.py
@@ -0,0 +1,145 @@
+"""Every failure that chervilwing reports, each as a type of its own."""
+
+from typing import NamedTuple
+
+NOT_RUN = "not_run"
+UNKNOWN = "unknown"
+RAN = "ran"
+
+
+class Scope(NamedTuple):
+    """Name the one thing that a failure speaks about.
+
+    RFC 5390 REQ 18: a refusal without a scope makes its receiver retry into the
+    same exhausted resource or shun a healthy one.
+    """
+
+    kind: str
+    name: str
+
+
+SYSTEM = Scope("system", "chervilwing")
+
+
+class ChervilwingError(Exception):
+    """Base of all failures; subclasses fix the status, the type and the outcome.
+
+    ``outcome`` says whether the request ran: only ``not_run`` invites a retry of
+    work that must not be repeated.
+    """
+
+    status = 500
+    type = "internal"
+    title = "Internal failure"
+    outcome = UNKNOWN
+
+    def __init__(self, detail="", *, scope=SYSTEM, retry_after=None, outcome=None):
+        super().__init__(detail or self.title)
+        self.detail = detail or self.title
+        self.scope = scope
+        self.retry_after = retry_after
+        if outcome is not None:
+            self.outcome = outcome
+
+
+class BadRequest(ChervilwingError):
+    """The request can't be read as HTTP or JSON of the right shape."""
+
+    status, type, title, outcome = 400, "bad-request", "Malformed request", NOT_RUN
+
+
+class UnknownCustomer(ChervilwingError):
+    """The API key names no customer."""
+
+    status, type, title, outcome = 401, "unknown-customer", "Unknown API key", NOT_RUN
+
+
+class NotAllowed(ChervilwingError):
+    """The rules don't let this customer use this model or service."""
+
+    status, type, title, outcome = 403, "not-allowed", "Not allowed by rule", NOT_RUN
+
+
+class NotFound(ChervilwingError):
+    """No route, model or service has this name."""
+
+    status, type, title, outcome = 404, "not-found", "Not found", NOT_RUN
+
+
+class SlowSender(ChervilwingError):
+    """The caller took too long to send its request."""
+
+    status, type, title, outcome = 408, "slow-sender", "Request too slow", NOT_RUN
+
+
+class Conflict(ChervilwingError):
+    """Two writers raced; the text shows both sides."""
+
+    status, type, title, outcome = 409, "conflict", "Conflicting write", NOT_RUN
+
+
+class TooLarge(ChervilwingError):
+    """The head or the body is over its limit."""
+
+    status, type, title, outcome = 413, "too-large", "Request too large", NOT_RUN
+
+
+class CustomerLimit(ChervilwingError):
+    """The customer's own queue or retry budget is used up."""
+
+    status, type, title, outcome = 429, "customer-limit", "Customer limit", NOT_RUN
+
+
+class PoolFull(ChervilwingError):
+    """The pool can't meet the deadline of more work."""
+
+    status, type, title, outcome = 503, "pool-full", "Pool full", NOT_RUN
+
+
+class NoUpstream(ChervilwingError):
+    """No upstream of the pool can be reached or may take new work."""
+
+    status, type, title, outcome = 503, "no-upstream", "No upstream", NOT_RUN
+
+
+class UpstreamFailed(ChervilwingError):
+    """An upstream broke off; whether the work ran can't be told."""
+
+    status, type, title, outcome = 502, "upstream-failed", "Upstream failed", UNKNOWN
+
+
+class DeadlinePassed(ChervilwingError):
+    """The request was given up on at its deadline."""
+
+    status, type, title, outcome = 504, "deadline-passed", "Deadline passed", UNKNOWN
+
+
+class PlatformDown(ChervilwingError):
+    """The key-value service can't be reached, so the claim can't be written."""
+
+    status, type, title, outcome = 503, "platform-down", "Platform down", NOT_RUN
+
+
+class NotReady(ChervilwingError):
+    """This instance has no configuration yet, or it is stopping."""
+
+    status, type, title, outcome = 503, "not-ready", "Not ready", NOT_RUN
+
+
+class BadSetting(ChervilwingError):
+    """A flag or environment variable has a wrong value."""
+
+    type, title = "bad-setting", "Bad setting"
+
+
+class BadFrame(ChervilwingError):
+    """A peer sent bytes that are not a frame of our protocol."""
+
+    type, title = "bad-frame", "Bad frame"
+
+
+class BadConfiguration(ChervilwingError):
+    """An inventory or rules document breaks a check; the text names the key."""
+
+    status, type, title = 422, "bad-configuration", "Bad configuration"
+    outcome = NOT_RUN
--- /dev/null
+++ b/src/chervilwing/models.py
@@ -0,0 +1,102 @@
+"""The data that the core passes about: immutable, with no behaviour of its own."""
+
+from typing import NamedTuple
+
+MODEL = "model"
+SERVICE = "service"
+
+
+class Address(NamedTuple):
+    """An IP number and a TCP port."""
+
+    host: str
+    port: int
+
+
+class Upstream(NamedTuple):
+    """One back end instance: a model engine or a plain service."""
+
+    name: str
+    kind: str
+    pool: str
+    address: Address
+    data_centre: str
+    machine_class: str = "standard"
+    slots: int = 8
+    fenced: bool = True
+
+
+class Pool(NamedTuple):
+    """Upstreams that can stand in for one another."""
+
+    name: str
+    kind: str
+    models: tuple[str, ...] = ()
+
+
+class Service(NamedTuple):
+    """A plain service and the calls of it that may not be repeated."""
+
+    name: str
+    pool: str
+    non_idempotent: tuple[str, ...] = ()
+
+
+class Share(NamedTuple):
+    """The part of a model name's traffic, 0 to 1, that one version gets."""
+
+    version: str
+    part: float
+
+
+class ModelRoute(NamedTuple):
+    """The public name of a model, its pool and the versions behind it."""
+
+    name: str
+    pool: str
+    shares: tuple[Share, ...] = ()
+
+
+class WorkClass(NamedTuple):
+    """How one class of work is treated: 0 is the most urgent priority."""
+
+    name: str
+    priority: int = 1
+    deadline: float = 30.0
+    first_token: float = 1.3
+
+
+class Customer(NamedTuple):
+    """A caller's organisation as the rules know it; keys are SHA-256 digests."""
+
+    name: str
+    key_hashes: tuple[str, ...] = ()
+    weight: float = 1.0
+    queue_limit: int = 64
+    work_class: str = "standard"
+    allowed: tuple[str, ...] = ("*",)
+
+
+class Inventory(NamedTuple):
+    """What the operators own and where."""
+
+    pools: tuple[Pool, ...] = ()
+    upstreams: tuple[Upstream, ...] = ()
+    services: tuple[Service, ...] = ()
+
+
+class Rules(NamedTuple):
+    """Who may try what, at what share of traffic, with what priority."""
+
+    customers: tuple[Customer, ...] = ()
+    classes: tuple[WorkClass, ...] = ()
+    routes: tuple[ModelRoute, ...] = ()
+
+
+class Configuration(NamedTuple):
+    """One revision of inventory and rules; ``operation`` settles lost answers."""
+
+    revision: int
+    operation: str
+    inventory: Inventory
+    rules: Rules
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of chervilwing; `python -m tests` runs them all."""
