Draft the scheduler: queues, limits, placement, shares, retries

Ruled out: rendezvous hashing (hashes each upstream each time), strict priority over customers (a large one starves small ones). Conclusion: a draft, not yet tested.

--- /dev/null
+++ b/src/chervilwing/placement.py
@@ -0,0 +1,264 @@
+"""The choice of an upstream: cached prefix against load, near against far."""
+
+from collections import OrderedDict
+
+from .hashing import Ring
+from .limits import Reference
+from .upstreams import UpstreamState
+
+# Upstreams that may hold a prefix: two let a hot prefix spread, more would thin
+# the caches out.
+OWNERS = 2
+# An owner may be this much fuller than the pool's mean before work goes past it
+# (bounded-load consistent hashing, Mirrokni et al. 2016, with c = 1.25).
+BOUND = 1.25
+# How much of the prompt a ring owner is taken to have cached, when nobody told.
+OWNER_GUESS = 0.5
+# Below this many prompt tokens a cached prefix saves less than another data
+# centre costs.
+AFFINITY_TOKENS = 128
+# Prefixes whose holders are remembered, the least recently used dropped first.
+REMEMBERED = 4096
+# A sequence slows its batch by about this part of its speed when alone.
+BATCH_PART = 0.15
+# Random picks before a full pool is taken as full.
+TRIES = 4
+
+
+class Members:
+    """A set that gives random members in constant time."""
+
+    def __init__(self):
+        self._names = []
+        self._index = {}
+
+    def __len__(self):
+        return len(self._names)
+
+    def __contains__(self, name):
+        return name in self._index
+
+    def add(self, name):
+        """Put a name in."""
+        if name not in self._index:
+            self._index[name] = len(self._names)
+            self._names.append(name)
+
+    def discard(self, name):
+        """Take a name out."""
+        index = self._index.pop(name, None)
+        if index is None:
+            return
+        last = self._names.pop()
+        if index < len(self._names):
+            self._names[index] = last
+            self._index[last] = index
+
+    def sample(self, rng, count):
+        """Return up to ``count`` members, drawn with repeats left out."""
+        if len(self._names) <= count:
+            return list(self._names)
+        drawn = [rng.choice(self._names) for _ in range(count)]
+        return list(dict.fromkeys(drawn))
+
+
+class CacheHints:
+    """Where prefixes were seen last: own sends and late, gappy cache events."""
+
+    def __init__(self):
+        self._holders = OrderedDict()
+
+    def add(self, prefix, name):
+        """Remember a holder; the newest two are kept."""
+        held = self._holders.pop(prefix, ())
+        others = tuple(other for other in held if other != name)
+        self._holders[prefix] = (name, *others)[:OWNERS]
+        if len(self._holders) > REMEMBERED:
+            self._holders.popitem(last=False)
+
+    def find(self, prefix):
+        """Return the names that may hold the prefix."""
+        return self._holders.get(prefix, ())
+
+
+class PoolState:
+    """The upstreams of one pool, as one entry instance sees them.
+
+    Upstreams with room are kept in sets that change with each start, end and
+    report, so that a decision looks at a handful whatever the pool's size.
+    """
+
+    def __init__(self, name, data_centre, first_pace):
+        self.name = name
+        self.states = {}
+        self.hints = CacheHints()
+        self.reference = Reference(first_pace)
+        self.running = 0
+        self.entries = 1
+        self.reserve = 0
+        self._data_centre = data_centre
+        self._ring = Ring()
+        # By whether the work is long, since long work leaves slots to short work.
+        self._open = {False: Members(), True: Members()}
+        self._near = {False: Members(), True: Members()}
+        self._live = Members()
+        self._load = 0
+        self._slots = 0
+        self._counted = {}
+
+    def update(self, upstreams, leaving):
+        """Set the members; what is known of those that stay is kept."""
+        wanted = {upstream.name: upstream for upstream in upstreams}
+        if wanted == {name: state.upstream for name, state in self.states.items()}:
+            return
+        for name in [name for name in self.states if name not in wanted]:
+            self.running -= len(self.states.pop(name).running)
+            self._count(name)
+        for name, upstream in wanted.items():
+            state = self.states.setdefault(name, UpstreamState(upstream))
+            state.upstream = upstream
+            state.leaving = name in leaving
+        self._rebuild()
+
+    def refresh(self, name):
+        """Bring the sets up to date after one upstream changed."""
+        self._count(name)
+
+    def set_reserve(self, reserve):
+        """Keep so many slots of each upstream free of long work."""
+        if reserve == self.reserve:
+            return
+        self.reserve = reserve
+        for name in self.states:
+            self._count(name)
+
+    def set_entries(self, entries):
+        """Set how many entry instances share the pool."""
+        self.entries = max(1, entries)
+
+    def count_slots(self):
+        """Return the slots of all live upstreams."""
+        return self._slots
+
+    def count_live(self):
+        """Return how many upstreams may take new work."""
+        return len(self._live)
+
+    def has_open(self, excluded):
+        """Tell whether any upstream outside the excluded ones has room."""
+        members = self._open[False]
+        return len(members) > sum(name in members for name in excluded)
+
+    def count_free(self):
+        """Return the slots that look free on all live upstreams."""
+        live = (self.states[name] for name in self._counted)
+        return sum(max(0, state.slots - state.load) for state in live)
+
+    def measure_concurrency(self):
+        """Return how many requests this entry instance can have running."""
+        part = self._slots / self.entries
+        return max(min(self.running, self._slots), part, 1.0)
+
+    def choose(self, work, long, estimate, rng):
+        """Return the best upstream's name and the cost there, or None.
+
+        Load: skewed prefixes over many upstreams. Harm prevented: the idlest one
+        everywhere means every prefix is computed everywhere; the same one always
+        means that a hot prefix drowns its owner.
+        """
+        owners = self._find_owners(work)
+        names = list(owners) + self._draw(rng, work, long)
+        able = [name for name in names if self._fits(name, work, long)]
+        if not able:
+            able = self._draw_reserved(rng, work, long)
+        if not able:
+            return None
+        scored = [self._score(name, work, owners, estimate) for name in able]
+        _, name, cost, cached = min(scored)
+        return name, cost, cached
+
+    def _find_owners(self, work):
+        """Return name to cached tokens for those that may hold the prefix."""
+        if not work.prefix or work.prompt_tokens < AFFINITY_TOKENS:
+            return {}
+        owners = {}
+        for name in self._ring.find(work.prefix, OWNERS, self._live):
+            if self._is_within_bound(name):
+                owners[name] = int(work.prompt_tokens * OWNER_GUESS)
+                break
+        for name in self.hints.find(work.prefix):
+            if name in self._live:
+                owners[name] = work.prompt_tokens
+        return owners
+
+    def _is_within_bound(self, name):
+        state = self.states[name]
+        mean = self._load / max(1, self._slots)
+        return state.load <= BOUND * mean * state.slots + 1
+
+    def _draw(self, rng, work, long):
+        """Return two random upstreams with room, of the own data centre if any.
+
+        Load: many entry instances that decide without talking. Harm prevented:
+        a herd on the one that looks idlest; two choices suffice to even out.
+        """
+        names = self._near[long].sample(rng, 2)
+        if any(name not in work.excluded for name in names):
+            return names
+        return self._open[long].sample(rng, TRIES)
+
+    def _draw_reserved(self, rng, work, long):
+        """Return upstreams one over full, while we hold less than our part.
+
+        Load: saturation. Harm prevented: an entry instance that starts late finds
+        every slot taken by the others and would get none.
+        """
+        if self.running >= self._slots / self.entries:
+            return []
+        names = self._live.sample(rng, TRIES)
+        return [name for name in names if self._fits(name, work, long, over=1)]
+
+    def _fits(self, name, work, long, over=0):
+        state = self.states[name]
+        if name in work.excluded or not state.is_live() or state.paused_until:
+            return False
+        return state.has_room(long, self.reserve, over)
+
+    def _score(self, name, work, owners, estimate):
+        """Return the expected time there, with name, cost and cached tokens."""
+        state = self.states[name]
+        cached = owners.get(name, 0)
+        cost = estimate(work, cached)
+        pace = state.limit.pace or self.reference.mean
+        crowd = 1.0 + BATCH_PART * state.load
+        return cost * pace * crowd, name, cost, cached
+
+    def _rebuild(self):
+        self._ring = Ring(self.states)
+        for name in self.states:
+            self._count(name)
+
+    def _count(self, name):
+        """Renew what the totals and sets hold of one upstream."""
+        load, slots = self._counted.pop(name, (0, 0))
+        self._load -= load
+        self._slots -= slots
+        state = self.states.get(name)
+        live = state is not None and state.is_live()
+        self._put(self._live, name, live)
+        if live:
+            self._counted[name] = (state.load, state.slots)
+            self._load += state.load
+            self._slots += state.slots
+        ready = live and not state.paused_until
+        near = live and state.upstream.data_centre == self._data_centre
+        for long in (False, True):
+            room = ready and state.has_room(long, self.reserve)
+            self._put(self._open[long], name, room)
+            self._put(self._near[long], name, room and near)
+
+    def _put(self, members, name, wanted):
+        if wanted:
+            members.add(name)
+        else:
+            members.discard(name)
--- /dev/null
+++ b/src/chervilwing/upstreams.py
@@ -0,0 +1,114 @@
+"""What one entry instance knows about one upstream."""
+
+from collections import deque
+from typing import NamedTuple
+
+from .limits import Limit
+from .work import Work
+
+# A report may miss requests that were on the wire when it was made.
+TRANSIT = 0.05
+# A busy answer holds new work back for this long at first, then twice as long.
+FIRST_PAUSE = 0.1
+LONGEST_PAUSE = 2.0
+
+
+class Running(NamedTuple):
+    """One attempt in flight."""
+
+    work: Work
+    priority: int
+    cost: float
+    cached: int
+    long: bool
+    started: float
+
+
+class UpstreamState:
+    """One upstream: reported load, own attempts since then, limit and condition."""
+
+    def __init__(self, upstream):
+        self.upstream = upstream
+        self.slots = upstream.slots
+        self.limit = Limit(upstream.slots)
+        self.running = {}
+        self.long = 0
+        self.leaving = False
+        self.down_since = None
+        self.paused_until = 0.0
+        self.load = 0
+        self._pause = FIRST_PAUSE
+        self._reported = None
+        self._as_of = 0.0
+        self._changes = deque()
+
+    def is_live(self):
+        """Tell whether new work may go here at all."""
+        return not self.leaving and self.down_since is None
+
+    def has_room(self, long, reserve, over=0):
+        """Tell whether one more request fits.
+
+        Load: bursts, while reports lag by a second. Harm prevented: work that
+        waits in an engine can't be moved, reordered or refused any more.
+        """
+        if len(self.running) >= int(self.limit.value):
+            return False
+        if long and reserve and self.long >= self.slots - reserve:
+            return False
+        return self.load < self.slots + over
+
+    def report(self, load, slots, as_of):
+        """Take in a load report; an older one than the last is dropped."""
+        if self._reported is not None and as_of <= self._as_of:
+            return
+        self.slots = slots or self.slots
+        self._reported = load
+        self._as_of = as_of
+        if self.down_since is not None and as_of > self.down_since:
+            self.down_since = None
+        while self._changes and self._changes[0][0] <= as_of - TRANSIT:
+            self._changes.popleft()
+        self._correct()
+
+    def start(self, running, now):
+        """Count one more attempt."""
+        self.running[running.work.request_id] = running
+        self.long += running.long
+        self._change(now, 1)
+
+    def end(self, request_id, now):
+        """Count one attempt less and return it, or None when it isn't here."""
+        running = self.running.pop(request_id, None)
+        if running is None:
+            return None
+        self.long -= running.long
+        self._change(now, -1)
+        return running
+
+    def pause(self, now):
+        """Hold new work back after a busy answer, each time for longer."""
+        self.paused_until = now + self._pause
+        self._pause = min(LONGEST_PAUSE, self._pause * 2)
+        return self.paused_until
+
+    def settle(self):
+        """Forget earlier busy answers after an answer that came whole."""
+        self._pause = FIRST_PAUSE
+
+    def _change(self, now, step):
+        if self._reported is not None:
+            self._changes.append((now, step))
+        self._correct()
+
+    def _correct(self):
+        """Set the load to what was reported, corrected by own starts and ends.
+
+        Load: many entry instances and reports a second old. Harm prevented: all of
+        them send to what was the idlest upstream a second ago.
+        """
+        own = len(self.running)
+        if self._reported is None:
+            self.load = own
+            return
+        self.load = max(own, self._reported + sum(step for _, step in self._changes))
--- /dev/null
+++ b/src/chervilwing/work.py
@@ -0,0 +1,57 @@
+"""The data that goes in and out of the scheduler."""
+
+from typing import NamedTuple
+
+from .exceptions import ChervilwingError
+from .models import MODEL
+
+# Outcomes of an attempt, as the task that owns the connection tells them.
+OK = "ok"
+FAILED = "failed"
+SILENT = "silent"
+BUSY = "busy"
+EXHAUSTED = "exhausted"
+LEAVING = "leaving"
+CANCELLED = "cancelled"
+
+# Attempts that the upstream, or we, say were never started.
+NOT_STARTED = frozenset({BUSY, EXHAUSTED})
+
+
+class Work(NamedTuple):
+    """One request as the scheduler sees it.
+
+    ``deadline`` and ``arrived`` are seconds on the caller's clock, the same that
+    ``now`` is read from. ``prefix`` is a hash of the prompt's beginning, empty
+    when there is none worth keeping together. ``tokens`` were already streamed.
+    """
+
+    request_id: str
+    customer: str
+    work_class: str
+    pool: str
+    deadline: float
+    kind: str = MODEL
+    target: str = ""
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    prefix: str = ""
+    excluded: frozenset = frozenset()
+    idempotent: bool = True
+    tokens: int = 0
+    attempts: int = 0
+
+
+class Placement(NamedTuple):
+    """Send this request to this upstream now; ``cost`` is in decoded tokens."""
+
+    request_id: str
+    upstream: str
+    cost: float
+
+
+class Refusal(NamedTuple):
+    """The final answer to a request that was given up on."""
+
+    request_id: str
+    exc: ChervilwingError
