Model upstreams and deployments for the load bench; bands of priority

Change: bench engines, arrivals, loads, baselines; the queue serves bands with sure shares and predicts waits from served rates.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions under load: python -m bench.load, bench.decision."""
--- /dev/null
+++ b/bench/arrivals.py
@@ -0,0 +1,100 @@
+"""Requests drawn from a deployment and a load with a fixed seed."""
+
+from .deployments import (
+    ENTRIES,
+    PREFIXES,
+    list_customers,
+    measure_rate,
+    measure_work,
+)
+from .loads import DURATION
+
+# In the mix of long and short, long work is this many times the usual, the rest
+# this part of it.
+LONG_TIMES = 5.0
+SHORT_TIMES = 0.5
+
+
+class Request:
+    """One caller's request and what became of it."""
+
+    def __init__(self, name, kind, customer, entry, arrival):
+        self.name = name
+        self.kind = kind
+        self.customer = customer
+        self.entry = entry
+        self.arrival = arrival
+        self.priority = kind.priority
+        self.output = kind.output
+        self.max_tokens = 0
+        self.prompt = 0
+        self.prefix = ""
+        self.prefix_tokens = 0
+        self.deadline = arrival + kind.deadline
+        self.work = 0.0
+        self.tokens = 0.0
+        self.exported = False
+        self.attempts = 0
+        self.first_token = None
+        self.finished = None
+        self.cause = ""
+        self.closed = False
+        self.upstream = None
+
+    def is_useful(self):
+        """Tell whether the whole answer came in time and began in time."""
+        if self.finished is None:
+            return False
+        began = self.first_token if self.kind.prefix else self.finished
+        return began - self.arrival <= self.kind.first_token
+
+
+def draw_requests(deployment, load, rng):
+    """Return all requests of a run in order of arrival."""
+    requests = []
+    for pool in (deployment.model_pool, deployment.service_pool):
+        kinds = [kind for kind in deployment.kinds if kind.pool == pool]
+        rate = measure_rate(deployment, pool)
+        requests.extend(_draw_pool(pool, kinds, rate, load, rng))
+    return sorted(requests, key=lambda request: request.arrival)
+
+
+def _draw_pool(pool, kinds, rate, load, rng):
+    mean = load.long_part * LONG_TIMES + (1 - load.long_part) * SHORT_TIMES
+    rate /= mean if load.long_part else 1.0
+    now = 0.0
+    number = 0
+    while True:
+        now += rng.expovariate(rate * load.level(now))
+        if now >= DURATION:
+            return
+        kind = rng.choices(kinds, [kind.part for kind in kinds])[0]
+        number += 1
+        yield _draw_request(f"{pool}/{number}", kind, load, rng, now)
+
+
+def _draw_request(name, kind, load, rng, now):
+    customer = rng.choices(list_customers(), load.demand)[0]
+    request = Request(name, kind, customer, rng.randrange(len(ENTRIES)), now)
+    times = rng.uniform(0.6, 1.4) * _draw_length(load, rng)
+    request.output = kind.output * times
+    longer = max(0.0, times - 1.4)
+    request.deadline += longer * kind.deadline
+    request.work = measure_work(kind._replace(output=request.output))
+    if kind.prefix:
+        request.max_tokens = int(request.output * rng.uniform(1.1, 1.9))
+        request.prefix = f"{customer}/{kind.name}/{_draw_popular(rng)}"
+        request.prefix_tokens = kind.prefix
+        request.prompt = kind.prefix + int(kind.suffix * rng.uniform(0.5, 1.5))
+    return request
+
+
+def _draw_length(load, rng):
+    if not load.long_part:
+        return 1.0
+    return LONG_TIMES if rng.random() < load.long_part else SHORT_TIMES
+
+
+def _draw_popular(rng):
+    """Return the number of a prefix, a low one more often than a high one."""
+    return int(PREFIXES * rng.random() ** 1.5)
--- /dev/null
+++ b/bench/loads.py
@@ -0,0 +1,44 @@
+"""The loads: how many requests, of which customer, and what goes wrong when."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from .deployments import DEMAND
+
+DURATION = 120.0
+BURST_EVERY = 30.0
+BURST_LENGTH = 5.0
+
+
+class Load(NamedTuple):
+    """One load; ``level`` gives offered over full capacity at a time."""
+
+    name: str
+    level: Callable[[float], float]
+    demand: tuple[float, ...] = DEMAND
+    long_part: float = 0.0
+    slow: float = 1.0
+    reclaimed: str = ""
+
+
+def hold(level):
+    """Return a load that stays at one level."""
+    return lambda now: level
+
+
+def burst(now):
+    """Return three times the base for five seconds in every thirty."""
+    return 1.8 if now % BURST_EVERY > BURST_EVERY - BURST_LENGTH else 0.6
+
+
+LOADS = (
+    Load("steady", hold(0.7)),
+    Load("burst", burst),
+    Load("skewed", hold(1.3), demand=(0.72, 0.1, 0.08, 0.06, 0.04)),
+    Load("slow upstream", hold(0.65), slow=4.0),
+    Load("long/short", hold(0.8), long_part=0.15),
+    Load("full 1x", hold(1.0)),
+    Load("saturation 2x", hold(2.0)),
+    Load("saturation 5x", hold(5.0)),
+    Load("reclaimed", hold(0.7), reclaimed="a"),
+)
--- a/src/chervilwing/admission.py
+++ b/src/chervilwing/admission.py
@@ -1,6 +1,5 @@
 """The decision at the door: let work in, or refuse it with cause and scope."""
 
-from math import exp
 from typing import NamedTuple
 
 from .exceptions import CustomerLimit, NoUpstream, PoolFull, Scope
@@ -11,12 +10,13 @@
 # A queue that stays over the latency target this long is a standing queue, which
 # only adds delay (RFC 8289 makes the same difference); a shorter one is a burst.
 STANDING = 3.0
+# Only this long without one makes the next one a new burst: refusals empty the
+# queue for a moment, and letting all in again then would fill it up every time.
+QUIET = 10.0
 # Part of the first-token target that may be spent waiting.
 WAITING_PART = 0.7
 SHORTEST_RETRY = 0.5
 LONGEST_RETRY = 60.0
-# Seconds over which offered and admitted work are compared.
-MEMORY = 5.0
 
 
 class Prospect(NamedTuple):
@@ -27,40 +27,21 @@
     service: float
 
 
-class Flowmeter:
-    """Offered and admitted work of a pool, older work counting for less."""
-
-    def __init__(self):
-        self._offered = 0.0
-        self._admitted = 0.0
-        self._at = 0.0
-
-    def record(self, cost, admitted, now):
-        """Count one piece of work."""
-        fade = exp(-max(0.0, now - self._at) / MEMORY)
-        self._at = now
-        self._offered = self._offered * fade + cost
-        self._admitted = self._admitted * fade + (cost if admitted else 0.0)
-
-    def measure_excess(self):
-        """Return offered over admitted work, from 1 up to 20."""
-        if self._admitted <= 0:
-            return 1.0
-        return min(20.0, max(1.0, self._offered / self._admitted))
-
-
 class Congestion:
-    """Since when each customer's class has met more than its latency target."""
+    """When each customer's class first and last met more than its latency target."""
 
     def __init__(self):
-        self._since = {}
+        self._spells = {}
 
     def is_standing(self, key, over, now):
         """Take note whether work is over its target; tell if that has lasted."""
         if not over:
-            self._since.pop(key, None)
             return False
-        return now - self._since.setdefault(key, now) >= STANDING
+        first, last = self._spells.get(key, (now, now))
+        if now - last > QUIET:
+            first = now
+        self._spells[key] = (first, now)
+        return now - first >= STANDING
 
 
 def grade_retry(seconds, excess, rng):
--- a/src/chervilwing/queues.py
+++ b/src/chervilwing/queues.py
@@ -4,19 +4,20 @@
 from itertools import count
 from typing import NamedTuple
 
+from .rates import Rate
 from .work import Work
 
-URGENT = "urgent"
-YIELDING = "yielding"
+# Bands of priority; what the rules number higher than the last falls into it.
+BANDS = (0, 1, 2)
+YIELDING = BANDS[-1]
 SHORT = "short"
 LONG = "long"
-LANES = tuple((band, lane) for band in (URGENT, YIELDING) for lane in (SHORT, LONG))
+LANES = tuple((band, size) for band in BANDS for size in (SHORT, LONG))
 
-# Work of this priority or a higher number (batch, documents) yields to the rest.
-YIELDING_PRIORITY = 2
-# What yielding work gets for sure while urgent work waits: enough that a customer
-# with nothing but batch work is never starved, too little to delay a memo.
-YIELDING_SHARE = 0.1
+# The part of the work that a band gets for sure while more urgent bands wait: so
+# that a customer with nothing but plans or batch work is never starved by another
+# one's short questions, and small enough to keep those within their target.
+SURE_SHARE = {0: 1.0, 1: 0.3, 2: 0.1}
 
 
 class Queued(NamedTuple):
@@ -24,27 +25,45 @@
 
     work: Work
     cost: float
-    priority: int
-    lane: tuple[str, str]
+    lane: tuple[int, str]
     give_up: float
 
+    @property
+    def band(self):
+        """The band of priority."""
+        return self.lane[0]
+
 
 class Flow:
-    """What one customer has waiting, and its place in virtual time."""
+    """What one customer has waiting in one band, and its place in virtual time."""
 
     def __init__(self, weight):
         self.weight = weight
         self.tag = 0.0
         self.size = 0
-        self.cost = dict.fromkeys((URGENT, YIELDING), 0.0)
-        self.heaps = {lane: [] for lane in LANES}
+        self.cost = 0.0
+        self.served = Rate()
+        self.heaps = {SHORT: [], LONG: []}
         self.active = set()
 
 
+class Band:
+    """The totals of one band of priority."""
+
+    def __init__(self):
+        self.size = 0
+        self.cost = 0.0
+        self.weight = 0.0
+        self.served = Rate()
+        self.virtual = 0.0
+        self.credit = 0.0
+
+
 class FairQueue:
     """The requests that wait for one pool.
 
-    Start-time fair queueing over customers, on cost: whoever has had least for its
+    Bands go in order of priority, each with a sure share. Within a band it is
+    start-time fair queueing over customers, on cost: whoever has had least for its
     weight goes next. Load: one customer offers many times the others' work. Harm
     prevented: in one line the small customers wait behind all of it. A share not
     used is lent, without a debt: an idle customer comes back at the present
@@ -58,23 +77,17 @@
     def __init__(self):
         self._items = {}
         self._flows = {}
+        self._sizes = {}
+        self._bands = {band: Band() for band in BANDS}
         self._active = {lane: [] for lane in LANES}
         self._order = count()
-        self._virtual = 0.0
-        self._credit = 0.0
-        self.weight = 0.0
-        self.cost = dict.fromkeys((URGENT, YIELDING), 0.0)
 
     def __len__(self):
         return len(self._items)
 
-    def __contains__(self, request_id):
-        return request_id in self._items
-
     def count(self, customer):
         """Return how many requests of the customer wait."""
-        flow = self._flows.get(customer)
-        return flow.size if flow else 0
+        return self._sizes.get(customer, 0)
 
     def find(self, request_id):
         """Return the waiting request, or None."""
@@ -85,20 +98,21 @@
         return tuple(self._items.values())
 
     def push(self, item, weight, front=False):
-        """Put work in its customer's queue; ``front`` goes before its priority."""
-        flow = self._flows.setdefault(item.work.customer, Flow(weight))
+        """Put work in its customer's queue, before the others if ``front``."""
+        customer = item.work.customer
+        flow = self._flows.setdefault((customer, item.band), Flow(weight))
+        band = self._bands[item.band]
         if not flow.size:
-            flow.tag = max(flow.tag, self._virtual)
+            flow.tag = max(flow.tag, band.virtual)
             flow.weight = weight
-            self.weight += weight
+            band.weight += weight
         self._items[item.work.request_id] = item
-        self._count(item, flow, 1)
-        heap = flow.heaps[item.lane]
-        rank = (item.priority, not front, item.work.deadline, next(self._order))
-        heappush(heap, (*rank, item.work.request_id))
+        self._count(item, 1)
+        rank = (not front, item.work.deadline, next(self._order))
+        heappush(flow.heaps[item.lane[1]], (*rank, item.work.request_id))
         if item.lane not in flow.active:
             flow.active.add(item.lane)
-            entry = (flow.tag, next(self._order), item.work.customer)
+            entry = (flow.tag, next(self._order), customer)
             heappush(self._active[item.lane], entry)
 
     def remove(self, request_id):
@@ -106,84 +120,100 @@
         item = self._items.pop(request_id, None)
         if item is None:
             return None
-        flow = self._flows[item.work.customer]
-        self._count(item, flow, -1)
+        self._count(item, -1)
+        flow = self._flows[item.work.customer, item.band]
         if not flow.size:
-            self.weight -= flow.weight
+            self._bands[item.band].weight -= flow.weight
         return item
 
-    def peek(self, blocked, spare_urgent):
+    def is_due(self, item):
+        """Tell whether the item's band has its sure share still to get."""
+        return self._bands[item.band].credit >= item.cost
+
+    def peek(self, blocked, spare):
         """Return the work to be placed next outside the blocked lanes, or None.
 
-        With ``spare_urgent`` yielding work waits for as long as any urgent work
-        does: while survivors take over from a reclaimed zone.
+        With ``spare`` the last band waits for as long as any other work does:
+        while survivors take over from a reclaimed zone.
         """
-        heads = {lane: self._find_head(lane) for lane in LANES if lane not in blocked}
-        urgent = self._pick(heads, URGENT)
-        yielding = self._pick(heads, YIELDING)
-        if urgent is None or yielding is None:
-            return urgent or yielding
-        due = self._credit >= yielding.cost and not spare_urgent
-        return yielding if due else urgent
-
-    def take(self, item):
+        heads = [self._find_band_head(band, blocked) for band in BANDS]
+        able = [item for item in heads if item is not None]
+        if len(able) < 2:
+            return able[0] if able else None
+        for item in reversed(able):
+            held = spare and item.band == YIELDING
+            if not held and self.is_due(item):
+                return item
+        return able[0]
+
+    def take(self, item, now):
         """Take out what ``peek`` returned and charge its customer."""
         self.remove(item.work.request_id)
-        flow = self._flows[item.work.customer]
-        self._virtual = max(self._virtual, flow.tag)
+        flow = self._flows[item.work.customer, item.band]
+        band = self._bands[item.band]
+        band.virtual = max(band.virtual, flow.tag)
+        band.credit = max(0.0, band.credit - item.cost)
         flow.tag += item.cost / flow.weight
-        if item.lane[0] == YIELDING:
-            self._credit = max(0.0, self._credit - item.cost)
-        elif self.cost[YIELDING] > 0:
-            self._credit += item.cost * YIELDING_SHARE
+        for totals in (flow, band):
+            totals.served.record(item.cost, now)
+        for lower in BANDS[item.band + 1 :]:
+            if self._bands[lower].size:
+                self._bands[lower].credit += item.cost * SURE_SHARE[lower]
         return item
 
-    def charge(self, customer, cost):
+    def charge(self, customer, band, cost):
         """Correct a customer's account by cost that the estimate missed."""
-        flow = self._flows.get(customer)
+        flow = self._flows.get((customer, band))
         if flow is not None:
             flow.tag = max(0.0, flow.tag + cost / flow.weight)
 
-    def measure_ahead(self, customer, weight, band):
-        """Return the cost that is served before new work of the customer.
+    def measure_wait(self, customer, weight, band, cost, whole, now):
+        """Return how long new work would wait for its turn, in seconds.
 
-        It is the least of all that waits and of what fair shares let pass while
-        the customer's own queue is served.
+        ``whole`` is the cost a second that the pool serves. The customer's part of
+        it is its fair share or what the others leave, whichever is more.
         """
-        total = self._sum(self.cost, band)
-        flow = self._flows.get(customer)
+        totals = self._bands[band]
+        urgent = sum(self._bands[other].cost for other in BANDS[:band])
+        rate = self._measure_rate(band, whole, now)
+        flow = self._flows.get((customer, band))
         if flow is None or not flow.size:
-            return min(total, self._estimate_round(weight))
-        own = self._sum(flow.cost, band)
-        return min(total, own * self.weight / flow.weight)
-
-    def _estimate_round(self, weight):
-        if not self._items:
-            return 0.0
-        mean = sum(self.cost.values()) / len(self._items)
-        return mean * self.weight / max(weight, 1e-9)
-
-    def _sum(self, costs, band):
-        return costs[URGENT] + (costs[YIELDING] if band == YIELDING else 0.0)
-
-    def _count(self, item, flow, sign):
-        band = item.lane[0]
-        flow.size += sign
-        flow.cost[band] = max(0.0, flow.cost[band] + sign * item.cost)
-        self.cost[band] = max(0.0, self.cost[band] + sign * item.cost)
-
-    def _pick(self, heads, band):
-        able = [(tag, item) for lane, (tag, item) in heads.items() if lane[0] == band]
-        able = [(tag, item) for tag, item in able if item is not None]
-        return min(able, key=lambda pair: pair[0])[1] if able else None
+            fair = rate * weight / (totals.weight + weight)
+            return urgent / whole + cost / fair
+        others = totals.served.measure(now) - flow.served.measure(now)
+        fair = rate * flow.weight / totals.weight
+        return urgent / whole + (flow.cost + cost) / max(fair, rate - others)
+
+    def _measure_rate(self, band, whole, now):
+        """Return what more urgent bands leave, or the sure share if that is more."""
+        bands = [self._bands[other] for other in BANDS[:band]]
+        urgent = sum(other.served.measure(now) for other in bands)
+        return max(whole - urgent, whole * SURE_SHARE[band])
+
+    def _count(self, item, sign):
+        customer = item.work.customer
+        self._sizes[customer] = self._sizes.get(customer, 0) + sign
+        for totals in (self._flows[customer, item.band], self._bands[item.band]):
+            totals.size += sign
+            totals.cost = max(0.0, totals.cost + sign * item.cost)
+
+    def _find_band_head(self, band, blocked):
+        """Return the band's next request: of the lane whose customer is behind."""
+        heads = [
+            self._find_head((band, size))
+            for size in (SHORT, LONG)
+            if (band, size) not in blocked
+        ]
+        able = [head for head in heads if head is not None]
+        return min(able, key=lambda head: head[0])[1] if able else None
 
     def _find_head(self, lane):
         """Return tag and item of the lane's next request, dropping stale entries."""
         active = self._active[lane]
         while active:
             tag, order, customer = active[0]
-            flow = self._flows[customer]
-            item = self._find_first(flow.heaps[lane])
+            flow = self._flows[customer, lane[0]]
+            item = self._find_first(flow.heaps[lane[1]])
             if item is None:
                 heappop(active)
                 flow.active.discard(lane)
@@ -191,7 +221,7 @@
                 heapreplace(active, (flow.tag, order, customer))
             else:
                 return tag, item
-        return 0.0, None
+        return None
 
     def _find_first(self, heap):
         while heap:
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -6,13 +6,14 @@
 from typing import NamedTuple, TypedDict
 
 from . import admission, retries
-from .admission import Congestion, Flowmeter, Prospect
+from .admission import Congestion, Prospect
 from .budgets import Budgets
 from .costs import PREFILL_PART, CostModel, blend
 from .exceptions import NOT_RUN, DeadlinePassed, Scope
 from .models import MODEL, SERVICE, Customer, WorkClass
 from .placement import PoolState
-from .queues import LONG, SHORT, URGENT, YIELDING, YIELDING_PRIORITY, FairQueue, Queued
+from .queues import BANDS, LONG, SHORT, YIELDING, FairQueue, Queued
+from .rates import Excess
 from .shares import Splitter
 from .upstreams import Running
 from .work import BUSY, FAILED, OK, SILENT, Placement, Refusal, Work
@@ -63,7 +64,7 @@
         self.queue = FairQueue()
         self.state = PoolState(name, cfg.data_centre, FIRST_PACE[kind])
         self.state.set_entries(cfg.entries)
-        self.meter = Flowmeter()
+        self.excess = Excess()
         self.congestion = Congestion()
         self.regroup_until = 0.0
         self.usual = None
@@ -136,7 +137,7 @@
     def mark_down(self, name, now):
         """Send nothing new to an upstream until it reports or is marked up."""
         pool = self._find_pool_of(name)
-        if pool is None:
+        if pool is None or pool.state.states[name].down_since is not None:
             return
         pool.state.states[name].down_since = now
         self._lose(pool, name, now)
@@ -179,7 +180,7 @@
             return Refusal(work.request_id, admission.refuse_no_upstream(work.pool, 5))
         cost = self._costs.estimate(work)
         exc = self._judge(pool, work, cost, now)
-        pool.meter.record(cost, exc is None, now)
+        pool.excess.record(cost, exc is None, now)
         if exc is not None:
             return Refusal(work.request_id, exc)
         self._push(pool, work, cost)
@@ -270,7 +271,7 @@
         for request_id, attempt in pool.state.states[name].running.items():
             left = attempt.started + attempt.cost * pace - now
             if attempt.work.idempotent and now + left > until:
-                moves.append((attempt.priority, -left, request_id))
+                moves.append((attempt.band, -left, request_id))
         names = tuple(request_id for *_, request_id in sorted(moves))
         if until - now <= LAST_CALL:
             return names
@@ -286,9 +287,9 @@
             return now
         return max(now, min(times)) if times else None
 
-    def describe(self):
+    def describe(self, now):
         """Return figures of each pool by name."""
-        return {name: _describe(pool) for name, pool in self._pools.items()}
+        return {name: _describe(pool, now) for name, pool in self._pools.items()}
 
     def _find_pool_of(self, upstream):
         return self._homes.get(upstream)
@@ -330,7 +331,7 @@
         rate = pool.state.measure_concurrency() / pool.state.reference.mean
         ahead = 0.0
         items = pool.queue.list_waiting()
-        for item in sorted(items, key=lambda item: (item.priority, item.give_up)):
+        for item in sorted(items, key=lambda item: (item.band, item.give_up)):
             start = now + ahead * admission.MARGIN / rate
             if start > item.give_up and not item.work.attempts:
                 self._give_up(item.work.request_id, now)
@@ -348,17 +349,15 @@
         if not pool.state.count_live():
             after = admission.grade_retry(2.0, 1.0, self._rng)
             return admission.refuse_no_upstream(pool.name, after)
-        prospect = self._foresee(pool, work, cost, customer, kind)
-        excess = pool.meter.measure_excess()
+        prospect = self._foresee(pool, work, cost, customer, kind, now)
+        excess = pool.excess.measure(now)
         after = admission.grade_retry(prospect.wait, excess, self._rng)
         if pool.queue.count(work.customer) >= customer.queue_limit:
             return admission.refuse_customer(work.customer, after)
         # An idle pool takes anything: a bad estimate could never be corrected.
         if not pool.state.running and not len(pool.queue):
             return None
-        if pool.state.reference.measured and self._is_hopeless(
-            pool, work, prospect, kind, now
-        ):
+        if self._is_hopeless(pool, work, prospect, kind, now):
             return admission.refuse_pool(pool.name, after)
         return None
 
@@ -366,30 +365,37 @@
         over = admission.is_over_target(prospect, kind.first_token)
         key = (work.customer, work.work_class)
         standing = pool.congestion.is_standing(key, over, now)
-        return (standing and over) or admission.is_too_late(prospect, work, now)
+        if standing and over:
+            return True
+        measured = pool.state.reference.measured
+        return measured and admission.is_too_late(prospect, work, now)
 
-    def _foresee(self, pool, work, cost, customer, kind):
+    def _foresee(self, pool, work, cost, customer, kind, now):
         """Return what new work would meet in this pool."""
         pace = pool.state.reference.mean
-        band = _find_band(kind.priority)
-        ahead = pool.queue.measure_ahead(work.customer, customer.weight, band)
-        wait = ahead * pace / pool.state.measure_concurrency()
+        band = min(kind.priority, YIELDING)
+        whole = pool.state.measure_concurrency() / pace
+        wait = 0.0
+        if len(pool.queue) or not pool.state.has_open(frozenset()):
+            wait = pool.queue.measure_wait(
+                work.customer, customer.weight, band, cost, whole, now
+            )
         prefill = cost if pool.kind == SERVICE else work.prompt_tokens * PREFILL_PART
         return Prospect(wait, prefill * pace, cost * pace)
 
     def _push(self, pool, work, cost, front=False):
         customer, kind = self._find_rules(work)
         size = LONG if pool.is_long(cost) else SHORT
-        lane = (_find_band(kind.priority), size)
+        lane = (min(kind.priority, YIELDING), size)
         give_up = work.deadline - pool.state.reference.estimate(cost)
-        item = Queued(work, cost, kind.priority, lane, give_up)
+        item = Queued(work, cost, lane, give_up)
         pool.queue.push(item, customer.weight, front)
         self._waiting[work.request_id] = pool
         heappush(self._give_ups, (give_up, work.request_id))
 
     def _judge_retry(self, pool, rule, work, upstream, now):
         """Return why there is no further attempt, or None."""
-        excess = pool.meter.measure_excess()
+        excess = pool.excess.measure(now)
         after = admission.grade_retry(1.0, excess, self._rng)
         if not retries.may_repeat(rule, work):
             return retries.refuse_repeat(rule, work, upstream, after)
@@ -432,7 +438,7 @@
                 # Only where it must not go is there room: let others pass it.
                 aside.append(pool.queue.remove(item.work.request_id))
             else:
-                blocked |= {(band, item.lane[1]) for band in (URGENT, YIELDING)}
+                blocked |= {(band, item.lane[1]) for band in BANDS}
         for item in aside:
             customer, _ = self._find_rules(item.work)
             pool.queue.push(item, customer.weight, front=True)
@@ -448,9 +454,9 @@
         if choice is None:
             return None
         name, cost, cached = choice
-        pool.queue.take(item)
+        pool.queue.take(item, now)
         self._waiting.pop(work.request_id, None)
-        attempt = Running(work, item.priority, cost, cached, long, now)
+        attempt = Running(work, item.band, cost, cached, long, now)
         pool.state.states[name].start(attempt, now)
         pool.state.running += 1
         pool.state.refresh(name)
@@ -465,14 +471,14 @@
         pool.state.reference.record(pace)
         state.limit.record(pace, pool.state.reference.seconds, state.slots)
         state.settle()
-        pool.queue.charge(attempt.work.customer, cost - attempt.cost)
+        pool.queue.charge(attempt.work.customer, attempt.band, cost - attempt.cost)
 
     def _give_up(self, request_id, now):
         pool = self._waiting.pop(request_id, None)
         item = pool.queue.remove(request_id) if pool else None
         if item is None:
             return
-        excess = pool.meter.measure_excess()
+        excess = pool.excess.measure(now)
         after = admission.grade_retry(1.0, excess, self._rng)
         detail = f"pool {pool.name} can't meet the deadline any more"
         outcome = NOT_RUN if not item.work.attempts else None
@@ -481,11 +487,7 @@
         self._refusals.append(Refusal(request_id, exc))
 
 
-def _find_band(priority):
-    return YIELDING if priority >= YIELDING_PRIORITY else URGENT
-
-
-def _describe(pool):
+def _describe(pool, now):
     state = pool.state
     limits = {name: upstream.limit.value for name, upstream in state.states.items()}
     return PoolFigures(
@@ -494,6 +496,6 @@
         live=state.count_live(),
         slots=state.count_slots(),
         pace=state.reference.mean,
-        excess=pool.meter.measure_excess(),
+        excess=pool.excess.measure(now),
         limits=limits,
     )
--- a/src/chervilwing/upstreams.py
+++ b/src/chervilwing/upstreams.py
@@ -1,6 +1,7 @@
 """What one entry instance knows about one upstream."""
 
 from collections import deque
+from math import exp
 from typing import NamedTuple
 
 from .limits import Limit
@@ -8,6 +9,10 @@
 
 # A report may miss requests that were on the wire when it was made.
 TRANSIT = 0.05
+# The others' part of the load is averaged over this many seconds. Work that is
+# shorter than the time between reports makes single reports mere noise, on which
+# every entry instance would act at the same moment.
+SMOOTHING = 2.5
 # A busy answer holds new work back for this long at first, then twice as long.
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 2.0
@@ -17,7 +22,7 @@
     """One attempt in flight."""
 
     work: Work
-    priority: int
+    band: int
     cost: float
     cached: int
     long: bool
@@ -38,7 +43,7 @@
         self.paused_until = 0.0
         self.load = 0
         self._pause = FIRST_PAUSE
-        self._reported = None
+        self._others = None
         self._as_of = 0.0
         self._changes = deque()
 
@@ -60,15 +65,15 @@
 
     def report(self, load, slots, as_of):
         """Take in a load report; an older one than the last is dropped."""
-        if self._reported is not None and as_of <= self._as_of:
+        if self._others is not None and as_of <= self._as_of:
             return
         self.slots = slots or self.slots
-        self._reported = load
-        self._as_of = as_of
         if self.down_since is not None and as_of > self.down_since:
             self.down_since = None
         while self._changes and self._changes[0][0] <= as_of - TRANSIT:
             self._changes.popleft()
+        own = len(self.running) - sum(step for _, step in self._changes)
+        self._average(max(0.0, load - own), as_of)
         self._correct()
 
     def start(self, running, now):
@@ -97,18 +102,22 @@
         self._pause = FIRST_PAUSE
 
     def _change(self, now, step):
-        if self._reported is not None:
+        if self._others is not None:
             self._changes.append((now, step))
         self._correct()
 
+    def _average(self, others, as_of):
+        if self._others is None:
+            self._others = others
+        else:
+            weight = 1.0 - exp((self._as_of - as_of) / SMOOTHING)
+            self._others += weight * (others - self._others)
+        self._as_of = as_of
+
     def _correct(self):
-        """Set the load to what was reported, corrected by own starts and ends.
+        """Set the load to our own attempts now and the others' by report.
 
         Load: many entry instances and reports a second old. Harm prevented: all of
         them send to what was the idlest upstream a second ago.
         """
-        own = len(self.running)
-        if self._reported is None:
-            self.load = own
-            return
-        self.load = max(own, self._reported + sum(step for _, step in self._changes))
+        self.load = len(self.running) + (self._others or 0.0)
