--- a/bench/arrivals.py
+++ b/bench/arrivals.py
@@ -7,7 +7,6 @@
     measure_rate,
     measure_work,
 )
-from .loads import DURATION
 
 # In the mix of long and short, long work is this many times the usual, the rest
 # this part of it.
@@ -66,7 +65,7 @@
     number = 0
     while True:
         now += rng.expovariate(rate * load.level(now))
-        if now >= DURATION:
+        if now >= load.duration:
             return
         kind = rng.choices(kinds, [kind.part for kind in kinds])[0]
         number += 1
--- a/bench/loads.py
+++ b/bench/loads.py
@@ -5,7 +5,6 @@
 
 from .deployments import DEMAND
 
-DURATION = 120.0
 BURST_EVERY = 30.0
 BURST_LENGTH = 5.0
 
@@ -19,6 +18,7 @@
     long_part: float = 0.0
     slow: float = 1.0
     reclaimed: str = ""
+    duration: float = 120.0
 
 
 def hold(level):
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -15,12 +15,10 @@
     list_upstreams,
 )
 from .engines import Clock, Engine
-from .loads import DURATION
 
 SEED = 20261202
 REPORT_EVERY = 1.0
 REPORT_LAG = 0.3
-NOTICE_AT = 60.0
 NOTICE = 10.0
 LIST_LAG = 2.0
 SHIFT_EVERY = 0.25
@@ -42,6 +40,7 @@
         self.entries = [self._build_entry(index) for index in range(len(ENTRIES))]
         self.requests = draw_requests(deployment, load, Random(SEED))
         self._by_name = {request.name: request for request in self.requests}
+        self._notice_at = load.duration / 2
         self._wakeups = [None] * len(ENTRIES)
 
     def play(self):
@@ -51,7 +50,7 @@
             self.clock.call(request.deadline, self._hang_up, request)
         self._report()
         self._break()
-        self.clock.run(DURATION + DRAIN)
+        self.clock.run(self.load.duration + DRAIN)
         return self.requests
 
     def _build_engines(self):
@@ -83,8 +82,8 @@
     def _plan_reclaim(self, name):
         for index in range(len(ENTRIES)):
             lag = 0.1 if index == 0 else LIST_LAG
-            self.clock.call(NOTICE_AT + lag, self._notice, index, name)
-        self.clock.call(NOTICE_AT + NOTICE, self.engines[name].kill)
+            self.clock.call(self._notice_at + lag, self._notice, index, name)
+        self.clock.call(self._notice_at + NOTICE, self.engines[name].kill)
 
     def _notice(self, index, name):
         self.entries[index].mark_leaving(name, self.clock.now)
@@ -95,7 +94,9 @@
     def _shift(self, index, name):
         if self.engines[name].dead:
             return
-        moves = self.entries[index].shift(name, NOTICE_AT + NOTICE, self.clock.now)
+        moves = self.entries[index].shift(
+            name, self._notice_at + NOTICE, self.clock.now
+        )
         for request_id in moves:
             self._move(index, name, self._find(request_id))
         self._poke(index)
@@ -229,7 +230,8 @@
     def _end(self, index, name, request, outcome, duration, done):
         request.upstream = None
         entry = self.entries[index]
-        first = (request.first_token or self.clock.now) - request.arrival
+        began = request.first_token or self.clock.now
+        first = began - (self.clock.now - duration)
         entry.finish(
             request.name, name, outcome, first, duration, int(done), self.clock.now
         )
--- a/src/chervilwing/admission.py
+++ b/src/chervilwing/admission.py
@@ -13,8 +13,9 @@
 # Only this long without one makes the next one a new burst: refusals empty the
 # queue for a moment, and letting all in again then would fill it up every time.
 QUIET = 10.0
-# Part of the first-token target that may be spent waiting.
-WAITING_PART = 0.7
+# One entry instance waits for the end of one of a few long requests, so its waits
+# spread like an exponential: one in seven is over twice the mean.
+SPREAD = 2.0
 SHORTEST_RETRY = 0.5
 LONGEST_RETRY = 60.0
 
@@ -28,7 +29,7 @@
 
 
 class Congestion:
-    """When each customer's class first and last met more than its latency target."""
+    """When each band of work first and last met more than its latency target."""
 
     def __init__(self):
         self._spells = {}
@@ -82,4 +83,4 @@
 
 def is_over_target(prospect, first_token):
     """Tell whether the first token would come later than the class is promised."""
-    return prospect.wait > WAITING_PART * max(0.0, first_token - prospect.first_token)
+    return prospect.wait * SPREAD + prospect.first_token > first_token
--- a/src/chervilwing/placement.py
+++ b/src/chervilwing/placement.py
@@ -94,11 +94,12 @@
         self.hints = CacheHints()
         self.reference = Reference(first_pace)
         self.running = 0
+        self.yielding = 0
         self.entries = 1
         self.reserve = 0
         self._data_centre = data_centre
         self._ring = Ring()
-        # By whether the work is long, since long work leaves slots to short work.
+        # By whether the work is over its quota, and so has to leave the reserve.
         self._open = {False: Members(), True: Members()}
         self._near = {False: Members(), True: Members()}
         self._live = Members()
@@ -112,7 +113,9 @@
         if wanted == {name: state.upstream for name, state in self.states.items()}:
             return
         for name in [name for name in self.states if name not in wanted]:
-            self.running -= len(self.states.pop(name).running)
+            lost = self.states.pop(name).running.values()
+            self.running -= len(lost)
+            self.yielding -= sum(attempt.yielding for attempt in lost)
             self._count(name)
         for name, upstream in wanted.items():
             state = self.states.setdefault(name, UpstreamState(upstream))
@@ -125,7 +128,7 @@
         self._count(name)
 
     def set_reserve(self, reserve):
-        """Keep so many slots of each upstream free of long work."""
+        """Keep so many slots of each upstream for short urgent work."""
         if reserve == self.reserve:
             return
         self.reserve = reserve
@@ -156,10 +159,13 @@
 
     def measure_concurrency(self):
         """Return how many requests this entry instance can have running."""
-        part = self._slots / self.entries
-        return max(min(self.running, self._slots), part, 1.0)
+        return max(min(self.running, self._slots), self.measure_part(), 1.0)
 
-    def choose(self, work, long, estimate, rng):
+    def measure_part(self):
+        """Return this entry instance's part of all live slots."""
+        return self._slots / self.entries
+
+    def choose(self, work, yields, over, estimate, rng):
         """Return the best upstream's name and the cost there, or None.
 
         Load: skewed prefixes over many upstreams. Harm prevented: the idlest one
@@ -167,10 +173,10 @@
         means that a hot prefix drowns its owner.
         """
         owners = self._find_owners(work)
-        names = list(owners) + self._draw(rng, work, long)
-        able = [name for name in names if self._fits(name, work, long)]
+        names = list(owners) + self._draw(rng, work, yields)
+        able = [name for name in names if self._fits(name, work, yields)]
         if not able:
-            able = self._draw_reserved(rng, work, long)
+            able = self._draw_over(rng, work, yields, over)
         if not able:
             return None
         scored = [self._score(name, work, owners, estimate) for name in able]
@@ -196,33 +202,35 @@
         mean = self._load / max(1, self._slots)
         return state.load <= BOUND * mean * state.slots + 1
 
-    def _draw(self, rng, work, long):
+    def _draw(self, rng, work, yields):
         """Return two random upstreams with room, of the own data centre if any.
 
         Load: many entry instances that decide without talking. Harm prevented:
         a herd on the one that looks idlest; two choices suffice to even out.
         """
-        names = self._near[long].sample(rng, 2)
+        names = self._near[yields].sample(rng, 2)
         if any(name not in work.excluded for name in names):
             return names
-        return self._open[long].sample(rng, TRIES)
+        return self._open[yields].sample(rng, TRIES)
 
-    def _draw_reserved(self, rng, work, long):
-        """Return upstreams one over full, while we hold less than our part.
+    def _draw_over(self, rng, work, yields, over):
+        """Return upstreams that are full, while we hold less than our part.
 
         Load: saturation. Harm prevented: an entry instance that starts late finds
         every slot taken by the others and would get none.
         """
-        if self.running >= self._slots / self.entries:
+        if not yields and self.running < self.measure_part():
+            over += 1
+        if not over:
             return []
         names = self._live.sample(rng, TRIES)
-        return [name for name in names if self._fits(name, work, long, over=1)]
+        return [name for name in names if self._fits(name, work, yields, over)]
 
-    def _fits(self, name, work, long, over=0):
+    def _fits(self, name, work, yields, over=0):
         state = self.states[name]
         if name in work.excluded or not state.is_live() or state.paused_until:
             return False
-        return state.has_room(long, self.reserve, over)
+        return state.has_room(self.reserve if yields else 0, over)
 
     def _score(self, name, work, owners, estimate):
         """Return the expected time there, with name, cost and cached tokens."""
@@ -252,10 +260,10 @@
             self._slots += state.slots
         ready = live and not state.paused_until
         near = live and state.upstream.data_centre == self._data_centre
-        for long in (False, True):
-            room = ready and state.has_room(long, self.reserve)
-            self._put(self._open[long], name, room)
-            self._put(self._near[long], name, room and near)
+        for yields in (False, True):
+            room = ready and state.has_room(self.reserve if yields else 0)
+            self._put(self._open[yields], name, room)
+            self._put(self._near[yields], name, room and near)
 
     def _put(self, members, name, wanted):
         if wanted:
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -8,12 +8,12 @@
 from . import admission, retries
 from .admission import Congestion, Prospect
 from .budgets import Budgets
-from .costs import PREFILL_PART, CostModel, blend
+from .costs import CostModel, blend
 from .exceptions import NOT_RUN, DeadlinePassed, Scope
 from .models import MODEL, SERVICE, Customer, WorkClass
 from .placement import PoolState
-from .queues import BANDS, LONG, SHORT, YIELDING, FairQueue, Queued
-from .rates import Excess
+from .queues import BANDS, LANES, LONG, SHORT, SURE_SHARE, YIELDING, FairQueue, Queued
+from .rates import Excess, Rate
 from .shares import Splitter
 from .upstreams import Running
 from .work import BUSY, FAILED, OK, SILENT, Placement, Refusal, Work
@@ -23,10 +23,14 @@
 # Seconds that a unit of cost takes before anything was measured.
 FIRST_PACE = {MODEL: 0.03, SERVICE: 0.05}
 # Work over this many times the pool's usual cost is long.
-LONG_RATIO = 1.5
-# One slot in this many is kept free of long work: enough for short work, that
-# leaves it soon, and an eighth of the batch is little lost to long work.
-RESERVE_PART = 8
+LONG_RATIO = 4.0
+# Other work over its quota leaves one slot in this many of each upstream free.
+RESERVE_PART = 4
+# Urgent work needs this many times the slots of its mean, since it comes in clumps.
+URGENT_ROOM = 1.2
+# Short urgent work may wait in an engine, one an upstream: there it gets the first
+# slot that any entry instance's work leaves, and engines honour its priority.
+URGENT_OVER = 1
 # After capacity was lost, yielding work stands back for this long: about as long
 # as survivors need to take over what was moved.
 REGROUP = 10.0
@@ -68,11 +72,23 @@
         self.congestion = Congestion()
         self.regroup_until = 0.0
         self.usual = None
+        self.offered = {lane: Rate() for lane in LANES}
+        self.top = BANDS[0]
+        self.quota = 0.0
+        self.first_tokens = {}
+
+    def learn_first_token(self, work_class, seconds):
+        """Keep the mean time from placement to first token of a class."""
+        old = self.first_tokens.get(work_class, seconds)
+        self.first_tokens[work_class] = blend(old, seconds)
 
     def is_long(self, cost):
-        """Tell whether work is long for this pool, and learn what is usual."""
+        """Tell whether work is long for this pool."""
+        return self.usual is not None and cost > LONG_RATIO * exp(self.usual)
+
+    def learn_usual(self, cost):
+        """Keep the geometric mean of what is offered."""
         self.usual = log(cost) if self.usual is None else blend(self.usual, log(cost))
-        return cost > LONG_RATIO * exp(self.usual)
 
 
 class Scheduler:
@@ -180,7 +196,9 @@
             return Refusal(work.request_id, admission.refuse_no_upstream(work.pool, 5))
         cost = self._costs.estimate(work)
         exc = self._judge(pool, work, cost, now)
+        pool.learn_usual(cost)
         pool.excess.record(cost, exc is None, now)
+        pool.offered[self._find_lane(pool, work, cost)].record(cost, now)
         if exc is not None:
             return Refusal(work.request_id, exc)
         self._push(pool, work, cost)
@@ -221,7 +239,11 @@
     def finish(
         self, request_id, upstream, outcome, first_token_s, duration_s, tokens, now
     ):
-        """Take note of how an attempt ended and free its slot."""
+        """Take note of how an attempt ended and free its slot.
+
+        Both times count from the placement; a plain service's first token is its
+        whole answer.
+        """
         pool = self._find_pool_of(upstream)
         if pool is None:
             return
@@ -230,7 +252,9 @@
         if attempt is None:
             return
         pool.state.running -= 1
+        pool.state.yielding -= attempt.yielding
         if outcome == OK:
+            pool.learn_first_token(attempt.work.work_class, first_token_s)
             self._learn(pool, state, attempt, duration_s, tokens)
         elif outcome == BUSY:
             heappush(self._pauses, (state.pause(now), upstream))
@@ -363,8 +387,7 @@
 
     def _is_hopeless(self, pool, work, prospect, kind, now):
         over = admission.is_over_target(prospect, kind.first_token)
-        key = (work.customer, work.work_class)
-        standing = pool.congestion.is_standing(key, over, now)
+        standing = pool.congestion.is_standing(_find_band(kind), over, now)
         if standing and over:
             return True
         measured = pool.state.reference.measured
@@ -373,26 +396,29 @@
     def _foresee(self, pool, work, cost, customer, kind, now):
         """Return what new work would meet in this pool."""
         pace = pool.state.reference.mean
-        band = min(kind.priority, YIELDING)
+        band = _find_band(kind)
         whole = pool.state.measure_concurrency() / pace
         wait = 0.0
         if len(pool.queue) or not pool.state.has_open(frozenset()):
             wait = pool.queue.measure_wait(
                 work.customer, customer.weight, band, cost, whole, now
             )
-        prefill = cost if pool.kind == SERVICE else work.prompt_tokens * PREFILL_PART
-        return Prospect(wait, prefill * pace, cost * pace)
+        first_token = pool.first_tokens.get(work.work_class, 0.0)
+        return Prospect(wait, first_token, cost * pace)
 
     def _push(self, pool, work, cost, front=False):
-        customer, kind = self._find_rules(work)
-        size = LONG if pool.is_long(cost) else SHORT
-        lane = (min(kind.priority, YIELDING), size)
+        customer, _ = self._find_rules(work)
+        lane = self._find_lane(pool, work, cost)
         give_up = work.deadline - pool.state.reference.estimate(cost)
         item = Queued(work, cost, lane, give_up)
         pool.queue.push(item, customer.weight, front)
         self._waiting[work.request_id] = pool
         heappush(self._give_ups, (give_up, work.request_id))
 
+    def _find_lane(self, pool, work, cost):
+        _, kind = self._find_rules(work)
+        return _find_band(kind), LONG if pool.is_long(cost) else SHORT
+
     def _judge_retry(self, pool, rule, work, upstream, now):
         """Return why there is no further attempt, or None."""
         excess = pool.excess.measure(now)
@@ -423,7 +449,7 @@
 
     def _drain(self, pool, now):
         """Place queued work for as long as there is room for it."""
-        pool.state.set_reserve(self._find_reserve(pool))
+        self._share_out(pool, now)
         blocked = set()
         aside = []
         spare = now < pool.regroup_until
@@ -443,20 +469,39 @@
             customer, _ = self._find_rules(item.work)
             pool.queue.push(item, customer.weight, front=True)
 
-    def _find_reserve(self, pool):
+    def _share_out(self, pool, now):
+        """Set how many slots may hold work that is long or less urgent.
+
+        Load: saturation with a mix of long and short. Harm prevented: each slot
+        that falls free goes to long work, which can wait for it, and once all hold
+        long work none falls free within the short work's target. Little's law gives
+        the slots that the urgent work offered of late needs; the rest, and no less
+        than the sure share, may hold other work. More is lent only where an
+        upstream keeps a reserve.
+        """
+        rates = [pool.offered[band, SHORT].measure(now) for band in BANDS]
+        pool.top = next((band for band in BANDS if rates[band] > 0), BANDS[0])
+        needed = rates[pool.top] * pool.state.reference.mean
+        part = pool.state.measure_part()
+        sure = SURE_SHARE[BANDS[1]] * part
+        pool.quota = max(sure, part - URGENT_ROOM * needed)
         slots = pool.state.count_slots() // max(1, pool.state.count_live())
-        return slots // RESERVE_PART
+        reserve = max(1, slots // RESERVE_PART) if needed > 0.05 else 0
+        pool.state.set_reserve(reserve)
 
     def _place(self, pool, item, now):
         work = item.work
-        long = item.lane[1] == LONG
-        choice = pool.state.choose(work, long, self._costs.estimate, self._rng)
+        urgent = item.lane == (pool.top, SHORT)
+        yields = not urgent and pool.state.yielding >= pool.quota
+        over = URGENT_OVER if urgent else 0
+        choice = pool.state.choose(work, yields, over, self._costs.estimate, self._rng)
         if choice is None:
             return None
         name, cost, cached = choice
         pool.queue.take(item, now)
         self._waiting.pop(work.request_id, None)
-        attempt = Running(work, item.band, cost, cached, long, now)
+        attempt = Running(work, item.band, cost, cached, not urgent, now)
+        pool.state.yielding += not urgent
         pool.state.states[name].start(attempt, now)
         pool.state.running += 1
         pool.state.refresh(name)
@@ -487,6 +532,10 @@
         self._refusals.append(Refusal(request_id, exc))
 
 
+def _find_band(kind):
+    return min(kind.priority, YIELDING)
+
+
 def _describe(pool, now):
     state = pool.state
     limits = {name: upstream.limit.value for name, upstream in state.states.items()}
--- a/src/chervilwing/upstreams.py
+++ b/src/chervilwing/upstreams.py
@@ -25,7 +25,7 @@
     band: int
     cost: float
     cached: int
-    long: bool
+    yielding: bool
     started: float
 
 
@@ -37,7 +37,6 @@
         self.slots = upstream.slots
         self.limit = Limit(upstream.slots)
         self.running = {}
-        self.long = 0
         self.leaving = False
         self.down_since = None
         self.paused_until = 0.0
@@ -51,7 +50,7 @@
         """Tell whether new work may go here at all."""
         return not self.leaving and self.down_since is None
 
-    def has_room(self, long, reserve, over=0):
+    def has_room(self, reserve, over=0):
         """Tell whether one more request fits.
 
         Load: bursts, while reports lag by a second. Harm prevented: work that
@@ -59,9 +58,7 @@
         """
         if len(self.running) >= int(self.limit.value):
             return False
-        if long and reserve and self.long >= self.slots - reserve:
-            return False
-        return self.load < self.slots + over
+        return self.load < self.slots - reserve + over
 
     def report(self, load, slots, as_of):
         """Take in a load report; an older one than the last is dropped."""
@@ -79,7 +76,6 @@
     def start(self, running, now):
         """Count one more attempt."""
         self.running[running.work.request_id] = running
-        self.long += running.long
         self._change(now, 1)
 
     def end(self, request_id, now):
@@ -87,7 +83,6 @@
         running = self.running.pop(request_id, None)
         if running is None:
             return None
-        self.long -= running.long
         self._change(now, -1)
         return running
 
