--- /dev/null
+++ b/bench/measures.py
@@ -0,0 +1,103 @@
+"""What came of a run, as figures for callers and operators."""
+
+from collections import Counter
+from typing import NamedTuple
+
+from chervilwing.models import MODEL
+
+from .deployments import MODEL_PRICE, SERVICE_PRICE, list_customers
+from .simulation import NOTICE
+
+PERCENTILES = (0.5, 0.95, 0.99)
+
+
+class Outcome(NamedTuple):
+    """The figures of one run."""
+
+    deployment: str
+    load: str
+    policy: str
+    offered: float
+    useful: float
+    in_target: dict[str, float]
+    causes: dict[str, int]
+    attempts: float
+    recomputed: float
+    recomputed_rate: float
+    cost: float
+    fairness: float
+    customers: dict[str, tuple[float, ...]]
+
+
+def measure(run):
+    """Return the figures of a run that has ended."""
+    load, requests = run.load, run.requests
+    useful = sum(req.work for req in requests if req.is_useful())
+    recomputed = sum(engine.recomputed for engine in run.engines.values())
+    sent = [req for req in requests if req.attempts]
+    return Outcome(
+        run.deployment.name,
+        load.name,
+        run.policy.name,
+        sum(req.work for req in requests) / load.duration,
+        useful / load.duration,
+        {kind.name: _measure_kind(requests, kind) for kind in run.deployment.kinds},
+        dict(Counter(req.cause for req in requests if req.cause).most_common()),
+        sum(req.attempts for req in sent) / max(1, len(sent)),
+        recomputed,
+        recomputed / max(useful, 1e-9),
+        _measure_price(run) / max(useful / 3600, 1e-9),
+        _measure_fairness(run),
+        {name: _measure_customer(requests, name) for name in list_customers()},
+    )
+
+
+def _measure_kind(requests, kind):
+    """Return the part of a class that was answered within its target."""
+    own = [req for req in requests if req.kind is kind]
+    return sum(req.is_useful() for req in own) / max(1, len(own))
+
+
+def _measure_customer(requests, customer):
+    """Return percentiles of the first token's latency of a customer's model work."""
+    own = [req for req in requests if req.customer == customer and req.kind.prefix]
+    times = sorted(req.first_token - req.arrival for req in own if req.finished)
+    if not times:
+        return (float("nan"),) * len(PERCENTILES)
+    return tuple(times[int(len(times) * part)] for part in PERCENTILES)
+
+
+def _measure_price(run):
+    """Return what the instances cost; a reclaimed one is paid for until it ends."""
+    total = 0.0
+    for up in run.upstreams.values():
+        lost = up.data_centre == run.load.reclaimed
+        seconds = run.load.duration / 2 + NOTICE if lost else run.load.duration
+        price = MODEL_PRICE if up.kind == MODEL else SERVICE_PRICE
+        total += price * seconds / 3600
+    return total
+
+
+def _measure_fairness(run):
+    """Return Jain's index of useful over entitled work of the customers.
+
+    Entitled is the max-min fair part of all useful work: no one gets more than it
+    offered, and what one leaves goes to the others.
+    """
+    offered, useful = Counter(), Counter()
+    for req in run.requests:
+        offered[req.customer] += req.work
+        useful[req.customer] += req.work * req.is_useful()
+    entitled = _share_out(offered, sum(useful.values()))
+    parts = [useful[name] / max(entitled[name], 1e-9) for name in offered]
+    squares = sum(part * part for part in parts)
+    return sum(parts) ** 2 / (len(parts) * squares) if squares else 0.0
+
+
+def _share_out(offered, total):
+    entitled = {}
+    names = sorted(offered, key=offered.get)
+    for index, name in enumerate(names):
+        entitled[name] = min(offered[name], total / (len(names) - index))
+        total -= entitled[name]
+    return entitled
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 from heapq import heappop, heappush
-from math import exp, log
+from math import ceil, exp, log
 from typing import NamedTuple, TypedDict
 
 from . import admission, retries
@@ -26,6 +26,8 @@
 LONG_RATIO = 4.0
 # Other work over its quota leaves one slot in this many of each upstream free.
 RESERVE_PART = 4
+# Seconds between two settings of the quota, which moves far more slowly.
+SHARE_EVERY = 0.1
 # Urgent work needs this many times the slots of its mean, since it comes in clumps.
 URGENT_ROOM = 1.2
 # Short urgent work may wait in an engine, one an upstream: there it gets the first
@@ -75,8 +77,16 @@
         self.offered = {lane: Rate() for lane in LANES}
         self.top = BANDS[0]
         self.quota = 0.0
+        self.shared_at = -SHARE_EVERY
+        # Whether anything has come that may let queued work start.
+        self.changed = True
         self.first_tokens = {}
 
+    def refresh(self, name):
+        """Take note that one upstream changed."""
+        self.state.refresh(name)
+        self.changed = True
+
     def learn_first_token(self, work_class, seconds):
         """Keep the mean time from placement to first token of a class."""
         old = self.first_tokens.get(work_class, seconds)
@@ -138,6 +148,7 @@
         """Set how many entry instances are up, this one among them."""
         for pool in self._pools.values():
             pool.state.set_entries(count)
+            pool.changed = True
 
     def mark_leaving(self, name, now):
         """Send nothing new to an upstream that was given notice."""
@@ -164,7 +175,7 @@
         if pool is None:
             return
         pool.state.states[name].down_since = None
-        pool.state.refresh(name)
+        pool.refresh(name)
 
     def report_load(self, name, running, waiting, slots, as_of, now):
         """Take in what an upstream says of its load; ``as_of`` is on our clock."""
@@ -172,7 +183,7 @@
         if pool is None:
             return
         pool.state.states[name].report(running + waiting, slots, min(as_of, now))
-        pool.state.refresh(name)
+        pool.refresh(name)
 
     def hear_cache(self, name, prefix):
         """Take a cache event as a hint that the upstream holds the prefix."""
@@ -210,7 +221,8 @@
         self._resume(now)
         placements = []
         for pool in self._pools.values():
-            if len(pool.queue):
+            if pool.changed and len(pool.queue):
+                pool.changed = False
                 placements.extend(self._drain(pool, now))
         return tuple(placements)
 
@@ -260,7 +272,7 @@
             heappush(self._pauses, (state.pause(now), upstream))
         elif outcome in (FAILED, SILENT):
             state.limit.fail()
-        pool.state.refresh(upstream)
+        pool.refresh(upstream)
 
     def retry(self, work, upstream, outcome, now):
         """Queue another attempt before all new work, or return the refusal.
@@ -299,7 +311,7 @@
         names = tuple(request_id for *_, request_id in sorted(moves))
         if until - now <= LAST_CALL:
             return names
-        room = -(-pool.state.count_free() // pool.state.entries)
+        room = ceil(pool.state.count_free() / pool.state.entries)
         return names[: max(0, room - len(pool.queue))]
 
     def next_wakeup(self, now):
@@ -334,6 +346,7 @@
         for name, pool in self._pools.items():
             members = [up for up in known.values() if up.pool == name]
             pool.state.update(members, self._left)
+            pool.changed = True
         self._homes = {
             name: self._pools[upstream.pool]
             for name, upstream in known.items()
@@ -413,6 +426,7 @@
         item = Queued(work, cost, lane, give_up)
         pool.queue.push(item, customer.weight, front)
         self._waiting[work.request_id] = pool
+        pool.changed = True
         heappush(self._give_ups, (give_up, work.request_id))
 
     def _find_lane(self, pool, work, cost):
@@ -445,11 +459,13 @@
             if pool is None or pool.state.states[name].paused_until > now:
                 continue
             pool.state.states[name].paused_until = 0.0
-            pool.state.refresh(name)
+            pool.refresh(name)
 
     def _drain(self, pool, now):
         """Place queued work for as long as there is room for it."""
-        self._share_out(pool, now)
+        if now - pool.shared_at >= SHARE_EVERY:
+            pool.shared_at = now
+            self._share_out(pool, now)
         blocked = set()
         aside = []
         spare = now < pool.regroup_until
