Admit whatever can start at once; send short work ahead of reports

Cause: at 5x nothing was admitted for 30 s, since the first-token estimate from the first flood stayed over the target and nothing ran that could correct it; services' slots stood empty between reports.

--- a/bench/engines.py
+++ b/bench/engines.py
@@ -82,7 +82,9 @@
         if len(self._waiting) >= WAITING_PER_SLOT * self.slots:
             notify("busy", sequence)
             return
-        heappush(self._waiting, (job.priority, next(self._order), sequence))
+        # Only model engines honour priorities.
+        priority = job.priority if job.prompt else 0
+        heappush(self._waiting, (priority, next(self._order), sequence))
         self._advance()
         self._admit()
         self._plan()
--- a/src/chervilwing/placement.py
+++ b/src/chervilwing/placement.py
@@ -97,6 +97,7 @@
         self.yielding = 0
         self.entries = 1
         self.reserve = 0
+        self.ahead = 0
         self._data_centre = data_centre
         self._ring = Ring()
         # By whether the work is over its quota, and so has to leave the reserve.
@@ -135,6 +136,14 @@
         for name in self.states:
             self._count(name)
 
+    def set_ahead(self, ahead):
+        """Let so many requests wait in each upstream."""
+        if ahead == self.ahead:
+            return
+        self.ahead = ahead
+        for name in self.states:
+            self._count(name)
+
     def set_entries(self, entries):
         """Set how many entry instances share the pool."""
         self.entries = max(1, entries)
@@ -230,6 +239,7 @@
         state = self.states[name]
         if name in work.excluded or not state.is_live() or state.paused_until:
             return False
+        over += self.ahead
         return state.has_room(self.reserve if yields else 0, over)
 
     def _score(self, name, work, owners, estimate):
@@ -261,7 +271,8 @@
         ready = live and not state.paused_until
         near = live and state.upstream.data_centre == self._data_centre
         for yields in (False, True):
-            room = ready and state.has_room(self.reserve if yields else 0)
+            kept = self.reserve if yields else 0
+            room = ready and state.has_room(kept, self.ahead)
             self._put(self._open[yields], name, room)
             self._put(self._near[yields], name, room and near)
 
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -8,8 +8,9 @@
 from . import admission, retries
 from .admission import Congestion, Prospect
 from .budgets import Budgets
-from .costs import CostModel, blend
+from .costs import SAMPLE_WEIGHT, CostModel, blend
 from .exceptions import NOT_RUN, DeadlinePassed, Scope
+from .limits import FALL_WEIGHT
 from .models import MODEL, SERVICE, Customer, WorkClass
 from .placement import PoolState
 from .queues import BANDS, LANES, LONG, SHORT, SURE_SHARE, YIELDING, FairQueue, Queued
@@ -28,6 +29,10 @@
 RESERVE_PART = 4
 # Seconds between two settings of the quota, which moves far more slowly.
 SHARE_EVERY = 0.1
+# An upstream may be sent what it clears in this time beyond its slots. Load: work
+# shorter than the time between reports. Harm prevented: slots that stand empty until
+# the next report; of long work it lets none wait where it can't be reordered.
+ENGINE_WAIT = 0.4
 # Urgent work needs this many times the slots of its mean, since it comes in clumps.
 URGENT_ROOM = 1.2
 # Short urgent work may wait in an engine, one an upstream: there it gets the first
@@ -90,12 +95,19 @@
     def learn_first_token(self, work_class, seconds):
         """Keep the mean time from placement to first token of a class."""
         old = self.first_tokens.get(work_class, seconds)
-        self.first_tokens[work_class] = blend(old, seconds)
+        weight = FALL_WEIGHT if seconds < old else SAMPLE_WEIGHT
+        self.first_tokens[work_class] = blend(old, seconds, weight)
 
     def is_long(self, cost):
         """Tell whether work is long for this pool."""
         return self.usual is not None and cost > LONG_RATIO * exp(self.usual)
 
+    def measure_usual(self):
+        """Return the seconds that usual work takes."""
+        if self.usual is None:
+            return FIRST_PACE[self.kind]
+        return exp(self.usual) * self.state.reference.mean
+
     def learn_usual(self, cost):
         """Keep the geometric mean of what is offered."""
         self.usual = log(cost) if self.usual is None else blend(self.usual, log(cost))
@@ -399,7 +411,11 @@
         return None
 
     def _is_hopeless(self, pool, work, prospect, kind, now):
-        over = admission.is_over_target(prospect, kind.first_token)
+        # Work that can start now gains nothing by a refusal, and only work that runs
+        # corrects an estimate that has become too high.
+        over = prospect.wait > 0 and admission.is_over_target(
+            prospect, kind.first_token
+        )
         standing = pool.congestion.is_standing(_find_band(kind), over, now)
         if standing and over:
             return True
@@ -504,6 +520,7 @@
         slots = pool.state.count_slots() // max(1, pool.state.count_live())
         reserve = max(1, slots // RESERVE_PART) if needed > 0.05 else 0
         pool.state.set_reserve(reserve)
+        pool.state.set_ahead(int(ENGINE_WAIT * slots / max(pool.measure_usual(), 1e-6)))
 
     def _place(self, pool, item, now):
         work = item.work
