--- a/src/chervilwing/placement.py
+++ b/src/chervilwing/placement.py
@@ -119,7 +119,7 @@
             self.yielding -= sum(attempt.yielding for attempt in lost)
             self._count(name)
         for name, upstream in wanted.items():
-            state = self.states.setdefault(name, UpstreamState(upstream))
+            state = self.states.setdefault(name, UpstreamState(upstream, self.entries))
             state.upstream = upstream
             state.leaving = name in leaving
         self._rebuild()
@@ -147,6 +147,9 @@
     def set_entries(self, entries):
         """Set how many entry instances share the pool."""
         self.entries = max(1, entries)
+        for name, state in self.states.items():
+            state.entries = self.entries
+            self._count(name)
 
     def count_slots(self):
         """Return the slots of all live upstreams."""
@@ -167,8 +170,12 @@
         return sum(max(0, state.slots - state.load) for state in live)
 
     def measure_concurrency(self):
-        """Return how many requests this entry instance can have running."""
-        return max(min(self.running, self._slots), self.measure_part(), 1.0)
+        """Return how many requests this entry instance can have running.
+
+        Of those that we have in flight some wait in an upstream that is over full.
+        """
+        started = self.running * min(1.0, self._slots / max(self._load, 1e-9))
+        return max(started, self.measure_part(), 1.0)
 
     def measure_part(self):
         """Return this entry instance's part of all live slots."""
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -22,7 +22,7 @@
 __all__ = ["Placement", "Refusal", "Scheduler", "SchedulingSettings", "Work"]
 
 # Seconds that a unit of cost takes before anything was measured.
-FIRST_PACE = {MODEL: 0.03, SERVICE: 0.05}
+FIRST_PACE = {MODEL: 0.05, SERVICE: 0.05}
 # Work over this many times the pool's usual cost is long.
 LONG_RATIO = 4.0
 # Other work over its quota leaves one slot in this many of each upstream free.
--- a/src/chervilwing/upstreams.py
+++ b/src/chervilwing/upstreams.py
@@ -13,6 +13,11 @@
 # shorter than the time between reports makes single reports mere noise, on which
 # every entry instance would act at the same moment.
 SMOOTHING = 2.5
+# Part of our own net starts since the last report that each other entry instance
+# is taken to have made as well: in a burst all of them, in calm hardly any.
+ALIKE = 0.5
+# Own starts and ends are kept for so long when no report comes.
+LONGEST_SILENCE = 5.0
 # A busy answer holds new work back for this long at first, then twice as long.
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 2.0
@@ -32,9 +37,10 @@
 class UpstreamState:
     """One upstream: reported load, own attempts since then, limit and condition."""
 
-    def __init__(self, upstream):
+    def __init__(self, upstream, entries=1):
         self.upstream = upstream
         self.slots = upstream.slots
+        self.entries = entries
         self.limit = Limit(upstream.slots)
         self.running = {}
         self.leaving = False
@@ -45,6 +51,7 @@
         self._others = None
         self._as_of = 0.0
         self._changes = deque()
+        self._net = 0
 
     def is_live(self):
         """Tell whether new work may go here at all."""
@@ -67,10 +74,8 @@
         self.slots = slots or self.slots
         if self.down_since is not None and as_of > self.down_since:
             self.down_since = None
-        while self._changes and self._changes[0][0] <= as_of - TRANSIT:
-            self._changes.popleft()
-        own = len(self.running) - sum(step for _, step in self._changes)
-        self._average(max(0.0, load - own), as_of)
+        self._forget(as_of - TRANSIT)
+        self._average(max(0.0, load - len(self.running) + self._net), as_of)
         self._correct()
 
     def start(self, running, now):
@@ -97,10 +102,16 @@
         self._pause = FIRST_PAUSE
 
     def _change(self, now, step):
-        if self._others is not None:
-            self._changes.append((now, step))
+        self._changes.append((now, step))
+        self._net += step
+        self._forget(now - LONGEST_SILENCE)
         self._correct()
 
+    def _forget(self, until):
+        """Drop the starts and ends that the last report had seen."""
+        while self._changes and self._changes[0][0] <= until:
+            self._net -= self._changes.popleft()[1]
+
     def _average(self, others, as_of):
         if self._others is None:
             self._others = others
@@ -113,6 +124,8 @@
         """Set the load to our own attempts now and the others' by report.
 
         Load: many entry instances and reports a second old. Harm prevented: all of
-        them send to what was the idlest upstream a second ago.
+        them send to what was the idlest upstream a second ago. What we added since
+        the report, the others, who see the same, are taken to have added in part.
         """
-        self.load = len(self.running) + (self._others or 0.0)
+        alike = ALIKE * (self.entries - 1) * max(0, self._net)
+        self.load = len(self.running) + (self._others or 0.0) + alike
