--- a/src/chervilwing/placement.py
+++ b/src/chervilwing/placement.py
@@ -136,8 +136,10 @@
         for name in self.states:
             self._count(name)
 
-    def set_ahead(self, ahead):
-        """Let so many requests wait in each upstream."""
+    def set_usual(self, seconds, ahead):
+        """Set how long usual work takes and how much may wait in each upstream."""
+        for state in self.states.values():
+            state.usual = seconds
         if ahead == self.ahead:
             return
         self.ahead = ahead
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -520,7 +520,8 @@
         slots = pool.state.count_slots() // max(1, pool.state.count_live())
         reserve = max(1, slots // RESERVE_PART) if needed > 0.05 else 0
         pool.state.set_reserve(reserve)
-        pool.state.set_ahead(int(ENGINE_WAIT * slots / max(pool.measure_usual(), 1e-6)))
+        usual = max(pool.measure_usual(), 1e-6)
+        pool.state.set_usual(usual, int(ENGINE_WAIT * slots / usual))
 
     def _place(self, pool, item, now):
         work = item.work
--- a/src/chervilwing/upstreams.py
+++ b/src/chervilwing/upstreams.py
@@ -9,9 +9,9 @@
 
 # A report may miss requests that were on the wire when it was made.
 TRANSIT = 0.05
-# The others' part of the load is averaged over this many seconds. Work that is
-# shorter than the time between reports makes single reports mere noise, on which
-# every entry instance would act at the same moment.
+# The others' part of the load is averaged over this many seconds, over fewer where
+# work lasts longer. Work that is shorter than the time between reports makes single
+# reports mere noise, on which every entry instance would act at the same moment.
 SMOOTHING = 2.5
 # Part of our own net starts since the last report that each other entry instance
 # is taken to have made as well: in a burst all of them, in calm hardly any.
@@ -41,6 +41,7 @@
         self.upstream = upstream
         self.slots = upstream.slots
         self.entries = entries
+        self.usual = 0.0
         self.limit = Limit(upstream.slots)
         self.running = {}
         self.leaving = False
@@ -116,7 +117,8 @@
         if self._others is None:
             self._others = others
         else:
-            weight = 1.0 - exp((self._as_of - as_of) / SMOOTHING)
+            smoothing = SMOOTHING / (1.0 + self.usual)
+            weight = 1.0 - exp((self._as_of - as_of) / smoothing)
             self._others += weight * (others - self._others)
         self._as_of = as_of
 
