--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -30,15 +30,16 @@
 class Run:
     """One policy under one load in one deployment."""
 
-    def __init__(self, deployment, load, policy):
+    def __init__(self, deployment, load, policy, seed=SEED):
         self.clock = Clock()
+        self._seed = seed
         self.load = load
         self.policy = policy
         self.deployment = deployment
         self.upstreams = {up.name: up for up in list_upstreams(deployment)}
         self.engines = self._build_engines()
         self.entries = [self._build_entry(index) for index in range(len(ENTRIES))]
-        self.requests = draw_requests(deployment, load, Random(SEED))
+        self.requests = draw_requests(deployment, load, Random(seed))
         self._by_name = {request.name: request for request in self.requests}
         self._notice_at = load.duration / 2
         self._wakeups = [None] * len(ENTRIES)
@@ -64,7 +65,7 @@
 
     def _build_entry(self, index):
         cfg = SchedulingSettings(ENTRIES[index], len(ENTRIES))
-        scheduler = self.policy.build(cfg, Random(SEED + index))
+        scheduler = self.policy.build(cfg, Random(self._seed + index))
         scheduler.configure(build_configuration(self.deployment))
         return scheduler
 
--- a/src/chervilwing/placement.py
+++ b/src/chervilwing/placement.py
@@ -258,7 +258,9 @@
         cost = estimate(work, cached)
         pace = state.limit.pace or self.reference.mean
         crowd = 1.0 + BATCH_PART * state.load
-        return cost * pace * crowd, name, cost, cached
+        ahead = max(0.0, state.load + 1 - state.slots)
+        wait = ahead * state.usual / state.slots
+        return wait + cost * pace * crowd, name, cost, cached
 
     def _rebuild(self):
         self._ring = Ring(self.states)
