--- a/src/chervilwing/admission.py
+++ b/src/chervilwing/admission.py
@@ -1,5 +1,6 @@
 """The decision at the door: let work in, or refuse it with cause and scope."""
 
+from math import sqrt
 from typing import NamedTuple
 
 from .exceptions import CustomerLimit, NoUpstream, PoolFull, Scope
@@ -13,17 +14,21 @@
 # Only this long without one makes the next one a new burst: refusals empty the
 # queue for a moment, and letting all in again then would fill it up every time.
 QUIET = 10.0
-# One entry instance waits for the end of one of a few long requests, so its waits
-# spread like an exponential: one in seven is over twice the mean.
-SPREAD = 2.0
+# A wait for one request to end spreads like an exponential, a wait for many is close
+# to its mean; this many deviations are over nine in ten.
+DEVIATIONS = 1.3
 SHORTEST_RETRY = 0.5
 LONGEST_RETRY = 60.0
 
 
 class Prospect(NamedTuple):
-    """What new work would meet, in seconds: waiting, first token, whole answer."""
+    """What new work would meet: seconds of waiting, to first token, to the end.
+
+    ``ends`` is how many requests have to end before it starts.
+    """
 
     wait: float
+    ends: float
     first_token: float
     service: float
 
@@ -83,4 +88,6 @@
 
 def is_over_target(prospect, first_token):
     """Tell whether the first token would come later than the class is promised."""
-    return prospect.wait * SPREAD + prospect.first_token > first_token
+    ends = max(1.0, prospect.ends)
+    wait = prospect.wait * (1.0 + DEVIATIONS / sqrt(ends))
+    return wait + prospect.first_token > first_token
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -102,11 +102,13 @@
         """Tell whether work is long for this pool."""
         return self.usual is not None and cost > LONG_RATIO * exp(self.usual)
 
+    def measure_usual_cost(self):
+        """Return the cost of usual work."""
+        return 1.0 if self.usual is None else exp(self.usual)
+
     def measure_usual(self):
         """Return the seconds that usual work takes."""
-        if self.usual is None:
-            return FIRST_PACE[self.kind]
-        return exp(self.usual) * self.state.reference.mean
+        return self.measure_usual_cost() * self.state.reference.mean
 
     def learn_usual(self, cost):
         """Keep the geometric mean of what is offered."""
@@ -432,8 +434,9 @@
             wait = pool.queue.measure_wait(
                 work.customer, customer.weight, band, cost, whole, now
             )
+        ends = wait * whole / pool.measure_usual_cost()
         first_token = pool.first_tokens.get(work.work_class, 0.0)
-        return Prospect(wait, first_token, cost * pace)
+        return Prospect(wait, ends, first_token, cost * pace)
 
     def _push(self, pool, work, cost, front=False):
         customer, _ = self._find_rules(work)
