--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -13,7 +13,7 @@
 from .limits import FALL_WEIGHT
 from .models import MODEL, SERVICE, Customer, WorkClass
 from .placement import PoolState
-from .queues import BANDS, LANES, LONG, SHORT, SURE_SHARE, YIELDING, FairQueue, Queued
+from .queues import BANDS, LANES, LONG, SHORT, YIELDING, FairQueue, Queued
 from .rates import Excess, Rate
 from .shares import Splitter
 from .upstreams import Running
@@ -510,16 +510,15 @@
         Load: saturation with a mix of long and short. Harm prevented: each slot
         that falls free goes to long work, which can wait for it, and once all hold
         long work none falls free within the short work's target. Little's law gives
-        the slots that the urgent work offered of late needs; the rest, and no less
-        than the sure share, may hold other work. More is lent only where an
+        the slots that the urgent work offered of late needs; the rest, may hold
+        other work, and more of it only as its sure share falls due or where an
         upstream keeps a reserve.
         """
         rates = [pool.offered[band, SHORT].measure(now) for band in BANDS]
         pool.top = next((band for band in BANDS if rates[band] > 0), BANDS[0])
         needed = rates[pool.top] * pool.state.reference.mean
         part = pool.state.measure_part()
-        sure = SURE_SHARE[BANDS[1]] * part
-        pool.quota = max(sure, part - URGENT_ROOM * needed)
+        pool.quota = part - URGENT_ROOM * needed
         slots = pool.state.count_slots() // max(1, pool.state.count_live())
         reserve = max(1, slots // RESERVE_PART) if needed > 0.05 else 0
         pool.state.set_reserve(reserve)
@@ -529,7 +528,8 @@
     def _place(self, pool, item, now):
         work = item.work
         urgent = item.lane == (pool.top, SHORT)
-        yields = not urgent and pool.state.yielding >= pool.quota
+        within = urgent or pool.state.yielding + 1 <= pool.quota
+        yields = not within and not pool.queue.is_due(item)
         over = URGENT_OVER if urgent else 0
         choice = pool.state.choose(work, yields, over, self._costs.estimate, self._rng)
         if choice is None:
