--- a/src/chervilwing/queues.py
+++ b/src/chervilwing/queues.py
@@ -167,15 +167,15 @@
         if flow is not None:
             flow.tag = max(0.0, flow.tag + cost / flow.weight)
 
-    def measure_wait(self, customer, weight, band, cost, whole, now):
+    def measure_wait(self, customer, weight, band, cost, whole, rate, now):
         """Return how long new work would wait for its turn, in seconds.
 
-        ``whole`` is the cost a second that the pool serves. The customer's part of
-        it is its fair share or what the others leave, whichever is more.
+        ``whole`` is the cost a second that the pool serves, ``rate`` what of it is
+        left to the band. The customer's part of that is its fair share or what the
+        others leave, whichever is more.
         """
         totals = self._bands[band]
         urgent = sum(self._bands[other].cost for other in BANDS[:band])
-        rate = self._measure_rate(band, whole, now)
         flow = self._flows.get((customer, band))
         if flow is None or not flow.size:
             fair = rate * weight / (totals.weight + weight)
@@ -184,12 +184,6 @@
         fair = rate * flow.weight / totals.weight
         return urgent / whole + (flow.cost + cost) / max(fair, rate - others)
 
-    def _measure_rate(self, band, whole, now):
-        """Return what more urgent bands leave, or the sure share if that is more."""
-        bands = [self._bands[other] for other in BANDS[:band]]
-        urgent = sum(other.served.measure(now) for other in bands)
-        return max(whole - urgent, whole * SURE_SHARE[band])
-
     def _count(self, item, sign):
         customer = item.work.customer
         self._sizes[customer] = self._sizes.get(customer, 0) + sign
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -13,7 +13,7 @@
 from .limits import FALL_WEIGHT
 from .models import MODEL, SERVICE, Customer, WorkClass
 from .placement import PoolState
-from .queues import BANDS, LANES, LONG, SHORT, YIELDING, FairQueue, Queued
+from .queues import BANDS, LANES, LONG, SHORT, SURE_SHARE, YIELDING, FairQueue, Queued
 from .rates import Excess, Rate
 from .shares import Splitter
 from .upstreams import Running
@@ -102,6 +102,16 @@
         """Tell whether work is long for this pool."""
         return self.usual is not None and cost > LONG_RATIO * exp(self.usual)
 
+    def measure_rate(self, band, whole, now):
+        """Return what more urgent bands leave, or the sure share if that is more.
+
+        Their work counts as offered, whether it was let in or not: it goes first
+        as soon as there is room.
+        """
+        lanes = [lane for lane in LANES if lane[0] < band]
+        urgent = sum(self.offered[lane].measure(now) for lane in lanes)
+        return max(whole - urgent, whole * SURE_SHARE[band])
+
     def measure_usual_cost(self):
         """Return the cost of usual work."""
         return 1.0 if self.usual is None else exp(self.usual)
@@ -431,8 +441,9 @@
         whole = pool.state.measure_concurrency() / pace
         wait = 0.0
         if len(pool.queue) or not pool.state.has_open(frozenset()):
+            rate = pool.measure_rate(band, whole, now)
             wait = pool.queue.measure_wait(
-                work.customer, customer.weight, band, cost, whole, now
+                work.customer, customer.weight, band, cost, whole, rate, now
             )
         ends = wait * whole / pool.measure_usual_cost()
         first_token = pool.first_tokens.get(work.work_class, 0.0)
