Let urgent work start past queued work that yields to it

Cause: with one plan waiting, a question was refused although slots were free. Change: the door looks only at what goes before new work of its band.

--- a/src/chervilwing/placement.py
+++ b/src/chervilwing/placement.py
@@ -161,10 +161,9 @@
         """Return how many upstreams may take new work."""
         return len(self._live)
 
-    def has_open(self, excluded):
-        """Tell whether any upstream outside the excluded ones has room."""
-        members = self._open[False]
-        return len(members) > sum(name in members for name in excluded)
+    def has_open(self, yields):
+        """Tell whether any upstream has room."""
+        return len(self._open[yields]) > 0
 
     def count_free(self):
         """Return the slots that look free on all live upstreams."""
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -102,6 +102,10 @@
         """Tell whether work is long for this pool."""
         return self.usual is not None and cost > LONG_RATIO * exp(self.usual)
 
+    def must_yield(self, lane):
+        """Tell whether work of the lane is over its quota."""
+        return lane != (self.top, SHORT) and self.state.yielding + 1 > self.quota
+
     def measure_rate(self, band, whole, now):
         """Return what more urgent bands leave, or the sure share if that is more.
 
@@ -440,7 +444,8 @@
         band = _find_band(kind)
         whole = pool.state.measure_concurrency() / pace
         wait = 0.0
-        if len(pool.queue) or not pool.state.has_open(frozenset()):
+        yields = pool.must_yield(self._find_lane(pool, work, cost))
+        if not pool.queue.is_empty(band) or not pool.state.has_open(yields):
             rate = pool.measure_rate(band, whole, now)
             wait = pool.queue.measure_wait(
                 work.customer, customer.weight, band, cost, whole, rate, now
@@ -506,7 +511,7 @@
             placement = self._place(pool, item, now)
             if placement is not None:
                 yield placement
-            elif item.work.excluded and pool.state.has_open(frozenset()):
+            elif item.work.excluded and pool.state.has_open(yields=False):
                 # Only where it must not go is there room: let others pass it.
                 aside.append(pool.queue.remove(item.work.request_id))
             else:
@@ -539,8 +544,7 @@
     def _place(self, pool, item, now):
         work = item.work
         urgent = item.lane == (pool.top, SHORT)
-        within = urgent or pool.state.yielding + 1 <= pool.quota
-        yields = not within and not pool.queue.is_due(item)
+        yields = pool.must_yield(item.lane) and not pool.queue.is_due(item)
         over = URGENT_OVER if urgent else 0
         choice = pool.state.choose(work, yields, over, self._costs.estimate, self._rng)
         if choice is None:
