Keep a reserve free of entry instances that have their part in use

Cause: each slot that fell free in saturation drew all seven entry instances. Change: over its part an entry instance starts work only where a quarter is free.

--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -103,7 +103,15 @@
         return self.usual is not None and cost > LONG_RATIO * exp(self.usual)
 
     def must_yield(self, lane):
-        """Tell whether work of the lane is over its quota."""
+        """Tell whether work of the lane has to leave each upstream's reserve.
+
+        It has to when it is over its quota, and so has all work of an entry instance
+        that has its part of the slots in use. Load: saturation, with one slot that
+        falls free and many entry instances that see it. Harm prevented: all send to
+        it at once; those below their part are too few for that.
+        """
+        if self.state.running >= self.state.measure_part():
+            return True
         return lane != (self.top, SHORT) and self.state.yielding + 1 > self.quota
 
     def measure_rate(self, band, whole, now):
@@ -536,8 +544,7 @@
         part = pool.state.measure_part()
         pool.quota = part - URGENT_ROOM * needed
         slots = pool.state.count_slots() // max(1, pool.state.count_live())
-        reserve = max(1, slots // RESERVE_PART) if needed > 0.05 else 0
-        pool.state.set_reserve(reserve)
+        pool.state.set_reserve(max(1, slots // RESERVE_PART) if slots > 1 else 0)
         usual = max(pool.measure_usual(), 1e-6)
         pool.state.set_usual(usual, int(ENGINE_WAIT * slots / usual))
 
