--- a/src/chervilwing/admission.py
+++ b/src/chervilwing/admission.py
@@ -16,7 +16,7 @@
 QUIET = 10.0
 # A wait for one request to end spreads like an exponential, a wait for many is close
 # to its mean; this many deviations are over nine in ten.
-DEVIATIONS = 1.3
+DEVIATIONS = 1.5
 SHORTEST_RETRY = 0.5
 LONGEST_RETRY = 60.0
 
--- a/src/chervilwing/placement.py
+++ b/src/chervilwing/placement.py
@@ -106,6 +106,7 @@
         self._live = Members()
         self._load = 0
         self._slots = 0
+        self._running = 0
         self._counted = {}
 
     def update(self, upstreams, leaving):
@@ -161,9 +162,9 @@
         """Return how many upstreams may take new work."""
         return len(self._live)
 
-    def has_open(self, yields):
-        """Tell whether any upstream has room."""
-        return len(self._open[yields]) > 0
+    def count_open(self, yields):
+        """Return how many upstreams have room."""
+        return len(self._open[yields])
 
     def count_free(self):
         """Return the slots that look free on all live upstreams."""
@@ -173,9 +174,9 @@
     def measure_concurrency(self):
         """Return how many requests this entry instance can have running.
 
-        Of those that we have in flight some wait in an upstream that is over full.
+        Of those in flight on live upstreams some wait in one that is over full.
         """
-        started = self.running * min(1.0, self._slots / max(self._load, 1e-9))
+        started = self._running * min(1.0, self._slots / max(self._load, 1e-9))
         return max(started, self.measure_part(), 1.0)
 
     def measure_part(self):
@@ -268,16 +269,19 @@
 
     def _count(self, name):
         """Renew what the totals and sets hold of one upstream."""
-        load, slots = self._counted.pop(name, (0, 0))
+        load, slots, running = self._counted.pop(name, (0, 0, 0))
         self._load -= load
         self._slots -= slots
+        self._running -= running
         state = self.states.get(name)
         live = state is not None and state.is_live()
         self._put(self._live, name, live)
         if live:
-            self._counted[name] = (state.load, state.slots)
+            running = len(state.running)
+            self._counted[name] = (state.load, state.slots, running)
             self._load += state.load
             self._slots += state.slots
+            self._running += running
         ready = live and not state.paused_until
         near = live and state.upstream.data_centre == self._data_centre
         for yields in (False, True):
--- a/src/chervilwing/queues.py
+++ b/src/chervilwing/queues.py
@@ -89,9 +89,9 @@
         """Return how many requests of the customer wait."""
         return self._sizes.get(customer, 0)
 
-    def is_empty(self, band):
-        """Tell whether nothing waits that goes before new work of the band."""
-        return not any(self._bands[other].size for other in BANDS[: band + 1])
+    def count_before(self, band):
+        """Return how many wait that may go before new work of the band."""
+        return sum(self._bands[other].size for other in BANDS[: band + 1])
 
     def find(self, request_id):
         """Return the waiting request, or None."""
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -32,7 +32,7 @@
 # An upstream may be sent what it clears in this time beyond its slots. Load: work
 # shorter than the time between reports. Harm prevented: slots that stand empty until
 # the next report; of long work it lets none wait where it can't be reordered.
-ENGINE_WAIT = 0.4
+ENGINE_WAIT = 0.5
 # Urgent work needs this many times the slots of its mean, since it comes in clumps.
 URGENT_ROOM = 1.2
 # Short urgent work may wait in an engine, one an upstream: there it gets the first
@@ -453,7 +453,7 @@
         whole = pool.state.measure_concurrency() / pace
         wait = 0.0
         yields = pool.must_yield(self._find_lane(pool, work, cost))
-        if not pool.queue.is_empty(band) or not pool.state.has_open(yields):
+        if pool.queue.count_before(band) >= pool.state.count_open(yields):
             rate = pool.measure_rate(band, whole, now)
             wait = pool.queue.measure_wait(
                 work.customer, customer.weight, band, cost, whole, rate, now
@@ -519,7 +519,7 @@
             placement = self._place(pool, item, now)
             if placement is not None:
                 yield placement
-            elif item.work.excluded and pool.state.has_open(yields=False):
+            elif item.work.excluded and pool.state.count_open(yields=False):
                 # Only where it must not go is there room: let others pass it.
                 aside.append(pool.queue.remove(item.work.request_id))
             else:
--- a/src/chervilwing/upstreams.py
+++ b/src/chervilwing/upstreams.py
@@ -15,7 +15,7 @@
 SMOOTHING = 2.5
 # Part of our own net starts since the last report that each other entry instance
 # is taken to have made as well: in a burst all of them, in calm hardly any.
-ALIKE = 0.5
+ALIKE = 0.3
 # Own starts and ends are kept for so long when no report comes.
 LONGEST_SILENCE = 5.0
 # A busy answer holds new work back for this long at first, then twice as long.
