--- a/bench/arrivals.py
+++ b/bench/arrivals.py
@@ -39,6 +39,8 @@
         self.cause = ""
         self.closed = False
         self.upstream = None
+        self.last_upstream = None
+        self.runs = 0
 
     def is_useful(self):
         """Tell whether the whole answer came in time and began in time."""
--- a/bench/engines.py
+++ b/bench/engines.py
@@ -122,6 +122,7 @@
 
     def _begin(self, sequence):
         job = sequence.job
+        job.runs += 1
         if not job.prompt:
             return
         sequence.prefill = float(job.prompt + job.tokens)
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -190,7 +190,7 @@
     def _send(self, index, placement):
         request = self._find(placement.request_id)
         request.attempts += 1
-        request.upstream = placement.upstream
+        request.upstream = request.last_upstream = placement.upstream
         sent = self.clock.now
         decode = max(1.0 if request.prompt else 0.01, request.output - request.tokens)
         attempt = request.attempts
