--- a/bench/load.py
+++ b/bench/load.py
@@ -30,7 +30,8 @@
 CUSTOMER_HEADS = ("load", "policy", "org-0", "org-1", "org-2", "org-3", "org-4")
 INTRO = """## Decisions under load
 
-Written by `python -m bench.load` (seed {seed}): a discrete-event model of the upstreams
+Written by `python -m bench.load` (seed {seed}, two more below full load): a
+discrete-event model of the upstreams
 round the very scheduler of the daemon, one for each of the 7 entry instances, which
 decide without talking and hear load reports once a second, 0.3 s late. The unit of work
 is a slot-second in a full batch; offered and useful are units a second (the pools of
@@ -57,9 +58,10 @@
 
 
 def _run(deployment, load, policy):
-    run = Run(deployment, load, policy)
-    run.play()
-    return measure(run)
+    runs = [Run(deployment, load, policy, SEED + n) for n in range(load.seeds)]
+    for run in runs:
+        run.play()
+    return measure(*runs)
 
 
 def _write(outcomes):
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -29,25 +29,29 @@
     customers: dict[str, tuple[float, ...]]
 
 
-def measure(run):
-    """Return the figures of a run that has ended."""
-    load, requests = run.load, run.requests
+def measure(*runs):
+    """Return the figures of runs that have ended and differ in their seed only."""
+    first = runs[0]
+    requests = [req for run in runs for req in run.requests]
+    engines = [engine for run in runs for engine in run.engines.values()]
+    seconds = first.load.duration * len(runs)
     useful = sum(req.work for req in requests if req.is_useful())
-    recomputed = sum(engine.recomputed for engine in run.engines.values())
+    recomputed = sum(engine.recomputed for engine in engines)
     sent = [req for req in requests if req.attempts]
+    kinds = first.deployment.kinds
     return Outcome(
-        run.deployment.name,
-        load.name,
-        run.policy.name,
-        sum(req.work for req in requests) / load.duration,
-        useful / load.duration,
-        {kind.name: _measure_kind(requests, kind) for kind in run.deployment.kinds},
+        first.deployment.name,
+        first.load.name,
+        first.policy.name,
+        sum(req.work for req in requests) / seconds,
+        useful / seconds,
+        {kind.name: _measure_kind(requests, kind) for kind in kinds},
         dict(Counter(req.cause for req in requests if req.cause).most_common()),
         sum(req.attempts for req in sent) / max(1, len(sent)),
-        recomputed,
+        recomputed / len(runs),
         recomputed / max(useful, 1e-9),
-        _measure_price(run) / max(useful / 3600, 1e-9),
-        _measure_fairness(run),
+        sum(map(_measure_price, runs)) / max(useful / 3600, 1e-9),
+        _measure_fairness(requests),
         {name: _measure_customer(requests, name) for name in list_customers()},
     )
 
@@ -78,14 +82,14 @@
     return total
 
 
-def _measure_fairness(run):
+def _measure_fairness(requests):
     """Return Jain's index of useful over entitled work of the customers.
 
     Entitled is the max-min fair part of all useful work: no one gets more than it
     offered, and what one leaves goes to the others.
     """
     offered, useful = Counter(), Counter()
-    for req in run.requests:
+    for req in requests:
         offered[req.customer] += req.work
         useful[req.customer] += req.work * req.is_useful()
     entitled = _share_out(offered, sum(useful.values()))
