--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -29,10 +29,12 @@
 RESERVE_PART = 4
 # Seconds between two settings of the quota, which moves far more slowly.
 SHARE_EVERY = 0.1
-# An upstream may be sent what it clears in this time beyond its slots. Load: work
-# shorter than the time between reports. Harm prevented: slots that stand empty until
-# the next report; of long work it lets none wait where it can't be reordered.
-ENGINE_WAIT = 0.5
+# An upstream may be sent, beyond its slots, what it clears in this part of the
+# tightest first-token target among the pool's classes. Load: peaks at one entry
+# instance while others are calm, and work shorter than the time between reports. Harm
+# prevented: slots that stand empty until the next report; what would be late for the
+# wait is kept back where it can still be reordered, moved or refused.
+ENGINE_PART = 0.5
 # Urgent work needs this many times the slots of its mean, since it comes in clumps.
 URGENT_ROOM = 1.2
 # Short urgent work may wait in an engine, one an upstream: there it gets the first
@@ -86,6 +88,7 @@
         # Whether anything has come that may let queued work start.
         self.changed = True
         self.first_tokens = {}
+        self.targets = {}
 
     def refresh(self, name):
         """Take note that one upstream changed."""
@@ -102,6 +105,10 @@
         """Tell whether work is long for this pool."""
         return self.usual is not None and cost > LONG_RATIO * exp(self.usual)
 
+    def measure_tightest(self):
+        """Return the shortest first-token target among the classes offered here."""
+        return min(self.targets.values(), default=0.0)
+
     def must_yield(self, lane):
         """Tell whether work of the lane has to leave each upstream's reserve.
 
@@ -244,6 +251,7 @@
         cost = self._costs.estimate(work)
         exc = self._judge(pool, work, cost, now)
         pool.learn_usual(cost)
+        pool.targets[work.work_class] = self._find_rules(work)[1].first_token
         pool.excess.record(cost, exc is None, now)
         pool.offered[self._find_lane(pool, work, cost)].record(cost, now)
         if exc is not None:
@@ -546,7 +554,9 @@
         slots = pool.state.count_slots() // max(1, pool.state.count_live())
         pool.state.set_reserve(max(1, slots // RESERVE_PART) if slots > 1 else 0)
         usual = max(pool.measure_usual(), 1e-6)
-        pool.state.set_usual(usual, int(ENGINE_WAIT * slots / usual))
+        pool.state.set_usual(
+            usual, int(pool.measure_tightest() * ENGINE_PART * slots / usual)
+        )
 
     def _place(self, pool, item, now):
         work = item.work
