--- a/src/chervilwing/pools.py
+++ b/src/chervilwing/pools.py
@@ -144,9 +144,10 @@
         slots = self.state.count_slots() // max(1, self.state.count_live())
         self.state.set_reserve(max(1, slots // RESERVE_PART) if slots > 1 else 0)
         usual = max(self.measure_usual(), 1e-6)
-        self.state.set_usual(
-            usual, int(self.measure_tightest() * ENGINE_PART * slots / usual)
-        )
+        ahead = self.measure_tightest() * ENGINE_PART * slots / usual
+        # Before anything was measured nothing may wait in an upstream on a guess.
+        measured = self.state.reference.measured
+        self.state.set_usual(usual, int(ahead) if measured else 0)
 
     def describe(self, now):
         """Return figures for the operators."""
