--- a/bench/load.py
+++ b/bench/load.py
@@ -33,13 +33,13 @@
 Written by `python -m bench.load` (seed {seed}, and the next one but for skewed and 2x):
 a discrete-event model of the upstreams round the very scheduler of the daemon, one for
 each of the 7 entry instances, which decide without talking and hear load reports once a
-second, 0.3 s late. The unit of work is a slot-second in a full batch; offered and useful
-are units a second (the pools of each deployment have 52 slots). Useful work was answered
-in full with the first token (from a plain service, the answer) within its class's
-target. Cost is in dollars for a useful slot-hour. Attempts are per request sent to any
-upstream. Fairness is Jain's index of useful over max-min entitled work. Recomputed is a
-run's mean. Callers who are refused don't come back in the model. Baselines send at once
-and try up to three upstreams when one is busy."""
+second, 0.3 s late. The unit of work is a slot-second in a full batch; offered and
+useful are units a second (the pools of each deployment have 52 slots). Useful work was
+answered in full with the first token (from a plain service, the answer) within its
+class's target. Cost is in dollars for a useful slot-hour. Attempts are per request sent
+to any upstream. Fairness is Jain's index of useful over max-min entitled work.
+Recomputed is a run's mean. Callers who are refused don't come back in the model.
+Baselines send at once and try up to three upstreams when one is busy."""
 
 
 def main(names):
