--- a/bench/arrivals.py
+++ b/bench/arrivals.py
@@ -34,6 +34,7 @@
         self.tokens = 0.0
         self.exported = False
         self.attempts = 0
+        self.offers = 0
         self.first_token = None
         self.finished = None
         self.cause = ""
--- a/bench/load.py
+++ b/bench/load.py
@@ -6,8 +6,9 @@
 
 import sys
 
+from . import policies
 from .deployments import ANDESUR, TOURNELLE
-from .loads import LOADS
+from .loads import LOADS, RETURNING
 from .measures import measure
 from .pages import format_table, write_section
 from .policies import POLICIES
@@ -41,6 +42,19 @@
 Recomputed is a run's mean. Callers who are refused don't come back in the model.
 Baselines send at once and try up to three upstreams when one is busy."""
 
+RETURNING_HEADS = (
+    "load",
+    "policy",
+    "useful",
+    "offers per request",
+    "attempts",
+    "within target",
+)
+RETURNING_INTRO = """Callers come back when they are told to, up to four times, and then
+have all of their time again: graded times against one second for all. Useful work is
+that of all 120 s and of what comes back after them, over 120 s, so it may be above what
+the pools can do in that time."""
+
 
 def main(names):
     """Run the loads and print or write what came of them."""
@@ -51,7 +65,14 @@
         for load in loads
         for policy in POLICIES
     ]
-    text = "\n\n".join(_write(outcomes))
+    returning = [
+        _run(deployment, load, policy)
+        for deployment in (ANDESUR, TOURNELLE)
+        for load in RETURNING
+        for policy in policies.RETURNING
+        if not names
+    ]
+    text = "\n\n".join(_write(outcomes, returning))
     print(text)
     if not names:
         write_section("decisions under load", text)
@@ -64,7 +85,7 @@
     return measure(*runs)
 
 
-def _write(outcomes):
+def _write(outcomes, returning):
     yield INTRO.format(seed=SEED)
     for name in dict.fromkeys(outcome.deployment for outcome in outcomes):
         own = [outcome for outcome in outcomes if outcome.deployment == name]
@@ -72,6 +93,9 @@
         yield format_table(HEADS, [_format(outcome) for outcome in own])
         yield "First token of model work by customer: p50 / p95 / p99 in seconds."
         yield format_table(CUSTOMER_HEADS, [_format_customers(out) for out in own])
+    yield "### When refused callers come back"
+    yield RETURNING_INTRO
+    yield format_table(RETURNING_HEADS, [_format_returning(out) for out in returning])
     yield "### Targets"
     yield "\n".join(_judge(outcomes))
 
@@ -94,6 +118,18 @@
     )
 
 
+def _format_returning(outcome):
+    shares = (f"{name} {part:.0%}" for name, part in outcome.in_target.items())
+    return (
+        f"{outcome.deployment}, {outcome.load}",
+        outcome.policy,
+        f"{outcome.useful:.1f}",
+        f"{outcome.offers:.2f}",
+        f"{outcome.attempts:.3f}",
+        ", ".join(shares),
+    )
+
+
 def _format_customers(outcome):
     rows = outcome.customers.values()
     cells = (" / ".join(f"{second:.1f}" for second in row) for row in rows)
--- a/bench/loads.py
+++ b/bench/loads.py
@@ -20,6 +20,7 @@
     reclaimed: str = ""
     duration: float = 120.0
     seeds: int = 1
+    returns: int = 0
 
 
 def hold(level):
@@ -43,3 +44,9 @@
     Load("saturation 5x", hold(5.0), seeds=2),
     Load("reclaimed", hold(0.7), reclaimed="a", seeds=2),
 )
+
+# Refused callers come back when they are told to, this often at most.
+RETURNING = (
+    Load("burst", burst, returns=4),
+    Load("saturation 2x", hold(2.0), returns=4),
+)
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -22,6 +22,7 @@
     in_target: dict[str, float]
     causes: dict[str, int]
     attempts: float
+    offers: float
     recomputed: float
     recomputed_rate: float
     cost: float
@@ -48,6 +49,7 @@
         {kind.name: _measure_kind(requests, kind) for kind in kinds},
         dict(Counter(req.cause for req in requests if req.cause).most_common()),
         sum(req.attempts for req in sent) / max(1, len(sent)),
+        sum(req.offers for req in requests) / max(1, len(requests)),
         recomputed / len(runs),
         recomputed / max(useful, 1e-9),
         sum(map(_measure_price, runs)) / max(useful / 3600, 1e-9),
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -110,6 +110,28 @@
         return ()
 
 
+class Constant(Scheduler):
+    """The scheduler with one second for all in place of graded times."""
+
+    def offer(self, work, now):
+        """Queue the work or refuse it for a second."""
+        return _flatten(super().offer(work, now))
+
+    def expire(self, now):
+        """Give up for a second."""
+        return tuple(map(_flatten, super().expire(now)))
+
+    def retry(self, work, upstream, outcome, now):
+        """Try again or refuse for a second."""
+        return _flatten(super().retry(work, upstream, outcome, now))
+
+
+def _flatten(refusal):
+    if refusal is not None:
+        refusal.exc.retry_after = 1.0
+    return refusal
+
+
 def pick_in_turn(names, outstanding, turn, rng):
     """Round robin."""
     return names[turn % len(names)]
@@ -138,3 +160,9 @@
     Policy("random two choices", _baseline(pick_of_two), False),
     Policy("no admission", Unlimited, True),
 )
+
+RETURNING = (
+    POLICIES[0],
+    Policy("constant 1 s", Constant, True),
+    POLICIES[2],
+)
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -1,5 +1,6 @@
 """Entry instances, each with a scheduler of its own, before modelled upstreams."""
 
+import math
 from random import Random
 
 from chervilwing.models import MODEL, SERVICE
@@ -24,6 +25,8 @@
 SHIFT_EVERY = 0.25
 SLOW_AT = 20.0
 DRAIN = 120.0
+# Callers who aren't told when to come back do so after a second.
+DEFAULT_RETRY = 1.0
 CAUSES = {"failed": FAILED, "busy": BUSY}
 
 
@@ -146,6 +149,7 @@
         )
 
     def _offer(self, request):
+        request.offers += 1
         refusal = self.entries[request.entry].offer(
             self._make_work(request), self.clock.now
         )
@@ -154,12 +158,24 @@
         self._poke(request.entry)
 
     def _refuse(self, request, refusal):
+        if request.offers <= self.load.returns:
+            after = refusal.exc.retry_after or DEFAULT_RETRY
+            request.deadline = math.inf
+            self.clock.call(after, self._come_back, request)
+            return
         request.closed = True
         request.cause = refusal.exc.type
 
+    def _come_back(self, request):
+        """Let the caller send the request again, with all of its time."""
+        request.arrival = self.clock.now
+        request.deadline = self.clock.now + request.kind.deadline
+        self.clock.call(request.kind.deadline, self._hang_up, request)
+        self._offer(request)
+
     def _hang_up(self, request):
         """Let the caller go at the deadline."""
-        if request.closed:
+        if request.closed or self.clock.now < request.deadline:
             return
         request.closed = True
         request.cause = "caller gave up"
