--- a/src/chervilwing/admission.py
+++ b/src/chervilwing/admission.py
@@ -10,7 +10,7 @@
 MARGIN = 1.25
 # A queue that stays over the latency target this long is a standing queue, which
 # only adds delay (RFC 8289 makes the same difference); a shorter one is a burst.
-STANDING = 0.5
+STANDING = 0.25
 # Only this long without one makes the next one a new burst: refusals empty the
 # queue for a moment, and letting all in again then would fill it up every time.
 QUIET = 10.0
