--- /dev/null
+++ b/src/chervilwing/settings.py
@@ -0,0 +1,314 @@
+"""Settings of the entry daemon: one table drives parsing, checks, help and docs."""
+
+import argparse
+from collections.abc import Callable
+from math import isfinite
+from typing import Any, NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from chervilwing.addresses import format_address, parse_address
+from chervilwing.exceptions import BadSetting
+from chervilwing.models import Address
+
+PREFIX = "CHERVILWING_"
+HELP_FLAGS = frozenset({"-h", "--help"})
+TRUE_WORDS = frozenset({"1", "true", "yes", "on"})
+FALSE_WORDS = frozenset({"0", "false", "no", "off"})
+LOG_FORMATS = ("json", "text")
+LOG_LEVELS = ("debug", "info", "warning", "error")
+MIB = 1024 * 1024
+
+
+class Settings(NamedTuple):
+    """All settings of one entry instance; times are in seconds, sizes in bytes."""
+
+    listen: Address
+    peer_listen: Address
+    peers: tuple[Address, ...]
+    data_centre: str
+    region: str
+    name: str
+    store: Address | None
+    cloud: Address | None
+    instance_list: Address | None
+    embedded: bool
+    log_format: str
+    log_level: str
+    body_limit: int
+    head_limit: int
+    head_timeout: float
+    idle_timeout: float
+    connect_timeout: float
+    silence_timeout: float
+    request_timeout: float
+    drain_timeout: float
+    store_timeout: float
+    watch_wait: float
+    default_class: str
+    stats_pairs: int
+
+
+class Field(NamedTuple):
+    """One setting: its name, form, default as text, unit or form, and meaning."""
+
+    name: str
+    parse: Callable[[str], Any]
+    default: str
+    form: str
+    help: str
+
+    @property
+    def flag(self):
+        """Return the name of the flag."""
+        return "--" + self.name.replace("_", "-")
+
+    @property
+    def variable(self):
+        """Return the name of the environment variable."""
+        return PREFIX + self.name.upper()
+
+
+def parse_optional_address(text):
+    """Return an Address, or None for an empty text."""
+    return parse_address(text) if text else None
+
+
+def parse_addresses(text):
+    """Return the Addresses of a comma list."""
+    return tuple(
+        parse_address(part.strip()) for part in text.split(",") if part.strip()
+    )
+
+
+def parse_name(text):
+    """Return a name that is safe in keys, headers and log lines."""
+    if not text or len(text) > 64 or not text.isascii():
+        raise ValueError(f"{text!r} is not a name of 1 to 64 ASCII characters")
+    if not all(char.isalnum() or char in "-_." for char in text):
+        raise ValueError(f"{text!r} has characters other than letters, digits, - _ .")
+    return text
+
+
+def parse_optional_name(text):
+    """Return a name, or an empty text."""
+    return parse_name(text) if text else ""
+
+
+def parse_flag(text):
+    """Return True or False for the usual words."""
+    word = text.lower()
+    if word in TRUE_WORDS | FALSE_WORDS:
+        return word in TRUE_WORDS
+    raise ValueError(f"{text!r} is neither true nor false")
+
+
+def parse_count(text):
+    """Return a whole number above 0."""
+    if not (text.isascii() and text.isdigit() and int(text) > 0):
+        raise ValueError(f"{text!r} is not a whole number above 0")
+    return int(text)
+
+
+def parse_seconds(text):
+    """Return a finite number of seconds above 0."""
+    try:
+        value = float(text)
+    except ValueError:
+        raise ValueError(f"{text!r} is not a number of seconds") from None
+    if not (isfinite(value) and value > 0):
+        raise ValueError(f"{text!r} is not a number of seconds above 0")
+    return value
+
+
+def one_of(choices):
+    """Return a parser that takes only the given words."""
+
+    def parse(text):
+        if text not in choices:
+            raise ValueError(f"{text!r} is not one of {', '.join(choices)}")
+        return text
+
+    return parse
+
+
+FIELDS = (
+    Field("listen", parse_address, "127.0.0.1:8080", "HOST:PORT", "for callers"),
+    Field(
+        "peer_listen",
+        parse_address,
+        "127.0.0.1:8081",
+        "HOST:PORT",
+        "for entry instances",
+    ),
+    Field(
+        "peers", parse_addresses, "", "HOST:PORT,...", "entry instances to join first"
+    ),
+    Field("data_centre", parse_name, "local", "name", "where this instance runs"),
+    Field("region", parse_name, "local", "name", "region of the data centre"),
+    Field(
+        "name",
+        parse_optional_name,
+        "",
+        "name",
+        "this instance; made from listen if empty",
+    ),
+    Field("store", parse_optional_address, "", "HOST:PORT", "key-value service"),
+    Field("cloud", parse_optional_address, "", "HOST:PORT", "cloud API with notices"),
+    Field("instance_list", parse_optional_address, "", "HOST:PORT", "instance list"),
+    Field(
+        "embedded", parse_flag, "false", "true|false", "run stand-ins in the process"
+    ),
+    Field("log_format", one_of(LOG_FORMATS), "json", "json|text", "form of log lines"),
+    Field("log_level", one_of(LOG_LEVELS), "info", "|".join(LOG_LEVELS), "least level"),
+    Field("body_limit", parse_count, str(4 * MIB), "bytes", "largest request body"),
+    Field("head_limit", parse_count, "16384", "bytes", "largest request head"),
+    Field("head_timeout", parse_seconds, "10", "s", "for a caller to send its request"),
+    Field(
+        "idle_timeout", parse_seconds, "75", "s", "until an unused connection closes"
+    ),
+    Field("connect_timeout", parse_seconds, "1", "s", "to open a connection"),
+    Field(
+        "silence_timeout", parse_seconds, "10", "s", "without a byte from an upstream"
+    ),
+    Field("request_timeout", parse_seconds, "120", "s", "for a whole request"),
+    Field("drain_timeout", parse_seconds, "150", "s", "for a planned stop"),
+    Field("store_timeout", parse_seconds, "2", "s", "for a key-value call"),
+    Field("watch_wait", parse_seconds, "30", "s", "that one watch waits"),
+    Field("default_class", parse_name, "standard", "name", "class of unclassed work"),
+    Field(
+        "stats_pairs", parse_count, "64", "count", "customer and class pairs kept apart"
+    ),
+)
+FIELD_OF = {field.name: field for field in FIELDS}
+
+
+class _Parser(argparse.ArgumentParser):
+    def error(self, message):
+        raise BadSetting(message)
+
+
+def _build_parser():
+    parser = _Parser(
+        prog="chervilwingd",
+        description="Entry daemon before model engines and plain services.",
+        epilog=f"Each flag can be given as {PREFIX}NAME; the flag wins.",
+        add_help=False,
+        allow_abbrev=False,
+    )
+    for field in FIELDS:
+        bare = {"nargs": "?", "const": "true"} if field.parse is parse_flag else {}
+        parser.add_argument(
+            field.flag,
+            metavar=field.form,
+            help=f"{field.help} [{field.default or 'none'}]",
+            **bare,
+        )
+    parser.add_argument("-h", "--help", action="store_true", help="print this text")
+    return parser
+
+
+def read_settings(argv, environ) -> Result[Settings, BadSetting]:
+    """Return checked settings from flags and ``CHERVILWING_*`` variables.
+
+    ``argv`` is without the program's name. A flag goes before its variable, and a
+    variable before the default. Unknown flags and unknown variables of our prefix are
+    refused, so that a misspelt limit doesn't leave the default in force unseen.
+    """
+    try:
+        flags = vars(_build_parser().parse_args(list(argv)))
+        _refuse_unknown(environ)
+        values = {field.name: _read_field(field, flags, environ) for field in FIELDS}
+        cfg = Settings(**values)
+        _check_together(cfg)
+    except BadSetting as exc:
+        return Failure(exc)
+    return Success(_name_instance(cfg))
+
+
+def _refuse_unknown(environ):
+    known = {field.variable for field in FIELDS} | {PREFIX + "INSTANCES"}
+    for variable in sorted(environ):
+        if variable.startswith(PREFIX) and variable not in known:
+            raise BadSetting(f"{variable}: no such setting")
+
+
+def _read_field(field, flags, environ):
+    text, source = flags[field.name], field.flag
+    if text is None and field.variable in environ:
+        text, source = environ[field.variable], field.variable
+    if text is None:
+        text = field.default
+    try:
+        return field.parse(text.strip())
+    except ValueError as exc:
+        raise BadSetting(f"{source}: {exc}") from None
+
+
+# Each row: what must hold, the setting to name, and why.
+CHECKS = (
+    (
+        lambda cfg: cfg.embedded or cfg.store is not None,
+        "store",
+        "needed unless --embedded is given",
+    ),
+    (
+        lambda cfg: cfg.silence_timeout <= cfg.request_timeout,
+        "silence_timeout",
+        "longer than --request-timeout, so it would never act",
+    ),
+    # A stop that ends before the longest request would cut it (brief, "What must
+    # always hold": a planned stop cuts no request in flight).
+    (
+        lambda cfg: cfg.drain_timeout >= cfg.request_timeout,
+        "drain_timeout",
+        "shorter than --request-timeout, so a stop would cut requests",
+    ),
+    (
+        lambda cfg: cfg.peer_listen != cfg.listen or cfg.listen.port == 0,
+        "peer_listen",
+        "the same as --listen",
+    ),
+)
+
+
+def _check_together(cfg):
+    for holds, name, reason in CHECKS:
+        if not holds(cfg):
+            raise BadSetting(f"{FIELD_OF[name].flag}: {reason}")
+
+
+def _name_instance(cfg):
+    if cfg.name:
+        return cfg
+    host = cfg.listen.host.replace(":", ".")
+    return cfg._replace(name=f"{cfg.data_centre}-{host}-{cfg.listen.port}")
+
+
+def render_help():
+    """Return the text for ``--help``."""
+    return _build_parser().format_help()
+
+
+def render_table():
+    """Return the settings as the Markdown table of docs/OPERATIONS.md."""
+    lines = ["| flag | variable | form | default | meaning |", "|---|---|---|---|---|"]
+    for field in FIELDS:
+        form = field.form.replace("|", "\\|")
+        default = f"`{field.default}`" if field.default else "none"
+        cells = (f"`{field.flag}`", f"`{field.variable}`", form, default, field.help)
+        lines.append(f"| {' | '.join(cells)} |")
+    return "\n".join(lines) + "\n"
+
+
+def describe(cfg):
+    """Return the settings as plain values, for the log line at the start."""
+    return {name: _to_plain(value) for name, value in cfg._asdict().items()}
+
+
+def _to_plain(value):
+    if isinstance(value, Address):
+        return format_address(value)
+    if isinstance(value, tuple):
+        return [format_address(item) for item in value]
+    return value
