--- a/src/chervilwing/answers.py
+++ b/src/chervilwing/answers.py
@@ -12,9 +12,9 @@
 class Answer:
     """The tokens of one request, whichever upstream they came from.
 
-    Guard against late and crossed answers: each event carries the id of its attempt, and
-    only events of the attempt under way count. Guard against gaps and repeats after a
-    resume: each event carries the token's index, and only the next one is taken.
+    Guard against late and crossed answers: each event carries the id of its attempt,
+    and only events of the attempt under way count. Guard against gaps and repeats after
+    a resume: each event carries the token's index, and only the next one is taken.
     Guard against half answers: complete means that the figures of this attempt and the
     end mark were read, never that a connection was closed.
     """
--- a/src/chervilwing/completions.py
+++ b/src/chervilwing/completions.py
@@ -123,8 +123,9 @@
 def make_chunk_writer(completion, request_id, created):
     """Return a function that turns a token and its index into one event.
 
-    Everything but the token is the same in each event of a stream, so it is encoded once:
-    at 9,400 tokens a second a node (letter 1) each microsecond here is 1 % of a core.
+    Everything but the token is the same in each event of a stream, so it is encoded
+    once: at 9,400 tokens a second a node (letter 1) each microsecond here is 1 % of a
+    core.
     """
     form = CHAT_FORMAT if completion.chat else COMPLETION_FORMAT
     head = json.dumps(
--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -20,8 +20,8 @@
 class Call(NamedTuple):
     """One HTTP request to an outside system; times are in seconds.
 
-    ``fresh`` asks for a new connection: one kept alive may have been closed by the other
-    end already, and what was written to it can't be told from what was run.
+    ``fresh`` asks for a new connection: one kept alive may have been closed by the
+    other end already, and what was written to it can't be told from what was run.
     """
 
     address: Address
@@ -46,7 +46,16 @@
 class Exchange:
     """State of one call; ``cancel`` is idempotent."""
 
-    __slots__ = ("call", "handlers", "reader", "conn", "over", "headed", "heard", "held")
+    __slots__ = (
+        "call",
+        "handlers",
+        "reader",
+        "conn",
+        "over",
+        "headed",
+        "heard",
+        "held",
+    )
 
     def __init__(self, call, handlers, now):
         self.call = call
--- /dev/null
+++ b/src/chervilwing/dispatch.py
@@ -0,0 +1,230 @@
+"""The path of a request: customer, target, queue, upstream, answer."""
+
+import random
+import re
+import time
+import uuid
+from urllib.parse import quote, unquote
+
+from circuits.core import BaseComponent, handler
+
+from . import completions
+from .directory import Directory
+from .exceptions import (
+    NOT_RUN,
+    BadRequest,
+    DeadlinePassed,
+    NotFound,
+    NotReady,
+)
+from .forwards import Forward
+from .generations import Generation
+from .logs import log_request
+from .scheduling import Scheduler, Work
+from .sessions import Session
+from .web import guard
+
+REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{1,64}\Z")
+SERVICES = "/services/"
+# Tokens are counted by the engines; before one has answered, four characters a token is
+# near enough to weigh requests against each other.
+CHARACTERS_PER_TOKEN = 4
+PREFIX_CHARACTERS = 256
+
+
+def read_request_id(headers):
+    """Return the caller's request id, or a new one."""
+    given = headers.get("x-request-id", "")
+    if not given:
+        return uuid.uuid4().hex
+    if not REQUEST_ID.match(given):
+        raise BadRequest("X-Request-Id must be 1 to 64 of A-Z a-z 0-9 . _ -")
+    return given
+
+
+class Dispatcher(BaseComponent):
+    """Own the requests in flight and the decisions about them."""
+
+    channel = "dispatch"
+
+    def __init__(self, cfg, client, stats, rng=None):
+        super().__init__()
+        self.cfg = cfg
+        self.client = client
+        self.stats = stats
+        self.scheduler = Scheduler(cfg, rng or random.Random())
+        self.directory: Directory | None = None
+        self.sessions: dict[str, Session] = {}
+        self.draining = False
+        self._serial = 0
+        self._pumping = False
+        self._routes = {
+            ("POST", "/v1/completions"): lambda exchange: self._complete(
+                exchange, False
+            ),
+            ("POST", "/v1/chat/completions"): lambda ex: self._complete(ex, True),
+            ("GET", "/v1/models"): self._list_models,
+        }
+
+    def configure(self, configuration):
+        """Put a revision in force."""
+        self.directory = Directory(configuration)
+        self.scheduler.configure(configuration)
+
+    def requested(self, exchange):
+        """Serve one request of a caller."""
+        guard(self._serve)(exchange)
+        self.pump()
+
+    def left(self, exchange):
+        """Stop the work of a caller that has gone."""
+        if exchange.tag is not None:
+            exchange.tag.leave()
+            self.pump()
+
+    def add_route(self, method, path, serve):
+        """Serve a path of the instance itself."""
+        self._routes[(method, path)] = serve
+
+    def pump(self):
+        """Start what the scheduler places and end what it gives up on."""
+        if self._pumping:
+            return
+        self._pumping = True
+        try:
+            self._pump_once()
+        finally:
+            self._pumping = False
+
+    def retry(self, session, exc, outcome):
+        """Queue a request again after a failed attempt."""
+        now = time.monotonic()
+        session.work = session.work._replace(started_tokens=session.tokens)
+        refusal = self.scheduler.retry(
+            session.work, session.upstream.name, outcome, now
+        )
+        if refusal is None:
+            excluded = (*session.work.excluded, session.upstream.name)
+            session.work = session.work._replace(excluded=excluded)
+            self.pump()
+            return
+        exc.retry_after = getattr(refusal.exc, "retry_after", None)
+        session.refuse(exc)
+
+    def forget(self, session):
+        """Drop a finished request and note it."""
+        self.sessions.pop(session.serial, None)
+        self.scheduler.withdraw(session.serial, time.monotonic())
+        log_request(session)
+        self.pump()
+
+    def record_gap(self, session, count, now):
+        """Note the time between tokens as the caller sees it."""
+
+    @handler("tick", channel="*")
+    def _on_tick(self):
+        now = time.monotonic()
+        for session in list(self.sessions.values()):
+            if now > session.deadline:
+                self._give_up(session)
+        self.pump()
+
+    def _give_up(self, session):
+        session.run.cancel()
+        outcome = None if session.tries else NOT_RUN
+        session.refuse(DeadlinePassed(retry_after=1.0, outcome=outcome))
+
+    def _pump_once(self):
+        now = time.monotonic()
+        for refusal in self.scheduler.expire(now):
+            session = self.sessions.get(refusal.request_id)
+            if session is not None:
+                session.refuse(refusal.exc)
+        placements = self.scheduler.dispatch(now)
+        while placements:
+            for placement in placements:
+                self._place(placement)
+            placements = self.scheduler.dispatch(now)
+
+    def _place(self, placement):
+        session = self.sessions.get(placement.request_id)
+        upstream = self.directory.upstreams.get(placement.upstream)
+        if session is None or upstream is None:
+            return
+        session.place(upstream)
+
+    def _serve(self, exchange):
+        req = exchange.req
+        serve = self._routes.get((req.method, req.path))
+        if serve is not None:
+            serve(exchange)
+        elif req.path.startswith(SERVICES):
+            self._forward(exchange)
+        else:
+            raise NotFound(f"No route for {req.method} {req.path}.")
+
+    def _require_ready(self):
+        if self.directory is None:
+            raise NotReady("No configuration is known yet.", retry_after=1.0)
+        return self.directory
+
+    def _list_models(self, exchange):
+        directory = self._require_ready()
+        customer = directory.find_customer(exchange.req.headers)
+        models = [
+            {"id": name, "object": "model", "owned_by": customer.name}
+            for name in directory.list_models(customer)
+        ]
+        exchange.answer_json(200, {"object": "list", "data": models})
+
+    def _complete(self, exchange, chat):
+        directory = self._require_ready()
+        customer = directory.find_customer(exchange.req.headers)
+        completion = completions.read_completion(exchange.req.body, chat)
+        target = directory.find_model(customer, completion.model)
+        session = self._open(exchange, target)
+        session.run = Generation(session, completion, completion.model)
+        self._offer(
+            session,
+            prompt_tokens=len(completion.prompt) // CHARACTERS_PER_TOKEN + 1,
+            max_tokens=completion.max_tokens,
+            prefix=completion.prompt[:PREFIX_CHARACTERS],
+        )
+
+    def _forward(self, exchange):
+        directory = self._require_ready()
+        req = exchange.req
+        customer = directory.find_customer(req.headers)
+        name, _, path = req.path[len(SERVICES) :].partition("/")
+        path = "/" + path
+        target = directory.find_service(customer, name, req.method, unquote(path))
+        session = self._open(exchange, target)
+        query = f"?{req.query}" if req.query else ""
+        session.run = Forward(session, quote(path, safe="/%~:@!$&'()*+,;=") + query)
+        self._offer(session)
+
+    def _open(self, exchange, target):
+        request_id = read_request_id(exchange.req.headers)
+        self._serial += 1
+        serial = f"{self.cfg.name}-{self._serial}-{uuid.uuid4().hex[:8]}"
+        return Session(self, exchange, request_id, serial, target)
+
+    def _offer(self, session, **sizes):
+        target, now = session.target, time.monotonic()
+        session.work = Work(
+            request_id=session.serial,
+            customer=target.customer.name,
+            work_class=target.work_class.name,
+            kind=target.kind,
+            pool=target.pool,
+            model=target.name,
+            deadline=now + target.work_class.deadline,
+            idempotent=target.idempotent,
+            **sizes,
+        )
+        self.sessions[session.serial] = session
+        session.exchange.tag = session
+        refusal = self.scheduler.offer(session.work, now)
+        if refusal is not None:
+            refusal.exc.outcome = NOT_RUN
+            session.refuse(refusal.exc)
--- a/src/chervilwing/models.py
+++ b/src/chervilwing/models.py
@@ -35,11 +35,15 @@
 
 
 class Service(NamedTuple):
-    """A plain service and the calls of it that may not be repeated."""
+    """A plain service; patterns such as ``POST /quotes*`` say what may be repeated.
+
+    Without a pattern the method decides (RFC 9110, section 9.2.2).
+    """
 
     name: str
     pool: str
     non_idempotent: tuple[str, ...] = ()
+    idempotent: tuple[str, ...] = ()
 
 
 class Share(NamedTuple):
--- a/src/chervilwing/parsers.py
+++ b/src/chervilwing/parsers.py
@@ -56,8 +56,8 @@
     """Raise BadRequest on a field that could be framed in two ways.
 
     Guard: the parser joins folded lines, takes the last of two lengths, and ignores a
-    Content-Length that is no number. Two readers of one stream would then disagree where
-    the next request starts (RFC 9112, section 11.2). Returns the body's length.
+    Content-Length that is no number. Two readers of one stream would then disagree
+    where the next request starts (RFC 9112, section 11.2). Returns the body's length.
     """
     length = None
     for line in head.split(b"\r\n")[1:]:
@@ -160,8 +160,9 @@
     def reusable(self):
         """Tell whether the connection stands exactly behind the answer.
 
-        Guard: the parser calls a chunked answer complete at ``0`` and drops what follows;
-        the connection may carry a new request only when the whole last chunk was seen.
+        Guard: the parser calls a chunked answer complete at ``0`` and drops what
+        follows; the connection may carry a new request only when the whole last chunk
+        was seen.
         """
         if not self.complete or not self._parser.should_keep_alive():
             return False
@@ -215,8 +216,8 @@
             raise BadRequest("The answer can't be parsed.") from exc
         if parser.errno is None:
             return
-        # Guard: a read that ends between a chunk and its CRLF is called an error, though
-        # the parser has kept the bytes and goes on well with the next ones.
+        # Guard: a read that ends between a chunk and its CRLF is called an error,
+        # though the parser has kept the bytes and goes on well with the next ones.
         if "missing terminator" in parser.errstr:
             parser.errno = None
             return
--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -1,8 +1,8 @@
 """Non-blocking TCP sockets on circuits' poller: accept, dial, read and write.
 
-`circuits.net` fires three events for each chunk that passes and gives no sign when a slow
-reader has caught up. This component handles the poller's events itself: one event for
-each chunk, writes tried at once, and a buffer whose size is known.
+`circuits.net` fires three events for each chunk that passes and gives no sign when a
+slow reader has caught up. This component handles the poller's events itself: one event
+for each chunk, writes tried at once, and a buffer whose size is known.
 """
 
 import errno
@@ -75,7 +75,7 @@
     def __init__(self, poller, handlers, channel):
         super().__init__(channel=channel)
         self._poller = poller
-        self._handlers = handlers
+        self._owner = handlers
         self._conns: dict[socket.socket, Conn] = {}
         self._listener: socket.socket | None = None
 
@@ -148,7 +148,7 @@
             return
         self._poller.discard(conn.sock)
         conn.sock.close()
-        self._handlers.closed(conn, exc)
+        self._owner.closed(conn, exc)
 
     def count(self):
         """Return how many connections are open."""
@@ -164,8 +164,8 @@
         except OSError as exc:
             if exc.errno in WOULD_BLOCK:
                 return 0
-            # The reader learns of the loss from the poller in its own turn; closing here
-            # would call back into a sender that is in the middle of its work.
+            # The reader learns of the loss from the poller in its own turn; closing
+            # here would call back into a sender that is in the middle of its work.
             return 0
         conn.sent += sent
         return sent
@@ -185,7 +185,7 @@
                 self.drop(conn, exc)
             return
         if data:
-            self._handlers.received(conn, data)
+            self._owner.received(conn, data)
             return
         self.drop(conn)
 
@@ -196,7 +196,7 @@
             return
         if conn.connecting and not self._finish_connect(conn):
             return
-        self._flush(conn)
+        self._send_pending(conn)
 
     @handler("_disconnect", priority=1)
     def _on_disconnect(self, sock):
@@ -215,7 +215,7 @@
             conn = Conn(sock, Address(*address), connecting=False)
             self._conns[sock] = conn
             self._poller.addReader(self, sock)
-            self._handlers.opened(conn)
+            self._owner.opened(conn)
 
     def _finish_connect(self, conn):
         code = conn.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -224,10 +224,10 @@
             return False
         conn.connecting = False
         self._poller.addReader(self, conn.sock)
-        self._handlers.opened(conn)
+        self._owner.opened(conn)
         return conn.sock in self._conns
 
-    def _flush(self, conn):
+    def _send_pending(self, conn):
         while conn.pending:
             data = conn.pending[0]
             sent = self._try_send(conn, data)
@@ -242,4 +242,4 @@
                 self.drop(conn)
                 return
         if conn.pending_size <= LOW_WATER:
-            self._handlers.drained(conn)
+            self._owner.drained(conn)
--- /dev/null
+++ b/src/chervilwing/stores.py
@@ -0,0 +1,127 @@
+"""Calls to the platform's key-value service, as messages in and messages out."""
+
+import json
+from urllib.parse import quote, urlencode
+
+from .connections import Call, CallHandlers
+from .messages import (
+    Found,
+    Grant,
+    Granted,
+    Missing,
+    Read,
+    Rejected,
+    Renew,
+    Unanswered,
+    Watch,
+    Write,
+    Written,
+)
+
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+def encode_read(req):
+    """Return method, path and body of a read."""
+    return "GET", f"/kv/{quote(req.key, safe='/')}", None
+
+
+def encode_write(req):
+    """Return method, path and body of a compare-and-swap."""
+    body = {"value": req.value, "expect": req.expect}
+    if req.lease is not None:
+        body["lease"] = req.lease
+    return "PUT", f"/kv/{quote(req.key, safe='/')}", body
+
+
+def encode_watch(req):
+    """Return method, path and body of a watch."""
+    query = urlencode({"key": req.key, "after": req.after, "wait": req.wait})
+    return "GET", f"/watch?{query}", None
+
+
+def encode_grant(req):
+    """Return method, path and body of a request for a lease."""
+    return "POST", "/leases", {"ttl": req.ttl}
+
+
+def encode_renew(req):
+    """Return method, path and body of a renewal."""
+    return "POST", f"/leases/{quote(req.lease)}/renew", {}
+
+
+ENCODERS = {
+    Read: encode_read,
+    Write: encode_write,
+    Watch: encode_watch,
+    Grant: encode_grant,
+    Renew: encode_renew,
+}
+DECODERS = {
+    (Read, 200): lambda req, value: Found(value["value"], value["version"]),
+    (Read, 404): lambda req, value: Missing(),
+    (Write, 200): lambda req, value: Written(value["version"]),
+    (Write, 409): lambda req, value: Rejected(value["value"], value["version"]),
+    (Write, 404): lambda req, value: Missing(),
+    (Watch, 200): lambda req, value: Found(value["value"], value["version"]),
+    (Watch, 204): lambda req, value: Missing(),
+    (Grant, 200): lambda req, value: Granted(value["lease"], value["ttl"]),
+    (Renew, 200): lambda req, value: Granted(req.lease, value["ttl"]),
+    (Renew, 404): lambda req, value: Missing(),
+}
+
+
+def decode(req, status, body):
+    """Return the reply that an answer stands for; what can't be read is Unanswered."""
+    reply = DECODERS.get((type(req), status))
+    if reply is None:
+        return Unanswered()
+    try:
+        return reply(req, json.loads(body) if body else {})
+    except (ValueError, KeyError, TypeError):
+        return Unanswered()
+
+
+class Store:
+    """Send requests to the key-value service and hand each reply to its sender.
+
+    Every failure of the path is ``Unanswered``: a write may have taken effect although
+    its answer was lost, so the sender has to read before it may conclude anything.
+    """
+
+    def __init__(self, cfg, client):
+        self._cfg = cfg
+        self._client = client
+        self.address = cfg.store
+
+    def submit(self, req, reply):
+        """Send one request; ``reply`` gets a StoreReply exactly once."""
+        method, path, body = ENCODERS[type(req)](req)
+        wait = req.wait if isinstance(req, Watch) else 0.0
+        call = Call(
+            self.address,
+            method,
+            path,
+            JSON_HEADERS,
+            b"" if body is None else json.dumps(body).encode(),
+            connect_timeout=self._cfg.connect_timeout,
+            silence_timeout=self._cfg.store_timeout + wait,
+        )
+        self._client.submit(call, collect(req, reply))
+
+
+def collect(req, reply):
+    """Return handlers that gather a whole answer and decode it."""
+    parts = []
+    status = []
+
+    def head(code, headers):
+        status.append(code)
+
+    def done():
+        reply(decode(req, status[0], b"".join(parts)))
+
+    def failed(exc):
+        reply(Unanswered())
+
+    return CallHandlers(head, parts.append, done, failed)
--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -1,4 +1,4 @@
-"""The HTTP side towards callers: read requests, write answers, keep slow ones bounded."""
+"""The HTTP side towards callers: read requests and write bounded answers."""
 
 import json
 import time
@@ -8,7 +8,7 @@
 
 from circuits.core import BaseComponent, handler
 
-from .exceptions import ChervilwingError, NotReady, SlowSender
+from .exceptions import ChervilwingError, SlowSender
 from .parsers import RequestReader
 from .sockets import StreamHandlers, Streams
 
@@ -56,7 +56,16 @@
 class Exchange:
     """One request and the answer to it on the caller's connection."""
 
-    __slots__ = ("req", "started", "gone", "finished", "on_drain", "_web", "_conn", "tag")
+    __slots__ = (
+        "req",
+        "started",
+        "gone",
+        "finished",
+        "on_drain",
+        "_web",
+        "_conn",
+        "tag",
+    )
 
     def __init__(self, req, web, conn):
         self.req = req
@@ -115,7 +124,7 @@
         self._end()
 
     def abort(self):
-        """Cut the connection: the missing end mark tells that the answer isn't whole."""
+        """Cut the connection: the missing end mark tells the answer is not whole."""
         if self.gone or self.finished:
             return
         self.finished = True
@@ -155,7 +164,7 @@
     def __init__(self, cfg, poller, handlers, channel="web"):
         super().__init__(channel=channel)
         self._cfg = cfg
-        self._handlers = handlers
+        self._owner = handlers
         self.stopping = False
         self._callers = set()
         streams = StreamHandlers(
@@ -203,8 +212,8 @@
     def _on_tick(self):
         """Cut off slow senders and idle connections.
 
-        Load: callers that open connections and send a byte now and then. Harm: each holds
-        a socket and a buffer for ever. The limits are settings in seconds.
+        Load: callers that open connections and send a byte now and then. Harm: each
+        holds a socket and a buffer for ever. The limits are settings in seconds.
         """
         now = time.monotonic()
         for conn in list(self._callers):
@@ -247,7 +256,7 @@
         if req is None:
             return
         caller.exchange = Exchange(req, self, conn)
-        self._handlers.requested(caller.exchange)
+        self._owner.requested(caller.exchange)
 
     def _reject(self, conn, exc):
         caller = conn.state
@@ -268,7 +277,7 @@
         if exchange is None or exchange.finished:
             return
         exchange.gone = True
-        self._handlers.left(exchange)
+        self._owner.left(exchange)
 
 
 class _NoRequest(NamedTuple):
@@ -292,6 +301,3 @@
             raise
 
     return served
-
-
-__all__ = ["Exchange", "NotReady", "Web", "WebHandlers", "encode_head", "guard"]
