Read, check and write the configuration document

Ruled out: pydantic for the shapes (it isn't a dependency and brings classes with behaviour), storing defaults (an older daemon would refuse keys it doesn't know). Before: no document. Conclusion: parse_document and serialise are the daemon's two entry points.

--- /dev/null
+++ b/src/chervilwing/documents.py
@@ -0,0 +1,132 @@
+"""The configuration document: JSON in the key-value store, TOML in operators' files."""
+
+import json
+import tomllib
+from hashlib import sha256
+
+from returns.result import Result, safe
+
+from chervilwing.checks import check
+from chervilwing.exceptions import BadConfiguration
+from chervilwing.models import Configuration
+from chervilwing.shapes import (
+    INVENTORY,
+    RULES,
+    Shape,
+    fail,
+    read_entry,
+    to_plain,
+    whole,
+)
+
+CONFIG_KEY = "chervilwing/config"
+HISTORY_PREFIX = "chervilwing/config/history/"
+# The service takes values up to a megabyte (brief, "Where it will run").
+MAX_BYTES = 1_000_000
+TEXT_LIMIT = 256
+
+
+def _read_text(raw, path):
+    if not isinstance(raw, str) or len(raw) > TEXT_LIMIT or not raw.isprintable():
+        fail(path, f"not a printable text of at most {TEXT_LIMIT} characters")
+    return raw
+
+
+CONFIGURATION = Shape(
+    Configuration,
+    {
+        "revision": whole(1, 99_999_999),
+        "operation": _read_text,
+        "author": _read_text,
+        "at": _read_text,
+        "inventory": lambda raw, path: read_entry(INVENTORY, raw, path),
+        "rules": lambda raw, path: read_entry(RULES, raw, path),
+    },
+    Configuration._field_defaults,
+)
+
+
+@safe(exceptions=(BadConfiguration,))
+def parse_document(text) -> Result[Configuration, BadConfiguration]:
+    """Return the checked configuration that a stored value holds."""
+    cfg = read_entry(CONFIGURATION, _load_json(text), "")
+    return check_configuration(cfg)
+
+
+def check_configuration(cfg):
+    """Return the configuration, kinds filled in; raise BadConfiguration if wrong."""
+    inventory, rules = check(cfg.inventory, cfg.rules)
+    return cfg._replace(inventory=inventory, rules=rules)
+
+
+def serialise(cfg):
+    """Return the stored form; raise BadConfiguration over the service's limit."""
+    text = json.dumps(to_plain(cfg), separators=(",", ":"))
+    if len(text.encode()) > MAX_BYTES:
+        fail("configuration", f"larger than {MAX_BYTES} bytes")
+    return text
+
+
+def _load_json(text):
+    try:
+        return json.loads(text, object_pairs_hook=_refuse_double_keys)
+    except (ValueError, RecursionError) as exc:
+        fail("configuration", f"not JSON: {exc}")
+
+
+def _refuse_double_keys(pairs):
+    table = dict(pairs)
+    if len(table) != len(pairs):
+        fail("configuration", "a key occurs twice in one table")
+    return table
+
+
+@safe(exceptions=(BadConfiguration,))
+def parse_inventory(text) -> Result:
+    """Return the Inventory of a TOML file; references aren't checked yet."""
+    return read_entry(INVENTORY, _load_toml(text), "")
+
+
+@safe(exceptions=(BadConfiguration,))
+def parse_rules(text) -> Result:
+    """Return the Rules of a TOML file; references aren't checked yet."""
+    return read_entry(RULES, _load_toml(text), "")
+
+
+def _load_toml(text):
+    try:
+        return tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError) as exc:
+        fail("file", f"not TOML: {exc}")
+
+
+def render_toml(part):
+    """Return an Inventory or Rules in the operators' file format."""
+    blocks = []
+    for section, rows in to_plain(part).items():
+        blocks += [_render_table(section, row) for row in rows]
+    return "\n".join(blocks)
+
+
+def _render_table(section, row):
+    lines = [f"{key} = {_render_value(value)}" for key, value in row.items()]
+    return "\n".join([f"[[{section}]]", *lines]) + "\n"
+
+
+def _render_value(value):
+    """Render what our shapes hold; their texts need no escape that JSON lacks."""
+    if isinstance(value, dict):
+        pairs = (f"{key} = {_render_value(item)}" for key, item in value.items())
+        return "{ " + ", ".join(pairs) + " }"
+    if isinstance(value, list):
+        return "[" + ", ".join(_render_value(item) for item in value) + "]"
+    return json.dumps(value)
+
+
+def hash_key(api_key):
+    """Return the SHA-256 digest under which the rules keep an API key.
+
+    A plain digest is enough only for random keys of 128 bits or more: there is no salt,
+    because the entry looks a customer up by the digest.
+    """
+    return sha256(api_key.encode()).hexdigest()
--- a/src/chervilwing/models.py
+++ b/src/chervilwing/models.py
@@ -24,6 +24,7 @@
     machine_class: str = "standard"
     slots: int = 8
     fenced: bool = True
+    zone: str = ""
 
 
 class Pool(NamedTuple):
@@ -34,12 +35,24 @@
     models: tuple[str, ...] = ()
 
 
+class CallClass(NamedTuple):
+    """The work class of one call, ``POST /notes``, and of all paths below it."""
+
+    call: str
+    work_class: str
+
+
 class Service(NamedTuple):
-    """A plain service and the calls of it that may not be repeated."""
+    """A plain service and the calls of it that may not be repeated.
+
+    A call is a method and a path, ``POST /notes``; it stands for all paths below it.
+    """
 
     name: str
     pool: str
     non_idempotent: tuple[str, ...] = ()
+    work_class: str = ""
+    calls: tuple[CallClass, ...] = ()
 
 
 class Share(NamedTuple):
@@ -50,11 +63,15 @@
 
 
 class ModelRoute(NamedTuple):
-    """The public name of a model, its pool and the versions behind it."""
+    """The public name of a model, its pool and the versions behind it.
+
+    An empty ``work_class``, here or in a Service, leaves the customer's own in force.
+    """
 
     name: str
     pool: str
     shares: tuple[Share, ...] = ()
+    work_class: str = ""
 
 
 class WorkClass(NamedTuple):
@@ -94,9 +111,14 @@
 
 
 class Configuration(NamedTuple):
-    """One revision of inventory and rules; ``operation`` settles lost answers."""
+    """One revision of inventory and rules; ``operation`` settles lost answers.
+
+    ``at`` is the time of the edit in ISO 8601, for reading only: no decision uses it.
+    """
 
     revision: int
     operation: str
     inventory: Inventory
     rules: Rules
+    author: str = ""
+    at: str = ""
--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,208 @@
+"""Tests of the configuration document and the operators' files."""
+
+import json
+import unittest
+from pathlib import Path
+
+from chervilwing.calls import find_class, is_idempotent
+from chervilwing.checks import check
+from chervilwing.documents import (
+    MAX_BYTES,
+    hash_key,
+    parse_document,
+    parse_inventory,
+    parse_rules,
+    render_toml,
+    serialise,
+)
+from chervilwing.exceptions import BadConfiguration
+from chervilwing.models import Configuration, Customer, Inventory, Pool, Rules
+
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+
+
+def read_example(name):
+    """Return the checked inventory and rules of one example."""
+    inventory = parse_inventory((EXAMPLES / name / "inventory.toml").read_text())
+    rules = parse_rules((EXAMPLES / name / "rules.toml").read_text())
+    return check(inventory.unwrap(), rules.unwrap())
+
+
+def make_document():
+    """Return a small valid document as plain data."""
+    return {
+        "revision": 1,
+        "operation": "op-1",
+        "inventory": {
+            "pools": [
+                {"name": "p", "kind": "model", "models": ["m-1", "m-2"]},
+                {"name": "s", "kind": "service"},
+            ],
+            "upstreams": [
+                {
+                    "name": "e1",
+                    "pool": "p",
+                    "address": "10.0.0.1:1",
+                    "data_centre": "a",
+                },
+                {
+                    "name": "e2",
+                    "pool": "p",
+                    "address": "10.0.0.2:1",
+                    "data_centre": "a",
+                },
+            ],
+            "services": [{"name": "portal", "pool": "s"}],
+        },
+        "rules": {
+            "customers": [
+                {"name": "c", "key_hashes": [hash_key("k")]},
+                {"name": "d", "key_hashes": [hash_key("j")]},
+            ],
+            "classes": [{"name": "memo"}],
+            "routes": [
+                {"name": "m", "pool": "p", "shares": [{"version": "m-1", "part": 1}]}
+            ],
+        },
+    }
+
+
+# The key path of a value, what is put there, and the path that the error names.
+BAD = (
+    ("revision", 0, "revision"),
+    ("revision", True, "revision"),
+    ("colour", 1, "colour"),
+    ("inventory.machines", [], "inventory.machines"),
+    ("inventory.pools.0.kind", "gpu", "inventory.pools.p.kind"),
+    ("inventory.pools.1.name", "p", "pools.p"),
+    ("inventory.upstreams.0.address", "localhost:1", "inventory.upstreams.e1.address"),
+    ("inventory.upstreams.0.address", "10.0.0.1:0", "inventory.upstreams.e1.address"),
+    ("inventory.upstreams.1.address", "10.0.0.1:1", "upstreams.e2.address"),
+    ("inventory.upstreams.0.pool", "q", "upstreams.e1.pool"),
+    ("inventory.upstreams.0.kind", "service", "upstreams.e1.kind"),
+    ("inventory.upstreams.0.slots", 0, "inventory.upstreams.e1.slots"),
+    ("inventory.upstreams.0.fenced", "no", "inventory.upstreams.e1.fenced"),
+    ("inventory.upstreams.0.name", "a\nb", "inventory.upstreams[0].name"),
+    ("inventory.services.0.pool", "p", "services.portal.pool"),
+    ("inventory.services.0.work_class", "x", "services.portal.work_class"),
+    (
+        "inventory.services.0.non_idempotent",
+        ["/n"],
+        "inventory.services.portal.non_idempotent[0]",
+    ),
+    ("rules.customers.0.key_hashes", ["abc"], "rules.customers.c.key_hashes[0]"),
+    ("rules.customers.0.key_hashes", [hash_key("j")], "customers.d.key_hashes"),
+    ("rules.customers.0.weight", 0, "rules.customers.c.weight"),
+    ("rules.customers.0.weight", float("nan"), "rules.customers.c.weight"),
+    ("rules.customers.0.allowed", ["x"], "customers.c.allowed"),
+    ("rules.customers.0.work_class", "x", "customers.c.work_class"),
+    ("rules.classes.0.deadline", -1, "rules.classes.memo.deadline"),
+    ("rules.routes.0.pool", "s", "routes.m.pool"),
+    ("rules.routes.0.shares.0.part", 0.5, "routes.m.shares"),
+    ("rules.routes.0.shares.0.version", "m-3", "routes.m"),
+    ("rules.routes", {}, "rules.routes"),
+)
+
+
+class TestDocument(unittest.TestCase):
+    def test_goes_there_and_back(self):
+        for name in ("andesur", "tournelle"):
+            with self.subTest(example=name):
+                cfg = Configuration(7, "op-7", *read_example(name), "ana", "2026-12-02")
+                self.assertEqual(parse_document(serialise(cfg)).unwrap(), cfg)
+
+    def test_each_check_names_the_key_path(self):
+        for path, value, named in BAD:
+            with self.subTest(path=path, value=value):
+                document = make_document()
+                *parents, last = [
+                    int(part) if part.isdigit() else part for part in path.split(".")
+                ]
+                place = document
+                for part in parents:
+                    place = place[part]
+                place[last] = value
+                exc = parse_document(json.dumps(document)).failure()
+                self.assertIsInstance(exc, BadConfiguration)
+                self.assertTrue(str(exc).startswith(f"{named}: "), str(exc))
+                self.assertNotIn("\n", str(exc))
+
+    def test_missing_key_and_broken_text(self):
+        document = make_document()
+        del document["inventory"]["upstreams"][0]["pool"]
+        text = str(parse_document(json.dumps(document)).failure())
+        self.assertEqual(text, "inventory.upstreams.e1.pool: missing")
+        for text in ("", "[1]", "{", '{"revision":1,"revision":2}', "[" * 100_000):
+            with self.subTest(text=text[:30]):
+                failure = parse_document(text).failure()
+                self.assertIsInstance(failure, BadConfiguration)
+
+    def test_kind_comes_from_the_pool_and_defaults_are_not_stored(self):
+        cfg = parse_document(json.dumps(make_document())).unwrap()
+        self.assertEqual({item.kind for item in cfg.inventory.upstreams}, {"model"})
+        stored = json.loads(serialise(cfg))["inventory"]["upstreams"][0]
+        self.assertEqual(sorted(stored), ["address", "data_centre", "name", "pool"])
+
+    def test_refuses_a_document_over_the_services_limit(self):
+        customers = tuple(Customer("c" * 100 + str(i)) for i in range(MAX_BYTES // 100))
+        cfg = Configuration(1, "op", Inventory(), Rules(customers))
+        with self.assertRaises(BadConfiguration):
+            serialise(cfg)
+
+
+class TestFiles(unittest.TestCase):
+    def test_examples_have_the_sizes_of_the_brief(self):
+        for name in ("andesur", "tournelle"):
+            with self.subTest(example=name):
+                inventory, rules = read_example(name)
+                kinds = [item.kind for item in inventory.upstreams]
+                self.assertEqual((kinds.count("model"), kinds.count("service")), (5, 3))
+                self.assertEqual(len({u.data_centre for u in inventory.upstreams}), 3)
+                self.assertEqual((len(rules.customers), len(rules.classes)), (5, 4))
+
+    def test_toml_goes_there_and_back(self):
+        inventory, rules = read_example("andesur")
+        again = check(
+            parse_inventory(render_toml(inventory)).unwrap(),
+            parse_rules(render_toml(rules)).unwrap(),
+        )
+        self.assertEqual(again, (inventory, rules))
+
+    def test_bad_toml_is_a_bad_configuration(self):
+        for text in ("[[pools]", "pools = 3", "[[customers]]\nname = 'c'"):
+            self.assertIsInstance(parse_inventory(text).failure(), BadConfiguration)
+
+
+class TestCalls(unittest.TestCase):
+    def test_class_comes_from_call_then_service_then_customer(self):
+        service = read_example("andesur")[0].services[0]
+        customer = Customer("c")
+        self.assertEqual(
+            find_class(service, customer, "GET", "/documents/4"), "document"
+        )
+        self.assertEqual(find_class(service, customer, "GET", "/other"), "standard")
+        service = service._replace(work_class="quote")
+        self.assertEqual(find_class(service, customer, "GET", "/other"), "quote")
+
+    def test_a_disguised_path_is_still_not_idempotent(self):
+        # A broker's client sends //notes; the portal reads it as /notes and binds. Were
+        # the entry to take it for an idempotent call, a broken connection would be
+        # retried and the insurer would hold two notes.
+        service = read_example("andesur")[0].services[0]
+        paths = (
+            "/notes",
+            "//notes",
+            "/%6eotes",
+            "/a/../notes",
+            "/Notes/",
+            "/notes/7?x=1",
+        )
+        for path in paths:
+            with self.subTest(path=path):
+                self.assertFalse(is_idempotent(service, "POST", path))
+        self.assertTrue(is_idempotent(service, "POST", "/notesheet"))
+        self.assertTrue(is_idempotent(service, "GET", "/notes"))
+
+    def test_unused_pool_is_allowed(self):
+        inventory = Inventory(pools=(Pool("p", "model"),))
+        self.assertEqual(check(inventory, Rules())[0], inventory)
