--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,84 @@
+"""Tests of the log lines: their forms, and what must never be in them."""
+
+import io
+import json
+import unittest
+
+from loguru import logger
+
+from chervilwing.exceptions import PoolFull
+from chervilwing.logs import (
+    RequestLine,
+    log_event,
+    log_failure,
+    log_request,
+    set_up_logs,
+)
+from chervilwing.settings import read_settings
+
+SECRET = "driver 4711 lost his licence"
+LINE = RequestLine("r-1", "c", "memo", "e1", 2, 101, 7, "ran", seconds=5.8)
+
+
+class TestLogs(unittest.TestCase):
+    def collect(self, log_format, write):
+        """Return the lines that a function writes."""
+        cfg = read_settings(["--embedded", "--log-format", log_format], {}).unwrap()
+        sink = io.StringIO()
+        set_up_logs(cfg, sink)
+        self.addCleanup(logger.remove)
+        write()
+        return sink.getvalue().splitlines()
+
+    def test_json_line_has_every_field_of_a_request(self):
+        (text,) = self.collect("json", lambda: log_request(LINE))
+        fields = json.loads(text)
+        for name, value in LINE._asdict().items():
+            self.assertEqual(fields.pop(name), value)
+        self.assertEqual(sorted(fields), ["at", "level", "message"])
+
+    def test_text_line(self):
+        (text,) = self.collect("text", lambda: log_request(LINE))
+        self.assertIn('info request request="r-1" customer="c"', text)
+
+    def test_no_line_holds_a_prompt_a_key_or_a_body(self):
+        # An underwriter's prompt makes a parser fail; the parser's message quotes it.
+        # With loguru's defaults the traceback would print the message and the variables
+        # of each frame, and the loss history would stand in the logs of a third party.
+        def fail():
+            prompt = SECRET
+            try:
+                raise ValueError(prompt)
+            except ValueError as exc:
+                log_failure("parse", exc, request="r-1")
+                logger.exception("unexpected")
+                logger.opt(exception=exc).error("again")
+
+        for log_format in ("json", "text"):
+            with self.subTest(form=log_format):
+                lines = self.collect(log_format, fail)
+                self.assertEqual(len(lines), 3)
+                for text in lines:
+                    self.assertNotIn(SECRET, text)
+                    self.assertIn("ValueError", text)
+                    self.assertIn("test_logs.py", text)
+
+    def test_our_own_failures_keep_their_text(self):
+        (text,) = self.collect(
+            "json", lambda: log_failure("admit", PoolFull("memo full"))
+        )
+        self.assertEqual(json.loads(text)["detail"], "memo full")
+
+    def test_a_request_id_forges_no_line_and_is_clipped(self):
+        line = LINE._replace(request="x\n{braces} <red>" + "y" * 9000)
+        for log_format in ("json", "text"):
+            (text,) = self.collect(log_format, lambda: log_request(line))
+            self.assertLess(len(text), 1000)
+
+    def test_event_and_level(self):
+        def write():
+            log_event("started", port=8080)
+            logger.debug("hidden")
+
+        (text,) = self.collect("json", write)
+        self.assertEqual(json.loads(text)["port"], 8080)
