Judge an unlisted service call by its method, not as repeatable

Cause: with only non_idempotent lists, a POST that an operator forgot to list would be retried after a broken connection and take effect twice. Ruled out: refusing unlisted calls; it would break every new path of a service. Also merges the configuration document, statistics and logs and wires them in.

--- a/src/chervilwing/daemon.py
+++ b/src/chervilwing/daemon.py
@@ -12,7 +12,9 @@
 from . import embedded, settings
 from .connections import Client
 from .dispatch import Dispatcher
+from .logs import set_up_logs
 from .models import Configuration
+from .stats import Stats
 from .web import Web, WebHandlers
 
 # Seconds between ticks. Deadlines are this late at most; at 20 a second the ticks of
@@ -34,8 +36,9 @@
         super().__init__()
         self.cfg = cfg
         self.poller = EPoll().register(self)
+        self.stats = Stats(cfg.stats_pairs)
         self.client = Client(self.poller).register(self)
-        self.dispatcher = Dispatcher(cfg, self.client, None).register(self)
+        self.dispatcher = Dispatcher(cfg, self.client, self.stats).register(self)
         handlers = WebHandlers(self.dispatcher.requested, self.dispatcher.left)
         self.web = Web(cfg, self.poller, handlers).register(self)
         Timer(TICK, tick(), "*", persist=True).register(self)
@@ -65,7 +68,9 @@
     if not is_successful(result):
         print(f"chervilwingd: {result.failure()}", file=sys.stderr)
         return 2
-    Daemon(result.unwrap()).run()
+    cfg = result.unwrap()
+    set_up_logs(cfg, sys.stderr)
+    Daemon(cfg).run()
     return 0
 
 
--- a/src/chervilwing/directory.py
+++ b/src/chervilwing/directory.py
@@ -1,14 +1,12 @@
 """Look-ups in the configuration in force: customers, routes, services, upstreams."""
 
-import hashlib
-from fnmatch import fnmatchcase
 from typing import NamedTuple
 
+from . import calls
+from .documents import hash_key
 from .exceptions import NotAllowed, NotFound, Scope, UnknownCustomer
 from .models import MODEL, SERVICE, Customer, WorkClass
 
-# RFC 9110, section 9.2.2: methods that may be repeated unless the inventory says not.
-IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 DEFAULT_CLASS = WorkClass("standard")
 
 
@@ -23,22 +21,12 @@
     idempotent: bool = True
 
 
-def hash_key(api_key):
-    """Return the digest under which the rules keep an API key."""
-    return hashlib.sha256(api_key.encode()).hexdigest()
-
-
 def read_bearer(headers):
     """Return the API key of a request, empty when it gives none."""
     scheme, _, key = headers.get("authorization", "").partition(" ")
     return key.strip() if scheme.lower() == "bearer" else ""
 
 
-def matches(patterns, method, path):
-    """Tell whether a call is one that patterns such as ``POST /notes/*`` name."""
-    return any(fnmatchcase(f"{method} {path}", pattern) for pattern in patterns)
-
-
 class Directory:
     """Indexes over one configuration; a new revision makes a new directory."""
 
@@ -69,7 +57,8 @@
         if route is None:
             raise NotFound(f"No model {name!r}.", scope=Scope(MODEL, name))
         self._check_allowed(customer, MODEL, name)
-        return Target(customer, self._find_class(customer), MODEL, route.pool, name)
+        work_class = self._find_class(route.work_class or customer.work_class)
+        return Target(customer, work_class, MODEL, route.pool, name)
 
     def find_service(self, customer, name, method, path):
         """Return the target of a call to a plain service."""
@@ -77,11 +66,8 @@
         if service is None:
             raise NotFound(f"No service {name!r}.", scope=Scope(SERVICE, name))
         self._check_allowed(customer, SERVICE, name)
-        repeatable = method in IDEMPOTENT_METHODS or matches(
-            service.idempotent, method, path
-        )
-        repeatable = repeatable and not matches(service.non_idempotent, method, path)
-        work_class = self._find_class(customer)
+        repeatable = calls.is_idempotent(service, method, path)
+        work_class = self._find_class(calls.find_class(service, customer, method, path))
         return Target(customer, work_class, SERVICE, service.pool, name, repeatable)
 
     def list_models(self, customer):
@@ -96,8 +82,8 @@
         """Return the traffic shares of a model's versions."""
         return self._routes[name].shares
 
-    def _find_class(self, customer):
-        return self._classes.get(customer.work_class, DEFAULT_CLASS)
+    def _find_class(self, name):
+        return self._classes.get(name, DEFAULT_CLASS)
 
     def _check_allowed(self, customer, kind, name):
         if "*" in customer.allowed or name in customer.allowed:
--- a/src/chervilwing/dispatch.py
+++ b/src/chervilwing/dispatch.py
@@ -19,7 +19,6 @@
 )
 from .forwards import Forward
 from .generations import Generation
-from .logs import log_request
 from .scheduling import Scheduler, Work
 from .sessions import Session
 from .web import guard
@@ -115,12 +114,8 @@
         """Drop a finished request and note it."""
         self.sessions.pop(session.serial, None)
         self.scheduler.withdraw(session.serial, time.monotonic())
-        log_request(session)
         self.pump()
 
-    def record_gap(self, session, count, now):
-        """Note the time between tokens as the caller sees it."""
-
     @handler("tick", channel="*")
     def _on_tick(self):
         now = time.monotonic()
--- a/src/chervilwing/sessions.py
+++ b/src/chervilwing/sessions.py
@@ -2,8 +2,10 @@
 
 import time
 
-from .exceptions import NOT_RUN
-from .scheduling import SUCCEEDED
+from .exceptions import NOT_RUN, RAN
+from .logs import RequestLine, log_request
+
+LEFT = "caller-left"
 
 
 class Session:
@@ -28,8 +30,12 @@
         self.began = time.monotonic()
         self.first_token = None
         self.last_token = None
-        self.outcome = SUCCEEDED
+        self.outcome = RAN
+        self.cause = ""
         self.closed = False
+        self._series = dispatcher.stats.select(
+            target.customer.name, target.work_class.name
+        )
 
     @property
     def deadline(self):
@@ -46,7 +52,9 @@
         """Count tokens that the caller is given now."""
         if self.first_token is None:
             self.first_token = now - self.began
-        self._dispatcher.record_gap(self, count, now)
+            self._series.record_first_token(self.first_token)
+        else:
+            self._series.record_gap((now - self.last_token) / count, count)
         self.last_token = now
         self.tokens += count
 
@@ -78,7 +86,8 @@
         """Give the caller a failure as the final answer, at once."""
         if self.closed:
             return
-        self.outcome = exc.type
+        self.outcome = exc.outcome
+        self.cause = exc.type
         self.exchange.refuse(exc, self.headers)
         self.close()
 
@@ -86,7 +95,7 @@
         """Stop the work of a caller that has gone."""
         if self.closed:
             return
-        self.outcome = "caller-left"
+        self.outcome = LEFT
         self.run.cancel()
         self.close()
 
@@ -95,4 +104,26 @@
         if self.closed:
             return
         self.closed = True
+        self._record()
         self._dispatcher.forget(self)
+
+    def _record(self):
+        seconds = time.monotonic() - self.began
+        series = self._series
+        series.record_answer(seconds)
+        series.record_outcome(self.outcome, self.cause)
+        series.record_tokens(self.tokens, self.recomputed)
+        log_request(
+            RequestLine(
+                request=self.request_id,
+                customer=self.target.customer.name,
+                work_class=self.target.work_class.name,
+                upstream=self.upstream.name if self.upstream else "",
+                tries=self.tries,
+                tokens=self.tokens,
+                recomputed=self.recomputed,
+                outcome=self.outcome,
+                cause=self.cause,
+                seconds=round(seconds, 4),
+            )
+        )
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -14,6 +14,7 @@
     "dispatch",
     "embedded",
     "generations",
+    "parsers",
     "sessions",
     "sockets",
     "web",
