Add stand-ins for the outside systems, and processes for tests

Cause: the end-to-end and failure tests need an engine, a plain service, the key-value service, the cloud and the network as processes with fault switches.

--- /dev/null
+++ b/tests/fakes/__main__.py
@@ -0,0 +1,45 @@
+"""Run one stand-in: ``python -m tests.fakes ROLE --port 0 [options]``."""
+
+import argparse
+import asyncio
+import json
+import signal
+
+from tests.fakes import cloud, engine, relay, service, store
+from tests.fakes.control import listen
+
+ROLES = {
+    "engine": engine,
+    "service": service,
+    "store": store,
+    "cloud": cloud,
+    "relay": relay,
+}
+
+
+def parse_args():
+    """Read the role and its options."""
+    parser = argparse.ArgumentParser(prog="python -m tests.fakes")
+    roles = parser.add_subparsers(dest="role", required=True)
+    for name, module in ROLES.items():
+        role = roles.add_parser(name)
+        role.add_argument("--port", type=int, default=0)
+        module.add_options(role)
+    return parser.parse_args()
+
+
+async def run(options):
+    """Serve until SIGTERM; the relay's port is its own and control is a second one."""
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    app, relay_port = await ROLES[options.role].build(options)
+    runner, port = await listen(app, 0 if relay_port else options.port)
+    line = {"role": options.role, "port": relay_port or port, "control": port}
+    print(json.dumps(line), flush=True)
+    await stopped.wait()
+    await runner.cleanup()
+
+
+if __name__ == "__main__":
+    asyncio.run(run(parse_args()))
--- /dev/null
+++ b/tests/procs.py
@@ -0,0 +1,288 @@
+"""Processes of a test, and a blocking HTTP caller that shows the bytes."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).resolve().parent.parent
+HOST = "127.0.0.1"
+START_TIMEOUT = 20.0
+STOP_TIMEOUT = 10.0
+CALL_TIMEOUT = 10.0
+POLL = 0.01
+CHUNK = 65536
+
+
+def poll(check, timeout=10.0):
+    """Return the first truthy ``check()``; AssertionError when none comes in time."""
+    deadline = time.monotonic() + timeout
+    while not (found := check()):
+        if time.monotonic() > deadline:
+            raise AssertionError(f"never became true within {timeout} s")
+        time.sleep(POLL)
+    return found
+
+
+def call_json(port, method, path, body=None, headers=()):
+    """Make one call and return its status and JSON body, or None without one."""
+    conn = http.client.HTTPConnection(HOST, port, timeout=CALL_TIMEOUT)
+    try:
+        data = None if body is None else json.dumps(body)
+        conn.request(method, path, data, dict(headers))
+        response = conn.getresponse()
+        content = response.read()
+        return response.status, json.loads(content) if content else None
+    finally:
+        conn.close()
+
+
+class Process:
+    """A child process that printed its first line as JSON."""
+
+    def __init__(self, argv, env=None):
+        # Files, as a pipe that no one reads would block a child that logs much.
+        self.stdout = tempfile.TemporaryFile("w+")
+        self.stderr = tempfile.TemporaryFile("w+")
+        paths = {"PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"}
+        self.popen = subprocess.Popen(
+            argv,
+            cwd=ROOT,
+            env={**os.environ, **paths, **(env or {})},
+            stdout=self.stdout,
+            stderr=self.stderr,
+        )
+        self.info = {}
+
+    def wait_ready(self):
+        """Wait for the JSON line."""
+        line = poll(self.read_line, START_TIMEOUT)
+        self.info = json.loads(line)
+        return self
+
+    def read_line(self):
+        """Return the first whole line of output; AssertionError once it ended."""
+        line = read_file(self.stdout).partition("\n")
+        if not line[1] and self.popen.poll() is not None:
+            code = self.popen.returncode
+            raise AssertionError(f"exit {code}: {read_file(self.stderr)}")
+        return line[0] if line[1] else None
+
+    @property
+    def port(self):
+        """Return the port that the line names."""
+        return self.info["port"]
+
+    @property
+    def control(self):
+        """Return the port of the control endpoint."""
+        return self.info.get("control", self.port)
+
+    def get(self, path):
+        """GET from the control endpoint; return status and JSON body."""
+        return call_json(self.control, "GET", path)
+
+    def post(self, path, body):
+        """POST to the control endpoint; return status and JSON body."""
+        return call_json(self.control, "POST", path, body)
+
+    def fault(self, **switches):
+        """Set fault switches; AssertionError on an unknown one."""
+        status, body = self.post("/-/fault", switches)
+        assert status == 200, body
+        return body
+
+    def record(self):
+        """Return what a stand-in saw and did."""
+        return self.get("/-/record")[1]
+
+    def signal(self, number):
+        """Send a signal to this process only."""
+        self.popen.send_signal(number)
+
+    def freeze(self):
+        """Stop the process where it is."""
+        self.signal(signal.SIGSTOP)
+
+    def resume(self):
+        """Let a frozen process go on, unaware."""
+        self.signal(signal.SIGCONT)
+
+    def kill(self):
+        """End the process at once."""
+        self.popen.kill()
+        self.popen.wait(STOP_TIMEOUT)
+
+    def terminate(self):
+        """Ask the process to end; return its exit code."""
+        self.popen.terminate()
+        return self.popen.wait(STOP_TIMEOUT)
+
+    def close(self):
+        """End the process, gracefully if it will, and close its files."""
+        if self.popen.poll() is None:
+            self.resume()
+            try:
+                self.terminate()
+            except subprocess.TimeoutExpired:
+                self.kill()
+        self.stdout.close()
+        self.stderr.close()
+
+
+def read_file(file):
+    """Return all that a child has written, and leave its offset alone."""
+    return os.pread(file.fileno(), 1 << 24, 0).decode(errors="replace")
+
+
+class Processes:
+    """All processes of a test; ``close`` in ``tearDown`` ends them."""
+
+    def __init__(self):
+        self.started = []
+
+    def start(self, argv, env=None):
+        """Start a process and wait for its JSON line."""
+        process = Process(argv, env)
+        self.started.append(process)
+        return process.wait_ready()
+
+    def start_fake(self, role, *options):
+        """Start a stand-in on a free port."""
+        return self.start(
+            [sys.executable, "-m", "tests.fakes", role, "--port", "0", *options]
+        )
+
+    def start_daemon(self, *options, env=None):
+        """Start an entry instance."""
+        argv = [sys.executable, "-m", "chervilwing.daemon", *options]
+        return self.start(argv, env)
+
+    def close(self):
+        """End every process that this test started."""
+        for process in reversed(self.started):
+            process.close()
+
+
+class Answer(NamedTuple):
+    """An HTTP answer; ``whole`` tells whether its framing came to its end."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    chunks: tuple[bytes, ...]
+    raw: bytes
+    whole: bool
+
+    def json(self):
+        """Return the body's JSON."""
+        return json.loads(self.body)
+
+    def events(self):
+        """Return the data of each server-sent event, as text."""
+        blocks = self.body.decode(errors="replace").split("\n\n")
+        return [block[6:] for block in blocks if block.startswith("data: ")]
+
+
+class Caller:
+    """One connection; reads no more than asked for, so that a test can be slow."""
+
+    def __init__(self, port, timeout=CALL_TIMEOUT):
+        self.sock = socket.create_connection((HOST, port), timeout)
+        self.buffer = b""
+        self.raw = b""
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        self.close()
+
+    def close(self):
+        """Leave."""
+        self.sock.close()
+
+    def send(self, data):
+        """Send bytes as they are."""
+        self.sock.sendall(data)
+
+    def request(self, method, path, body=b"", headers=()):
+        """Send one request; a body that isn't bytes goes as JSON."""
+        if not isinstance(body, bytes):
+            body = json.dumps(body).encode()
+        lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}"]
+        lines += [f"{name}: {value}" for name, value in dict(headers).items()]
+        lines += [f"Content-Length: {len(body)}", "", ""]
+        self.send("\r\n".join(lines).encode() + body)
+
+    def fill(self):
+        """Read more bytes; EOFError when the other end closed or reset."""
+        try:
+            data = self.sock.recv(CHUNK)
+        except ConnectionError as exc:
+            raise EOFError("reset") from exc
+        if not data:
+            raise EOFError("closed")
+        self.buffer += data
+        self.raw += data
+
+    def read_until(self, mark):
+        """Return the bytes before the mark and pass over it."""
+        while mark not in self.buffer:
+            self.fill()
+        found, _, self.buffer = self.buffer.partition(mark)
+        return found
+
+    def read_bytes(self, count):
+        """Return so many bytes."""
+        while len(self.buffer) < count:
+            self.fill()
+        found, self.buffer = self.buffer[:count], self.buffer[count:]
+        return found
+
+    def read_head(self):
+        """Return status and headers, the names in lower case."""
+        first, *lines = self.read_until(b"\r\n\r\n").decode("latin-1").split("\r\n")
+        pairs = (line.partition(":") for line in lines)
+        headers = {name.lower(): value.strip() for name, _, value in pairs}
+        return int(first.split()[1]), headers
+
+    def read_chunk(self):
+        """Return the next chunk of a chunked body, empty at its end."""
+        size = int(self.read_until(b"\r\n").partition(b";")[0], 16)
+        chunk = self.read_bytes(size)
+        self.read_until(b"\r\n")
+        return chunk
+
+    def read_answer(self):
+        """Read one answer, as much as comes of its body; EOFError without a head."""
+        self.raw = self.buffer
+        status, headers = self.read_head()
+        chunks, whole = [], True
+        try:
+            if headers.get("transfer-encoding") == "chunked":
+                while chunk := self.read_chunk():
+                    chunks.append(chunk)
+            elif "content-length" in headers:
+                chunks.append(self.read_bytes(int(headers["content-length"])))
+        except EOFError:
+            whole = False
+        return Answer(status, headers, b"".join(chunks), tuple(chunks), self.raw, whole)
+
+    def call(self, method, path, body=b"", headers=()):
+        """Send one request and read its answer."""
+        self.request(method, path, body, headers)
+        return self.read_answer()
+
+
+def call(port, method, path, body=b"", headers=()):
+    """Make one call on a connection of its own."""
+    with Caller(port) as caller:
+        return caller.call(method, path, body, headers)
