--- /dev/null
+++ b/src/chervilwing/claim_keys.py
@@ -0,0 +1,87 @@
+"""Idempotency keys that carry their time, and where their claims are stored."""
+
+import hashlib
+import uuid
+from typing import NamedTuple
+
+from .exceptions import BadKey, KeyExpired, Scope
+
+UUID_VERSION = 7
+TIMESTAMP_SHIFT = 80
+MILLISECONDS = 1000
+
+
+class ClaimSettings(NamedTuple):
+    """Settings of the claims; times in seconds, sizes in bytes of JSON.
+
+    Every instance must have the same ``shards``, ``slot`` and ``ring``. ``skew`` is
+    the largest difference between two clocks, callers' included.
+    """
+
+    shards: int = 16
+    slot: float = 4.0
+    ring: int = 160
+    window: float = 600.0
+    skew: float = 5.0
+    run_limit: float = 120.0
+    claim_wait: float = 1.0
+    owner_wait: float = 0.05
+    suspect_for: float = 5.0
+    progress_wait: float = 1.0
+    probe_every: float = 1.0
+    fresh_for: float = 1.0
+    down_after: int = 2
+    writes_per_second: float = 240.0
+    write_burst: int = 4
+    settle_wait: float = 0.1
+    idle_for: float = 30.0
+    segment_limit: int = 900_000
+    outcome_limit: int = 2_048
+
+
+class ClaimKey(NamedTuple):
+    """A customer's UUIDv7; another customer's same UUID is another key."""
+
+    customer: str
+    uuid: str
+
+    def __str__(self):
+        return f"{self.customer}/{self.uuid}"
+
+
+class Place(NamedTuple):
+    """Where a key's claim is stored: its shard and the number of its time slot."""
+
+    shard: int
+    slot: int
+
+
+def read_time(key):
+    """Return the Unix seconds in a UUIDv7, else raise BadKey (RFC 9562, 5.7)."""
+    try:
+        parsed = uuid.UUID(key.uuid)
+    except ValueError as exc:
+        raise BadKey("not a UUID", scope=_scope(key)) from exc
+    if parsed.version != UUID_VERSION or str(parsed) != key.uuid:
+        raise BadKey("not a UUIDv7 in its canonical form", scope=_scope(key))
+    return (parsed.int >> TIMESTAMP_SHIFT) / MILLISECONDS
+
+
+def locate(cfg, key, now):
+    """Return the key's place, or raise BadKey or KeyExpired for one out of time."""
+    time = read_time(key)
+    if time > now + cfg.skew:
+        raise BadKey("the key's time lies in the future", scope=_scope(key))
+    if time < now - cfg.window:
+        raise KeyExpired(f"the key is older than {cfg.window:.0f} s", scope=_scope(key))
+    digest = hashlib.blake2b(str(key).encode(), digest_size=4).digest()
+    return Place(int.from_bytes(digest) % cfg.shards, int(time // cfg.slot))
+
+
+def name_cell(cfg, place):
+    """Return the store key of a place; the ring bounds the number of cells."""
+    return f"claims/{place.shard}/{place.slot % cfg.ring}"
+
+
+def _scope(key):
+    return Scope("key", key.uuid)
--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -143,3 +143,39 @@
 
     status, type, title = 422, "bad-configuration", "Bad configuration"
     outcome = NOT_RUN
+
+
+class BadKey(ChervilwingError):
+    """The Idempotency-Key is not a UUIDv7, or its time lies in the future."""
+
+    status, type, title, outcome = 400, "bad-key", "Bad idempotency key", NOT_RUN
+
+
+class KeyExpired(ChervilwingError):
+    """The key is older than the kept window: it may have run and is not run again."""
+
+    status, type, title, outcome = 410, "key-expired", "Key too old", UNKNOWN
+
+
+class KeyReused(ChervilwingError):
+    """The key was first used with a different request; this one was not run."""
+
+    status, type, title, outcome = 422, "key-reused", "Key reused", NOT_RUN
+
+
+class InProgress(ChervilwingError):
+    """A first request with this key is running; ask again after ``retry_after``."""
+
+    status, type, title, outcome = 409, "in-progress", "In progress", UNKNOWN
+
+
+class OutcomeUnknown(ChervilwingError):
+    """The instance that ran this key vanished; the key is never run again."""
+
+    status, type, title, outcome = 409, "outcome-unknown", "Outcome unknown", UNKNOWN
+
+
+class ClaimsFull(ChervilwingError):
+    """The key's segment has no room for another claim; a later key has."""
+
+    status, type, title, outcome = 503, "claims-full", "Claims full", NOT_RUN
--- a/src/chervilwing/messages.py
+++ b/src/chervilwing/messages.py
@@ -77,3 +77,17 @@
 
 StoreRequest = Read | Write | Watch | Grant | Renew
 StoreReply = Found | Missing | Written | Rejected | Granted | Unanswered
+
+
+class StoreCall(NamedTuple):
+    """Send the request; hand the reply back with the token, ``Unanswered`` if none."""
+
+    token: str
+    request: StoreRequest
+
+
+class Forward(NamedTuple):
+    """Send a message to another entry instance; nothing tells whether it arrives."""
+
+    instance: str
+    message: NamedTuple
