--- a/src/chervilwing/claim_writer.py
+++ b/src/chervilwing/claim_writer.py
@@ -34,7 +34,6 @@
     judge,
 )
 
-
 # Verdicts that a later write may have overtaken.
 OPEN = {IN_PROGRESS, LOST}
 
--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -179,3 +179,27 @@
     """The key's segment has no room for another claim; a later key has."""
 
     status, type, title, outcome = 503, "claims-full", "Claims full", NOT_RUN
+
+
+class NoConfiguration(NotReady):
+    """Neither the key-value service nor a peer has given a configuration yet."""
+
+    type, title = "no-configuration", "No configuration"
+
+
+class UpdateUnknown(ChervilwingError):
+    """Later writes hide whether an update of the configuration took effect."""
+
+    status, type, title, outcome = 504, "update-unknown", "Update unknown", UNKNOWN
+
+
+class NotHolder(ChervilwingError):
+    """This instance doesn't hold the lease of the pool, so it gives no orders."""
+
+    status, type, title, outcome = 409, "not-holder", "Not the holder", NOT_RUN
+
+
+class OldFence(ChervilwingError):
+    """The engine has seen a newer fencing number: another instance holds the pool."""
+
+    status, type, title, outcome = 409, "old-fence", "Old fencing number", NOT_RUN
