--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -2,13 +2,10 @@
 
 import asyncio
 import base64
-import heapq
 import itertools
 import json
 import time
 
-from aiohttp import web
-
 from tests.fakes.cache import PrefixCache
 from tests.fakes.control import (
     Lagged,
@@ -19,11 +16,10 @@
     read_json,
     reply,
 )
-from tests.fakes.tokens import count_tokens, expected_tokens, make_token
+from tests.fakes.generation import UNFINISHED, Attempt, full_text, work
+from tests.fakes.tokens import count_tokens, expected_tokens
 
 ALL_MODELS = "*"
-END_MARK = b"data: [DONE]\n\n"
-GARBAGE_EVENT = b"data: {\xff\xfe not JSON\n\n"
 GARBAGE_HEAD = b"\x00\xffnot HTTP\r\n\r\n"
 
 
@@ -43,28 +39,6 @@
     parser.add_argument("--unfenced", dest="fenced", action="store_false")
 
 
-class Attempt:
-    """One try of a completion, as the record shows it."""
-
-    def __init__(self, body):
-        self.id = str(body["attempt"])
-        self.model = str(body["model"])
-        self.prompt = str(body["prompt"])
-        self.max_tokens = int(body["max_tokens"])
-        self.priority = int(body.get("priority", 1))
-        self.offset = int(body.get("offset") or 0)
-        self.prefix = str(body.get("prefix") or "")
-        self.state = "waiting"
-        self.sent = self.cached = self.recomputed = 0
-        self.started = None
-        self.task = None
-
-    def show(self):
-        """Return the record of this attempt."""
-        hidden = ("task", "prompt", "prefix")
-        return {key: value for key, value in vars(self).items() if key not in hidden}
-
-
 class Engine:
     """Everything that one engine knows."""
 
@@ -118,39 +92,11 @@
     def find(self, attempt_id):
         """Return the newest attempt of this id that still runs, or None."""
         for attempt in reversed(self.attempts):
-            if attempt.id == attempt_id and attempt.state in ("waiting", "running"):
+            if attempt.id == attempt_id and attempt.state in UNFINISHED:
                 return attempt
         return None
 
 
-async def acquire(engine, priority):
-    """Wait for a slot, the most urgent first and then in order of arrival."""
-    if engine.running < engine.options.slots:
-        engine.running += 1
-        return
-    fut = asyncio.get_running_loop().create_future()
-    heapq.heappush(engine.waiting, (priority, next(engine.tickets), fut))
-    engine.load.put(engine.measure())
-    try:
-        await fut
-    except asyncio.CancelledError:
-        if fut.done() and not fut.cancelled():
-            release(engine)
-        engine.waiting = [item for item in engine.waiting if item[2] is not fut]
-        heapq.heapify(engine.waiting)
-        raise
-
-
-def release(engine):
-    """Hand the slot to the next in the queue, or free it."""
-    while engine.waiting:
-        fut = heapq.heappop(engine.waiting)[2]
-        if not fut.done():
-            fut.set_result(None)
-            return
-    engine.running -= 1
-
-
 def check(engine, attempt):
     """Return why the attempt can't start as an answer, or None."""
     expected = expected_tokens(attempt.model, attempt.prompt, attempt.offset)
@@ -189,125 +135,6 @@
     return attempt.task.result()
 
 
-async def work(engine, attempt, request):
-    """Take a slot, generate, and note how it ended."""
-    try:
-        await acquire(engine, attempt.priority)
-        attempt.state = "running"
-        attempt.started = time.time()
-        engine.load.put(engine.measure())
-        try:
-            return await generate(engine, attempt, request)
-        finally:
-            release(engine)
-            engine.load.put(engine.measure())
-    except (asyncio.CancelledError, ConnectionError):
-        if attempt.state != "dropped":
-            attempt.state = "cancelled"
-        raise
-
-
-async def generate(engine, attempt, request):
-    """Prefill what isn't cached, then send a token a step, the figures and the end."""
-    await prefill(engine, attempt)
-    headers = {"Content-Type": "text/event-stream", "X-Attempt-Id": attempt.id}
-    response = web.StreamResponse(headers=headers)
-    response.enable_chunked_encoding()
-    await response.prepare(request)
-    for index in range(attempt.offset, attempt.max_tokens):
-        await strike(engine, attempt, request, response)
-        await asyncio.sleep(engine.options.token_time * engine.switches["slow"])
-        await response.write(make_event(engine, attempt, index))
-        attempt.sent += 1
-    await strike(engine, attempt, request, response)
-    await response.write(encode(make_usage(attempt)))
-    if not engine.switches["no_end_mark"]:
-        await response.write(END_MARK)
-    await response.write_eof()
-    attempt.state = "completed"
-    engine.cache.store(attempt.model, full_text(attempt))
-    return response
-
-
-async def prefill(engine, attempt):
-    """Spend the time of the uncached tokens and count the recomputed ones."""
-    text = attempt.prompt + attempt.prefix
-    attempt.cached = engine.cache.match(attempt.model, text)
-    kept = max(0, attempt.cached - count_tokens(attempt.prompt))
-    attempt.recomputed = attempt.offset - kept
-    uncached = count_tokens(text) - attempt.cached
-    await asyncio.sleep(
-        uncached * engine.options.prefill_time * engine.switches["slow"]
-    )
-    engine.cache.store(attempt.model, text)
-
-
-def full_text(attempt):
-    """Return the prompt and everything generated so far."""
-    count = attempt.offset + attempt.sent
-    return attempt.prompt + "".join(
-        expected_tokens(attempt.model, attempt.prompt, count)
-    )
-
-
-def encode(data):
-    """Return one server-sent event."""
-    return b"data: " + json.dumps(data, separators=(",", ":")).encode() + b"\n\n"
-
-
-def find_other(engine, attempt):
-    """Return the newest attempt of another id, or this one when there is none."""
-    others = (other for other in reversed(engine.attempts) if other.id != attempt.id)
-    return next(others, attempt)
-
-
-def make_event(engine, attempt, index):
-    """Return a token's event, of another attempt when ``wrong_attempt`` says so."""
-    start = engine.switches["wrong_attempt"]
-    crossed = start is not None and attempt.sent >= start
-    source = find_other(engine, attempt) if crossed else attempt
-    token = make_token(source.model, source.prompt, index)
-    return encode({"attempt": source.id, "index": index, "token": token})
-
-
-def make_usage(attempt):
-    """Return the figures event."""
-    usage = {
-        "prompt_tokens": count_tokens(attempt.prompt),
-        "cached_tokens": attempt.cached,
-        "completion_tokens": attempt.sent,
-        "recomputed_tokens": attempt.recomputed,
-    }
-    return {"attempt": attempt.id, "usage": usage, "finish_reason": "length"}
-
-
-async def die(attempt, request, response):
-    """Drop the connection in the middle of the answer."""
-    attempt.state = "dropped"
-    await drop(request)
-
-
-async def stall(attempt, request, response):
-    """Send nothing more and keep the connection."""
-    await asyncio.Event().wait()
-
-
-async def send_garbage(attempt, request, response):
-    """Send an event that isn't JSON."""
-    await response.write(GARBAGE_EVENT)
-
-
-# Each strikes once the attempt has sent as many tokens as its switch says.
-TOKEN_FAULTS = {"die_after": die, "stall_after": stall, "garbage": send_garbage}
-
-
-async def strike(engine, attempt, request, response):
-    """Let the faults act that are due after this many tokens."""
-    for name, fault in TOKEN_FAULTS.items():
-        if engine.switches[name] == attempt.sent:
-            await fault(attempt, request, response)
-
-
 async def cancel(engine, request):
     """Stop an attempt."""
     attempt = engine.find((await read_json(request)).get("attempt"))
