Test the path end to end in separate processes

Two entry instances, three engines, a service, the key-value store and the cloud API as processes: a completion, a stream on the wire, a keyed note sent twice through two instances (one effect), and the membership.

--- /dev/null
+++ b/tests/deployments.py
@@ -0,0 +1,122 @@
+"""A whole deployment of processes: stand-ins, a configuration, entry instances."""
+
+import json
+import uuid
+from typing import NamedTuple
+
+from chervilwing.documents import CONFIG_KEY, hash_key, serialise
+from chervilwing.models import (
+    MODEL,
+    SERVICE,
+    Address,
+    Configuration,
+    Customer,
+    Inventory,
+    ModelRoute,
+    Pool,
+    Rules,
+    Service,
+    Upstream,
+    WorkClass,
+)
+from tests.procs import HOST, Process, Processes, call, poll
+
+API_KEY = "example-key"
+AUTHORISED = {"Authorization": f"Bearer {API_KEY}"}
+
+
+class Upstreams(NamedTuple):
+    """The back ends of a deployment."""
+
+    engines: tuple[Process, ...]
+    services: tuple[Process, ...]
+
+
+def make_configuration(upstreams, revision=1, operation="first"):
+    """Return the configuration that lists these back ends."""
+    rows = [
+        Upstream(f"engine-{i}", MODEL, "engines", Address(HOST, item.port), "a")
+        for i, item in enumerate(upstreams.engines)
+    ]
+    rows += [
+        Upstream(f"service-{i}", SERVICE, "services", Address(HOST, item.port), "a")
+        for i, item in enumerate(upstreams.services)
+    ]
+    pools = (Pool("engines", MODEL, ("memo",)), Pool("services", SERVICE))
+    services = (Service("portal", "services", ("POST /notes",)),)
+    rules = Rules(
+        customers=(Customer("andesur", (hash_key(API_KEY),)),),
+        classes=(WorkClass("standard"),),
+        routes=(ModelRoute("memo", "engines"),),
+    )
+    inventory = Inventory(pools, tuple(rows), services)
+    return Configuration(revision, operation, inventory, rules, "test")
+
+
+class Deployment:
+    """State of the processes of one test; ``close`` ends them all."""
+
+    def __init__(self):
+        self.processes = Processes()
+        self.store = self.processes.start_fake("store")
+        self.cloud = self.processes.start_fake("cloud", "--lag", "0.5")
+        self.upstreams = Upstreams((), ())
+        self.entries = []
+
+    def start_upstreams(self, engines=1, services=1, options=()):
+        """Start back ends and put a configuration that lists them in the store."""
+        start = self.processes.start_fake
+        self.upstreams = Upstreams(
+            tuple(start("engine", *options) for _ in range(engines)),
+            tuple(start("service") for _ in range(services)),
+        )
+        self.put_configuration(make_configuration(self.upstreams))
+
+    def put_configuration(self, configuration, expect=0):
+        """Write the configuration as an operator's tool would."""
+        body = {"value": serialise(configuration), "expect": expect}
+        status, answer = self.store.put(f"/kv/{CONFIG_KEY}", body)
+        assert status == 200, answer
+        return answer["version"]
+
+    def start_entry(self, name, *options, data_centre="a", store=None, ready=True):
+        """Start an entry instance and wait until it is ready."""
+        seeds = ",".join(f"{HOST}:{item.info['peer_port']}" for item in self.entries)
+        entry = self.processes.start_daemon(
+            *("--listen", f"{HOST}:0", "--peer-listen", f"{HOST}:0"),
+            *("--name", name, "--data-centre", data_centre),
+            *("--store", f"{HOST}:{(store or self.store).port}"),
+            *("--cloud", f"{HOST}:{self.cloud.port}"),
+            *("--instance-list", f"{HOST}:{self.cloud.port}"),
+            *("--peers", seeds, "--drain-lag", "0.2", *options),
+        )
+        self.entries.append(entry)
+        if ready:
+            poll(lambda: entry.get("/-/ready")[0] == 200)
+        return entry
+
+    def close(self):
+        """End every process of the test."""
+        self.processes.close()
+
+
+def complete(entry, prompt="hello", count=8, stream=False, headers=()):
+    """Make one model call and return its answer."""
+    body = {"model": "memo", "prompt": prompt, "max_tokens": count, "stream": stream}
+    path = "/v1/completions"
+    return call(entry.port, "POST", path, body, AUTHORISED | dict(headers))
+
+
+def read_stream(answer):
+    """Return the text of a streamed answer, and whether its end mark came."""
+    events = answer.events()
+    ended = bool(events) and events[-1] == "[DONE]"
+    chunks = [json.loads(event) for event in events if event != "[DONE]"]
+    return "".join(chunk["choices"][0]["text"] for chunk in chunks), ended
+
+
+def new_key(now):
+    """Return an idempotency key, a UUIDv7, for a time in Unix seconds."""
+    number = int(now * 1000) << 80 | uuid.uuid4().int & ((1 << 80) - 1)
+    number = number & ~(0xF << 76) | 0x7 << 76
+    return str(uuid.UUID(int=number & ~(0x3 << 62) | 0x2 << 62))
--- a/tests/procs.py
+++ b/tests/procs.py
@@ -94,6 +94,10 @@
         """POST to the control endpoint; return status and JSON body."""
         return call_json(self.control, "POST", path, body)
 
+    def put(self, path, body):
+        """PUT to the control endpoint; return status and JSON body."""
+        return call_json(self.control, "PUT", path, body)
+
     def fault(self, **switches):
         """Set fault switches; AssertionError on an unknown one."""
         status, body = self.post("/-/fault", switches)
@@ -192,8 +196,8 @@
 
     def events(self):
         """Return the data of each server-sent event, as text."""
-        blocks = self.body.decode(errors="replace").split("\n\n")
-        return [block[6:] for block in blocks if block.startswith("data: ")]
+        lines = self.body.decode(errors="replace").split("\n")
+        return [line[6:] for line in lines if line.startswith("data: ")]
 
 
 class Caller:
--- /dev/null
+++ b/tests/test_end_to_end.py
@@ -0,0 +1,53 @@
+"""Tests of the whole path in separate processes."""
+
+import time
+import unittest
+
+from tests.deployments import AUTHORISED, Deployment, complete, new_key, read_stream
+from tests.fakes.tokens import expected_tokens
+from tests.procs import call, poll
+
+TEXT = "".join(expected_tokens("memo", "hello", 8))
+
+
+class TestEndToEnd(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.deployment = Deployment()
+        cls.addClassCleanup(cls.deployment.close)
+        cls.deployment.start_upstreams(engines=3, services=1)
+        cls.entries = [cls.deployment.start_entry(name) for name in ("one", "two")]
+
+    def test_a_completion_is_whole_on_both_instances(self):
+        for entry in self.entries:
+            answer = complete(entry)
+            self.assertEqual(answer.status, 200, answer.body)
+            self.assertEqual(answer.json()["choices"][0]["text"], TEXT)
+
+    def test_a_stream_is_chunked_and_ends_with_its_mark(self):
+        answer = complete(self.entries[0], stream=True)
+        self.assertEqual(answer.headers["transfer-encoding"], "chunked")
+        self.assertTrue(answer.whole)
+        self.assertEqual(read_stream(answer), (TEXT, True))
+
+    def test_a_note_sent_twice_takes_effect_once(self):
+        # A broker's client loses the answer and sends the binding note again; the
+        # balancer hands it to the other instance. One effect, the same answer twice;
+        # until the first answer is recorded the second try is told to come back.
+        headers = AUTHORISED | {"Idempotency-Key": new_key(time.time())}
+
+        def send(entry):
+            path = "/services/portal/notes"
+            answer = call(entry.port, "POST", path, b"note-17", headers)
+            return None if answer.status == 409 else answer
+
+        first, second = send(self.entries[0]), poll(lambda: send(self.entries[1]))
+        self.assertEqual((first.status, second.status), (200, 200))
+        self.assertEqual(first.body, second.body)
+        record = self.deployment.upstreams.services[0].record()
+        key = headers["Idempotency-Key"]
+        self.assertEqual(record["by_key"][key], 1)
+
+    def test_the_instances_know_each_other(self):
+        for entry in self.entries:
+            poll(lambda e=entry: e.get("/-/status")[1]["peers"]["members"] == 2)
