Refuse heads that read two ways, and cut answers' bodies by their framing

Cause: circuits.web's parser reads CR, LF and folds into values, joins repeated fields, takes //notes for a host, knows only reasons of letters, and on answers takes signed and underscored lengths, chunks with a wrong end and bytes behind the answer into the body. Ruled out: guarding its body side byte by byte; each guard would walk the same framing, so bodies are cut by bodies.py and only heads go to the library. Change: one check of a head for requests and answers; SizedBody and ChunkedBody.

--- /dev/null
+++ b/src/chervilwing/bodies.py
@@ -0,0 +1,101 @@
+"""Where the body of an answer ends: by its length or by its chunks."""
+
+import math
+import re
+
+from .exceptions import BadRequest
+
+CRLF = b"\r\n"
+# Python's own int() takes signs, underscores and a 0x as well.
+CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;.*)?\Z")
+CHUNK_LINE_LIMIT = 8192
+
+
+class SizedBody:
+    """A body of known length, or one that only the end of the connection ends."""
+
+    def __init__(self, length):
+        self._left = math.inf if length is None else length
+        self.excess = False
+
+    @property
+    def complete(self):
+        """Tell whether the end has come; a closed connection proves none."""
+        return self._left == 0
+
+    def take(self, data):
+        """Return what of these bytes belongs to the body."""
+        if len(data) <= self._left:
+            self._left -= len(data)
+            return data
+        self.excess = True
+        part, self._left = data[: self._left], 0
+        return part
+
+
+class ChunkedBody:
+    """A chunked body; each step reads one piece of its framing."""
+
+    def __init__(self):
+        self._buffer = bytearray()
+        self._left = 0
+        self._step = self._read_size
+        self.complete = False
+
+    @property
+    def excess(self):
+        """Tell whether bytes came after the end mark."""
+        return self.complete and bool(self._buffer)
+
+    def take(self, data):
+        """Return what of these bytes belongs to the body."""
+        self._buffer += data
+        parts = []
+        while not self.complete and self._step(parts):
+            pass
+        return b"".join(parts)
+
+    def _take_line(self):
+        end = self._buffer.find(CRLF)
+        if (len(self._buffer) if end < 0 else end) > CHUNK_LINE_LIMIT:
+            raise BadRequest("A line between chunks is too long.")
+        if end < 0:
+            return None
+        line = bytes(self._buffer[:end])
+        del self._buffer[: end + len(CRLF)]
+        return line
+
+    def _read_size(self, parts):
+        line = self._take_line()
+        if line is None:
+            return False
+        match = CHUNK_LINE.match(line)
+        if match is None:
+            raise BadRequest("A chunk's size is malformed.")
+        self._left = int(match.group(1), 16)
+        self._step = self._read_data if self._left else self._read_trailer
+        return True
+
+    def _read_data(self, parts):
+        part = bytes(self._buffer[: self._left])
+        del self._buffer[: self._left]
+        parts.append(part)
+        self._left -= len(part)
+        if self._left:
+            return False
+        self._step = self._read_end
+        return True
+
+    def _read_end(self, parts):
+        if len(self._buffer) < len(CRLF):
+            return False
+        if not self._buffer.startswith(CRLF):
+            raise BadRequest("A chunk is longer than its size.")
+        del self._buffer[: len(CRLF)]
+        self._step = self._read_size
+        return True
+
+    def _read_trailer(self, parts):
+        line = self._take_line()
+        self.complete = line == b""
+        return bool(line)
