Answer callers that err, dawdle, leave or hurry

Cause: a refusal closed with unread bytes was destroyed by the reset; pipelined requests ran inside one another; a half-closed caller passed for one that had left; Expect, HEAD, HTTP/1.0 streams and lone surrogates weren't handled; /-/drain with bad JSON answered 500. Ruled out: taking every FIN for a leaver (cuts whole answers); probing only on the next write (a request that isn't streamed would run to its end for nobody). Change: lingering close, one request at a time in a loop, ended half, 100 Continue as probe, kernel buffers of 128 KB, typed refusals.

--- a/src/chervilwing/admin.py
+++ b/src/chervilwing/admin.py
@@ -1,8 +1,7 @@
 """The paths under ``/-/``: health for the balancer, figures and stop for operators."""
 
-import json
-
 from . import reports
+from .completions import read_json
 from .exceptions import NotReady
 
 VERSION = "0.1.0"
@@ -78,8 +77,7 @@
         }
 
     def _start_drain(self, exchange):
-        body = json.loads(exchange.req.body or b"{}")
-        name = body.get("name") if isinstance(body, dict) else None
+        name = read_json(exchange.req.body or b"{}").get("name")
         if name not in (None, self._cfg.name):
             raise NotReady(f"This instance is {self._cfg.name}.")
         self._drain()
--- a/src/chervilwing/completions.py
+++ b/src/chervilwing/completions.py
@@ -44,6 +44,15 @@
     return value
 
 
+def is_encodable(text):
+    """Tell whether a text can be sent as UTF-8."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def read_field(value, name, kind, default=None):
     """Return one field of the right type, or raise BadRequest that names it."""
     found = value.get(name, default)
@@ -51,6 +60,9 @@
     wrong = isinstance(found, bool) and kind is not bool
     if wrong or not isinstance(found, kind):
         raise BadRequest(f"{name} must be of type {kind.__name__}.")
+    # JSON can spell half of a character ("\\ud800"), which no text encoding can.
+    if kind is str and not is_encodable(found):
+        raise BadRequest(f"{name} holds half of a surrogate pair.")
     return found
 
 
--- a/src/chervilwing/dispatch.py
+++ b/src/chervilwing/dispatch.py
@@ -181,7 +181,8 @@
 
     def _serve(self, exchange):
         req = exchange.req
-        serve = self._routes.get((req.method, req.path))
+        method = "GET" if req.method == "HEAD" else req.method
+        serve = self._routes.get((method, req.path))
         if serve is not None:
             serve(exchange)
         elif req.path.startswith(SERVICES):
--- a/src/chervilwing/forwards.py
+++ b/src/chervilwing/forwards.py
@@ -108,6 +108,9 @@
         if session.claimant is not None:
             body = bytes(self._body)
             session.claimant.settle(session, self._status, content_type, body)
+        # HEAD tells the length of a body that isn't sent.
+        if session.exchange.req.method == "HEAD" and "content-length" in self._fields:
+            fields["Content-Length"] = self._fields["content-length"]
         session.exchange.answer(
             self._status, bytes(self._body), content_type, session.headers | fields
         )
--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -23,9 +23,21 @@
 # memory for control is 128 MB a node (letter 1); 590 streams at 64 KB stay under 40 MB.
 HIGH_WATER = 65536
 LOW_WATER = 16384
+# What the kernel may keep for one reader; left alone it grows to 4 MB and more, and an
+# engine would write a whole answer to a caller that reads nothing. Callers are at most
+# three milliseconds away: 128 KB in flight still carry 40 MB a second.
+KERNEL_BUFFER = 131072
 WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINPROGRESS)
 
 
+def prepare(sock):
+    """Set the options of a new connection."""
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER)
+
+
 class StreamHandlers(NamedTuple):
     """What the owner of the sockets does when one of them changes."""
 
@@ -33,6 +45,8 @@
     received: Callable[["Conn", bytes], None]
     closed: Callable[["Conn", OSError | None], None]
     drained: Callable[["Conn"], None] = lambda conn: None
+    # The other end has sent its last byte; True keeps the connection for writing.
+    ended: Callable[["Conn"], bool] = lambda conn: False
 
 
 class Conn:
@@ -43,6 +57,8 @@
         "address",
         "connecting",
         "closing",
+        "lingering",
+        "ended",
         "paused",
         "pending",
         "pending_size",
@@ -55,6 +71,8 @@
         self.address = address
         self.connecting = connecting
         self.closing = False
+        self.lingering = False
+        self.ended = False
         self.paused = False
         self.pending = deque()
         self.pending_size = 0
@@ -101,8 +119,7 @@
     def dial(self, address):
         """Start to connect; ``opened`` or ``closed`` follows."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        prepare(sock)
         conn = Conn(sock, address, connecting=True)
         self._conns[sock] = conn
         sock.connect_ex(address)
@@ -119,11 +136,11 @@
         sent = self._try_send(conn, data)
         if sent < len(data):
             self._poller.addWriter(self, conn.sock)
-            self._keep(conn, data[sent:])
+            self._keep(conn, memoryview(data)[sent:])
 
     def pause(self, conn):
         """Stop reading, so that the other end feels the pressure."""
-        if conn.paused or conn.sock not in self._conns:
+        if conn.paused or conn.ended or conn.sock not in self._conns:
             return
         conn.paused = True
         self._poller.removeReader(conn.sock)
@@ -142,6 +159,26 @@
             return
         self.drop(conn)
 
+    def linger(self, conn):
+        """Close towards the other end, and read on until it does the same.
+
+        Guard: a socket closed with unread bytes resets the connection, and the reset
+        destroys an answer that the other end has not read yet: a caller that sends too
+        much would see a broken connection in place of the failure that says so. The
+        owner drops the connection when the other end takes too long.
+        """
+        if conn.ended:
+            self.close(conn)
+            return
+        conn.closing = conn.lingering = True
+        self.resume(conn)
+        if not conn.pending:
+            self._shut_down(conn)
+
+    def is_broken(self, conn):
+        """Tell whether the other end has reset a connection that isn't read."""
+        return bool(conn.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
     def drop(self, conn, exc=None):
         """Close at once and report it."""
         if self._conns.pop(conn.sock, None) is None:
@@ -154,6 +191,12 @@
         """Return how many connections are open."""
         return len(self._conns)
 
+    def _shut_down(self, conn):
+        try:
+            conn.sock.shutdown(socket.SHUT_WR)
+        except OSError as exc:
+            self.drop(conn, exc)
+
     def _keep(self, conn, data):
         conn.pending.append(data)
         conn.pending_size += len(data)
@@ -184,10 +227,18 @@
             if exc.errno not in WOULD_BLOCK:
                 self.drop(conn, exc)
             return
-        if data:
+        if not data:
+            self._end_reading(conn)
+        elif not conn.closing:
             self._owner.received(conn, data)
+
+    def _end_reading(self, conn):
+        unsent = conn.closing and conn.pending
+        if not unsent and (conn.closing or not self._owner.ended(conn)):
+            self.drop(conn)
             return
-        self.drop(conn)
+        conn.ended = True
+        self._poller.removeReader(conn.sock)
 
     @handler("_write", priority=1)
     def _on_writable(self, sock):
@@ -210,8 +261,7 @@
                 sock, address = self._listener.accept()
             except OSError:
                 return
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            prepare(sock)
             conn = Conn(sock, Address(*address), connecting=False)
             self._conns[sock] = conn
             self._poller.addReader(self, sock)
@@ -233,11 +283,15 @@
             sent = self._try_send(conn, data)
             conn.pending_size -= sent
             if sent < len(data):
-                conn.pending[0] = data[sent:]
+                # A view: copying the rest of a long answer at each write is quadratic.
+                conn.pending[0] = memoryview(data)[sent:]
                 break
             conn.pending.popleft()
         if not conn.pending:
             self._poller.removeWriter(conn.sock)
+            if conn.lingering and not conn.ended:
+                self._shut_down(conn)
+                return
             if conn.closing:
                 self.drop(conn)
                 return
--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -16,9 +16,13 @@
 PROBLEM_TYPE = "application/problem+json"
 EVENTS_TYPE = "text/event-stream"
 CHUNKED_END = b"0\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 PROBLEM_BASE = "https://chervilwing.example/problems/"
-# Callers that have closed their half may still read; a torn connection shows on write.
 BODILESS = (204, 304)
+# Seconds that a caller has to close its half after our last byte. Load: callers that
+# are refused while they send megabytes. Harm: each holds a socket until it is done.
+LINGER_TIMEOUT = 2.0
+REASONS = {status.value: status.phrase for status in HTTPStatus}
 
 
 class WebHandlers(NamedTuple):
@@ -30,8 +34,8 @@
 
 def encode_head(status, headers):
     """Return the status line and header fields of an answer as bytes."""
-    reason = HTTPStatus(status).phrase
-    lines = [f"HTTP/1.1 {status} {reason}"]
+    # A service may answer a status that has no registered reason.
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, '')}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
@@ -89,7 +93,8 @@
             fields = {}
         data = encode_head(status, fields | (headers or {}) | self._persistence())
         self.started = True
-        self._write(data if self.req.method == "HEAD" else data + body)
+        bodiless = status in BODILESS or self.req.method == "HEAD"
+        self._write(data if bodiless else data + body)
         self._end()
 
     def answer_json(self, status, value, headers=None):
@@ -107,22 +112,35 @@
         self.answer(exc.status, body, PROBLEM_TYPE, extra | (headers or {}))
 
     def start(self, status, content_type, headers=None):
-        """Open a chunked answer."""
-        fields = {"Content-Type": content_type, "Transfer-Encoding": "chunked"}
+        """Open an answer that comes in pieces.
+
+        A caller of HTTP/1.0 can't read chunks: the end of the connection ends its
+        answer, so that the connection isn't kept.
+        """
+        fields = {"Content-Type": content_type}
+        if self.req.chunks:
+            fields["Transfer-Encoding"] = "chunked"
+        else:
+            self.req = self.req._replace(keep_alive=False)
         data = encode_head(status, fields | (headers or {}) | self._persistence())
         self.started = True
         self._write(data)
 
     def write(self, data):
-        """Send one chunk."""
-        self._write(b"%x\r\n%b\r\n" % (len(data), data))
+        """Send one piece."""
+        # An empty chunk would be the end mark.
+        if data:
+            self._write(self._frame(data))
 
     def finish(self, data=b""):
-        """Send a last chunk, if any, and the end mark of the chunked answer."""
-        chunk = b"%x\r\n%b\r\n" % (len(data), data) if data else b""
-        self._write(chunk + CHUNKED_END)
+        """Send a last piece, if any, and the end mark."""
+        end = CHUNKED_END if self.req.chunks else b""
+        self._write((self._frame(data) if data else b"") + end)
         self._end()
 
+    def _frame(self, data):
+        return b"%x\r\n%b\r\n" % (len(data), data) if self.req.chunks else data
+
     def abort(self):
         """Cut the connection: the missing end mark tells the answer is not whole."""
         if self.gone or self.finished:
@@ -148,12 +166,14 @@
 class _Caller:
     """What is known of one caller's connection."""
 
-    __slots__ = ("reader", "exchange", "since")
+    __slots__ = ("reader", "exchange", "since", "sent", "advancing")
 
     def __init__(self, reader, now):
         self.reader = reader
         self.exchange = None
         self.since = now
+        self.sent = 0
+        self.advancing = False
 
 
 class Web(BaseComponent):
@@ -168,7 +188,7 @@
         self.stopping = False
         self._callers = set()
         streams = StreamHandlers(
-            self._opened, self._received, self._closed, self._drained
+            self._opened, self._received, self._closed, self._drained, self._ended
         )
         self._streams = Streams(poller, streams, f"{channel}-streams").register(self)
 
@@ -177,11 +197,14 @@
         return self._streams.listen(address)
 
     def stop_listening(self):
-        """Close the listener and end keep-alive; requests in flight go on."""
+        """Close the listener and end keep-alive; requests in flight go on.
+
+        A request that has come in part is in flight too.
+        """
         self.stopping = True
         self._streams.stop_listening()
         for conn in list(self._callers):
-            if conn.state.exchange is None:
+            if conn.state.exchange is None and conn.state.reader.idle:
                 self._streams.close(conn)
 
     def send(self, conn, data):
@@ -197,12 +220,10 @@
         caller = conn.state
         caller.exchange = None
         caller.since = time.monotonic()
-        if self.stopping or not keep_alive:
-            self._streams.close(conn)
+        if self.stopping or conn.ended or not keep_alive:
+            self._streams.linger(conn)
             return
-        self._streams.resume(conn)
-        if not caller.reader.idle:
-            self._advance(conn)
+        self._advance(conn)
 
     def count(self):
         """Return how many callers are connected."""
@@ -210,22 +231,33 @@
 
     @handler("tick", channel="*")
     def _on_tick(self):
-        """Cut off slow senders and idle connections.
+        """Cut off slow senders, idle connections and readers that have stopped.
 
-        Load: callers that open connections and send a byte now and then. Harm: each
-        holds a socket and a buffer for ever. The limits are settings in seconds.
+        Load: callers that open connections and send or read a byte now and then. Harm:
+        each holds a socket and a buffer for ever. The limits are settings in seconds.
         """
         now = time.monotonic()
         for conn in list(self._callers):
-            caller = conn.state
-            if caller.exchange is not None:
-                continue
-            waited = now - caller.since
-            if caller.reader.idle:
-                if waited > self._cfg.idle_timeout:
-                    self._streams.close(conn)
-            elif waited > self._cfg.head_timeout:
-                self._reject(conn, SlowSender())
+            if conn.state.exchange is None:
+                self._check_waiting(conn, now)
+            elif (conn.ended or conn.paused) and self._streams.is_broken(conn):
+                # Guard: the poller watches only connections that are read or written;
+                # on any other the reset by a caller that has left goes unseen.
+                self._streams.drop(conn)
+
+    def _check_waiting(self, conn, now):
+        caller = conn.state
+        if conn.sent != caller.sent:
+            caller.sent, caller.since = conn.sent, now
+        waited = now - caller.since
+        if conn.lingering and not conn.pending:
+            if waited > LINGER_TIMEOUT:
+                self._streams.drop(conn)
+        elif conn.pending or caller.reader.idle:
+            if waited > self._cfg.idle_timeout:
+                self._streams.drop(conn)
+        elif waited > self._cfg.head_timeout:
+            self._reject(conn, SlowSender())
 
     def _opened(self, conn):
         conn.state = _Caller(RequestReader(self._cfg), time.monotonic())
@@ -235,42 +267,70 @@
         caller = conn.state
         if caller.exchange is None and caller.reader.idle:
             caller.since = time.monotonic()
-        try:
-            caller.reader.feed(data)
-        except ChervilwingError as exc:
-            self._reject(conn, exc)
+        caller.reader.feed(data)
+        self._advance(conn)
+
+    def _advance(self, conn):
+        """Serve what has come, one request at a time and in order.
+
+        Guard: a caller may pipeline hundreds of requests. An answer that is given at
+        once calls this again from within, which would exhaust the stack; answers that
+        nobody reads would pile up, and so would requests.
+        """
+        caller = conn.state
+        if caller.advancing:
             return
-        if caller.exchange is None:
-            self._advance(conn)
-        else:
-            # The caller pipelines: one request at a time, the rest waits in the socket.
+        caller.advancing = True
+        while caller.exchange is None and not (conn.congested or conn.closing):
+            if not self._take(conn):
+                break
+        caller.advancing = False
+        if caller.exchange is None and not conn.congested:
+            self._streams.resume(conn)
+        elif not caller.reader.idle:
             self._streams.pause(conn)
 
-    def _advance(self, conn):
+    def _take(self, conn):
+        """Serve the next whole request, if there is one."""
         caller = conn.state
         try:
             req = caller.reader.take()
         except ChervilwingError as exc:
             self._reject(conn, exc)
-            return
+            return False
         if req is None:
-            return
+            if caller.reader.expects_continue:
+                self._streams.send(conn, CONTINUE)
+            return False
         caller.exchange = Exchange(req, self, conn)
         self._owner.requested(caller.exchange)
+        return True
 
     def _reject(self, conn, exc):
-        caller = conn.state
-        if caller.exchange is not None:
-            self._streams.drop(conn)
-            return
-        caller.exchange = Exchange(NO_REQUEST, self, conn)
-        caller.exchange.refuse(exc)
+        conn.state.exchange = Exchange(NO_REQUEST, self, conn)
+        conn.state.exchange.refuse(exc)
 
     def _drained(self, conn):
         exchange = conn.state.exchange
-        if exchange is not None and exchange.on_drain is not None:
+        if exchange is None:
+            self._advance(conn)
+        elif exchange.on_drain is not None:
             exchange.on_drain()
 
+    def _ended(self, conn):
+        """Tell whether a caller that has closed its half still waits for an answer.
+
+        Guard: a caller that has left looks the same until something is written to it.
+        A stream is written to all the time; before that, an early answer that every
+        client passes over brings out the reset (RFC 9110, section 15.2).
+        """
+        exchange = conn.state.exchange
+        if exchange is None:
+            return False
+        if exchange.req.chunks and not exchange.started:
+            self._streams.send(conn, CONTINUE)
+        return True
+
     def _closed(self, conn, exc):
         self._callers.discard(conn)
         exchange = conn.state.exchange
@@ -283,6 +343,7 @@
 class _NoRequest(NamedTuple):
     method: str = ""
     keep_alive: bool = False
+    chunks: bool = True
 
 
 NO_REQUEST = _NoRequest()
--- /dev/null
+++ b/tests/test_web.py
@@ -0,0 +1,406 @@
+"""Callers that err, dawdle, leave or hurry: what each gets on the wire."""
+
+import json
+import random
+import socket
+import unittest
+from contextlib import contextmanager
+
+from chervilwing import exceptions as exc
+from tests.deployments import AUTHORISED, Deployment, complete, read_stream
+from tests.fakes.tokens import expected_tokens
+from tests.procs import HOST, Caller, call, poll
+
+COMPLETIONS, CHATS = "/v1/completions", "/v1/chat/completions"
+NOTES = "/services/portal/notes"
+BODY_LIMIT = 100_000
+MANY = 150
+# Long names make long events, so that the kernel's buffers fill with fewer of them.
+LONG_NAME = "entry-" + "x" * 58
+LONG_ID = "r" * 64
+AUTHORISATION = f"Authorization: {AUTHORISED['Authorization']}\r\n".encode()
+GOOD = {"model": "memo", "prompt": "hello", "max_tokens": 8}
+CHAT = {"model": "memo", "messages": [{"role": "user", "content": "hello"}]}
+DEEP = b'{"prompt":' + b"[" * 40_000
+WRONG = (None, 7, 1.5, True, "x", [], {}, -1, 10**30)
+RIGHT = {
+    "model": lambda value: isinstance(value, str),
+    "prompt": lambda value: isinstance(value, str),
+    "max_tokens": lambda value: type(value) is int and 0 < value < 100,
+    "stream": lambda value: isinstance(value, bool),
+}
+
+
+def head(line, *fields):
+    """Return the bytes of a request head."""
+    return "\r\n".join((line, f"Host: {HOST}", *fields, "", "")).encode()
+
+
+def drop_field(value, name):
+    """Return the value without one field."""
+    return {key: item for key, item in value.items() if key != name}
+
+
+class WebCase(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.deployment = Deployment()
+        cls.addClassCleanup(cls.deployment.close)
+        cls.deployment.start_upstreams(1, 1, ("--token-time", "0", "--slots", "64"))
+        options = ("--head-timeout", "1", "--body-limit", str(BODY_LIMIT))
+        cls.entry = cls.deployment.start_entry(LONG_NAME, *options)
+        cls.port = cls.entry.port
+        (cls.engine,), (cls.service,) = cls.deployment.upstreams
+
+    def check_problem(self, answer, kind):
+        self.assertEqual(answer.status, kind.status, answer.raw)
+        self.assertEqual(answer.headers["content-type"], "application/problem+json")
+        value = answer.json()
+        self.assertEqual(value["type"].rpartition("/")[2], kind.type, value)
+        self.assertEqual(value["outcome"], kind.outcome)
+        self.assertEqual(set(value["scope"]), {"kind", "name"})
+        self.assertTrue(answer.whole)
+
+    @contextmanager
+    def witness(self):
+        """Check that another caller's stream goes on whole meanwhile."""
+        self.engine.fault(slow=1)
+        with Caller(self.port) as caller:
+            caller.request("POST", COMPLETIONS, ask(4000), AUTHORISED)
+            caller.read_until(b"data: ")
+            yield
+            caller.buffer = caller.raw
+            text = "".join(expected_tokens("memo", "hello", 4000))
+            self.assertEqual(read_stream(caller.read_answer()), (text, True))
+
+    def send(self, data):
+        with Caller(self.port) as caller:
+            caller.send(data)
+            return caller.read_answer()
+
+    def find_attempt(self, state):
+        """Return the newest attempt on the engine once it is in this state."""
+
+        def check():
+            newest = self.engine.record()["attempts"][-1]
+            return newest["state"] == state and newest
+
+        return poll(check)
+
+
+def ask(count=8, stream=True, prompt="hello"):
+    """Return the body of a model call."""
+    return GOOD | {"max_tokens": count, "stream": stream, "prompt": prompt}
+
+
+class TestBadInput(WebCase):
+    def test_malformed_http_is_answered_and_disturbs_nobody(self):
+        rows = (
+            (b"\x16\x03\x01\0\xff\r\n\r\n", exc.BadRequest),
+            (head("GET / HTTP/2.0"), exc.BadRequest),
+            (head("GET / HTTP/1.1", "A : b"), exc.BadRequest),
+            (head("GET / HTTP/1.1", "Content-Length: 1", "Content-Length: 2")[:-1]
+             + b"\nx", exc.BadRequest),
+            (head("POST / HTTP/1.1", "Transfer-Encoding: chunked"), exc.LengthRequired),
+            (head("GET / HTTP/1.1", "A: " + "b" * 20_000), exc.TooLarge),
+            (head("GET /nowhere HTTP/1.1"), exc.NotFound),
+            (head("BREW /v1/models HTTP/1.1"), exc.NotFound),
+        )  # fmt: skip
+        with self.witness():
+            for data, kind in rows:
+                with self.subTest(data=data[:40]):
+                    self.check_problem(self.send(data), kind)
+
+    def test_a_caller_that_sends_too_much_reads_why(self):
+        # A clerk uploads a file over the limit. The instance answers and closes while
+        # bytes of the file are unread; the reset that this makes destroys the answer,
+        # and the clerk sees a broken connection.
+        size = 4_000_000
+        data = head("POST /v1/completions HTTP/1.1", f"Content-Length: {size}")
+        for _ in range(5):
+            with Caller(self.port) as caller:
+                caller.send(data)
+                try:
+                    caller.send(b"x" * size)
+                except ConnectionError:
+                    self.fail("the connection broke before the answer was read")
+                self.check_problem(caller.read_answer(), exc.TooLarge)
+
+    def test_wrong_json_is_answered_by_its_type(self):
+        bodies = [b"", b"{", b"[]", b"null", b"\xff\xfe", DEEP]
+        bodies += [b'{"model":"memo","prompt":"\\ud800"}']
+        for name, right in RIGHT.items():
+            values = [value for value in WRONG if not right(value)]
+            bodies += [json.dumps(GOOD | {name: value}).encode() for value in values]
+        bodies += [json.dumps(drop_field(GOOD, name)).encode() for name in GOOD][:2]
+        chats = [json.dumps(CHAT | {"messages": value}).encode() for value in WRONG]
+        for field in ("role", "content"):
+            message = CHAT["messages"][0]
+            rows = [message | {field: value} for value in (None, 7, [], "\ud800")]
+            rows += [drop_field(message, field)]
+            chats += [json.dumps(CHAT | {"messages": [row]}).encode() for row in rows]
+        with self.witness(), Caller(self.port) as caller:
+            for path, body in [(COMPLETIONS, b) for b in bodies] + [
+                (CHATS, b) for b in chats
+            ]:
+                with self.subTest(path=path, body=body[:80]):
+                    answer = caller.call("POST", path, body, AUTHORISED)
+                    self.check_problem(answer, exc.BadRequest)
+
+    def test_unknown_names_and_bad_headers(self):
+        key = {"Authorization": "Bearer wrong"}
+        bad_id = AUTHORISED | {"X-Request-Id": "a b"}
+        bad_key = AUTHORISED | {"Idempotency-Key": "7"}
+        rows = (
+            (COMPLETIONS, GOOD | {"model": "nobody"}, AUTHORISED, exc.NotFound),
+            (COMPLETIONS, GOOD | {"model": "\ud800"}, AUTHORISED, exc.BadRequest),
+            ("/services/nobody/x", {}, AUTHORISED, exc.NotFound),
+            (COMPLETIONS, GOOD, {}, exc.UnknownCustomer),
+            (COMPLETIONS, GOOD, key, exc.UnknownCustomer),
+            (COMPLETIONS, GOOD, bad_id, exc.BadRequest),
+            (NOTES, {}, bad_id, exc.BadRequest),
+            (NOTES, {}, bad_key, exc.BadKey),
+            ("/-/drain", b"{", {}, exc.BadRequest),
+        )
+        calls = len(self.service.record()["calls"])
+        for path, body, headers, kind in rows:
+            with self.subTest(path=path, kind=kind.type):
+                answer = call(self.port, "POST", path, body, headers)
+                self.check_problem(answer, kind)
+        self.assertEqual(len(self.service.record()["calls"]), calls)
+
+    def test_a_refusal_says_when_to_come_back(self):
+        self.engine.fault(refuse=True)
+        self.addCleanup(self.engine.fault, refuse=False)
+        answer = complete(self.entry)
+        self.check_problem(answer, exc.PoolFull)
+        self.assertGreaterEqual(int(answer.headers["retry-after"]), 1)
+        self.assertGreater(answer.json()["retry_after"], 0)
+
+    def test_a_slow_sender_is_cut_off_with_its_reason(self):
+        starts = (b"G", head("POST /x HTTP/1.1", "Content-Length: 9") + b"x")
+        with self.witness():
+            for data in starts:
+                answer = self.send(data)
+                self.check_problem(answer, exc.SlowSender)
+
+    def test_random_bytes_never_harm_the_instance(self):
+        rng = random.Random(7)
+        with self.witness():
+            for _ in range(MANY):
+                with Caller(self.port) as caller:
+                    caller.send(rng.randbytes(rng.randrange(1, 300)) + b"\r\n\r\n")
+                    self.assertIn(caller.read_answer().status, (400, 411, 413))
+
+
+class TestLeavers(WebCase):
+    def test_a_caller_that_leaves_frees_the_engine(self):
+        # A broker closes the page while the memo is being written. Without a cancel
+        # the engine would go on for nobody. The answer may not have begun (no stream).
+        self.engine.fault(slow=1000)
+        self.addCleanup(self.engine.fault, slow=1)
+        for stream in (True, False):
+            for reset in (True, False):
+                with self.subTest(stream=stream, reset=reset):
+                    caller = Caller(self.port)
+                    body = ask(30_000, stream, f"leaving {stream} {reset} ")
+                    caller.request("POST", COMPLETIONS, body, AUTHORISED)
+                    if stream:
+                        self.engine.fault(slow=0)
+                        caller.read_until(b"data: ")
+                    else:
+                        self.find_attempt("running")
+                    if reset:
+                        leave = b"\1\0\0\0\0\0\0\0"
+                        caller.sock.setsockopt(
+                            socket.SOL_SOCKET, socket.SO_LINGER, leave
+                        )
+                    caller.close()
+                    self.find_attempt("cancelled")
+        poll(lambda: self.entry.get("/-/status")[1]["in_flight"] == 0)
+
+    def test_a_pipelining_caller_that_leaves_frees_the_engine(self):
+        # The second request waits in the buffer and the connection isn't read, so the
+        # instance doesn't see the end of it.
+        caller = Caller(self.port)
+        self.engine.fault(slow=1000)
+        self.addCleanup(self.engine.fault, slow=1)
+        caller.request("POST", COMPLETIONS, ask(30_000, False, "two "), AUTHORISED)
+        caller.request("GET", "/-/live")
+        self.find_attempt("running")
+        caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        caller.close()
+        self.find_attempt("cancelled")
+
+    def test_a_caller_that_only_closed_its_half_gets_the_whole_answer(self):
+        # `printf ... | nc` sends the request, closes its half and waits. To the
+        # instance this looks like a caller that has left.
+        for stream in (True, False):
+            with Caller(self.port) as caller:
+                caller.request("POST", COMPLETIONS, ask(500, stream), AUTHORISED)
+                caller.sock.shutdown(socket.SHUT_WR)
+                answer = caller.read_answer()
+                while answer.status == 100:
+                    answer = caller.read_answer()
+                text = "".join(expected_tokens("memo", "hello", 500))
+                if stream:
+                    self.assertEqual(read_stream(answer), (text, True))
+                else:
+                    self.assertEqual(answer.json()["choices"][0]["text"], text)
+                with self.assertRaises(EOFError):
+                    caller.fill()
+
+    def test_a_slow_reader_slows_the_engine_down(self):
+        # A phone stops reading. Nobody may keep the rest of its answer in memory: the
+        # instance stops reading from the engine, and the engine stops writing.
+        count = 30_000
+        with Caller(self.port) as caller:
+            headers = AUTHORISED | {"X-Request-Id": LONG_ID}
+            caller.request("POST", COMPLETIONS, ask(count, True, "slow "), headers)
+            caller.read_until(b"data: ")
+            seen = []
+
+            def stalled():
+                newest = self.engine.record()["attempts"][-1]
+                seen.append(newest["sent"])
+                return len(seen) > 60 and len(set(seen[-40:])) == 1
+
+            poll(stalled, 60)
+            self.assertLess(seen[-1], count // 2)
+            text = "".join(expected_tokens("memo", "hello", 8))
+            self.assertEqual(complete(self.entry).json()["choices"][0]["text"], text)
+            caller.buffer = caller.raw
+            whole = "".join(expected_tokens("memo", "slow ", count))
+            self.assertEqual(read_stream(caller.read_answer()), (whole, True))
+
+
+class TestConversation(WebCase):
+    def test_a_connection_serves_one_request_after_another(self):
+        with Caller(self.port) as caller:
+            for count in (1, 5, 3):
+                for stream in (True, False):
+                    body = ask(count, stream)
+                    answer = caller.call("POST", COMPLETIONS, body, AUTHORISED)
+                    self.assertTrue(answer.whole)
+                    self.assertEqual(answer.headers["connection"], "keep-alive")
+            answer = caller.call("GET", "/-/live", headers={"Connection": "close"})
+            self.assertEqual(answer.headers["connection"], "close")
+            with self.assertRaises(EOFError):
+                caller.fill()
+
+    def test_pipelined_requests_are_answered_in_their_order(self):
+        # Hundreds of requests in one packet once ran each inside the one before it.
+        with self.witness(), Caller(self.port) as caller:
+            caller.send(head("GET /-/live HTTP/1.1") * 600)
+            for _ in range(600):
+                self.assertEqual(caller.read_answer().json(), {"live": True})
+            for count in range(1, 20):
+                body = ask(count, count % 2 == 0)
+                caller.request("POST", COMPLETIONS, body, AUTHORISED)
+            for count in range(1, 20):
+                answer = caller.read_answer()
+                if count % 2 == 0:
+                    self.assertEqual(len(answer.events()), count + 2)
+                else:
+                    usage = answer.json()["usage"]
+                    self.assertEqual(usage["completion_tokens"], count)
+
+    def test_garbage_behind_a_request_does_not_cut_its_answer(self):
+        with Caller(self.port) as caller:
+            caller.request("POST", COMPLETIONS, ask(300), AUTHORISED)
+            caller.send(b"\0garbage\r\n\r\n" + b"x" * 2 * BODY_LIMIT)
+            text = "".join(expected_tokens("memo", "hello", 300))
+            self.assertEqual(read_stream(caller.read_answer()), (text, True))
+            self.check_problem(caller.read_answer(), exc.BadRequest)
+
+    def test_nothing_runs_behind_the_last_request(self):
+        # "Connection: close" ends the conversation; a note sent behind it would be
+        # booked and its answer thrown away.
+        with Caller(self.port) as caller:
+            note = head("POST " + NOTES + " HTTP/1.1", "Content-Length: 4")
+            note = note[:-2] + AUTHORISATION + b"\r\nlost"
+            caller.send(head("GET /-/live HTTP/1.1", "Connection: close") + note)
+            self.assertEqual(caller.read_answer().status, 200)
+            with self.assertRaises(EOFError):
+                caller.fill()
+        self.assertNotIn("lost", self.service.record()["by_body"])
+
+    def test_a_stream_comes_chunk_by_chunk(self):
+        self.engine.fault(slow=1)
+        with Caller(self.port) as caller:
+            caller.request("POST", COMPLETIONS, ask(2000), AUTHORISED)
+            status, headers = caller.read_head()
+            self.assertEqual((status, headers["transfer-encoding"]), (200, "chunked"))
+            self.assertNotIn("content-length", headers)
+            first = caller.read_chunk()
+            self.assertTrue(first.endswith(b"\n\n"))
+            # The engine is still writing: the chunk wasn't kept until the end.
+            self.assertLess(self.engine.record()["attempts"][-1]["sent"], 2001)
+            while caller.read_chunk():
+                pass
+            self.assertEqual(caller.buffer, b"")
+
+    def test_an_old_caller_gets_a_stream_without_chunks(self):
+        data = json.dumps(ask(5)).encode()
+        line = f"POST {COMPLETIONS} HTTP/1.0"
+        first = head(line, f"Content-Length: {len(data)}")[:-2]
+        with Caller(self.port) as caller:
+            caller.send(first + AUTHORISATION + b"\r\n" + data)
+            status, headers = caller.read_head()
+            self.assertNotIn("transfer-encoding", headers)
+            with self.assertRaises(EOFError):
+                while True:
+                    caller.fill()
+            self.assertTrue(caller.buffer.startswith(b"id: "))
+            self.assertTrue(caller.buffer.endswith(b"data: [DONE]\n\n"))
+
+    def test_head_is_get_without_its_body(self):
+        with Caller(self.port) as caller:
+            for path in ("/-/live", "/services/portal/doc?size=5000"):
+                full = caller.call("GET", path, headers=AUTHORISED)
+                caller.request("HEAD", path, headers=AUTHORISED)
+                status, headers = caller.read_head()
+                self.assertEqual((status, caller.buffer), (full.status, b""))
+                expected = full.headers["content-length"]
+                self.assertEqual(headers.get("content-length"), expected)
+
+    def test_a_body_is_asked_for_when_its_sender_waits(self):
+        body = b"x" * 5000
+        expect = ("Content-Length: 5000", "Expect: 100-continue")
+        first = head("POST " + NOTES + " HTTP/1.1", *expect)[:-2] + AUTHORISATION
+        with Caller(self.port) as caller:
+            caller.send(first + b"\r\n")
+            self.assertEqual(caller.read_head(), (100, {}))
+            caller.send(body)
+            self.assertEqual(caller.read_answer().status, 200)
+            caller.send(first.replace(b"5000", b"500000") + b"\r\n")
+            self.check_problem(caller.read_answer(), exc.TooLarge)
+
+    def test_paths_and_queries_reach_the_service_as_sent(self):
+        for path in ("/a%2Fb%20c", "/a;b=c/~d", "/%C3%A9", "//twice", "/"):
+            sent = f"/services/portal{path}?q=a%26b&size=0&x=/?"
+            answer = call(self.port, "GET", sent, headers=AUTHORISED)
+            self.assertEqual(answer.status, 200)
+        answer = call(self.port, "GET", "/services/portal/x?size=77", b"", AUTHORISED)
+        self.assertEqual(len(answer.body), 77)
+
+    def test_many_callers_at_once_get_each_their_own(self):
+        callers = [Caller(self.port) for _ in range(MANY)]
+        try:
+            for number, caller in enumerate(callers):
+                body = ask(20, number % 2 == 0, f"caller {number} ")
+                caller.request("POST", COMPLETIONS, body, AUTHORISED)
+            for number, caller in enumerate(callers):
+                text = "".join(expected_tokens("memo", f"caller {number} ", 20))
+                answer = caller.read_answer()
+                if number % 2 == 0:
+                    self.assertEqual(read_stream(answer), (text, True))
+                else:
+                    self.assertEqual(answer.json()["choices"][0]["text"], text)
+        finally:
+            for caller in callers:
+                caller.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
