--- /dev/null
+++ b/tests/upstreams.py
@@ -0,0 +1,79 @@
+"""An upstream in the test's own process that sends exactly the bytes of a script."""
+
+import json
+import socket
+import threading
+import time
+from contextlib import suppress
+
+from tests.procs import HOST, Caller
+
+SEND_BUFFER = 8192
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+CHUNKED_END = b"0\r\n\r\n"
+
+
+class RawUpstream:
+    """Run ``script(conn, method, path, body)`` for each request; ``close`` ends it."""
+
+    def __init__(self, script):
+        self.script = script
+        self.seen = []
+        self.conns = []
+        self.sent = 0
+        self.listener = socket.create_server((HOST, 0), backlog=64)
+        # What a script has sent is then what the instance has taken, nearly.
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        """Serve each connection in a thread of its own."""
+        with suppress(OSError):
+            while True:
+                conn = self.listener.accept()[0]
+                self.conns.append(conn)
+                threading.Thread(target=self.serve, args=(conn,), daemon=True).start()
+
+    def serve(self, conn):
+        """Read requests and run the script until the connection ends."""
+        reader = Caller.__new__(Caller)
+        reader.sock, reader.buffer, reader.raw = conn, b"", b""
+        with suppress(OSError, EOFError), conn:
+            while True:
+                line, *lines = reader.read_until(b"\r\n\r\n").decode().split("\r\n")
+                method, path, _ = line.split(" ")
+                fields = dict(line.lower().split(": ", 1) for line in lines)
+                body = reader.read_bytes(int(fields.get("content-length", 0)))
+                number = self.conns.index(conn)
+                self.seen.append((number, method, path, body))
+                self.script(conn, method, path, body)
+
+    def send(self, conn, data):
+        """Send bytes and count them."""
+        conn.sendall(data)
+        self.sent += len(data)
+
+    def count(self, path):
+        """Return how many requests for this path came."""
+        return sum(item[2] == path for item in self.seen)
+
+    def close(self):
+        """End the listener and every connection."""
+        for sock in (self.listener, *self.conns):
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
+
+def send_load(conn):
+    """Report that there is nothing to do."""
+    load = {"running": 0, "waiting": 0, "slots": 8, "as_of": time.time()}
+    body = json.dumps(load | {"cached_tokens": 0}).encode()
+    conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+
+def make_chunk(value):
+    """Return one server-sent event as one chunk."""
+    data = f"data: {value if isinstance(value, str) else json.dumps(value)}\n\n"
+    return b"%x\r\n%b\r\n" % (len(data), data.encode())
