--- /dev/null
+++ b/bench/backends.py
@@ -0,0 +1,137 @@
+"""A paced engine and a bare-socket pass-through, to measure the entry against."""
+
+import json
+import select
+import socket
+import time
+
+from tests.procs import HOST
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+CHUNK_SIZE = 65536
+
+
+def frame(data):
+    """Return one chunk of a chunked answer."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def read_body(data):
+    """Return the JSON body once the whole request is there."""
+    head, mark, body = data.partition(b"\r\n\r\n")
+    if not mark:
+        return None
+    length = int(head.lower().partition(b"content-length:")[2].split(b"\r\n")[0])
+    return json.loads(body) if len(body) >= length else None
+
+
+def listen():
+    """Return a listening socket and its port."""
+    sock = socket.create_server((HOST, 0), backlog=1024)
+    return sock, sock.getsockname()[1]
+
+
+def serve_engine(ports, gap):
+    """Write tokens at a fixed pace, all streams in one loop, until killed."""
+    listener, port = listen()
+    ports.put(port)
+    poller = select.epoll()
+    poller.register(listener, select.EPOLLIN)
+    waiting, jobs = {}, {}
+    due = time.monotonic()
+    while True:
+        for fd, _ in poller.poll(max(0.0, due - time.monotonic())):
+            if fd == listener.fileno():
+                sock, _ = listener.accept()
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                poller.register(sock, select.EPOLLIN)
+                waiting[sock.fileno()] = (sock, b"")
+                continue
+            take_input(fd, waiting, jobs, poller)
+        if time.monotonic() >= due:
+            due = max(due + gap, time.monotonic())
+            write_tokens(jobs, waiting)
+
+
+def take_input(fd, waiting, jobs, poller):
+    """Read a request; answer loads at once and queue completions."""
+    sock, data = waiting[fd]
+    try:
+        more = sock.recv(CHUNK_SIZE)
+    except ConnectionError:
+        more = b""
+    if not more:
+        poller.unregister(fd)
+        sock.close()
+        waiting.pop(fd)
+        jobs.pop(fd, None)
+        return
+    data += more
+    if data.startswith(b"GET"):
+        body = b'{"running":0,"waiting":0,"slots":4096,"as_of":%d}' % time.time()
+        sock.sendall(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        )
+        waiting[fd] = (sock, b"")
+        return
+    body = read_body(data)
+    waiting[fd] = (sock, data if body is None else b"")
+    if body is not None:
+        sock.sendall(HEAD)
+        jobs[fd] = [body["attempt"], 0, body["max_tokens"]]
+
+
+def write_tokens(jobs, waiting):
+    """Write the next token of each stream."""
+    for fd, job in list(jobs.items()):
+        attempt, index, limit = job
+        sock = waiting[fd][0]
+        if index < limit:
+            event = {"attempt": attempt, "index": index, "token": " token"}
+            sock.sendall(frame(b"data: %b\n\n" % json.dumps(event).encode()))
+            job[1] += 1
+            continue
+        usage = {"prompt_tokens": 1, "completion_tokens": limit}
+        event = {"attempt": attempt, "usage": usage, "finish_reason": "length"}
+        data = b"data: %b\n\n" % json.dumps(event).encode()
+        sock.sendall(frame(data) + frame(b"data: [DONE]\n\n") + b"0\r\n\r\n")
+        del jobs[fd]
+
+
+def serve_relay(ports, engine_port):
+    """Pass bytes both ways between callers and the engine, with bare sockets."""
+    listener, port = listen()
+    ports.put(port)
+    poller = select.epoll()
+    poller.register(listener, select.EPOLLIN)
+    other = {}
+    while True:
+        for fd, _ in poller.poll():
+            if fd == listener.fileno():
+                sock, _ = listener.accept()
+                peer = socket.create_connection((HOST, engine_port))
+                other[sock.fileno()] = (sock, peer)
+                other[peer.fileno()] = (peer, sock)
+                for item in (sock, peer):
+                    item.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                    poller.register(item, select.EPOLLIN)
+                continue
+            pass_bytes(fd, other, poller)
+
+
+def pass_bytes(fd, other, poller):
+    """Pass what one end sent to the other end."""
+    pair = other.get(fd)
+    if pair is None:
+        return
+    data = pair[0].recv(CHUNK_SIZE)
+    if data:
+        pair[1].sendall(data)
+        return
+    for item in pair:
+        other.pop(item.fileno(), None)
+        poller.unregister(item)
+        item.close()
--- a/src/chervilwing/answers.py
+++ b/src/chervilwing/answers.py
@@ -1,6 +1,8 @@
 """Assemble one answer from the attempts that make it, token by token."""
 
-import json
+from typing import TypedDict
+
+import msgspec
 
 from .exceptions import UpstreamFailed
 
@@ -9,6 +11,30 @@
 DONE = b"[DONE]"
 
 
+class Usage(TypedDict, total=False):
+    """An engine's figures for one attempt, in tokens."""
+
+    prompt_tokens: int
+    cached_tokens: int
+    completion_tokens: int
+    recomputed_tokens: int
+
+
+class EngineEvent(TypedDict, total=False):
+    """One event of an engine's answer: a token, or the figures at its end."""
+
+    attempt: str
+    index: int
+    token: str
+    usage: Usage
+    finish_reason: str | None
+
+
+# msgspec reads and checks an event in a tenth of the time that json takes, and there is
+# one for each of 9,400 tokens a second (letter 1).
+read_event = msgspec.json.Decoder(EngineEvent).decode
+
+
 class Answer:
     """The tokens of one request, whichever upstream they came from.
 
@@ -61,11 +87,10 @@
             self._finish()
             return
         try:
-            event = json.loads(data)
-            attempt = event["attempt"]
-        except (ValueError, KeyError, TypeError) as exc:
+            event = read_event(data)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
             raise UpstreamFailed("An event can't be read.") from exc
-        if attempt != self._attempt:
+        if event.get("attempt") != self._attempt:
             return
         if "token" in event:
             self._add(event)
@@ -73,11 +98,11 @@
             self._figures = event
 
     def _add(self, event):
-        index = event.get("index")
-        if not isinstance(index, int) or index > len(self.tokens):
+        index = event.get("index", -1)
+        if index < 0 or index > len(self.tokens):
             raise UpstreamFailed("A token is missing.")
         if index == len(self.tokens):
-            self.tokens.append(str(event["token"]))
+            self.tokens.append(event["token"])
 
     def _finish(self):
         if self._figures is None:
--- a/src/chervilwing/completions.py
+++ b/src/chervilwing/completions.py
@@ -1,6 +1,7 @@
 """Model calls as callers write and read them."""
 
 import json
+from json.encoder import encode_basestring_ascii
 from typing import NamedTuple
 
 from .exceptions import BadRequest
@@ -141,10 +142,10 @@
     closing = "}" if completion.chat else ""
     before = f'data: {head}, "choices": [{{"index": 0, {name}: {opening}'
     after = f'{closing}, "finish_reason": null}}]}}\n\n'
-    dumps = json.dumps
+    quote = encode_basestring_ascii
 
     def write(index, token):
-        return f"id: {request_id}/{index}\n{before}{dumps(token)}{after}"
+        return f"id: {request_id}/{index}\n{before}{quote(token)}{after}"
 
     return write
 
--- a/src/chervilwing/parsers.py
+++ b/src/chervilwing/parsers.py
@@ -188,7 +188,12 @@
         """
         self._tail = (self._tail + data)[-len(LAST_CHUNK) :]
         if self._head is None:
-            data = self._gather_head(data)
+            return self._feed_head(data)
+        self._execute(data)
+        return self._parser.recv_body()
+
+    def _feed_head(self, data):
+        data = self._gather_head(data)
         if data:
             self._execute(data)
         self._finish_empty()
