--- a/src/chervilwing/daemon.py
+++ b/src/chervilwing/daemon.py
@@ -13,7 +13,6 @@
 
 from circuits import Event, Timer
 from circuits.core import BaseComponent, handler
-from circuits.core.pollers import EPoll
 from returns.pipeline import is_successful
 
 from . import embedded, settings
@@ -30,6 +29,7 @@
 from .models import Address
 from .notices import Notices
 from .peers import Peers
+from .pollers import DirectPoller
 from .stats import Stats
 from .stores import Store
 from .web import Web, WebHandlers
@@ -50,7 +50,7 @@
 
     def __init__(self, cfg):
         super().__init__()
-        self._poller = EPoll().register(self)
+        self._poller = DirectPoller().register(self)
         self._client = Client(self._poller).register(self)
         if cfg.embedded:
             cfg = self._embed(cfg)
--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -1,8 +1,8 @@
 """Non-blocking TCP sockets on circuits' poller: accept, dial, read and write.
 
 `circuits.net` fires three events for each chunk that passes and gives no sign when a
-slow reader has caught up. This component handles the poller's events itself: one event
-for each chunk, writes tried at once, and a buffer whose size is known.
+slow reader has caught up. This component is called by the poller, tries each write at
+once and knows the size of its buffers.
 """
 
 import errno
@@ -11,8 +11,9 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from circuits.core import BaseComponent, handler
+from circuits.core import BaseComponent
 
+from .logs import log_failure
 from .models import Address
 
 READ_SIZE = 65536
@@ -46,7 +47,9 @@
         "paused",
         "pending",
         "pending_size",
+        "reading",
         "sent",
+        "writing",
         "state",
     )
 
@@ -58,6 +61,8 @@
         self.paused = False
         self.pending = deque()
         self.pending_size = 0
+        self.reading = False
+        self.writing = False
         self.sent = 0
         self.state: Any = None
 
@@ -87,14 +92,14 @@
         sock.bind(address)
         sock.listen(BACKLOG)
         self._listener = sock
-        self._poller.addReader(self, sock)
+        self._poller.watch(self, sock, reading=True, writing=False)
         return Address(*sock.getsockname())
 
     def stop_listening(self):
         """Refuse new connections; open ones go on."""
         if self._listener is None:
             return
-        self._poller.discard(self._listener)
+        self._poller.forget(self._listener)
         self._listener.close()
         self._listener = None
 
@@ -106,7 +111,7 @@
         conn = Conn(sock, address, connecting=True)
         self._conns[sock] = conn
         sock.connect_ex(address)
-        self._poller.addWriter(self, sock)
+        self._watch(conn, reading=False, writing=True)
         return conn
 
     def send(self, conn, data):
@@ -118,7 +123,7 @@
             return
         sent = self._try_send(conn, data)
         if sent < len(data):
-            self._poller.addWriter(self, conn.sock)
+            self._watch(conn, conn.reading, writing=True)
             self._keep(conn, data[sent:])
 
     def pause(self, conn):
@@ -126,14 +131,14 @@
         if conn.paused or conn.sock not in self._conns:
             return
         conn.paused = True
-        self._poller.removeReader(conn.sock)
+        self._watch(conn, False, conn.writing)
 
     def resume(self, conn):
         """Read again after ``pause``."""
         if not conn.paused or conn.sock not in self._conns:
             return
         conn.paused = False
-        self._poller.addReader(self, conn.sock)
+        self._watch(conn, True, conn.writing)
 
     def close(self, conn):
         """Close once everything kept has been written."""
@@ -146,7 +151,7 @@
         """Close at once and report it."""
         if self._conns.pop(conn.sock, None) is None:
             return
-        self._poller.discard(conn.sock)
+        self._poller.forget(conn.sock)
         conn.sock.close()
         self._owner.closed(conn, exc)
 
@@ -170,16 +175,35 @@
         conn.sent += sent
         return sent
 
-    @handler("_read", priority=1)
-    def _on_readable(self, sock):
-        if sock is self._listener:
-            self._accept()
-            return
+    def handle_ready(self, sock, readable, writable):
+        """Read from, write to or accept on a socket that the poller found ready.
+
+        Guard: a failure in the handling of one connection must end that connection and
+        nothing else; raised into the loop it would leave the caller waiting for ever.
+        """
         conn = self._conns.get(sock)
-        if conn is None or conn.paused:
+        if conn is None:
+            if sock is self._listener:
+                self._accept()
             return
         try:
-            data = sock.recv(READ_SIZE)
+            if writable:
+                self._on_writable(conn)
+            if readable and not conn.connecting:
+                self._on_readable(conn)
+        except Exception as exc:
+            log_failure("connection handler", exc, role=self.channel)
+            self.drop(conn, OSError(errno.ECONNABORTED, "handler failed"))
+
+    def _watch(self, conn, reading, writing):
+        conn.reading = reading
+        conn.writing = writing
+        self._poller.watch(self, conn.sock, reading, writing)
+
+    def _on_readable(self, conn):
+        # A readable event for a paused connection means that the other end is gone.
+        try:
+            data = conn.sock.recv(READ_SIZE)
         except OSError as exc:
             if exc.errno not in WOULD_BLOCK:
                 self.drop(conn, exc)
@@ -189,21 +213,11 @@
             return
         self.drop(conn)
 
-    @handler("_write", priority=1)
-    def _on_writable(self, sock):
-        conn = self._conns.get(sock)
-        if conn is None:
-            return
+    def _on_writable(self, conn):
         if conn.connecting and not self._finish_connect(conn):
             return
         self._send_pending(conn)
 
-    @handler("_disconnect", priority=1)
-    def _on_disconnect(self, sock):
-        conn = self._conns.get(sock)
-        if conn is not None:
-            self.drop(conn, OSError(errno.ECONNRESET, "connection reset"))
-
     def _accept(self):
         for _ in range(ACCEPTS_PER_EVENT):
             try:
@@ -214,7 +228,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             conn = Conn(sock, Address(*address), connecting=False)
             self._conns[sock] = conn
-            self._poller.addReader(self, sock)
+            self._watch(conn, reading=True, writing=False)
             self._owner.opened(conn)
 
     def _finish_connect(self, conn):
@@ -222,8 +236,14 @@
         if code:
             self.drop(conn, OSError(code, "connect failed"))
             return False
+        try:
+            conn.sock.getpeername()
+        except OSError:
+            # Guard: within one batch of the poller a closed socket's number can be that
+            # of a new one, which then looks ready before it is connected.
+            return False
         conn.connecting = False
-        self._poller.addReader(self, conn.sock)
+        self._watch(conn, not conn.paused, writing=True)
         self._owner.opened(conn)
         return conn.sock in self._conns
 
@@ -237,7 +257,7 @@
                 break
             conn.pending.popleft()
         if not conn.pending:
-            self._poller.removeWriter(conn.sock)
+            self._watch(conn, conn.reading, writing=False)
             if conn.closing:
                 self.drop(conn)
                 return
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -24,6 +24,7 @@
     "notices",
     "parsers",
     "peers",
+    "pollers",
     "sessions",
     "sockets",
     "web",
