--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -78,6 +78,16 @@
     status, type, title, outcome = 409, "conflict", "Conflicting write", NOT_RUN
 
 
+class EditConflict(Conflict):
+    """Two operators changed the same entry; ``overlaps`` holds both sides of each."""
+
+    type, title = "edit-conflict", "Conflicting edit"
+
+    def __init__(self, detail="", *, overlaps=(), **more):
+        super().__init__(detail, **more)
+        self.overlaps = overlaps
+
+
 class TooLarge(ChervilwingError):
     """The head or the body is over its limit."""
 
