--- a/src/chervilwing/calls.py
+++ b/src/chervilwing/calls.py
@@ -3,6 +3,9 @@
 import posixpath
 from urllib.parse import unquote
 
+# RFC 9110, section 9.2.2.
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+
 
 def normalise(path):
     """Return a path as a service may read it: unquoted, no doubles, no dots, small.
@@ -26,7 +29,11 @@
 
 def is_idempotent(service, method, path):
     """Tell whether a request to a service may be repeated."""
-    return not any(matches(call, method, path) for call in service.non_idempotent)
+    if any(matches(call, method, path) for call in service.non_idempotent):
+        return False
+    if method.upper() in IDEMPOTENT_METHODS:
+        return True
+    return any(matches(call, method, path) for call in service.idempotent)
 
 
 def find_class(service, customer, method, path):
--- a/src/chervilwing/shapes.py
+++ b/src/chervilwing/shapes.py
@@ -185,6 +185,7 @@
             "name": read_name,
             "pool": read_name,
             "non_idempotent": items(read_call),
+            "idempotent": items(read_call),
             "work_class": read_optional_name,
             "calls": entries(CALL_CLASS),
         },
