--- a/src/chervilwing/addresses.py
+++ b/src/chervilwing/addresses.py
@@ -2,7 +2,7 @@
 
 from ipaddress import ip_address
 
-from chervilwing.models import Address
+from .models import Address
 
 PORT_MAX = 65535
 
--- a/src/chervilwing/changes.py
+++ b/src/chervilwing/changes.py
@@ -3,9 +3,9 @@
 import json
 from typing import Any, NamedTuple
 
-from chervilwing.documents import check_configuration
-from chervilwing.models import Configuration, Inventory, Rules
-from chervilwing.shapes import SHAPES, fail, read_entry, to_plain
+from .documents import check_configuration
+from .models import Configuration, Inventory, Rules
+from .shapes import SHAPES, fail, read_entry, to_plain
 
 EMPTY = Configuration(0, "", Inventory(), Rules())
 PART_OF = {
--- a/src/chervilwing/checks.py
+++ b/src/chervilwing/checks.py
@@ -2,8 +2,8 @@
 
 from collections import Counter
 
-from chervilwing.models import MODEL, SERVICE, Inventory, Rules
-from chervilwing.shapes import ANY, fail
+from .models import MODEL, SERVICE, Inventory, Rules
+from .shapes import ANY, fail
 
 STANDARD = "standard"
 SUM_TOLERANCE = 1e-6
--- /dev/null
+++ b/src/chervilwing/console.py
@@ -0,0 +1,85 @@
+"""What all commands of the operators' tool share: printing, failures, exit codes."""
+
+import json
+import sys
+from typing import Annotated
+
+import typer
+from returns.pipeline import is_successful
+
+from .exceptions import (
+    UNKNOWN,
+    BadConfiguration,
+    BadSetting,
+    ChervilwingError,
+    Conflict,
+    PlatformDown,
+    Unreachable,
+)
+from .tables import render_overlaps
+
+OK, FAILED, USAGE, CONFLICT, UNREACHABLE, IN_DOUBT, BAD_DOCUMENT, LAGGING = range(8)
+# The first row that fits a failure gives the exit code.
+EXIT_CODES = (
+    (BadSetting, USAGE),
+    (BadConfiguration, BAD_DOCUMENT),
+    (Conflict, CONFLICT),
+    (PlatformDown, UNREACHABLE),
+    (Unreachable, UNREACHABLE),
+    (ChervilwingError, FAILED),
+)
+EXIT_HELP = (
+    "Exit codes: 0 done, 1 failed, 2 usage or bad setting, 3 conflict, 4 unreachable, "
+    "5 in doubt (the edit may stand), 6 bad document, 7 an instance lags behind."
+)
+
+Json = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+DryRun = Annotated[bool, typer.Option(help="Show the changes and write nothing.")]
+Author = Annotated[str, typer.Option(envvar="USER", help="Kept with the revision.")]
+
+
+def quit_with(exc, as_json=False):
+    """Print a failure on stderr and exit with its code."""
+    if as_json:
+        print(json.dumps(_describe_failure(exc)), file=sys.stderr)
+    else:
+        print(f"{exc.type}: {exc.detail}", file=sys.stderr)
+        if overlaps := getattr(exc, "overlaps", ()):
+            print(render_overlaps(overlaps), file=sys.stderr)
+    raise typer.Exit(find_exit_code(exc))
+
+
+def _describe_failure(exc):
+    overlaps = [item._asdict() for item in getattr(exc, "overlaps", ())]
+    return {
+        "type": exc.type,
+        "detail": exc.detail,
+        "outcome": exc.outcome,
+        "overlaps": overlaps,
+    }
+
+
+def find_exit_code(exc):
+    """Return the exit code of a failure."""
+    if isinstance(exc, PlatformDown) and exc.outcome == UNKNOWN:
+        return IN_DOUBT
+    return next(code for type_, code in EXIT_CODES if isinstance(exc, type_))
+
+
+def take(result, as_json=False):
+    """Return the value of a Result, or quit with its failure."""
+    if not is_successful(result):
+        quit_with(result.failure(), as_json)
+    return result.unwrap()
+
+
+def show(value, as_json, text):
+    """Print a value as JSON, or the text that ``text()`` gives."""
+    print(json.dumps(value) if as_json else text())
+
+
+def need_store(ctx):
+    """Return the links, or quit if no key-value service is named."""
+    if ctx.obj.store is None:
+        quit_with(BadSetting("--store or CHERVILWING_STORE: needed"))
+    return ctx.obj
--- a/src/chervilwing/documents.py
+++ b/src/chervilwing/documents.py
@@ -3,18 +3,20 @@
 import json
 import tomllib
 from hashlib import sha256
+from typing import NamedTuple
 
 from returns.result import Result, safe
 
-from chervilwing.checks import check
-from chervilwing.exceptions import BadConfiguration
-from chervilwing.models import Configuration
-from chervilwing.shapes import (
+from .checks import check
+from .exceptions import BadConfiguration
+from .models import Configuration, Inventory, Rules
+from .shapes import (
     INVENTORY,
     RULES,
     Shape,
     fail,
     read_entry,
+    read_name,
     to_plain,
     whole,
 )
@@ -24,6 +26,9 @@
 # The service takes values up to a megabyte (brief, "Where it will run").
 MAX_BYTES = 1_000_000
 TEXT_LIMIT = 256
+PARTS = {"inventory": INVENTORY, "rules": RULES}
+
+read_revision = whole(1, 99_999_999)
 
 
 def _read_text(raw, path):
@@ -35,8 +40,8 @@
 CONFIGURATION = Shape(
     Configuration,
     {
-        "revision": whole(1, 99_999_999),
-        "operation": _read_text,
+        "revision": read_revision,
+        "operation": read_name,
         "author": _read_text,
         "at": _read_text,
         "inventory": lambda raw, path: read_entry(INVENTORY, raw, path),
@@ -70,7 +75,7 @@
 def _load_json(text):
     try:
         return json.loads(text, object_pairs_hook=_refuse_double_keys)
-    except (ValueError, RecursionError) as exc:
+    except (ValueError, TypeError, RecursionError) as exc:
         fail("configuration", f"not JSON: {exc}")
 
 
@@ -81,16 +86,25 @@
     return table
 
 
-@safe(exceptions=(BadConfiguration,))
-def parse_inventory(text) -> Result:
-    """Return the Inventory of a TOML file; references aren't checked yet."""
-    return read_entry(INVENTORY, _load_toml(text), "")
+class PartFile(NamedTuple):
+    """An operators' file: the revision it was made from, if given, and its part."""
+
+    revision: int | None
+    part: Inventory | Rules
 
 
 @safe(exceptions=(BadConfiguration,))
-def parse_rules(text) -> Result:
-    """Return the Rules of a TOML file; references aren't checked yet."""
-    return read_entry(RULES, _load_toml(text), "")
+def parse_file(name, text) -> Result[PartFile, BadConfiguration]:
+    """Return the ``inventory`` or ``rules`` of a TOML file; references aren't checked.
+
+    A top-level ``revision`` says which revision the file was made from, so that edits
+    of others since then aren't undone by it.
+    """
+    table = _load_toml(text)
+    revision = table.pop("revision", None)
+    if revision is not None:
+        revision = read_revision(revision, "revision")
+    return PartFile(revision, read_entry(PARTS[name], table, ""))
 
 
 def _load_toml(text):
@@ -100,10 +114,10 @@
         fail("file", f"not TOML: {exc}")
 
 
-def render_toml(part):
+def render_file(file):
     """Return an Inventory or Rules in the operators' file format."""
-    blocks = []
-    for section, rows in to_plain(part).items():
+    blocks = [f"revision = {file.revision}\n"] if file.revision else []
+    for section, rows in to_plain(file.part).items():
         blocks += [_render_table(section, row) for row in rows]
     return "\n".join(blocks)
 
--- a/src/chervilwing/edits.py
+++ b/src/chervilwing/edits.py
@@ -10,21 +10,21 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from chervilwing.changes import (
+from .changes import (
     EMPTY,
     Change,
     apply_changes,
     find_changes,
     find_overlaps,
 )
-from chervilwing.documents import (
+from .documents import (
     CONFIG_KEY,
     HISTORY_PREFIX,
     check_configuration,
     parse_document,
     serialise,
 )
-from chervilwing.exceptions import (
+from .exceptions import (
     NOT_RUN,
     UNKNOWN,
     BadConfiguration,
@@ -33,7 +33,7 @@
     PlatformDown,
     Scope,
 )
-from chervilwing.messages import (
+from .messages import (
     ABSENT,
     Found,
     Missing,
@@ -44,7 +44,7 @@
     Write,
     Written,
 )
-from chervilwing.models import Configuration
+from .models import Configuration
 
 STORE = Scope("platform", "key-value service")
 DOCUMENT = Scope("configuration", CONFIG_KEY)
@@ -101,6 +101,7 @@
         self.current_text = ""
         self.version = ABSENT
         self.wanted = None
+        self.wanted_text = ""
         self.state = READING
         self.request = None
         self.tries = 0
@@ -110,7 +111,7 @@
     def start(self) -> StoreRequest | Done:
         """Return the first request, or Done if the edit is wrong in itself."""
         try:
-            check_configuration(apply_changes(self.edit.base, self.edit.changes))
+            self._make_text(self._merge(self.edit.base))
         except BadConfiguration as exc:
             return Done(Failure(exc))
         return self._send(READING, Read(CONFIG_KEY))
@@ -172,9 +173,7 @@
         wanted = self._rebase()
         if not find_changes(self.current, wanted):
             return Done(Success(Committed(self.current, changed=False)))
-        self.wanted = wanted
-        # Serialised here so that a document over the limit fails before any write.
-        serialise(wanted)
+        self.wanted, self.wanted_text = wanted, self._make_text(wanted)
         if self.version == ABSENT:
             return self._write()
         key = history_key(self.current.revision)
@@ -187,19 +186,35 @@
         if overlaps:
             names = ", ".join(f"{item.section}.{item.name}" for item in overlaps)
             raise self._make_conflict(f"{names} changed", overlaps)
-        merged = apply_changes(self.current, edit.changes)
-        merged = merged._replace(
-            revision=max(self.current.revision, edit.base.revision) + 1,
-            operation=edit.operation,
-            author=edit.author,
-            at=edit.at,
-        )
+        merged = self._merge(self.current)
         try:
             return check_configuration(merged)
         except BadConfiguration as exc:
             # Right on its own base, wrong on top of theirs: a pool that they removed.
             raise self._make_conflict(f"together: {exc}", ()) from exc
 
+    def _merge(self, cfg):
+        edit = self.edit
+        return apply_changes(cfg, edit.changes)._replace(
+            revision=max(cfg.revision, edit.base.revision) + 1,
+            operation=edit.operation,
+            author=edit.author,
+            at=edit.at,
+        )
+
+    def _make_text(self, cfg):
+        """Return the stored form, read back first.
+
+        Guards against a value that no instance could read, by an author's name with a
+        line break for example: all would stay on the old revision, and no later edit
+        could replace it.
+        """
+        text = serialise(cfg)
+        result = parse_document(text)
+        if not is_successful(result):
+            raise result.failure()
+        return text
+
     def _make_conflict(self, reason, overlaps):
         who = self.current.author or "someone"
         text = (
@@ -221,13 +236,15 @@
         return self._write()
 
     def _write(self):
-        request = Write(CONFIG_KEY, serialise(self.wanted), self.version)
+        request = Write(CONFIG_KEY, self.wanted_text, self.version)
         return self._send(WRITING, request)
 
     def _on_written(self, reply):
         return self._finish(self.wanted)
 
     def _on_rejected(self, reply):
+        if not reply.value:
+            raise EditConflict("the configuration was deleted", scope=DOCUMENT)
         self._take_current(reply.value, reply.version)
         replaced = self.current.revision > self.wanted.revision
         if self.in_doubt and replaced:
--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -142,6 +142,12 @@
     status, type, title, outcome = 503, "not-ready", "Not ready", NOT_RUN
 
 
+class Unreachable(ChervilwingError):
+    """An entry instance or another service of the operators' tool doesn't answer."""
+
+    status, type, title = 504, "unreachable", "No answer"
+
+
 class BadSetting(ChervilwingError):
     """A flag or environment variable has a wrong value."""
 
--- a/src/chervilwing/logs.py
+++ b/src/chervilwing/logs.py
@@ -11,7 +11,7 @@
 
 from loguru import logger
 
-from chervilwing.exceptions import ChervilwingError
+from .exceptions import ChervilwingError
 
 FRAMES_MAX = 12
 VALUE_MAX = 256
--- a/src/chervilwing/reports.py
+++ b/src/chervilwing/reports.py
@@ -3,8 +3,8 @@
 from hdrh.histogram import HdrHistogram
 from returns.result import Result, safe
 
-from chervilwing.exceptions import BadRequest
-from chervilwing.stats import LATENCIES, UNITS_PER_SECOND, Stats, make_histogram
+from .exceptions import BadRequest
+from .stats import LATENCIES, UNITS_PER_SECOND, Stats, make_histogram
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 QUANTILES = (0.5, 0.95, 0.99)
--- a/src/chervilwing/settings.py
+++ b/src/chervilwing/settings.py
@@ -7,9 +7,9 @@
 
 from returns.result import Failure, Result, Success
 
-from chervilwing.addresses import format_address, parse_address
-from chervilwing.exceptions import BadSetting
-from chervilwing.models import Address
+from .addresses import format_address, parse_address
+from .exceptions import BadSetting
+from .models import Address
 
 PREFIX = "CHERVILWING_"
 HELP_FLAGS = frozenset({"-h", "--help"})
--- a/src/chervilwing/shapes.py
+++ b/src/chervilwing/shapes.py
@@ -5,9 +5,9 @@
 from math import isfinite
 from typing import Any, NamedTuple
 
-from chervilwing.addresses import format_address, parse_address
-from chervilwing.exceptions import BadConfiguration
-from chervilwing.models import (
+from .addresses import format_address, parse_address
+from .exceptions import BadConfiguration
+from .models import (
     MODEL,
     SERVICE,
     Address,
--- /dev/null
+++ b/src/chervilwing/tables.py
@@ -0,0 +1,43 @@
+"""Rows for people: aligned columns, and the two sides of a conflict."""
+
+import json
+
+GAP = "  "
+
+
+def render_rows(columns, rows):
+    """Return rows, each a table by column name, as aligned text with a heading."""
+    lines = [list(columns)]
+    lines += [[_render_cell(row.get(name)) for name in columns] for row in rows]
+    widths = [max(len(line[i]) for line in lines) for i in range(len(columns))]
+    padded = (
+        GAP.join(cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        for line in lines
+    )
+    return "\n".join(line.rstrip() for line in padded)
+
+
+def _render_cell(value):
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.4g}"
+    if isinstance(value, dict):
+        return " ".join(f"{name}={_render_cell(item)}" for name, item in value.items())
+    return str(value)
+
+
+def render_overlaps(overlaps):
+    """Return both sides of each entry that two operators changed."""
+    lines = []
+    for item in overlaps:
+        lines.append(f"{item.section}.{item.name}")
+        for side in ("base", "ours", "theirs"):
+            lines.append(f"  {side:6} {_render_side(getattr(item, side))}")
+    return "\n".join(lines)
+
+
+def _render_side(value):
+    return "(none)" if value is None else json.dumps(value)
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -8,11 +8,11 @@
 from chervilwing.checks import check
 from chervilwing.documents import (
     MAX_BYTES,
+    PartFile,
     hash_key,
     parse_document,
-    parse_inventory,
-    parse_rules,
-    render_toml,
+    parse_file,
+    render_file,
     serialise,
 )
 from chervilwing.exceptions import BadConfiguration
@@ -23,9 +23,11 @@
 
 def read_example(name):
     """Return the checked inventory and rules of one example."""
-    inventory = parse_inventory((EXAMPLES / name / "inventory.toml").read_text())
-    rules = parse_rules((EXAMPLES / name / "rules.toml").read_text())
-    return check(inventory.unwrap(), rules.unwrap())
+    parts = []
+    for part in ("inventory", "rules"):
+        text = (EXAMPLES / name / f"{part}.toml").read_text()
+        parts.append(parse_file(part, text).unwrap().part)
+    return check(*parts)
 
 
 def make_document():
@@ -162,15 +164,19 @@
 
     def test_toml_goes_there_and_back(self):
         inventory, rules = read_example("andesur")
-        again = check(
-            parse_inventory(render_toml(inventory)).unwrap(),
-            parse_rules(render_toml(rules)).unwrap(),
-        )
-        self.assertEqual(again, (inventory, rules))
+        again = []
+        for name, part in (("inventory", inventory), ("rules", rules)):
+            text = render_file(PartFile(7, part))
+            revision, part = parse_file(name, text).unwrap()
+            self.assertEqual(revision, 7)
+            again.append(part)
+        self.assertEqual(check(*again), (inventory, rules))
 
     def test_bad_toml_is_a_bad_configuration(self):
-        for text in ("[[pools]", "pools = 3", "[[customers]]\nname = 'c'"):
-            self.assertIsInstance(parse_inventory(text).failure(), BadConfiguration)
+        texts = ("[[pools]", "pools = 3", "[[customers]]\nname = 'c'", "revision = 0")
+        for text in texts:
+            result = parse_file("inventory", text)
+            self.assertIsInstance(result.failure(), BadConfiguration)
 
 
 class TestCalls(unittest.TestCase):
--- a/tests/test_edits.py
+++ b/tests/test_edits.py
@@ -112,6 +112,14 @@
         self.assertTrue(operator.done)
         self.assertIsInstance(operator.finish().failure(), BadConfiguration)
 
+    def test_an_unreadable_value_is_refused_before_any_request(self):
+        # An operator's user name holds a line break. Stored as it is, the value would be
+        # refused by every instance and by the next edit, with no way out but deletion.
+        edit = make_edit(EMPTY, "op", add_customer("c"))._replace(author="a\nb")
+        self.assertIsInstance(
+            Operator(Store(), edit).finish().failure(), BadConfiguration
+        )
+
     def test_rollback_is_a_new_revision_with_old_content(self):
         store, first = make_store()
         edit = make_edit(first, "second", add_customer("c", weight=2.0))
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -9,10 +9,14 @@
 # The modules that own sockets, files, processes' arguments or timers.
 EDGE = {
     "cli",
+    "clients",
+    "config_commands",
     "connections",
+    "console",
     "daemon",
     "dispatch",
     "embedded",
+    "fleet_commands",
     "generations",
     "parsers",
     "sessions",
