--- a/src/chervilwing/config_commands.py
+++ b/src/chervilwing/config_commands.py
@@ -21,6 +21,8 @@
 from .shapes import to_plain
 from .tables import render_rows
 
+File = Annotated[typer.FileText, typer.Argument(help="TOML; - for stdin")]
+
 config_app = typer.Typer(no_args_is_help=True, help="Revisions of the configuration.")
 
 
@@ -123,7 +125,7 @@
     @part_app.command("apply")
     def apply_part(
         ctx: typer.Context,
-        file: Annotated[typer.FileText, typer.Argument(help="TOML; - for stdin")],
+        file: File,
         author: Author = "",
         dry_run: DryRun = False,
         as_json: Json = False,
@@ -133,12 +135,7 @@
         With ``revision`` in the file, edits made by others since then stay; without
         it the file replaces what stands.
         """
-        links = need_store(ctx)
-        revision, part = take(parse_file(name, file.read()), as_json)
-        current = load_current(links, as_json)
-        base = load_revision(links, revision, current, as_json)
-        wanted = _check(base._replace(**{name: part}), as_json)
-        commit(links, current, base, wanted, author, dry_run, as_json)
+        apply_files(ctx, {name: file}, author, dry_run, as_json)
 
     return part_app
 
@@ -150,6 +147,40 @@
             raise BadConfiguration(f"{section}: belongs to {PART_OF[section]}")
 
 
+def apply_files(ctx, files, author, dry_run, as_json):
+    """Make the stored parts like files; all in one revision."""
+    links = need_store(ctx)
+    parsed = {
+        name: take(parse_file(name, file.read()), as_json)
+        for name, file in files.items()
+    }
+    revisions = {file.revision for file in parsed.values()}
+    if len(revisions) > 1:
+        quit_with(BadConfiguration("revision: differs between the files"), as_json)
+    current = load_current(links, as_json)
+    base = load_revision(links, revisions.pop(), current, as_json)
+    parts = {name: file.part for name, file in parsed.items()}
+    wanted = _check(base._replace(**parts), as_json)
+    commit(links, current, base, wanted, author, dry_run, as_json)
+
+
+@config_app.command("apply")
+def apply_both(
+    ctx: typer.Context,
+    inventory: File,
+    rules: File,
+    author: Author = "",
+    dry_run: DryRun = False,
+    as_json: Json = False,
+):
+    """Make inventory and rules like two files, in one revision.
+
+    The way to start: services name classes of the rules, and routes name pools.
+    """
+    files = {"inventory": inventory, "rules": rules}
+    apply_files(ctx, files, author, dry_run, as_json)
+
+
 @config_app.command()
 def history(
     ctx: typer.Context,
--- a/tests/test_edits.py
+++ b/tests/test_edits.py
@@ -113,7 +113,7 @@
         self.assertIsInstance(operator.finish().failure(), BadConfiguration)
 
     def test_an_unreadable_value_is_refused_before_any_request(self):
-        # An operator's user name holds a line break. Stored as it is, the value would be
+        # An operator's user name holds a line break. Stored so, the value would be
         # refused by every instance and by the next edit, with no way out but deletion.
         edit = make_edit(EMPTY, "op", add_customer("c"))._replace(author="a\nb")
         self.assertIsInstance(
