--- a/src/chervilwing/settings.py
+++ b/src/chervilwing/settings.py
@@ -260,11 +260,12 @@
         "longer than --request-timeout, so it would never act",
     ),
     # A stop that ends before the longest request would cut it (brief, "What must
-    # always hold": a planned stop cuts no request in flight).
+    # always hold": a planned stop cuts no request in flight). The last request may come
+    # at the end of the balancer's lag.
     (
-        lambda cfg: cfg.drain_timeout >= cfg.request_timeout,
+        lambda cfg: cfg.drain_timeout >= cfg.request_timeout + cfg.drain_lag,
         "drain_timeout",
-        "shorter than --request-timeout, so a stop would cut requests",
+        "shorter than --request-timeout and --drain-lag, so a stop would cut requests",
     ),
     (
         lambda cfg: cfg.peer_listen != cfg.listen or cfg.listen.port == 0,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,7 +11,7 @@
 from chervilwing.documents import hash_key
 from chervilwing.reports import make_report
 from chervilwing.stats import Stats
-from tests.procs import ROOT, Processes, call_json
+from tests.procs import ROOT, Processes, call_json, poll
 
 ANDESUR = ROOT / "examples" / "andesur"
 FILES = (str(ANDESUR / "inventory.toml"), str(ANDESUR / "rules.toml"))
@@ -236,6 +236,24 @@
         self.edit("drain", "e3", code=1)
 
 
+class TestDaemon(CliTest):
+    def test_an_edit_takes_hold_and_a_drain_ends_the_process(self):
+        store = self.start_store()
+        daemon = self.processes.start_daemon(
+            *("--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"),
+            *("--name", "e1", "--data-centre", "scl-a", "--drain-lag", "0.1"),
+            *("--store", f"127.0.0.1:{store.port}"),
+        )
+        self.options += ["--instance", f"127.0.0.1:{daemon.port}"]
+        self.edit("rules", "edit", "--set", "customers.austral-buses.weight=2")
+        poll(lambda: daemon.get("/-/status")[1]["revision"] == 3)
+        self.edit("config", "status")
+        self.assertEqual(len(self.read("upstreams")), 8)
+        self.assertEqual(self.read("stats")["instances"], 1)
+        self.edit("drain", "e1")
+        self.assertEqual(daemon.popen.wait(10), 0)
+
+
 class TestKeys(CliTest):
     def test_hash_reads_stdin(self):
         output = self.run_tool("key", "hash", text="example-key\n").output
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -67,6 +67,13 @@
         self.assertIn("--store", str(read_settings([], {}).failure()))
         self.assertTrue(is_successful(read_settings(["--embedded"], {})))
 
+    def test_drain_covers_the_balancers_lag_too(self):
+        # The balancer sends one more request just before the listener closes. With a
+        # drain as long as a request alone, that request would be cut at its end.
+        argv = ["--request-timeout", "100", "--drain-lag", "5", "--drain-timeout"]
+        self.assertFalse(is_successful(read_settings([*STORE, *argv, "104"], {})))
+        self.assertTrue(is_successful(read_settings([*STORE, *argv, "105"], {})))
+
     def test_help_and_operations_page_follow_the_table(self):
         for field in FIELDS:
             self.assertIn(field.flag, render_help())
