--- a/bench/path.py
+++ b/bench/path.py
@@ -169,11 +169,12 @@
         f"| a request of one token | {requests[0]:.0f} | {requests[1]:.0f} "
         f"| {requests[1] / requests[0]:.1f} |",
         "",
-        f"{load.streams} streams, {load.streams / load.gap:.0f} tokens a second offered;
-        " f"{ours.tokens} tokens in {ours.wall:.1f} s through the entry, "
-        f"{bare.wall:.1f} s through the pass-through. An idle entry takes " f"{idle *
-        100:.2f} % of a core. By this slope one process carries " f"{1e6 /
-        ours.per_token:.0f} tokens a second at most.",
+        f"{load.streams} streams, {load.streams / load.gap:.0f} tokens a second "
+        f"offered; {ours.tokens} tokens in {ours.wall:.1f} s through the entry, "
+        f"{bare.wall:.1f} s through the pass-through. An idle entry takes "
+        f"{idle * 100:.2f} % of a core. By this slope one process carries "
+        f"{1e6 / ours.per_token:.0f} tokens a second at most.",
+    ]
 
 
 def main():
