--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,18 @@
+"""Run every scenario file, and random faults over fixed seeds."""
+
+import unittest
+
+from tests import scenarios
+
+STORY_LINES = range(2, 6)
+
+
+class TestScenarios(unittest.TestCase):
+    def test_files(self):
+        for path in sorted(scenarios.SCENARIOS.glob("*.scn")):
+            with self.subTest(scenario=path.stem):
+                text = path.read_text()
+                lines = text.splitlines()
+                story = [line for line in lines if line.startswith("#")]
+                self.assertIn(len(story), STORY_LINES)
+                self.assertEqual(scenarios.run(text), [])
