--- a/bench/path.py
+++ b/bench/path.py
@@ -188,7 +188,8 @@
     rows = run(Load(options.streams, options.tokens, options.gap))
     print("\n".join(rows))
     if not options.no_write:
-        pages.write_section("path", "Data path", "python -m bench.path", rows)
+        text = "\n".join(["## Data path", "", "`python -m bench.path`", "", *rows])
+        pages.write_section("path", text)
     return 0
 
 
--- a/src/chervilwing/upstreams.py
+++ b/src/chervilwing/upstreams.py
@@ -1,6 +1,7 @@
 """What one entry instance knows about one upstream."""
 
 from collections import deque
+from math import exp
 from typing import NamedTuple
 
 from .limits import Limit
@@ -8,6 +9,10 @@
 
 # A report may miss requests that were on the wire when it was made.
 TRANSIT = 0.05
+# The others' part of the load is averaged over this many seconds. Work that is
+# shorter than the time between reports makes single reports mere noise, on which
+# every entry instance would act at the same moment.
+SMOOTHING = 2.5
 # A busy answer holds new work back for this long at first, then twice as long.
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 2.0
@@ -17,10 +22,10 @@
     """One attempt in flight."""
 
     work: Work
-    priority: int
+    band: int
     cost: float
     cached: int
-    long: bool
+    yielding: bool
     started: float
 
 
@@ -32,13 +37,12 @@
         self.slots = upstream.slots
         self.limit = Limit(upstream.slots)
         self.running = {}
-        self.long = 0
         self.leaving = False
         self.down_since = None
         self.paused_until = 0.0
         self.load = 0
         self._pause = FIRST_PAUSE
-        self._reported = None
+        self._others = None
         self._as_of = 0.0
         self._changes = deque()
 
@@ -46,7 +50,7 @@
         """Tell whether new work may go here at all."""
         return not self.leaving and self.down_since is None
 
-    def has_room(self, long, reserve, over=0):
+    def has_room(self, reserve, over=0):
         """Tell whether one more request fits.
 
         Load: bursts, while reports lag by a second. Harm prevented: work that
@@ -54,27 +58,24 @@
         """
         if len(self.running) >= int(self.limit.value):
             return False
-        if long and reserve and self.long >= self.slots - reserve:
-            return False
-        return self.load < self.slots + over
+        return self.load < self.slots - reserve + over
 
     def report(self, load, slots, as_of):
         """Take in a load report; an older one than the last is dropped."""
-        if self._reported is not None and as_of <= self._as_of:
+        if self._others is not None and as_of <= self._as_of:
             return
         self.slots = slots or self.slots
-        self._reported = load
-        self._as_of = as_of
         if self.down_since is not None and as_of > self.down_since:
             self.down_since = None
         while self._changes and self._changes[0][0] <= as_of - TRANSIT:
             self._changes.popleft()
+        own = len(self.running) - sum(step for _, step in self._changes)
+        self._average(max(0.0, load - own), as_of)
         self._correct()
 
     def start(self, running, now):
         """Count one more attempt."""
         self.running[running.work.request_id] = running
-        self.long += running.long
         self._change(now, 1)
 
     def end(self, request_id, now):
@@ -82,7 +83,6 @@
         running = self.running.pop(request_id, None)
         if running is None:
             return None
-        self.long -= running.long
         self._change(now, -1)
         return running
 
@@ -97,18 +97,22 @@
         self._pause = FIRST_PAUSE
 
     def _change(self, now, step):
-        if self._reported is not None:
+        if self._others is not None:
             self._changes.append((now, step))
         self._correct()
 
+    def _average(self, others, as_of):
+        if self._others is None:
+            self._others = others
+        else:
+            weight = 1.0 - exp((self._as_of - as_of) / SMOOTHING)
+            self._others += weight * (others - self._others)
+        self._as_of = as_of
+
     def _correct(self):
-        """Set the load to what was reported, corrected by own starts and ends.
+        """Set the load to our own attempts now and the others' by report.
 
         Load: many entry instances and reports a second old. Harm prevented: all of
         them send to what was the idlest upstream a second ago.
         """
-        own = len(self.running)
-        if self._reported is None:
-            self.load = own
-            return
-        self.load = max(own, self._reported + sum(step for _, step in self._changes))
+        self.load = len(self.running) + (self._others or 0.0)
