Give a service's attempt a first-token time; a defect no longer hangs its caller

Cause: the scheduler's finish takes the time to the first token, a service call has none, and the TypeError left the caller of a note waiting: test_end_to_end timed out (red). Ruled out: the claim; the store shows it written and the effect stood once. Change: a service's first token is its whole answer; a failure in an answer's handler is told to the request as a failed attempt instead of ending in the log only.

--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -8,6 +8,7 @@
 from circuits.core import BaseComponent, handler
 
 from .exceptions import NOT_RUN, UNKNOWN, BadRequest, UpstreamFailed, UpstreamSilent
+from .logs import log_failure
 from .models import Address
 from .parsers import ResponseReader
 from .sockets import StreamHandlers, Streams
@@ -175,7 +176,19 @@
         except BadRequest as exc:
             self._fail(exchange, str(exc))
             return
-        self._report(exchange, body)
+        try:
+            self._report(exchange, body)
+        except Exception as exc:
+            # Guard: a defect in the handling of an answer shows as a caller that waits
+            # for ever; told as a failure, the request gets an answer all the same.
+            log_failure("answer handler", exc)
+            self._abandon(exchange)
+
+    def _abandon(self, exchange):
+        if not exchange.over:
+            self._end(exchange)
+            self._streams.drop(exchange.conn)
+        exchange.handlers.failed(UpstreamFailed("The answer was not handled."))
 
     def _report(self, exchange, body):
         if not exchange.headed and exchange.reader.head is not None:
--- a/src/chervilwing/sessions.py
+++ b/src/chervilwing/sessions.py
@@ -63,6 +63,8 @@
         """Tell the scheduler how the attempt under way ended."""
         now = time.monotonic()
         duration = now - self.placed_at
+        # A service's answer comes at once as a whole.
+        first_token = duration if first_token is None else first_token
         self._dispatcher.scheduler.finish(
             self.serial, self.upstream.name, outcome, first_token, duration, tokens, now
         )
