--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -2,9 +2,11 @@
 
 import unittest
 
-from tests import scenarios
+from tests import explorer, scenarios
 
 STORY_LINES = range(2, 6)
+# Seeds that once showed a fault, then the first few.
+SEEDS = (81, 144, *range(12))
 
 
 class TestScenarios(unittest.TestCase):
@@ -16,3 +18,8 @@
                 story = [line for line in lines if line.startswith("#")]
                 self.assertIn(len(story), STORY_LINES)
                 self.assertEqual(scenarios.run(text), [])
+
+    def test_random_faults(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(explorer.explore(seed), [])
