--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -78,6 +78,16 @@
     status, type, title, outcome = 409, "conflict", "Conflicting write", NOT_RUN
 
 
+class EditConflict(Conflict):
+    """Two operators changed the same entry; ``overlaps`` holds both sides of each."""
+
+    type, title = "edit-conflict", "Conflicting edit"
+
+    def __init__(self, detail="", *, overlaps=(), **more):
+        super().__init__(detail, **more)
+        self.overlaps = overlaps
+
+
 class LengthRequired(ChervilwingError):
     """The body's length isn't given up front (RFC 9110, section 15.5.12)."""
 
@@ -138,6 +148,12 @@
     status, type, title, outcome = 503, "not-ready", "Not ready", NOT_RUN
 
 
+class Unreachable(ChervilwingError):
+    """An entry instance or another service of the operators' tool doesn't answer."""
+
+    status, type, title = 504, "unreachable", "No answer"
+
+
 class BadSetting(ChervilwingError):
     """A flag or environment variable has a wrong value."""
 
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -2,17 +2,18 @@
 
 from collections import OrderedDict
 from heapq import heappop, heappush
-from math import exp, log
+from math import ceil, exp, log
 from typing import NamedTuple, TypedDict
 
 from . import admission, retries
-from .admission import Congestion, Flowmeter, Prospect
+from .admission import Congestion, Prospect
 from .budgets import Budgets
-from .costs import PREFILL_PART, CostModel, blend
+from .costs import CostModel, blend
 from .exceptions import NOT_RUN, DeadlinePassed, Scope
 from .models import MODEL, SERVICE, Customer, WorkClass
 from .placement import PoolState
-from .queues import LONG, SHORT, URGENT, YIELDING, YIELDING_PRIORITY, FairQueue, Queued
+from .queues import BANDS, LANES, LONG, SHORT, SURE_SHARE, YIELDING, FairQueue, Queued
+from .rates import Excess, Rate
 from .shares import Splitter
 from .upstreams import Running
 from .work import BUSY, FAILED, OK, SILENT, Placement, Refusal, Work
@@ -22,10 +23,16 @@
 # Seconds that a unit of cost takes before anything was measured.
 FIRST_PACE = {MODEL: 0.03, SERVICE: 0.05}
 # Work over this many times the pool's usual cost is long.
-LONG_RATIO = 1.5
-# One slot in this many is kept free of long work: enough for short work, that
-# leaves it soon, and an eighth of the batch is little lost to long work.
-RESERVE_PART = 8
+LONG_RATIO = 4.0
+# Other work over its quota leaves one slot in this many of each upstream free.
+RESERVE_PART = 4
+# Seconds between two settings of the quota, which moves far more slowly.
+SHARE_EVERY = 0.1
+# Urgent work needs this many times the slots of its mean, since it comes in clumps.
+URGENT_ROOM = 1.2
+# Short urgent work may wait in an engine, one an upstream: there it gets the first
+# slot that any entry instance's work leaves, and engines honour its priority.
+URGENT_OVER = 1
 # After capacity was lost, yielding work stands back for this long: about as long
 # as survivors need to take over what was moved.
 REGROUP = 10.0
@@ -63,15 +70,35 @@
         self.queue = FairQueue()
         self.state = PoolState(name, cfg.data_centre, FIRST_PACE[kind])
         self.state.set_entries(cfg.entries)
-        self.meter = Flowmeter()
+        self.excess = Excess()
         self.congestion = Congestion()
         self.regroup_until = 0.0
         self.usual = None
+        self.offered = {lane: Rate() for lane in LANES}
+        self.top = BANDS[0]
+        self.quota = 0.0
+        self.shared_at = -SHARE_EVERY
+        # Whether anything has come that may let queued work start.
+        self.changed = True
+        self.first_tokens = {}
+
+    def refresh(self, name):
+        """Take note that one upstream changed."""
+        self.state.refresh(name)
+        self.changed = True
+
+    def learn_first_token(self, work_class, seconds):
+        """Keep the mean time from placement to first token of a class."""
+        old = self.first_tokens.get(work_class, seconds)
+        self.first_tokens[work_class] = blend(old, seconds)
 
     def is_long(self, cost):
-        """Tell whether work is long for this pool, and learn what is usual."""
+        """Tell whether work is long for this pool."""
+        return self.usual is not None and cost > LONG_RATIO * exp(self.usual)
+
+    def learn_usual(self, cost):
+        """Keep the geometric mean of what is offered."""
         self.usual = log(cost) if self.usual is None else blend(self.usual, log(cost))
-        return cost > LONG_RATIO * exp(self.usual)
 
 
 class Scheduler:
@@ -121,6 +148,7 @@
         """Set how many entry instances are up, this one among them."""
         for pool in self._pools.values():
             pool.state.set_entries(count)
+            pool.changed = True
 
     def mark_leaving(self, name, now):
         """Send nothing new to an upstream that was given notice."""
@@ -136,7 +164,7 @@
     def mark_down(self, name, now):
         """Send nothing new to an upstream until it reports or is marked up."""
         pool = self._find_pool_of(name)
-        if pool is None:
+        if pool is None or pool.state.states[name].down_since is not None:
             return
         pool.state.states[name].down_since = now
         self._lose(pool, name, now)
@@ -147,7 +175,7 @@
         if pool is None:
             return
         pool.state.states[name].down_since = None
-        pool.state.refresh(name)
+        pool.refresh(name)
 
     def report_load(self, name, running, waiting, slots, as_of, now):
         """Take in what an upstream says of its load; ``as_of`` is on our clock."""
@@ -155,7 +183,7 @@
         if pool is None:
             return
         pool.state.states[name].report(running + waiting, slots, min(as_of, now))
-        pool.state.refresh(name)
+        pool.refresh(name)
 
     def hear_cache(self, name, prefix):
         """Take a cache event as a hint that the upstream holds the prefix."""
@@ -179,7 +207,9 @@
             return Refusal(work.request_id, admission.refuse_no_upstream(work.pool, 5))
         cost = self._costs.estimate(work)
         exc = self._judge(pool, work, cost, now)
-        pool.meter.record(cost, exc is None, now)
+        pool.learn_usual(cost)
+        pool.excess.record(cost, exc is None, now)
+        pool.offered[self._find_lane(pool, work, cost)].record(cost, now)
         if exc is not None:
             return Refusal(work.request_id, exc)
         self._push(pool, work, cost)
@@ -191,7 +221,8 @@
         self._resume(now)
         placements = []
         for pool in self._pools.values():
-            if len(pool.queue):
+            if pool.changed and len(pool.queue):
+                pool.changed = False
                 placements.extend(self._drain(pool, now))
         return tuple(placements)
 
@@ -220,7 +251,11 @@
     def finish(
         self, request_id, upstream, outcome, first_token_s, duration_s, tokens, now
     ):
-        """Take note of how an attempt ended and free its slot."""
+        """Take note of how an attempt ended and free its slot.
+
+        Both times count from the placement; a plain service's first token is its
+        whole answer.
+        """
         pool = self._find_pool_of(upstream)
         if pool is None:
             return
@@ -229,13 +264,15 @@
         if attempt is None:
             return
         pool.state.running -= 1
+        pool.state.yielding -= attempt.yielding
         if outcome == OK:
+            pool.learn_first_token(attempt.work.work_class, first_token_s)
             self._learn(pool, state, attempt, duration_s, tokens)
         elif outcome == BUSY:
             heappush(self._pauses, (state.pause(now), upstream))
         elif outcome in (FAILED, SILENT):
             state.limit.fail()
-        pool.state.refresh(upstream)
+        pool.refresh(upstream)
 
     def retry(self, work, upstream, outcome, now):
         """Queue another attempt before all new work, or return the refusal.
@@ -270,11 +307,11 @@
         for request_id, attempt in pool.state.states[name].running.items():
             left = attempt.started + attempt.cost * pace - now
             if attempt.work.idempotent and now + left > until:
-                moves.append((attempt.priority, -left, request_id))
+                moves.append((attempt.band, -left, request_id))
         names = tuple(request_id for *_, request_id in sorted(moves))
         if until - now <= LAST_CALL:
             return names
-        room = -(-pool.state.count_free() // pool.state.entries)
+        room = ceil(pool.state.count_free() / pool.state.entries)
         return names[: max(0, room - len(pool.queue))]
 
     def next_wakeup(self, now):
@@ -286,9 +323,9 @@
             return now
         return max(now, min(times)) if times else None
 
-    def describe(self):
+    def describe(self, now):
         """Return figures of each pool by name."""
-        return {name: _describe(pool) for name, pool in self._pools.items()}
+        return {name: _describe(pool, now) for name, pool in self._pools.items()}
 
     def _find_pool_of(self, upstream):
         return self._homes.get(upstream)
@@ -309,6 +346,7 @@
         for name, pool in self._pools.items():
             members = [up for up in known.values() if up.pool == name]
             pool.state.update(members, self._left)
+            pool.changed = True
         self._homes = {
             name: self._pools[upstream.pool]
             for name, upstream in known.items()
@@ -330,7 +368,7 @@
         rate = pool.state.measure_concurrency() / pool.state.reference.mean
         ahead = 0.0
         items = pool.queue.list_waiting()
-        for item in sorted(items, key=lambda item: (item.priority, item.give_up)):
+        for item in sorted(items, key=lambda item: (item.band, item.give_up)):
             start = now + ahead * admission.MARGIN / rate
             if start > item.give_up and not item.work.attempts:
                 self._give_up(item.work.request_id, now)
@@ -348,48 +386,56 @@
         if not pool.state.count_live():
             after = admission.grade_retry(2.0, 1.0, self._rng)
             return admission.refuse_no_upstream(pool.name, after)
-        prospect = self._foresee(pool, work, cost, customer, kind)
-        excess = pool.meter.measure_excess()
+        prospect = self._foresee(pool, work, cost, customer, kind, now)
+        excess = pool.excess.measure(now)
         after = admission.grade_retry(prospect.wait, excess, self._rng)
         if pool.queue.count(work.customer) >= customer.queue_limit:
             return admission.refuse_customer(work.customer, after)
         # An idle pool takes anything: a bad estimate could never be corrected.
         if not pool.state.running and not len(pool.queue):
             return None
-        if pool.state.reference.measured and self._is_hopeless(
-            pool, work, prospect, kind, now
-        ):
+        if self._is_hopeless(pool, work, prospect, kind, now):
             return admission.refuse_pool(pool.name, after)
         return None
 
     def _is_hopeless(self, pool, work, prospect, kind, now):
         over = admission.is_over_target(prospect, kind.first_token)
-        key = (work.customer, work.work_class)
-        standing = pool.congestion.is_standing(key, over, now)
-        return (standing and over) or admission.is_too_late(prospect, work, now)
+        standing = pool.congestion.is_standing(_find_band(kind), over, now)
+        if standing and over:
+            return True
+        measured = pool.state.reference.measured
+        return measured and admission.is_too_late(prospect, work, now)
 
-    def _foresee(self, pool, work, cost, customer, kind):
+    def _foresee(self, pool, work, cost, customer, kind, now):
         """Return what new work would meet in this pool."""
         pace = pool.state.reference.mean
-        band = _find_band(kind.priority)
-        ahead = pool.queue.measure_ahead(work.customer, customer.weight, band)
-        wait = ahead * pace / pool.state.measure_concurrency()
-        prefill = cost if pool.kind == SERVICE else work.prompt_tokens * PREFILL_PART
-        return Prospect(wait, prefill * pace, cost * pace)
+        band = _find_band(kind)
+        whole = pool.state.measure_concurrency() / pace
+        wait = 0.0
+        if len(pool.queue) or not pool.state.has_open(frozenset()):
+            wait = pool.queue.measure_wait(
+                work.customer, customer.weight, band, cost, whole, now
+            )
+        first_token = pool.first_tokens.get(work.work_class, 0.0)
+        return Prospect(wait, first_token, cost * pace)
 
     def _push(self, pool, work, cost, front=False):
-        customer, kind = self._find_rules(work)
-        size = LONG if pool.is_long(cost) else SHORT
-        lane = (_find_band(kind.priority), size)
+        customer, _ = self._find_rules(work)
+        lane = self._find_lane(pool, work, cost)
         give_up = work.deadline - pool.state.reference.estimate(cost)
-        item = Queued(work, cost, kind.priority, lane, give_up)
+        item = Queued(work, cost, lane, give_up)
         pool.queue.push(item, customer.weight, front)
         self._waiting[work.request_id] = pool
+        pool.changed = True
         heappush(self._give_ups, (give_up, work.request_id))
 
+    def _find_lane(self, pool, work, cost):
+        _, kind = self._find_rules(work)
+        return _find_band(kind), LONG if pool.is_long(cost) else SHORT
+
     def _judge_retry(self, pool, rule, work, upstream, now):
         """Return why there is no further attempt, or None."""
-        excess = pool.meter.measure_excess()
+        excess = pool.excess.measure(now)
         after = admission.grade_retry(1.0, excess, self._rng)
         if not retries.may_repeat(rule, work):
             return retries.refuse_repeat(rule, work, upstream, after)
@@ -413,11 +459,13 @@
             if pool is None or pool.state.states[name].paused_until > now:
                 continue
             pool.state.states[name].paused_until = 0.0
-            pool.state.refresh(name)
+            pool.refresh(name)
 
     def _drain(self, pool, now):
         """Place queued work for as long as there is room for it."""
-        pool.state.set_reserve(self._find_reserve(pool))
+        if now - pool.shared_at >= SHARE_EVERY:
+            pool.shared_at = now
+            self._share_out(pool, now)
         blocked = set()
         aside = []
         spare = now < pool.regroup_until
@@ -432,25 +480,44 @@
                 # Only where it must not go is there room: let others pass it.
                 aside.append(pool.queue.remove(item.work.request_id))
             else:
-                blocked |= {(band, item.lane[1]) for band in (URGENT, YIELDING)}
+                blocked |= {(band, item.lane[1]) for band in BANDS}
         for item in aside:
             customer, _ = self._find_rules(item.work)
             pool.queue.push(item, customer.weight, front=True)
 
-    def _find_reserve(self, pool):
+    def _share_out(self, pool, now):
+        """Set how many slots may hold work that is long or less urgent.
+
+        Load: saturation with a mix of long and short. Harm prevented: each slot
+        that falls free goes to long work, which can wait for it, and once all hold
+        long work none falls free within the short work's target. Little's law gives
+        the slots that the urgent work offered of late needs; the rest, and no less
+        than the sure share, may hold other work. More is lent only where an
+        upstream keeps a reserve.
+        """
+        rates = [pool.offered[band, SHORT].measure(now) for band in BANDS]
+        pool.top = next((band for band in BANDS if rates[band] > 0), BANDS[0])
+        needed = rates[pool.top] * pool.state.reference.mean
+        part = pool.state.measure_part()
+        sure = SURE_SHARE[BANDS[1]] * part
+        pool.quota = max(sure, part - URGENT_ROOM * needed)
         slots = pool.state.count_slots() // max(1, pool.state.count_live())
-        return slots // RESERVE_PART
+        reserve = max(1, slots // RESERVE_PART) if needed > 0.05 else 0
+        pool.state.set_reserve(reserve)
 
     def _place(self, pool, item, now):
         work = item.work
-        long = item.lane[1] == LONG
-        choice = pool.state.choose(work, long, self._costs.estimate, self._rng)
+        urgent = item.lane == (pool.top, SHORT)
+        yields = not urgent and pool.state.yielding >= pool.quota
+        over = URGENT_OVER if urgent else 0
+        choice = pool.state.choose(work, yields, over, self._costs.estimate, self._rng)
         if choice is None:
             return None
         name, cost, cached = choice
-        pool.queue.take(item)
+        pool.queue.take(item, now)
         self._waiting.pop(work.request_id, None)
-        attempt = Running(work, item.priority, cost, cached, long, now)
+        attempt = Running(work, item.band, cost, cached, not urgent, now)
+        pool.state.yielding += not urgent
         pool.state.states[name].start(attempt, now)
         pool.state.running += 1
         pool.state.refresh(name)
@@ -465,14 +532,14 @@
         pool.state.reference.record(pace)
         state.limit.record(pace, pool.state.reference.seconds, state.slots)
         state.settle()
-        pool.queue.charge(attempt.work.customer, cost - attempt.cost)
+        pool.queue.charge(attempt.work.customer, attempt.band, cost - attempt.cost)
 
     def _give_up(self, request_id, now):
         pool = self._waiting.pop(request_id, None)
         item = pool.queue.remove(request_id) if pool else None
         if item is None:
             return
-        excess = pool.meter.measure_excess()
+        excess = pool.excess.measure(now)
         after = admission.grade_retry(1.0, excess, self._rng)
         detail = f"pool {pool.name} can't meet the deadline any more"
         outcome = NOT_RUN if not item.work.attempts else None
@@ -481,11 +548,11 @@
         self._refusals.append(Refusal(request_id, exc))
 
 
-def _find_band(priority):
-    return YIELDING if priority >= YIELDING_PRIORITY else URGENT
+def _find_band(kind):
+    return min(kind.priority, YIELDING)
 
 
-def _describe(pool):
+def _describe(pool, now):
     state = pool.state
     limits = {name: upstream.limit.value for name, upstream in state.states.items()}
     return PoolFigures(
@@ -494,6 +561,6 @@
         live=state.count_live(),
         slots=state.count_slots(),
         pace=state.reference.mean,
-        excess=pool.meter.measure_excess(),
+        excess=pool.excess.measure(now),
         limits=limits,
     )
--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -240,10 +240,6 @@
         for conn in list(self._callers):
             if conn.state.exchange is None:
                 self._check_waiting(conn, now)
-            elif (conn.ended or conn.paused) and self._streams.is_broken(conn):
-                # Guard: the poller watches only connections that are read or written;
-                # on any other the reset by a caller that has left goes unseen.
-                self._streams.drop(conn)
 
     def _check_waiting(self, conn, now):
         caller = conn.state
