Try again after an attempt that failed, and lose no token on the way

Cause: dispatch.retry set a field that Work doesn't have, so every failed attempt raised and left its caller waiting; it kept excluded upstreams as a tuple and never counted attempts. A connection paused by an answer's last read went into the idle pool and brought nothing to its next call. Tokens read together with nonsense counted as given and were never written: a gap after the resume. An engine's event without an end grew for ever; tokens behind the end mark were taken. Ruled out: the scheduler (its own tests pass; the dispatcher didn't reach it). Change: retries.count_attempt for both, refusals given as such; resume on release; tokens before a failure are written; EVENT_LIMIT.

--- a/src/chervilwing/answers.py
+++ b/src/chervilwing/answers.py
@@ -9,6 +9,9 @@
 EVENT_END = b"\n\n"
 DATA = b"data: "
 DONE = b"[DONE]"
+# Load: an engine that sends bytes and never the end of an event. Harm: they would be
+# kept without end. A token's event has about a hundred bytes.
+EVENT_LIMIT = 1024 * 1024
 
 
 class Usage(TypedDict, total=False):
@@ -76,9 +79,11 @@
     def feed(self, data):
         """Return the tokens that these bytes add; raises UpstreamFailed on nonsense."""
         *events, self._buffer = (self._buffer + data).split(EVENT_END)
+        if len(self._buffer) > EVENT_LIMIT:
+            raise UpstreamFailed("An event is too long.")
         before = len(self.tokens)
         for event in events:
-            if event.startswith(DATA):
+            if event.startswith(DATA) and not self.complete:
                 self._take(event[len(DATA) :])
         return self.tokens[before:]
 
--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -116,6 +116,9 @@
 
     def pause(self, exchange):
         """Stop reading the answer until ``resume``."""
+        # The connection of a call that is over may carry somebody else's by now.
+        if exchange.over:
+            return
         exchange.held = True
         self._streams.pause(exchange.conn)
 
@@ -206,6 +209,9 @@
 
     def _release(self, exchange):
         conn = exchange.conn
+        # Guard: an answer can end in the read that paused it; left paused, the
+        # connection would never bring the next call's answer.
+        self.resume(exchange)
         self._end(exchange)
         idle = self._idle[exchange.call.address]
         if exchange.reader.reusable and len(idle) < IDLE_LIMIT:
--- a/src/chervilwing/dispatch.py
+++ b/src/chervilwing/dispatch.py
@@ -9,7 +9,7 @@
 
 from circuits.core import BaseComponent, handler
 
-from . import completions
+from . import completions, retries
 from .claimant import KEY_HEADER
 from .directory import Directory
 from .exceptions import (
@@ -104,16 +104,17 @@
     def retry(self, session, exc, outcome):
         """Queue a request again after a failed attempt."""
         now = time.monotonic()
-        session.work = session.work._replace(started_tokens=session.tokens)
-        refusal = self.scheduler.retry(
-            session.work, session.upstream.name, outcome, now
-        )
+        name, rule = session.upstream.name, retries.RULES[outcome]
+        work = session.work._replace(tokens=session.tokens)
+        refusal = self.scheduler.retry(work, name, outcome, now)
         if refusal is None:
-            excluded = (*session.work.excluded, session.upstream.name)
-            session.work = session.work._replace(excluded=excluded)
+            session.work = retries.count_attempt(rule, work, name)
             self.pump()
             return
-        exc.retry_after = getattr(refusal.exc, "retry_after", None)
+        # What broke off is told as it happened; what was refused is a refusal.
+        if rule.not_run:
+            exc = refusal.exc
+        exc.retry_after = refusal.exc.retry_after
         session.refuse(exc)
 
     def forget(self, session):
--- a/src/chervilwing/generations.py
+++ b/src/chervilwing/generations.py
@@ -109,14 +109,20 @@
         self._abandon(outcome, f"The engine answered {status}.")
 
     def _received(self, data):
+        before, failure = self.answer.offset, None
         try:
-            tokens = self.answer.feed(data)
+            self.answer.feed(data)
         except UpstreamFailed as exc:
-            self._abandon(FAILED, exc.detail)
-            return
+            failure = exc
+        # Guard: tokens that came in one read with the nonsense behind them count as
+        # given, so that the next attempt goes on after them; unless they are written,
+        # the caller sees a gap.
+        tokens = self.answer.tokens[before:]
         if tokens:
             self._emit(tokens)
-        if self.answer.complete:
+        if failure is not None:
+            self._abandon(FAILED, failure.detail)
+        elif self.answer.complete:
             self._complete()
 
     def _ended(self):
--- a/src/chervilwing/retries.py
+++ b/src/chervilwing/retries.py
@@ -40,6 +40,12 @@
 }
 
 
+def count_attempt(rule, work, upstream):
+    """Return the work as it goes into its next attempt."""
+    excluded = work.excluded | {upstream} if rule.elsewhere else work.excluded
+    return work._replace(excluded=excluded, attempts=work.attempts + 1)
+
+
 def may_repeat(rule, work):
     """Tell whether another attempt is safe and allowed at all."""
     safe = rule.not_run or work.idempotent
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -281,8 +281,7 @@
         """
         rule = retries.RULES[outcome]
         pool = self._pools[work.pool]
-        excluded = work.excluded | {upstream} if rule.elsewhere else work.excluded
-        work = work._replace(excluded=excluded, attempts=work.attempts + 1)
+        work = retries.count_attempt(rule, work, upstream)
         exc = self._judge_retry(pool, rule, work, upstream, now)
         if exc is not None:
             return Refusal(work.request_id, exc)
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,84 @@
+"""What one answer takes from the events of its attempts."""
+
+import json
+import unittest
+
+from chervilwing.answers import EVENT_LIMIT, Answer
+from chervilwing.exceptions import UpstreamFailed
+
+DONE = b"data: [DONE]\n\n"
+
+
+def event(attempt="a", **fields):
+    """Return one event of an engine."""
+    return b"data: " + json.dumps({"attempt": attempt, **fields}).encode() + b"\n\n"
+
+
+def token(index, attempt="a"):
+    """Return the event of a token that names its place."""
+    return event(attempt, index=index, token=f" {index}")
+
+
+def figures(count, attempt="a"):
+    """Return the event with an attempt's figures."""
+    usage = {"completion_tokens": count, "recomputed_tokens": 1}
+    return event(attempt, usage=usage, finish_reason="length")
+
+
+class TestAnswer(unittest.TestCase):
+    def setUp(self):
+        self.answer = Answer()
+        self.answer.begin("a")
+
+    def check_failure(self, data):
+        with self.assertRaises(UpstreamFailed):
+            self.answer.feed(data)
+        self.assertFalse(self.answer.complete)
+
+    def test_nonsense_is_a_typed_failure(self):
+        rows = (
+            b"data: {\n\n",
+            b"data: 7\n\n",
+            b"data: \xff\n\n",
+            event(index="0", token="x"),
+            event(index=-1, token="x"),
+            event(token="x"),
+            event(index=1, token="x"),
+            event(index=0, token=7),
+            event(usage=5) + DONE,
+            event(usage={"completion_tokens": "0"}) + DONE,
+            event(usage={}) + DONE,
+            figures(1) + DONE,
+            figures(0, "b") + DONE,
+            DONE,
+            b"x" * (EVENT_LIMIT + 1),
+        )
+        for data in rows:
+            with self.subTest(data=data[:60]):
+                self.setUp()
+                self.check_failure(data)
+
+    def test_only_the_attempt_under_way_counts(self):
+        self.answer.feed(token(0) + token(1, "late") + token(1))
+        self.answer.begin("b")
+        added = self.answer.feed(token(2, "a") + token(1, "b") + token(2, "b"))
+        self.assertEqual(added, [" 2"])
+        self.answer.feed(figures(3, "a") + figures(1, "b") + DONE)
+        self.assertEqual((self.answer.text, self.answer.complete), (" 0 1 2", True))
+        self.assertEqual(self.answer.recomputed, 1)
+
+    def test_nothing_counts_after_the_end_mark(self):
+        self.answer.feed(token(0) + figures(1) + DONE + token(1) + DONE)
+        self.answer.feed(token(1))
+        self.assertEqual(self.answer.text, " 0")
+
+    def test_events_cut_anywhere_add_the_same(self):
+        data = token(0) + token(1) + figures(2) + DONE
+        for at in range(len(data)):
+            self.setUp()
+            added = self.answer.feed(data[:at]) + self.answer.feed(data[at:])
+            self.assertEqual((added, self.answer.complete), ([" 0", " 1"], True))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -95,6 +95,7 @@
 class TestClient(unittest.TestCase):
     def setUp(self):
         self.loop = Loop()
+        self.addCleanup(self.loop.run_until, lambda: self.loop.client.count_idle() == 0)
 
     def start(self, script):
         upstream = RawUpstream(script)
@@ -125,7 +126,12 @@
             self.assertEqual(self.loop.call(upstream.port, f"/{i}").body, b"/%d" % i)
 
     def test_a_cancelled_call_leaves_nothing_behind(self):
-        upstream = self.start(echo)
+        def answer_late(conn, method, path, body):
+            if path == "/dropped":
+                conn.recv(1)
+            echo(conn, method, path, body)
+
+        upstream = self.start(answer_late)
         for i in range(5):
             dropped = self.loop.submit(upstream.port, "/dropped")
             self.loop.run_until(lambda i=i: upstream.count("/dropped") == i + 1)
