--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -5,13 +5,9 @@
 import unittest
 from contextlib import ExitStack
 
-from circuits.core import BaseComponent
-
 from chervilwing.connections import Call, CallHandlers, Client
-from chervilwing.daemon import tick
 from chervilwing.exceptions import NOT_RUN, UNKNOWN, UpstreamFailed, UpstreamSilent
 from chervilwing.models import Address
-from chervilwing.pollers import DirectPoller
 from tests.deployments import (
     AUTHORISED,
     Deployment,
@@ -23,44 +19,11 @@
 )
 from tests.fakes.tokens import expected_tokens
 from tests.procs import HOST, Caller, call, poll
-from tests.upstreams import RawUpstream, send_load
+from tests.upstreams import Loop, RawUpstream, send_load
 
 SILENCE = 0.3
 
 
-class Loop:
-    """A poller and a client that run only while a test waits."""
-
-    def __init__(self):
-        self.root = BaseComponent()
-        self.poller = DirectPoller().register(self.root)
-        self.client = Client(self.poller).register(self.root)
-        self.root._running = True
-
-    def run_until(self, check):
-        """Handle events until the check holds."""
-
-        def step():
-            self.root.fire(tick(), "*")
-            self.root.tick(0.01)
-            return check()
-
-        return poll(step)
-
-    def submit(self, port, path="/", **options):
-        """Start a call and return what is heard of it."""
-        heard = Heard()
-        call = Call(Address(HOST, port), "GET", path, {}, **options)
-        heard.exchange = self.client.submit(call, heard.handlers)
-        return heard
-
-    def call(self, port, path="/", **options):
-        """Make a call and return it once it has ended."""
-        heard = self.submit(port, path, **options)
-        self.run_until(lambda: heard.over)
-        return heard
-
-
 class Heard:
     """What one call's handlers were told."""
 
@@ -95,7 +58,21 @@
 class TestClient(unittest.TestCase):
     def setUp(self):
         self.loop = Loop()
-        self.addCleanup(self.loop.run_until, lambda: self.loop.client.count_idle() == 0)
+        self.client = Client(self.loop.poller).register(self.loop.root)
+        self.addCleanup(self.loop.run_until, lambda: not self.client.count_idle())
+
+    def submit(self, port, path="/", **options):
+        """Start a call and return what is heard of it."""
+        heard = Heard()
+        call = Call(Address(HOST, port), "GET", path, {}, **options)
+        heard.exchange = self.client.submit(call, heard.handlers)
+        return heard
+
+    def call(self, port, path="/", **options):
+        """Make a call and return it once it has ended."""
+        heard = self.submit(port, path, **options)
+        self.loop.run_until(lambda: heard.over)
+        return heard
 
     def start(self, script):
         upstream = RawUpstream(script)
@@ -109,7 +86,7 @@
     def test_a_connection_carries_one_call_at_a_time(self):
         upstream = self.start(echo)
         for turn in range(3):
-            calls = [self.loop.submit(upstream.port, f"/{turn}/{i}") for i in range(5)]
+            calls = [self.submit(upstream.port, f"/{turn}/{i}") for i in range(5)]
             self.loop.run_until(lambda calls=calls: all(item.over for item in calls))
             for i, heard in enumerate(calls):
                 self.assertEqual(heard.body, b"/%d/%d" % (turn, i))
@@ -123,7 +100,7 @@
 
         upstream = self.start(answer_twice)
         for i in range(5):
-            self.assertEqual(self.loop.call(upstream.port, f"/{i}").body, b"/%d" % i)
+            self.assertEqual(self.call(upstream.port, f"/{i}").body, b"/%d" % i)
 
     def test_a_cancelled_call_leaves_nothing_behind(self):
         def answer_late(conn, method, path, body):
@@ -133,10 +110,10 @@
 
         upstream = self.start(answer_late)
         for i in range(5):
-            dropped = self.loop.submit(upstream.port, "/dropped")
+            dropped = self.submit(upstream.port, "/dropped")
             self.loop.run_until(lambda i=i: upstream.count("/dropped") == i + 1)
-            self.loop.client.cancel(dropped.exchange)
-            self.assertEqual(self.loop.call(upstream.port, f"/{i}").body, b"/%d" % i)
+            self.client.cancel(dropped.exchange)
+            self.assertEqual(self.call(upstream.port, f"/{i}").body, b"/%d" % i)
             self.assertEqual((dropped.body, dropped.over), (b"", False))
 
     def test_a_connection_closed_while_idle_is_not_used(self):
@@ -146,22 +123,22 @@
 
         upstream = self.start(answer_and_close)
         for i in range(3):
-            self.assertEqual(self.loop.call(upstream.port, f"/{i}").body, b"/%d" % i)
-            self.loop.run_until(lambda: not self.loop.client.count_idle())
+            self.assertEqual(self.call(upstream.port, f"/{i}").body, b"/%d" % i)
+            self.loop.run_until(lambda: not self.client.count_idle())
         self.assertEqual(len(upstream.conns), 3)
 
     def test_a_paused_connection_is_read_again_by_its_next_call(self):
         # A slow reader's answer ends in the very read that made it pause. The next
         # caller gets that connection and would wait for bytes that nobody reads.
         upstream = self.start(echo)
-        first = self.loop.submit(upstream.port, "/first")
-        first.on_data = lambda: self.loop.client.pause(first.exchange)
+        first = self.submit(upstream.port, "/first")
+        first.on_data = lambda: self.client.pause(first.exchange)
         self.loop.run_until(lambda: first.body)
         self.loop.run_until(lambda: first.over)
-        second = self.loop.call(upstream.port, "/second", silence_timeout=2.0)
+        second = self.call(upstream.port, "/second", silence_timeout=2.0)
         self.assertEqual((second.body, second.failure), (b"/second", None))
-        self.loop.client.pause(first.exchange)
-        self.assertEqual(self.loop.call(upstream.port, "/third").body, b"/third")
+        self.client.pause(first.exchange)
+        self.assertEqual(self.call(upstream.port, "/third").body, b"/third")
 
     def test_what_is_said_of_a_call_that_failed(self):
         def cut(conn, *call):
@@ -186,11 +163,11 @@
             (say_nothing, UpstreamSilent),
         ):
             upstream = self.start(script)
-            heard = self.loop.call(upstream.port, silence_timeout=SILENCE)
+            heard = self.call(upstream.port, silence_timeout=SILENCE)
             self.check_failure(heard, kind, UNKNOWN)
         port = upstream.port
         upstream.close()
-        self.check_failure(self.loop.call(port), UpstreamFailed, NOT_RUN)
+        self.check_failure(self.call(port), UpstreamFailed, NOT_RUN)
 
     def test_idle_connections_of_a_silent_path_are_retired(self):
         # A middle box has lost track of every open connection; new ones work.
@@ -201,12 +178,12 @@
                 echo(conn, *call)
 
         upstream = self.start(answer)
-        calls = [self.loop.submit(upstream.port) for _ in range(4)]
+        calls = [self.submit(upstream.port) for _ in range(4)]
         self.loop.run_until(lambda: all(item.over for item in calls))
         silent.update(upstream.conns)
-        heard = self.loop.call(upstream.port, silence_timeout=SILENCE)
+        heard = self.call(upstream.port, silence_timeout=SILENCE)
         self.check_failure(heard, UpstreamSilent, UNKNOWN)
-        self.assertEqual(self.loop.call(upstream.port, "/new").body, b"/new")
+        self.assertEqual(self.call(upstream.port, "/new").body, b"/new")
         self.assertEqual(len(upstream.conns), 5)
 
 
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -3,12 +3,15 @@
 import json
 import random
 import select
+import signal
 import socket
 import struct
 import unittest
-from contextlib import ExitStack, contextmanager
+from contextlib import ExitStack, contextmanager, suppress
 
 from chervilwing import exceptions as exc
+from chervilwing.settings import read_settings
+from chervilwing.web import Web, WebHandlers
 from tests.deployments import (
     AUTHORISED,
     Deployment,
@@ -22,6 +25,7 @@
 from tests.upstreams import (
     CHUNKED_END,
     CHUNKED_HEAD,
+    Loop,
     RawUpstream,
     make_chunk,
     send_load,
@@ -264,6 +268,103 @@
                     caller.fill()
 
 
+class TestStop(unittest.TestCase):
+    def setUp(self):
+        self.deployment = Deployment()
+        self.addCleanup(self.deployment.close)
+        self.deployment.start_upstreams(1, 1, ("--token-time", "0.001"))
+
+    def test_a_planned_stop_cuts_no_request_that_has_come_in_part(self):
+        # A clerk's upload is half there when the instance is told to stop. It ends
+        # with its answer; the idle connection beside it ends at once.
+        entry = self.deployment.start_entry("one")
+        with Caller(entry.port) as caller, Caller(entry.port) as idle:
+            idle.call("GET", "/-/live")
+            first = head("POST " + NOTES + " HTTP/1.1", "Content-Length: 8")
+            caller.send(first[:-2] + AUTHORISATION + b"\r\nhalf")
+            call(entry.port, "GET", "/-/live", headers={"Connection": "close"})
+            entry.signal(signal.SIGTERM)
+            with self.assertRaises(EOFError):
+                idle.fill()
+            caller.send(b"half")
+            answer = caller.read_answer()
+            self.assertEqual((answer.status, answer.whole), (200, True))
+            self.assertEqual(answer.headers["connection"], "close")
+        self.assertEqual(entry.popen.wait(10), 0)
+
+
+class TestWeb(unittest.TestCase):
+    def start(self, requested, **changes):
+        """Serve callers within this test's own process."""
+        cfg = read_settings(["--embedded"], {}).unwrap()._replace(**changes)
+        self.loop = Loop()
+        handlers = WebHandlers(requested, lambda exchange: None)
+        web = Web(cfg, self.loop.poller, handlers).register(self.loop.root)
+        self.addCleanup(web.stop_listening)
+        return web, web.listen((HOST, 0)).port
+
+    def test_connections_that_nothing_moves_on_are_closed(self):
+        # Idle callers, and callers that stop reading an answer that is complete, each
+        # hold a socket and a buffer. Who reads slowly but reads is served to the end.
+        document = b"x" * 4_000_000
+        web, port = self.start(lambda ex: ex.answer(200, document), idle_timeout=0.5)
+        with ExitStack() as stack:
+            idle, stalled, slow = (stack.enter_context(Caller(port)) for _ in range(3))
+            for caller in (stalled, slow):
+                caller.request("GET", "/")
+            slow.sock.setblocking(False)
+            self.loop.run_until(lambda: web.count() == 3)
+            received = []
+
+            def read_slowly():
+                with suppress(BlockingIOError):
+                    received.append(len(slow.sock.recv(20_000)))
+                return web.count() == 1
+
+            self.loop.run_until(read_slowly)
+            self.assertLess(sum(received), len(document))
+            with self.assertRaises(EOFError):
+                idle.fill()
+
+            def read_fast():
+                with suppress(BlockingIOError):
+                    received.append(len(slow.sock.recv(1 << 20)))
+                return sum(received) > len(document)
+
+            self.loop.run_until(read_fast)
+            with self.assertRaises(EOFError):
+                while len(stalled.raw) < len(document):
+                    stalled.fill()
+        self.loop.run_until(lambda: web.count() == 0)
+
+    def test_answers_that_nobody_reads_stop_the_requests(self):
+        # A caller pipelines without end and reads nothing: neither its requests nor
+        # the answers may pile up.
+        page, served = b"x" * 10_000, []
+
+        def requested(exchange):
+            served.append(exchange)
+            exchange.answer(200, page)
+
+        web, port = self.start(requested)
+        with Caller(port) as caller:
+            caller.sock.setblocking(False)
+            data = memoryview(head("GET / HTTP/1.1") * 200_000)
+            counts = []
+
+            def push():
+                nonlocal data
+                with suppress(BlockingIOError):
+                    data = data[caller.sock.send(data) :]
+                counts.append(len(served))
+                return len(counts) > 100 and counts[-1] == counts[-50]
+
+            self.loop.run_until(push)
+            self.assertLess(len(served), 1000)
+            self.assertGreater(len(data), 0)
+        self.loop.run_until(lambda: web.count() == 0)
+
+
 class TestSlowReader(unittest.TestCase):
     def test_a_slow_reader_slows_the_engine_down(self):
         # A phone stops reading. Nobody may keep the rest of its answer in memory: the
--- a/tests/upstreams.py
+++ b/tests/upstreams.py
@@ -1,4 +1,4 @@
-"""An upstream in the test's own process that sends exactly the bytes of a script."""
+"""Parts of a test's own process: a scripted upstream, a loop for components."""
 
 import json
 import socket
@@ -6,7 +6,11 @@
 import time
 from contextlib import suppress
 
-from tests.procs import HOST, Caller
+from circuits.core import BaseComponent
+
+from chervilwing.daemon import tick
+from chervilwing.pollers import DirectPoller
+from tests.procs import HOST, Caller, poll
 
 SEND_BUFFER = 8192
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -66,6 +70,25 @@
             sock.close()
 
 
+class Loop:
+    """A poller, and components on it, that run only while a test waits."""
+
+    def __init__(self):
+        self.root = BaseComponent()
+        self.poller = DirectPoller().register(self.root)
+        self.root._running = True
+
+    def run_until(self, check):
+        """Handle events until the check holds."""
+
+        def step():
+            self.root.fire(tick(), "*")
+            self.root.tick(0.01)
+            return check()
+
+        return poll(step)
+
+
 def send_load(conn):
     """Report that there is nothing to do."""
     load = {"running": 0, "waiting": 0, "slots": 8, "as_of": time.time()}
