--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -27,6 +27,7 @@
     "notices",
     "parsers",
     "peers",
+    "pollers",
     "sessions",
     "sockets",
     "web",
