List what the operators' page lacks in place of printing the page

Cause: a new log line turned the check red as it should, but the message was the whole page. Ruled out: a shorter page in the message. Before: 20 kB of message. Conclusion: none beyond that.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -42,6 +42,11 @@
 
 
 class TestOperations(unittest.TestCase):
+    def check_named(self, names, form):
+        """Check that the page holds each name in a form; list those that it lacks."""
+        lacking = {name for name in names if form.format(name) not in PAGE}
+        self.assertEqual(lacking, set())
+
     def test_every_configuration_key_is_in_its_sections_table(self):
         for section, shape in SHAPES.items():
             _, _, text = PAGE.partition(f"`[[{section}]]`")
@@ -51,15 +56,12 @@
 
     def test_every_failure_is_named(self):
         self.assertGreater(len(find_types(exceptions.ChervilwingError)), 20)
-        for name in sorted(find_types(exceptions.ChervilwingError)):
-            self.assertIn(f"`{name}`", PAGE)
+        self.check_named(find_types(exceptions.ChervilwingError), "`{}`")
 
     def test_every_log_line_is_named(self):
         self.assertIn("started", set(find_events()))
-        for message in sorted(set(find_events())):
-            self.assertIn(f"| `{message}` |", PAGE)
-        for name in RequestLine._fields:
-            self.assertIn(f"`{name}`", PAGE)
+        self.check_named(find_events(), "| `{}` |")
+        self.check_named(RequestLine._fields, "`{}`")
 
     def test_every_command_and_exit_code_is_named(self):
         commands = [
@@ -69,7 +71,5 @@
             for item in group.typer_instance.registered_commands:
                 commands.append(f"{group.name} {item.name or item.callback.__name__}")
         self.assertGreater(len(commands), 10)
-        for command in commands:
-            self.assertIn(f"`{command}", PAGE.replace("`inventory`", ""), command)
-        for code in re.findall(r"(\d) ", EXIT_HELP):
-            self.assertIn(f"| {code} |", PAGE)
+        self.check_named(commands, "`{}")
+        self.check_named(re.findall(r"(\d) ", EXIT_HELP), "| {} |")
