--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -79,6 +79,21 @@
         assert status == 200, answer
         return answer["version"]
 
+    def list_instances(self, configuration):
+        """Put the configuration's upstreams on the cloud's instance list."""
+        rows = [
+            {
+                "name": row.name,
+                "role": row.kind,
+                "data_centre": row.data_centre,
+                "zone": row.data_centre,
+                "host": row.address.host,
+                "port": row.address.port,
+            }
+            for row in configuration.inventory.upstreams
+        ]
+        assert self.cloud.post("/-/instances", {"instances": rows})[0] == 200
+
     def start_entry(self, name, *options, data_centre="a", store=None, ready=True):
         """Start an entry instance and wait until it is ready."""
         seeds = ",".join(f"{HOST}:{item.info['peer_port']}" for item in self.entries)
--- a/tests/fakes/generation.py
+++ b/tests/fakes/generation.py
@@ -33,7 +33,7 @@
 
     def show(self):
         """Return the record of this attempt."""
-        hidden = ("task", "prompt", "prefix")
+        hidden = ("task", "prefix")
         return {key: value for key, value in vars(self).items() if key not in hidden}
 
 
