Spread records, notices and revisions by gossip over partial views

Cause: a notice or revision heard by one instance must reach all in 3 s and 16 s. Ruled out: seeds tried only while nothing is heard (three groups that never met at 8 and 64 instances); acks charged into debt (320 that start at once stayed at 124 known); 16 items a frame (130 notices at once took over 3 s); suspecting by a window of 12 s (three false suspicions at a cut).

--- a/src/chervilwing/gossip.py
+++ b/src/chervilwing/gossip.py
@@ -320,5 +320,5 @@
         return self._left > reserve * self._burst
 
     def spend(self, size):
-        """Take ``size`` bytes out."""
-        self._left -= size
+        """Take ``size`` bytes out, down to none: answers to probes are always sent."""
+        self._left = max(0.0, self._left - size)
--- a/src/chervilwing/membership.py
+++ b/src/chervilwing/membership.py
@@ -46,7 +46,6 @@
     probe_interval: float = 1.0
     probe_timeout: float = 0.9
     misses: int = 8
-    witness_age: float = 12.0
     inbound_age: float = 15.0
     shun: float = 20.0
     rotation: float = 30.0
@@ -54,8 +53,9 @@
     suspect_age: float = 7200.0
     tombstone_age: float = 86_400.0
     notice_age: float = 60.0
-    frame_items: int = 16
-    sync_frames: int = 4
+    frame_items: int = 40
+    sync_frames: int = 2
+    referrals: int = 3
     fetch_timeout: float = 1.0
     rate: float = 2000.0
     burst: float = 40_000.0
@@ -292,10 +292,16 @@
         return self._take([item], peer, now, rumour=True)
 
     def _on_ping(self, peer, body, now):
-        same = _check_bytes(body) == self._table.digest()
-        if same or not self._budget.has(self._cfg.sync_reserve):
+        if _check_bytes(body) == self._table.digest():
             return [self._send(peer, "ack", None)]
-        return [self._send(peer, "buckets", self._table.bucket_digests())]
+        if self._budget.has(self._cfg.sync_reserve):
+            return [self._send(peer, "buckets", self._table.bucket_digests())]
+        # Hundreds that start at once all ask the few seeds, whose budget is soon used
+        # up; each is then told of a few others to ask, else it would know the seed
+        # alone for minutes.
+        count = min(self._cfg.referrals, len(self._names))
+        records = self._rng.sample(self.members(), count)
+        return [self._send(peer, "items", _to_body(records))]
 
     def _on_ack(self, peer, body, now):
         return []
@@ -438,6 +444,7 @@
         suspecting each of its instances would cost a burst of rumours at the cut and
         another at the healing.
         """
+        silent_since = self._view.silent_since(peer)
         self._view.drop(peer, now)
         record = self._record_at(peer)
         if record is None:
@@ -447,7 +454,7 @@
             for other in self.members()
             if other.data_centre == record.data_centre and other.address != peer
         ]
-        if not self._view.hears_any(others, now):
+        if not self._view.heard_since(others, silent_since):
             self._view.note_centre_failed(record.data_centre)
             return
         suspect = record._replace(state=SUSPECT)
--- a/src/chervilwing/views.py
+++ b/src/chervilwing/views.py
@@ -16,6 +16,7 @@
         self._heard = {}
         self._asked = {}
         self._missed = {}
+        self._silent = {}
         self._shunned = {}
         self._failed_centres = {}
         self._next_link = 0
@@ -40,7 +41,7 @@
     def note_heard(self, peer, data_centre, now):
         """Take a message as proof that a peer is up; return whether a cut healed."""
         self._heard[peer] = now
-        for state in (self._asked, self._missed, self._shunned):
+        for state in (self._asked, self._missed, self._silent, self._shunned):
             state.pop(peer, None)
         healed = self.is_cut_off(data_centre)
         self._failed_centres.pop(data_centre, None)
@@ -58,6 +59,7 @@
                 continue
             del self._asked[peer]
             self._missed[peer] = self._missed.get(peer, 0) + 1
+            self._silent.setdefault(peer, at)
             if peer not in self._links:
                 self.drop(peer, now)
             elif self._missed[peer] >= self._cfg.misses:
@@ -68,7 +70,7 @@
         """Give a link up and leave its peer alone for a while."""
         if peer in self._links:
             self._links.remove(peer)
-        for state in (self._heard, self._asked, self._missed):
+        for state in (self._heard, self._asked, self._missed, self._silent):
             state.pop(peer, None)
         self._shunned[peer] = now + self._cfg.shun
 
@@ -93,10 +95,13 @@
         """
         return self._failed_centres.get(data_centre, 0) >= CUT_OFF_FAILURES
 
-    def hears_any(self, peers, now):
-        """Tell whether one of these peers was heard a short while ago."""
-        recent = now - self._cfg.witness_age
-        return any(self._heard.get(peer, recent) > recent for peer in peers)
+    def silent_since(self, peer):
+        """Return when a peer left its first probe unanswered, or was last heard."""
+        return self._silent.get(peer, self._heard.get(peer, 0.0))
+
+    def heard_since(self, peers, since):
+        """Tell whether any of these peers was heard after a time."""
+        return any(self._heard.get(peer, 0.0) > since for peer in peers)
 
     def rebalance(self, records, now):
         """Choose all links anew, as after a cut, when near ones fill every place."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -5,6 +5,7 @@
 from itertools import count
 
 from chervilwing.frames import Decoder
+from chervilwing.gossip import Record
 from chervilwing.membership import (
     HEADER_BYTES,
     Heard,
@@ -12,7 +13,6 @@
     MembershipSettings,
     Send,
 )
-from chervilwing.gossip import Record
 from chervilwing.models import Address
 
 START = 1_800_000_000.0
@@ -49,7 +49,9 @@
         node.join([Address("127.0.0.1", 20_000 + seed) for seed in range(3)])
         self.stop(address)
         self.nodes[address] = node
-        self._push(self.now + self.rng.random() * self.cfg.interval, address, None, node)
+        self._push(
+            self.now + self.rng.random() * self.cfg.interval, address, None, node
+        )
         return node
 
     def stop(self, address):
