--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements that give the figures of the design pages."""
+"""Measurements; each module prints its figures and rewrites its section of a page."""
