--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -5,18 +5,18 @@
 from tests import live
 
 
-class TestLive(unittest.TestCase):
-    """Each scenario in tests/scenarios/live is a test of its own."""
+def make_class(path):
+    """Return a test case of its own for a scenario, so that it runs beside others."""
 
-
-def make_test(path):
-    """Return the test that plays one scenario."""
-
-    def test(self):
+    def test_scenario(self):
         live.run(path.read_text())
 
-    return test
+    name = "Test" + "".join(part.title() for part in path.stem.split("-"))
+    return type(name, (unittest.TestCase,), {"test_scenario": test_scenario})
 
 
 for found in sorted(live.LIVE.glob("*.scn")):
-    setattr(TestLive, f"test_{found.stem.replace('-', '_')}", make_test(found))
+    case = make_class(found)
+    case.__module__ = __name__
+    globals()[case.__name__] = case
+del case
