--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; each module prints its figures and rewrites its section of a page."""
+"""Measurements that give the figures of the design pages."""
--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -252,7 +252,7 @@
         for row in lost:
             print(*row, flush=True)
         cut_rows += lost
-    write_section("MEASUREMENTS.md", "gossip", render(spread_rows, idle_rows, cut_rows))
+    write_section("gossip", render(spread_rows, idle_rows, cut_rows))
 
 
 def render(spread_rows, idle_rows, cut_rows):
--- a/bench/pages.py
+++ b/bench/pages.py
@@ -1,21 +1,22 @@
-"""Rewrite one marked section of a page."""
+"""Sections of docs/MEASUREMENTS.md, each between markers of its own."""
 
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parent.parent
+PAGE = Path(__file__).resolve().parent.parent / "docs" / "MEASUREMENTS.md"
+TITLE = "# Measurements\n"
 
 
-def write_section(page, marker, text):
-    """Put ``text`` between the markers of a page under docs; add them if missing."""
-    path = ROOT / "docs" / page
-    old = path.read_text() if path.exists() else f"# {path.stem.capitalize()}\n"
-    start, end = f"<!-- {marker} -->", f"<!-- /{marker} -->"
-    section = f"{start}\n{text.strip()}\n{end}"
-    if start not in old:
-        path.write_text(f"{old.rstrip()}\n\n{section}\n")
+def write_section(name, text, page=PAGE):
+    """Replace the section between its markers, or add it at the end."""
+    start, end = f"<!-- begin {name} -->", f"<!-- end {name} -->"
+    whole = page.read_text() if page.exists() else TITLE
+    section = f"{start}\n{text.strip()}\n{end}\n"
+    if start not in whole:
+        page.write_text(f"{whole.rstrip()}\n\n{section}")
         return
-    head, rest = old.split(start, 1)
-    path.write_text(head + section + rest.split(end, 1)[1])
+    before, rest = whole.split(start, 1)
+    _, after = rest.split(f"{end}\n", 1)
+    page.write_text(f"{before}{section}{after}")
 
 
 def format_table(heads, rows):
--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -78,6 +78,22 @@
     status, type, title, outcome = 409, "conflict", "Conflicting write", NOT_RUN
 
 
+class EditConflict(Conflict):
+    """Two operators changed the same entry; ``overlaps`` holds both sides of each."""
+
+    type, title = "edit-conflict", "Conflicting edit"
+
+    def __init__(self, detail="", *, overlaps=(), **more):
+        super().__init__(detail, **more)
+        self.overlaps = overlaps
+
+
+class LengthRequired(ChervilwingError):
+    """The body's length isn't given up front (RFC 9110, section 15.5.12)."""
+
+    status, type, title, outcome = 411, "length-required", "Length required", NOT_RUN
+
+
 class TooLarge(ChervilwingError):
     """The head or the body is over its limit."""
 
@@ -108,6 +124,12 @@
     status, type, title, outcome = 502, "upstream-failed", "Upstream failed", UNKNOWN
 
 
+class UpstreamSilent(UpstreamFailed):
+    """An upstream, or the path to it, gave no sign for too long."""
+
+    type, title = "upstream-silent", "Upstream silent"
+
+
 class DeadlinePassed(ChervilwingError):
     """The request was given up on at its deadline."""
 
@@ -126,6 +148,12 @@
     status, type, title, outcome = 503, "not-ready", "Not ready", NOT_RUN
 
 
+class Unreachable(ChervilwingError):
+    """An entry instance or another service of the operators' tool doesn't answer."""
+
+    status, type, title = 504, "unreachable", "No answer"
+
+
 class BadSetting(ChervilwingError):
     """A flag or environment variable has a wrong value."""
 
@@ -143,3 +171,63 @@
 
     status, type, title = 422, "bad-configuration", "Bad configuration"
     outcome = NOT_RUN
+
+
+class BadKey(ChervilwingError):
+    """The Idempotency-Key is not a UUIDv7, or its time lies in the future."""
+
+    status, type, title, outcome = 400, "bad-key", "Bad idempotency key", NOT_RUN
+
+
+class KeyExpired(ChervilwingError):
+    """The key is older than the kept window: it may have run and is not run again."""
+
+    status, type, title, outcome = 410, "key-expired", "Key too old", UNKNOWN
+
+
+class KeyReused(ChervilwingError):
+    """The key was first used with a different request; this one was not run."""
+
+    status, type, title, outcome = 422, "key-reused", "Key reused", NOT_RUN
+
+
+class InProgress(ChervilwingError):
+    """A first request with this key is running; ask again after ``retry_after``."""
+
+    status, type, title, outcome = 409, "in-progress", "In progress", UNKNOWN
+
+
+class OutcomeUnknown(ChervilwingError):
+    """The instance that ran this key vanished; the key is never run again."""
+
+    status, type, title, outcome = 409, "outcome-unknown", "Outcome unknown", UNKNOWN
+
+
+class ClaimsFull(ChervilwingError):
+    """The key's segment has no room for another claim; a later key has."""
+
+    status, type, title, outcome = 503, "claims-full", "Claims full", NOT_RUN
+
+
+class NoConfiguration(NotReady):
+    """Neither the key-value service nor a peer has given a configuration yet."""
+
+    type, title = "no-configuration", "No configuration"
+
+
+class UpdateUnknown(ChervilwingError):
+    """Later writes hide whether an update of the configuration took effect."""
+
+    status, type, title, outcome = 504, "update-unknown", "Update unknown", UNKNOWN
+
+
+class NotHolder(ChervilwingError):
+    """This instance doesn't hold the lease of the pool, so it gives no orders."""
+
+    status, type, title, outcome = 409, "not-holder", "Not the holder", NOT_RUN
+
+
+class OldFence(ChervilwingError):
+    """The engine has seen a newer fencing number: another instance holds the pool."""
+
+    status, type, title, outcome = 409, "old-fence", "Old fencing number", NOT_RUN
--- /dev/null
+++ b/src/chervilwing/forwards.py
@@ -0,0 +1,129 @@
+"""One call to a plain service: its attempts and its answer to the caller."""
+
+from .connections import Call, CallHandlers
+from .exceptions import NOT_RUN, RAN, KeyExpired, Scope, UpstreamFailed, UpstreamSilent
+from .work import BUSY, CANCELLED, FAILED, OK, SILENT
+
+# Load: documents pulled all day. Harm: an answer is held whole until its end is known,
+# so that no caller gets a part; the limit bounds what one of them can hold.
+ANSWER_LIMIT = 16 * 1024 * 1024
+PASSED_HEADERS = ("content-type", "accept", "idempotency-key")
+ANSWERED_HEADERS = ("content-type", "location", "etag", "cache-control", "retry-after")
+HTTP_BUSY = 503
+
+
+def pick_headers(headers, names):
+    """Return only the named headers."""
+    return {name: headers[name] for name in names if name in headers}
+
+
+class Forward:
+    """State of one service call.
+
+    A call that may not be repeated goes out once, on a connection of its own, and is
+    never sent again after a byte of it left, unless the service proves it did not run.
+    """
+
+    def __init__(self, session, path):
+        self.session = session
+        self._path = path
+        self._call = None
+        self._upstream = None
+        self._status = 0
+        self._fields = {}
+        self._body = bytearray()
+
+    @property
+    def running(self):
+        """Tell whether an attempt is under way."""
+        return self._call is not None and not self._call.over
+
+    def start(self, upstream):
+        """Begin an attempt on this upstream."""
+        session = self.session
+        if session.claimant is not None and not session.claimant.may_start(session):
+            self._upstream = upstream
+            self._report(CANCELLED)
+            session.refuse(KeyExpired("The claim ran out.", outcome=NOT_RUN))
+            return
+        session.tries += 1
+        self._upstream = upstream
+        self._body.clear()
+        req, cfg = session.exchange.req, session.cfg
+        headers = pick_headers(req.headers, PASSED_HEADERS)
+        headers["X-Attempt-Id"] = f"{session.serial}.{session.tries}"
+        headers["X-Request-Id"] = session.request_id
+        call = Call(
+            upstream.address,
+            req.method,
+            self._path,
+            headers,
+            req.body,
+            cfg.connect_timeout,
+            cfg.silence_timeout,
+            fresh=not session.target.idempotent,
+        )
+        handlers = CallHandlers(self._headed, self._received, self._ended, self._failed)
+        self._call = session.client.submit(call, handlers)
+
+    def cancel(self):
+        """Stop the attempt; return False if it has to run on.
+
+        A call with a claim that is under way runs on although its caller has gone: its
+        answer is recorded for the caller's next try.
+        """
+        if not self.running:
+            return True
+        if self.session.claimant is not None:
+            return False
+        self.session.client.cancel(self._call)
+        self._report(CANCELLED)
+        return True
+
+    def move(self, outcome):
+        """Begin an idempotent call again elsewhere."""
+        if not self.running or not self.session.target.idempotent:
+            return
+        self.session.client.cancel(self._call)
+        self._lose(outcome, UpstreamFailed("The service is leaving."))
+
+    def _headed(self, status, headers):
+        self._status = status
+        self._fields = headers
+
+    def _received(self, data):
+        self._body += data
+        if len(self._body) > ANSWER_LIMIT:
+            self.session.client.cancel(self._call)
+            self._lose(FAILED, UpstreamFailed("The answer is too large.", outcome=RAN))
+
+    def _ended(self):
+        if self._status == HTTP_BUSY and self._fields.get("x-not-run") == "1":
+            self._lose(BUSY, UpstreamFailed("Refused.", outcome=NOT_RUN))
+            return
+        self._report(OK)
+        session = self.session
+        fields = pick_headers(self._fields, ANSWERED_HEADERS)
+        content_type = fields.pop("content-type", "application/octet-stream")
+        if session.claimant is not None:
+            body = bytes(self._body)
+            session.claimant.settle(session, self._status, content_type, body)
+        # HEAD tells the length of a body that isn't sent.
+        if session.exchange.req.method == "HEAD" and "content-length" in self._fields:
+            fields["Content-Length"] = self._fields["content-length"]
+        session.exchange.answer(
+            self._status, bytes(self._body), content_type, session.headers | fields
+        )
+        session.close()
+
+    def _failed(self, exc):
+        self._lose(SILENT if isinstance(exc, UpstreamSilent) else FAILED, exc)
+
+    def _lose(self, outcome, exc):
+        self._report(outcome)
+        scope = Scope("upstream", self._upstream.name)
+        exc = UpstreamFailed(exc.detail, scope=scope, outcome=exc.outcome)
+        self.session.retry(exc, outcome)
+
+    def _report(self, outcome):
+        self.session.report(outcome, None, 0)
--- a/src/chervilwing/membership.py
+++ b/src/chervilwing/membership.py
@@ -30,6 +30,9 @@
 # counts them, since the operators pay for them.
 HEADER_BYTES = 52
 
+# Seconds by which a clock may be corrected backwards without being taken as set back.
+CLOCK_STEP = 1.0
+
 
 class MembershipSettings(NamedTuple):
     """Tune the gossip; times in seconds, sizes in bytes.
@@ -126,6 +129,7 @@
             Chore(self._push_rumours, lambda: cfg.interval),
         )
         self._due = [0.0] * len(self._chores)
+        self._now = 0.0
         self._handlers = {
             "hello": self._on_hello,
             "ping": self._on_ping,
@@ -150,6 +154,9 @@
 
     def tick(self, now):
         """Do what is due and return the bytes to send; call it each ``interval``."""
+        if now < self._now - CLOCK_STEP:
+            self._start_over()
+        self._now = now
         self._budget.refill(now)
         self._transfer.refill(now)
         sends = []
@@ -222,6 +229,15 @@
             digest=self._table.digest().hex(),
         )
 
+    def _start_over(self):
+        """Choose links anew after the clock was set back.
+
+        All times kept would lie ahead: no chore would be due and no silence counted
+        until the clock catches up, so this instance would miss notices for as long.
+        """
+        self._due = [0.0] * len(self._chores)
+        self._view = View(self._cfg, self._record, self._rng)
+
     # Chores of tick.
 
     def _maintain(self, now):
