--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -8,8 +8,9 @@
 from . import admission, retries
 from .admission import Congestion, Prospect
 from .budgets import Budgets
-from .costs import CostModel, blend
+from .costs import SAMPLE_WEIGHT, CostModel, blend
 from .exceptions import NOT_RUN, DeadlinePassed, Scope
+from .limits import FALL_WEIGHT
 from .models import MODEL, SERVICE, Customer, WorkClass
 from .placement import PoolState
 from .queues import BANDS, LANES, LONG, SHORT, SURE_SHARE, YIELDING, FairQueue, Queued
@@ -21,13 +22,17 @@
 __all__ = ["Placement", "Refusal", "Scheduler", "SchedulingSettings", "Work"]
 
 # Seconds that a unit of cost takes before anything was measured.
-FIRST_PACE = {MODEL: 0.03, SERVICE: 0.05}
+FIRST_PACE = {MODEL: 0.05, SERVICE: 0.05}
 # Work over this many times the pool's usual cost is long.
 LONG_RATIO = 4.0
 # Other work over its quota leaves one slot in this many of each upstream free.
 RESERVE_PART = 4
 # Seconds between two settings of the quota, which moves far more slowly.
 SHARE_EVERY = 0.1
+# An upstream may be sent what it clears in this time beyond its slots. Load: work
+# shorter than the time between reports. Harm prevented: slots that stand empty until
+# the next report; of long work it lets none wait where it can't be reordered.
+ENGINE_WAIT = 0.4
 # Urgent work needs this many times the slots of its mean, since it comes in clumps.
 URGENT_ROOM = 1.2
 # Short urgent work may wait in an engine, one an upstream: there it gets the first
@@ -90,12 +95,43 @@
     def learn_first_token(self, work_class, seconds):
         """Keep the mean time from placement to first token of a class."""
         old = self.first_tokens.get(work_class, seconds)
-        self.first_tokens[work_class] = blend(old, seconds)
+        weight = FALL_WEIGHT if seconds < old else SAMPLE_WEIGHT
+        self.first_tokens[work_class] = blend(old, seconds, weight)
 
     def is_long(self, cost):
         """Tell whether work is long for this pool."""
         return self.usual is not None and cost > LONG_RATIO * exp(self.usual)
 
+    def must_yield(self, lane):
+        """Tell whether work of the lane has to leave each upstream's reserve.
+
+        It has to when it is over its quota, and so has all work of an entry instance
+        that has its part of the slots in use. Load: saturation, with one slot that
+        falls free and many entry instances that see it. Harm prevented: all send to
+        it at once; those below their part are too few for that.
+        """
+        if self.state.running >= self.state.measure_part():
+            return True
+        return lane != (self.top, SHORT) and self.state.yielding + 1 > self.quota
+
+    def measure_rate(self, band, whole, now):
+        """Return what more urgent bands leave, or the sure share if that is more.
+
+        Their work counts as offered, whether it was let in or not: it goes first
+        as soon as there is room.
+        """
+        lanes = [lane for lane in LANES if lane[0] < band]
+        urgent = sum(self.offered[lane].measure(now) for lane in lanes)
+        return max(whole - urgent, whole * SURE_SHARE[band])
+
+    def measure_usual_cost(self):
+        """Return the cost of usual work."""
+        return 1.0 if self.usual is None else exp(self.usual)
+
+    def measure_usual(self):
+        """Return the seconds that usual work takes."""
+        return self.measure_usual_cost() * self.state.reference.mean
+
     def learn_usual(self, cost):
         """Keep the geometric mean of what is offered."""
         self.usual = log(cost) if self.usual is None else blend(self.usual, log(cost))
@@ -398,7 +434,11 @@
         return None
 
     def _is_hopeless(self, pool, work, prospect, kind, now):
-        over = admission.is_over_target(prospect, kind.first_token)
+        # Work that can start now gains nothing by a refusal, and only work that runs
+        # corrects an estimate that has become too high.
+        over = prospect.wait > 0 and admission.is_over_target(
+            prospect, kind.first_token
+        )
         standing = pool.congestion.is_standing(_find_band(kind), over, now)
         if standing and over:
             return True
@@ -411,12 +451,15 @@
         band = _find_band(kind)
         whole = pool.state.measure_concurrency() / pace
         wait = 0.0
-        if len(pool.queue) or not pool.state.has_open(frozenset()):
+        yields = pool.must_yield(self._find_lane(pool, work, cost))
+        if not pool.queue.is_empty(band) or not pool.state.has_open(yields):
+            rate = pool.measure_rate(band, whole, now)
             wait = pool.queue.measure_wait(
-                work.customer, customer.weight, band, cost, whole, now
+                work.customer, customer.weight, band, cost, whole, rate, now
             )
+        ends = wait * whole / pool.measure_usual_cost()
         first_token = pool.first_tokens.get(work.work_class, 0.0)
-        return Prospect(wait, first_token, cost * pace)
+        return Prospect(wait, ends, first_token, cost * pace)
 
     def _push(self, pool, work, cost, front=False):
         customer, _ = self._find_rules(work)
@@ -475,7 +518,7 @@
             placement = self._place(pool, item, now)
             if placement is not None:
                 yield placement
-            elif item.work.excluded and pool.state.has_open(frozenset()):
+            elif item.work.excluded and pool.state.has_open(yields=False):
                 # Only where it must not go is there room: let others pass it.
                 aside.append(pool.queue.remove(item.work.request_id))
             else:
@@ -490,24 +533,24 @@
         Load: saturation with a mix of long and short. Harm prevented: each slot
         that falls free goes to long work, which can wait for it, and once all hold
         long work none falls free within the short work's target. Little's law gives
-        the slots that the urgent work offered of late needs; the rest, and no less
-        than the sure share, may hold other work. More is lent only where an
+        the slots that the urgent work offered of late needs; the rest, may hold
+        other work, and more of it only as its sure share falls due or where an
         upstream keeps a reserve.
         """
         rates = [pool.offered[band, SHORT].measure(now) for band in BANDS]
         pool.top = next((band for band in BANDS if rates[band] > 0), BANDS[0])
         needed = rates[pool.top] * pool.state.reference.mean
         part = pool.state.measure_part()
-        sure = SURE_SHARE[BANDS[1]] * part
-        pool.quota = max(sure, part - URGENT_ROOM * needed)
+        pool.quota = part - URGENT_ROOM * needed
         slots = pool.state.count_slots() // max(1, pool.state.count_live())
-        reserve = max(1, slots // RESERVE_PART) if needed > 0.05 else 0
-        pool.state.set_reserve(reserve)
+        pool.state.set_reserve(max(1, slots // RESERVE_PART) if slots > 1 else 0)
+        usual = max(pool.measure_usual(), 1e-6)
+        pool.state.set_usual(usual, int(ENGINE_WAIT * slots / usual))
 
     def _place(self, pool, item, now):
         work = item.work
         urgent = item.lane == (pool.top, SHORT)
-        yields = not urgent and pool.state.yielding >= pool.quota
+        yields = pool.must_yield(item.lane) and not pool.queue.is_due(item)
         over = URGENT_OVER if urgent else 0
         choice = pool.state.choose(work, yields, over, self._costs.estimate, self._rng)
         if choice is None:
