--- a/bench/path.py
+++ b/bench/path.py
@@ -89,6 +89,12 @@
     return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
 
 
+def read_resident(pid):
+    """Return the bytes of memory that a process holds."""
+    with open(f"/proc/{pid}/statm") as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
 def measure(pid, port, load):
     """Return what a load costs a process."""
     before, began = read_processor_time(pid), time.monotonic()
@@ -138,8 +144,17 @@
     return entry
 
 
-def run(load):
-    """Measure both processes under the same load and return the page's rows."""
+class Figures(NamedTuple):
+    """Costs of the pass-through and the entry under long and short answers."""
+
+    longs: tuple[Cost, Cost]
+    shorts: tuple[Cost, Cost]
+    idle: float
+    resident: int
+
+
+def measure_all(load):
+    """Measure both processes under the same load."""
     processes = Processes()
     engine, engine_port = start_role(serve_engine, load.gap)
     relay, relay_port = start_role(serve_relay, engine_port)
@@ -147,14 +162,21 @@
     try:
         entry = start_entry(processes, engine_port)
         ends = ((relay.pid, relay_port), (entry.popen.pid, entry.port))
-        bare, ours = (measure(*end, load) for end in ends)
-        bare_short, ours_short = (measure(*end, short) for end in ends)
+        longs = tuple(measure(*end, load) for end in ends)
+        shorts = tuple(measure(*end, short) for end in ends)
         idle = measure_idle(entry.popen.pid)
+        resident = read_resident(entry.popen.pid)
     finally:
         processes.close()
         engine.kill()
         relay.kill()
-    return make_rows(load, (bare, ours), (bare_short, ours_short), idle)
+    return Figures(longs, shorts, idle, resident)
+
+
+def run(load):
+    """Return the rows of the page."""
+    longs, shorts, idle, _ = measure_all(load)
+    return make_rows(load, longs, shorts, idle)
 
 
 def make_rows(load, longs, shorts, idle):
