--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -161,6 +161,26 @@
         self.publish_revision(fleet, 4, addresses[0])
         self.assertEqual(fleet.nodes[addresses[0]].revision(), 5)
 
+    def test_clock_set_back_does_not_silence_an_instance(self):
+        """One instance hears no notice for an hour, and tells none.
+
+        Its clock was set back by an hour, so nothing that it planned was due, and no
+        link that died meanwhile was found silent.
+        """
+        fleet = make_fleet(12)
+        address, dead = list(fleet.nodes)[4:6]
+        node = fleet.nodes[address]
+        tick, receive = node.tick, node.receive
+        node.tick = lambda now: tick(now - 3600)
+        node.receive = lambda peer, frame, now: receive(peer, frame, now - 3600)
+        fleet.stop(dead)
+        fleet.run(30.0)
+        self.assertNotIn(dead, node.peers())
+        notice = Notice(UPSTREAM, "engine-1", fleet.now + 30)
+        self.publish(fleet, notice, address)
+        done = partial(fleet.all_heard, notice)
+        self.assertIsNotNone(fleet.run(NOTICE_WITHIN, done))
+
     def test_expired_notice_is_not_taken_back(self):
         """A replaced engine gets no work because of a notice that is long over.
 
