Test who gives orders, and refusals at once in an outage

Cause: orders had two scenarios only; nothing measured 'at once'; frozen-owner had gone green on its weakened copy when the keys' random numbers shifted.

--- a/src/chervilwing/claims.py
+++ b/src/chervilwing/claims.py
@@ -148,6 +148,11 @@
         ask = self._held.get(operation)
         return ask is not None and ask.outcome is None and now < ask.run_until
 
+    def is_idle(self):
+        """Tell whether nothing is asked, running or waiting to be recorded."""
+        running = any(ask.outcome is None for ask in self._held.values())
+        return not self._pending and not running
+
     def hear(self, sender, message, now):
         """Take an ask or a verdict from another instance."""
         self._suspects.pop(sender, None)
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -41,6 +41,7 @@
 expect: "expect" outcome
 ?outcome: "effects" "of" NAME "=" INT          -> effects
     | "answers" "to" NAME "=" NAME ("," NAME)* -> answers
+    | "last" "refusal" "of" NAME "within" TIME -> refusal
     | "every" "answer" "whole"                 -> whole
     | "not" "run" "only" "said" "when" "true"  -> not_run
     | "revision" "never" "reverts"             -> never_reverts
@@ -167,6 +168,13 @@
     return None if seen == list(kinds) else f"{note}: {seen}, not {list(kinds)}"
 
 
+def check_refusal(world, note, limit):
+    """The last caller of a note was refused, and within a time."""
+    call = [call for call in world.calls if call.note == note][-1]
+    took = call.told_at - call.sent_at
+    return None if 0 <= took <= read_time(limit) else f"{note}: {took * 1000:.0f} ms"
+
+
 def check_whole(world):
     """Every caller has an answer, and an answer with a body is the service's own."""
     made = {f"{e.note} bound by {e.operation}" for e in world.effects}
@@ -241,6 +249,7 @@
 EXPECTS = {
     "effects": check_effects,
     "answers": check_answers,
+    "refusal": check_refusal,
     "whole": check_whole,
     "not_run": check_not_run,
     "never_reverts": check_never_reverts,
--- a/tests/weakened.py
+++ b/tests/weakened.py
@@ -54,6 +54,7 @@
     ),
 )
 
+HOLDER = "tests.test_orders.TestHolder.test_"
 LEDGER = "tests.test_claims.TestLedger.test_"
 LOST_UPDATE = "(self._refuse(Conflict('lost')),)"
 
@@ -139,6 +140,31 @@
         (Edit("claim_writer", "if queued.ask.kind == CLAIM:", "if True:"),),
         ("settled-in-outage",),
     ),
+    Weakness(
+        "each request finds out by itself that the platform is down",
+        (Edit("claim_writer", "        self.down = True\n", "        return ()\n"),),
+        ("platform-down", "zone-cut-off"),
+    ),
+    Weakness(
+        "the lost answer of a holder's record taken for a no",
+        (Edit("orders", "if self.state != WRITING", "if True"),),
+        (HOLDER + "lost_answer_of_the_record",),
+    ),
+    Weakness(
+        "no waiting out of the old holder",
+        (Edit("orders", "else (HOLDING,)", "else (SETTLING, HOLDING)"),),
+        (HOLDER + "engine_without_fences_waits_out_the_old_holder",),
+    ),
+    Weakness(
+        "an unanswered order called not run",
+        (Edit("orders", ", outcome=UNKNOWN)", ")"),),
+        (HOLDER + "newer_fence_ends_the_holder",),
+    ),
+    Weakness(
+        "order ids by holder",
+        (Edit("orders", "fields = (str(revision),", "fields = (str(id(order)),"),),
+        (HOLDER + "two_holders_name_an_order_alike",),
+    ),
     Weakness(
         "a silent owner is waited for",
         (Edit("claims", "elif now >= pending.resend_at", "elif False"),),
--- a/tests/world.py
+++ b/tests/world.py
@@ -41,6 +41,8 @@
         self.told = None
         self.body = None
         self.cut = False
+        self.sent_at = 0.0
+        self.told_at = 0.0
 
 
 def make_key(time, rng):
@@ -280,6 +282,7 @@
     def _refused(self, action):
         call = self.calls[action.operation]
         call.kind, call.told = action.failure.type, action.failure.outcome
+        call.told_at = self.world.now
 
     def _order(self, action):
         boot, world = self.boots, self.world
@@ -386,6 +389,7 @@
             self.keys[note] = make_key(self.now - age, self.rng)
         node = self.nodes[name]
         call = Call(note, name, "")
+        call.sent_at = self.now
         self.calls.append(call)
         if not node.alive:
             call.kind = "no-connection"
