Announce an embedded instance once it has its configuration

Cause: test_readme was red once in a run on a busy machine: the line with the port came before the embedded store had answered, and the first curl got 503 not-ready. Ruled out: waiting in the test; a newcomer would meet the same.

--- a/src/chervilwing/daemon.py
+++ b/src/chervilwing/daemon.py
@@ -50,6 +50,7 @@
 
     def __init__(self, cfg):
         super().__init__()
+        self._announced = False
         self._poller = DirectPoller().register(self)
         self._client = Client(self._poller).register(self)
         if cfg.embedded:
@@ -143,8 +144,21 @@
 
     @handler("started", channel="*")
     def _on_started(self, *args):
-        """Begin to follow the configuration and tell where the instance listens."""
+        """Begin to follow the configuration."""
         self._follower.begin({self.cfg.name: self.cfg.data_centre})
+        log_event("started", **settings.describe(self.cfg))
+
+    @handler("tick", channel="*")
+    def _on_tick(self):
+        """Tell once where the instance listens.
+
+        An embedded store answers at the first ticks; a newcomer's first call, sent as
+        soon as the line shows, would be told that there is no configuration yet.
+        """
+        waiting = self.cfg.embedded and self._dispatch.directory is None
+        if self._announced or waiting:
+            return
+        self._announced = True
         line = {
             "role": "entry",
             "name": self.cfg.name,
@@ -152,7 +166,6 @@
             "peer_port": self._peer_address.port,
         }
         print(json.dumps(line), flush=True)
-        log_event("started", **settings.describe(self.cfg))
 
     @handler("signal", channel="*", priority=1)
     def _on_signal(self, event, number, stack):
