--- a/src/chervilwing/bodies.py
+++ b/src/chervilwing/bodies.py
@@ -9,6 +9,23 @@
 # Python's own int() takes signs, underscores and a 0x as well.
 CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;.*)?\Z")
 CHUNK_LINE_LIMIT = 8192
+CHUNK_LINE_SIZE = 18
+
+
+def read_whole_chunk(data):
+    """Return the body of exactly one chunk, or nothing when the bytes are another.
+
+    An engine's token comes as one read of one chunk, 9,400 times a second a node
+    (letter 1); the steps below take 2 us longer for it.
+    """
+    end = data.find(CRLF, 0, CHUNK_LINE_SIZE)
+    match = CHUNK_LINE.match(data, 0, end) if end > 0 else None
+    if match is None:
+        return b""
+    start, stop = end + len(CRLF), len(data) - len(CRLF)
+    if int(match.group(1), 16) != stop - start or not data.endswith(CRLF):
+        return b""
+    return data[start:stop]
 
 
 class SizedBody:
@@ -49,6 +66,10 @@
 
     def take(self, data):
         """Return what of these bytes belongs to the body."""
+        if self._step == self._read_size and not self._buffer:
+            part = read_whole_chunk(data)
+            if part:
+                return part
         self._buffer += data
         parts = []
         while not self.complete and self._step(parts):
