--- a/src/chervilwing/gossip.py
+++ b/src/chervilwing/gossip.py
@@ -68,9 +68,9 @@
     return blake2b(data, digest_size=HASH_BYTES).digest()
 
 
-def sort_by_urgency(items):
-    """Return the items with the most urgent first."""
-    return sorted(items, key=lambda item: PRIORITIES[type(item)])
+def urgency_of(item):
+    """Return the key that sorts the most urgent items first."""
+    return PRIORITIES[type(item)]
 
 
 def key_of(item):
@@ -160,6 +160,7 @@
 
     def __init__(self):
         self._items = {}
+        self._kinds = {Record: {}, Notice: {}, Revision: {}}
         self._hashes = {}
         self._places = {}
         self._buckets = [0] * BUCKETS
@@ -173,7 +174,7 @@
 
     def items(self, kind):
         """Return all items of one type."""
-        return [item for item in self._items.values() if type(item) is kind]
+        return list(self._kinds[kind].values())
 
     def merge(self, item):
         """Keep an item if it is newer; return whether it was."""
@@ -182,7 +183,7 @@
         if old is not None and order_of(old) >= order_of(item):
             return False
         self.drop(key)
-        self._items[key] = item
+        self._items[key] = self._kinds[type(item)][key] = item
         self._places[key] = bucket_of(key)
         # XOR sums of a linear hash such as CRC-32 come out equal when two tables
         # differ in like ways (each saw another instance restart), and the tables
@@ -195,6 +196,7 @@
         """Forget a key."""
         if key in self._items:
             self._fold(key)
+            del self._kinds[key[0]][key]
             del self._items[key], self._hashes[key], self._places[key]
 
     def digest(self):
@@ -272,11 +274,16 @@
             rumour.told.add(peer)
 
     def pick(self, peer, limit):
-        """Return the items to push to a peer, at most ``limit`` of them."""
+        """Return the items to push to a peer, at most ``limit`` of them.
+
+        Among equally urgent ones the least told go first: in a wave each peer then
+        gets another part, and all parts travel on at once.
+        """
         fitting = [
-            rumour.item for rumour in self._rumours.values() if peer not in rumour.told
+            rumour for rumour in self._rumours.values() if peer not in rumour.told
         ]
-        return sort_by_urgency(fitting)[:limit]
+        fitting.sort(key=lambda rumour: (urgency_of(rumour.item), len(rumour.told)))
+        return [rumour.item for rumour in fitting[:limit]]
 
     def note_pushed(self, items, peer):
         """Count a push; an item whose copies are used up is no longer a rumour."""
@@ -320,5 +327,5 @@
         return self._left > reserve * self._burst
 
     def spend(self, size):
-        """Take ``size`` bytes out."""
-        self._left -= size
+        """Take ``size`` bytes out, down to none: answers to probes are always sent."""
+        self._left = max(0.0, self._left - size)
--- a/src/chervilwing/membership.py
+++ b/src/chervilwing/membership.py
@@ -19,8 +19,8 @@
     from_wire,
     key_of,
     order_of,
-    sort_by_urgency,
     to_wire,
+    urgency_of,
 )
 from .models import Address
 from .transfer import Transfer
@@ -30,6 +30,9 @@
 # counts them, since the operators pay for them.
 HEADER_BYTES = 52
 
+# Seconds by which a clock may be corrected backwards without being taken as set back.
+CLOCK_STEP = 1.0
+
 
 class MembershipSettings(NamedTuple):
     """Tune the gossip; times in seconds, sizes in bytes.
@@ -46,7 +49,6 @@
     probe_interval: float = 1.0
     probe_timeout: float = 0.9
     misses: int = 8
-    witness_age: float = 12.0
     inbound_age: float = 15.0
     shun: float = 20.0
     rotation: float = 30.0
@@ -54,12 +56,13 @@
     suspect_age: float = 7200.0
     tombstone_age: float = 86_400.0
     notice_age: float = 60.0
-    frame_items: int = 16
-    sync_frames: int = 4
+    frame_items: int = 40
+    sync_frames: int = 2
+    referrals: int = 3
     fetch_timeout: float = 1.0
-    rate: float = 2000.0
-    burst: float = 40_000.0
-    sync_reserve: float = 0.5
+    rate: float = 1500.0
+    burst: float = 60_000.0
+    sync_reserve: float = 0.2
     transfer_rate: float = 2_000_000.0
     transfer_burst: float = 4_000_000.0
 
@@ -126,6 +129,7 @@
             Chore(self._push_rumours, lambda: cfg.interval),
         )
         self._due = [0.0] * len(self._chores)
+        self._now = 0.0
         self._handlers = {
             "hello": self._on_hello,
             "ping": self._on_ping,
@@ -150,6 +154,9 @@
 
     def tick(self, now):
         """Do what is due and return the bytes to send; call it each ``interval``."""
+        if now < self._now - CLOCK_STEP:
+            self._start_over()
+        self._now = now
         self._budget.refill(now)
         self._transfer.refill(now)
         sends = []
@@ -222,6 +229,15 @@
             digest=self._table.digest().hex(),
         )
 
+    def _start_over(self):
+        """Choose links anew after the clock was set back.
+
+        All times kept would lie ahead: no chore would be due and no silence counted
+        until the clock catches up, so this instance would miss notices for as long.
+        """
+        self._due = [0.0] * len(self._chores)
+        self._view = View(self._cfg, self._record, self._rng)
+
     # Chores of tick.
 
     def _maintain(self, now):
@@ -243,7 +259,12 @@
         return []
 
     def _try_unlinked(self, now):
-        peer = self._view.choose_trial(self.members())
+        # Instances that joined by different seeds are separate groups, each of which
+        # hears its own members and would never look for the other; a seed that is no
+        # known member is therefore tried for as long as it is named.
+        strange = [seed for seed in self._seeds if seed not in self._names]
+        doubted = self._view.choose_trial(self.members())
+        peer = self._rng.choice([doubted, *strange])
         return [] if peer is None else [self._ping(peer, now)]
 
     def _trial_interval(self):
@@ -287,10 +308,16 @@
         return self._take([item], peer, now, rumour=True)
 
     def _on_ping(self, peer, body, now):
-        same = _check_bytes(body) == self._table.digest()
-        if same or not self._budget.has(self._cfg.sync_reserve):
+        if _check_bytes(body) == self._table.digest():
             return [self._send(peer, "ack", None)]
-        return [self._send(peer, "buckets", self._table.bucket_digests())]
+        if self._budget.has(self._cfg.sync_reserve):
+            return [self._send(peer, "buckets", self._table.bucket_digests())]
+        # Hundreds that start at once all ask the few seeds, whose budget is soon used
+        # up; each is then told of a few others to ask, else it would know the seed
+        # alone for minutes.
+        count = min(self._cfg.referrals, len(self._names))
+        records = self._rng.sample(self.members(), count)
+        return [self._send(peer, "items", _to_body(records))]
 
     def _on_ack(self, peer, body, now):
         return []
@@ -433,6 +460,7 @@
         suspecting each of its instances would cost a burst of rumours at the cut and
         another at the healing.
         """
+        silent_since = self._view.silent_since(peer)
         self._view.drop(peer, now)
         record = self._record_at(peer)
         if record is None:
@@ -442,7 +470,7 @@
             for other in self.members()
             if other.data_centre == record.data_centre and other.address != peer
         ]
-        if not self._view.hears_any(others, now):
+        if not self._view.heard_since(others, silent_since):
             self._view.note_centre_failed(record.data_centre)
             return
         suspect = record._replace(state=SUSPECT)
@@ -480,7 +508,7 @@
 
     def _send_items(self, peer, items):
         size = self._cfg.frame_items
-        items = sort_by_urgency(items)[: size * self._cfg.sync_frames]
+        items = sorted(items, key=urgency_of)[: size * self._cfg.sync_frames]
         sends = []
         for start in range(0, len(items), size):
             if self._budget.has(self._cfg.sync_reserve):
--- a/tests/explorer.py
+++ b/tests/explorer.py
@@ -5,7 +5,9 @@
 from tests.world import Node, World
 
 # Short times, so that claims lapse and cells of the ring are used again.
-SETTINGS = ClaimSettings(run_limit=8.0, skew=1.0, slot=2.0, ring=24, window=40.0)
+SETTINGS = ClaimSettings(
+    shards=2, run_limit=8.0, skew=1.0, slot=2.0, ring=24, window=40.0
+)
 PLACES = {"one": "a", "two": "a", "three": "b", "four": "b", "five": "c"}
 LENGTH = 80.0
 QUIET = 20.0
