Count a balancer's questions as nobody's requests

Change: refusals under /-/ aren't noted (dispatch.py, two lines). Before: tests.test_web.TestReadiness red, two counts in place of one. After: passes.

--- a/src/chervilwing/dispatch.py
+++ b/src/chervilwing/dispatch.py
@@ -32,6 +32,7 @@
 
 REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{1,64}\Z")
 SERVICES = "/services/"
+OWN_PATHS = "/-/"
 # Tokens are counted by the engines; before one has answered, four characters a token is
 # near enough to weigh requests against each other.
 CHARACTERS_PER_TOKEN = 4
@@ -93,6 +94,9 @@
 
     def _note_refusal(self, exchange, exc):
         """Count and log a request that was refused before its target was known."""
+        # A balancer that asks whether the instance is ready is nobody's request.
+        if exchange.req.path.startswith(OWN_PATHS):
+            return
         self.stats.select(NOBODY, NOBODY).record_outcome(exc.outcome, exc.type)
         log_request(
             RequestLine(
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -293,6 +293,21 @@
         self.assertEqual(entry.popen.wait(10), 0)
 
 
+class TestReadiness(unittest.TestCase):
+    def test_questions_of_the_balancer_are_no_refused_requests(self):
+        # An instance starts without a configuration; each question of the balancer
+        # meanwhile showed up in the operators' figures as a customer's refused request.
+        deployment = Deployment()
+        self.addCleanup(deployment.close)
+        entry = deployment.start_entry("one", ready=False)
+        answer = call(entry.port, "GET", "/-/ready")
+        self.assertEqual((answer.status, answer.json()["status"]), (503, 503))
+        self.assertEqual(call(entry.port, "GET", "/v1/models").status, 503)
+        lines = call(entry.port, "GET", "/-/metrics").body.decode().splitlines()
+        counts = [line for line in lines if "(none)" in line and "not_run" in line]
+        self.assertEqual([line.split()[-1] for line in counts], ["1"], counts)
+
+
 class TestWeb(unittest.TestCase):
     def start(self, requested, **changes):
         """Serve callers within this test's own process."""
