--- a/bench/claims.py
+++ b/bench/claims.py
@@ -32,13 +32,43 @@
 
 
 class Case(NamedTuple):
-    """One measurement: with owners or each instance for itself, and the load."""
+    """One measurement: a write a request, each for itself, or with owners."""
 
     way: str
     instances: int
     keyed: float
 
 
+class OneWrite:
+    """The simplest way: a key of the store's for each request, written twice."""
+
+    def __init__(self, cfg, name):
+        self.calls = {}
+        self.versions = {}
+
+    def claim(self, operation, key, fingerprint, now):
+        """Create the request's own key."""
+        self.calls[operation] = key
+        return (m.StoreCall(operation, m.Write(str(key), "claimed", m.ABSENT)),)
+
+    def settle(self, operation, outcome, now):
+        """Write the outcome over it."""
+        key = str(self.calls.pop(operation))
+        request = m.Write(key, outcome.body, self.versions[operation])
+        return (m.StoreCall(operation, request),)
+
+    def receive(self, token, reply, now):
+        """Take the store's reply."""
+        if token not in self.calls:
+            return ()
+        self.versions[token] = reply.version
+        return (ClaimGranted(token, self.calls[token], now),)
+
+    def tick(self, now):
+        """Nothing comes due."""
+        return ()
+
+
 class Bench:
     """A fleet of ledgers on a simulated clock and a store that counts."""
 
@@ -55,7 +85,8 @@
         self.refused = 0
         self.spent = {}
         names = [f"i{n}" for n in range(case.instances)]
-        self.ledgers = {name: Ledger(cfg, name) for name in names}
+        kind = OneWrite if case.way == "one write" else Ledger
+        self.ledgers = {name: kind(cfg, name) for name in names}
         if case.way == "owners":
             for ledger in self.ledgers.values():
                 ledger.enlist(names)
@@ -160,7 +191,7 @@
     """Print a row for each way, fleet and load."""
     print(" | ".join(HEAD))
     loads = [(7, 2), (7, 100), (320, RATE * 0.05), (320, RATE * 0.1)]
-    for way in ("alone", "owners"):
+    for way in ("one write", "alone", "owners"):
         for instances, keyed in loads:
             row = measure(Case(way, instances, keyed), ClaimSettings())
             print(" | ".join(str(field) for field in row), flush=True)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -6,7 +6,7 @@
 
 STORY_LINES = range(2, 6)
 # Between them these show every weakness that random faults found in 20 seeds.
-SEEDS = (0, 1, 2, 4, 6, 10, 16, 81, 144)
+SEEDS = (0, 1, 2, 4, 6, 10, 16, 81, 144, 1029)
 
 
 class TestScenarios(unittest.TestCase):
--- a/tests/world.py
+++ b/tests/world.py
@@ -177,6 +177,8 @@
     def boot(self):
         """Start with nothing known."""
         world = self.world
+        if self.alive:
+            world.kill(self.name)
         self.boots += 1
         self.alive, self.frozen, self.inbox, self.calls = True, False, [], {}
         self.ledger = Ledger(world.cfg, self.name)
