--- a/bench/revisions.py
+++ b/bench/revisions.py
@@ -1,137 +1,106 @@
-"""Count what the spread of the configuration costs a fleet, in simulated time."""
+"""Measure how a revision spreads: ``python -m bench.revisions``.
 
-import json
+Simulated time; messages take 1 to 4 ms, and a part of the instances is frozen.
+"""
+
+import math
 import random
-import time
-from collections import Counter
-from typing import NamedTuple
-
-from chervilwing import frames
-from chervilwing.frames import Frame
-from chervilwing.messages import Found, Missing, Read, StoreCall
-from chervilwing.revisions import Adopted, Revisions, RevisionSettings, Stamp
-
-TICK = 0.1
-SECONDS = 30.0
-CENTRES = "abcde"
-HEADER_BYTES = 52
-
-
-class Spending(NamedTuple):
-    """What one instance spends a second, and what a change costs it in messages."""
-
-    messages: float
-    bytes: float
-    microseconds: float
-    watches: int
-    reads: float
-    seconds: float | None
-    offers: float
-
-
-def read_stamp(value):
-    """Return the stamp in a value of this bench."""
-    revision, operation = json.loads(value)
-    return Stamp(revision, operation)
-
-
-class Fleet:
-    """Hold the instances, the stored value and the counts."""
-
-    def __init__(self, size):
-        self.now = 0.0
-        self.value = json.dumps([1, "first"])
-        self.sent = Counter()
-        self.reads = 0
-        self.bytes = 0
-        self.waiting = {}
-        self.adopted = set()
-        members = {f"entry-{n}": CENTRES[n % len(CENTRES)] for n in range(size)}
-        cfg = RevisionSettings()
-        self.nodes = {
-            name: Revisions(cfg, name, read_stamp, random.Random(name))
-            for name in members
-        }
-        for name, node in self.nodes.items():
-            node.enlist(members)
-            self.apply(name, node.start(self.now))
-
-    def run(self, seconds, until=None):
-        """Tick all; return the seconds until all adopted revision ``until``."""
-        start = self.now
-        while self.now < start + seconds:
-            self.now += TICK
-            for name, node in self.nodes.items():
-                self.apply(name, node.tick(self.now))
-            self._answer_watches()
-            if until and len(self.adopted) == len(self.nodes):
-                return self.now - start
-        return None
-
-    def write(self, value):
-        """Store a new value."""
-        self.value = value
-        self.adopted.clear()
-
-    def apply(self, name, actions):
-        """Carry out what an instance asks for, and all that follows from it."""
-        todo = [(name, action) for action in actions]
-        while todo:
-            name, action = todo.pop(0)
-            if isinstance(action, Adopted):
-                self.adopted.add(name)
-            elif isinstance(action, StoreCall):
-                todo += [(name, next_) for next_ in self._store(name, action)]
-            else:
-                todo += self._forward(name, action)
-
-    def _store(self, name, action):
-        self.reads += 1
-        if not isinstance(action.request, Read):
-            self.waiting[action.token] = name, action.request, self.now
-            return ()
-        reply = Found(self.value, self._version())
-        return self.nodes[name].receive(action.token, reply, self.now)
-
-    def _forward(self, name, action):
-        kind = type(action.message).__name__
-        body = [kind, list(action.message)]
-        self.sent[kind] += 1
-        self.bytes += len(frames.encode(Frame("message", body))) + HEADER_BYTES
-        peer = self.nodes[action.instance]
-        outcome = peer.hear(name, action.message, self.now)
-        return [(action.instance, next_) for next_ in outcome]
-
-    def _answer_watches(self):
-        for token, (name, request, since) in list(self.waiting.items()):
-            newer = self._version() > request.after
-            if not newer and self.now - since < request.wait:
-                continue
-            del self.waiting[token]
-            reply = Found(self.value, self._version()) if newer else Missing()
-            self.apply(name, self.nodes[name].receive(token, reply, self.now))
-
-    def _version(self):
-        return json.loads(self.value)[0]
-
-
-def measure(size):
-    """Return what an instance spends when quiet, and what one change costs."""
-    fleet = Fleet(size)
-    fleet.run(SECONDS)
-    sent, size_before, reads = fleet.sent.total(), fleet.bytes, fleet.reads
-    start = time.process_time()
-    fleet.run(SECONDS)
-    cpu = time.process_time() - start
-    share = SECONDS * size
-    quiet = (
-        (fleet.sent.total() - sent) / share,
-        (fleet.bytes - size_before) / share,
-        cpu * 1e6 / share,
-        len(fleet.waiting),
-        (fleet.reads - reads) / SECONDS,
+import sys
+
+from chervilwing import messages as m
+from chervilwing.revisions import Adopted, Offer
+from tests.world import Node, World
+
+PLACES = {7: "abc", 80: "abcde", 320: "abcde"}
+SECONDS = 60.0
+PUBLISH_AT = 10.0
+HEAD = "instances | frozen | calls/s | messages/s an instance | offers | last s"
+
+
+def measure(instances, frozen, seed=1):
+    """Return the row of one fleet: ``frozen`` names who stands still."""
+    world = World(seed)
+    places = PLACES[instances]
+    for number in range(instances):
+        name = f"i{number}"
+        world.nodes[name] = Quiet(world, name, places[number % len(places)])
+    world.start()
+    world.publish(1)
+    world.run(PUBLISH_AT)
+    stopped = FROZEN[frozen](world)
+    for name in stopped:
+        world.nodes[name].frozen = True
+    world.publish(2)
+    world.run(SECONDS - PUBLISH_AT)
+    live = [node for node in world.nodes.values() if node.name not in stopped]
+    last = max(node.adopted.get(2, math.inf) for node in live)
+    calls = sum(world.store.counts.values()) / SECONDS
+    sent = sum(node.sent for node in live) / len(live) / SECONDS
+    offers = sum(node.offers for node in live)
+    start = world.now - SECONDS + PUBLISH_AT
+    return (
+        instances,
+        frozen,
+        round(calls, 1),
+        round(sent, 2),
+        offers,
+        round(last - start, 2),
     )
-    offers = fleet.sent["Offer"]
-    fleet.write(json.dumps([2, "second"]))
-    seconds = fleet.run(SECONDS, until=True)
-    return Spending(*quiet, seconds, (fleet.sent["Offer"] - offers) / size)
+
+
+class Quiet(Node):
+    """An instance of which only the revisions run, ten times a second."""
+
+    sent = 0
+    offers = 0
+
+    def boot(self):
+        """Start as any instance."""
+        self.adopted = {}
+        super().boot()
+
+    def tick(self, boot):
+        """Tick the revisions only."""
+        self.act(self.revisions.tick(self.world.now))
+        self.world.later(0.1, self.on, boot, self.tick, boot)
+
+    def act(self, actions):
+        """Count what is sent and when a revision was adopted."""
+        for action in actions:
+            if isinstance(action, Adopted):
+                self.adopted[action.stamp.revision] = self.world.now
+            if isinstance(action, m.Forward):
+                self.sent += 1
+                self.offers += _is_offer(action.message)
+        super().act(actions)
+
+
+def _is_offer(message):
+    return isinstance(message, Offer) and message.value.startswith("2 ")
+
+
+def freeze_watchers(world):
+    """Return all instances that watch."""
+    nodes = world.nodes.values()
+    return [node.name for node in nodes if node.revisions._elected]
+
+
+def freeze_some(world):
+    """Return half of the instances, drawn from a fixed seed."""
+    return random.Random(7).sample(sorted(world.nodes), len(world.nodes) // 2)
+
+
+FROZEN = {"none": lambda world: [], "watchers": freeze_watchers, "half": freeze_some}
+
+
+def main():
+    """Print a row for each fleet and fault."""
+    print(HEAD)
+    for instances in PLACES:
+        for frozen in FROZEN:
+            row = measure(instances, frozen)
+            print(" | ".join(str(field) for field in row), flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
