--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -8,10 +8,10 @@
 import time
 import tracemalloc
 from functools import cache
-from math import ceil
+from math import ceil, exp
 from typing import NamedTuple
 
-from bench import claims, gossip, path, revisions
+from bench import claims, config_spread, decision, gossip, path
 from bench.pages import DOCS, format_table, write_section
 from chervilwing import frames
 from chervilwing.claim_keys import ClaimSettings
@@ -19,6 +19,8 @@
 from chervilwing.loads import CALLS_PER_SECOND
 from chervilwing.messages import Found, Granted, Missing, Read, StoreCall, Written
 from chervilwing.orders import Holder, OrderSettings
+from chervilwing.peers import IDLE
+from chervilwing.revisions import RevisionSettings
 from chervilwing.stats import LATENCIES, Stats
 
 PAGE = DOCS / "CAPACITY.md"
@@ -178,10 +180,12 @@
 
 def list_configuration_rows():
     """Return the rows of the configuration, per node and for the fleet."""
-    role, command = "configuration", "bench.revisions"
-    spending = revisions.measure(NODES)
+    role, command = "configuration", "bench.capacity"
+    spending = config_spread.measure(NODES)
     size = len(gossip.make_value(1))
     values = spending.offers * size * CHANGES / DAY
+    cfg = RevisionSettings()
+    picks = cfg.gossip_to / cfg.gossip_every
     return [
         Row(role, "messages/s sent", "quiet", spending.messages, MEASURED, command),
         Row(role, "bytes/s", "quiet", spending.bytes, MEASURED, command, BYTES),
@@ -238,6 +242,14 @@
             "-",
             WRITES,
         ),
+        Row(
+            role,
+            "streams open to peers picked at random",
+            f"{picks:.0f} picks/s each way, closed after {IDLE:.0f} s unused",
+            NODES * (1 - exp(-2 * picks * IDLE / NODES)),
+            EXTRAPOLATED,
+            "-",
+        ),
         Row(
             role,
             "bytes of memory",
@@ -293,6 +305,11 @@
     """Return the rows of load and cache knowledge, per node."""
     role = "load and cache knowledge"
     near = WORKERS / CENTRES
+    busy = decision.SLOTS * WORKERS
+    calm, full = (
+        decision.time_decision(WORKERS, CUSTOMERS, started)
+        for started in (busy // 2, 2 * busy)
+    )
     return [
         Row(
             role,
@@ -327,7 +344,22 @@
             "-",
         ),
         missing(role, "bytes/s", "-"),
-        missing(role, "CPU, µs a decision", "bench.decision"),
+        Row(
+            role,
+            "CPU of decisions, µs/s, half of the slots busy",
+            f"{calm:.0f} µs, one pool of {WORKERS}; part of the data path",
+            calm * REQUESTS / NODES,
+            EXTRAPOLATED,
+            "bench.decision",
+        ),
+        Row(
+            role,
+            "CPU of decisions, µs/s, all busy and a full queue",
+            f"{full:.0f} µs, one pool of {WORKERS}; part of the data path",
+            full * REQUESTS / NODES,
+            EXTRAPOLATED,
+            "bench.decision",
+        ),
         missing(role, "bytes of memory a prefix", "-"),
     ]
 
--- a/bench/decision.py
+++ b/bench/decision.py
@@ -46,8 +46,8 @@
 
 
 def _measure(size, customers):
-    calm = _time(size, customers, SLOTS * size // 2)
-    full = _time(size, customers, 2 * SLOTS * size)
+    calm = time_decision(size, customers, SLOTS * size // 2)
+    full = time_decision(size, customers, 2 * SLOTS * size)
     return size, customers, f"{calm:.0f}", f"{full:.0f}"
 
 
@@ -65,7 +65,7 @@
     return scheduler
 
 
-def _time(size, customers, started):
+def time_decision(size, customers, started):
     """Return microseconds a decision with so many requests in the system."""
     scheduler = _build(size, customers)
     rng = Random(SEED)
--- a/bench/load.py
+++ b/bench/load.py
@@ -53,7 +53,7 @@
     text = "\n\n".join(_write(outcomes))
     print(text)
     if not names:
-        write_section("MEASUREMENTS.md", "decisions under load", text)
+        write_section("decisions under load", text)
 
 
 def _run(deployment, load, policy):
--- a/bench/path.py
+++ b/bench/path.py
@@ -211,7 +211,7 @@
     print("\n".join(rows))
     if not options.no_write:
         text = "\n".join(["## Data path", "", "`python -m bench.path`", "", *rows])
-        pages.write_section("MEASUREMENTS.md", "path", text)
+        pages.write_section("path", text)
     return 0
 
 
