--- a/bench/path.py
+++ b/bench/path.py
@@ -103,7 +103,7 @@
     return Cost(read_processor_time(pid) - before, tokens, wall)
 
 
-def measure_idle(pid, seconds=3.0):
+def measure_idle(pid, seconds=10.0):
     """Return the part of a core that an idle process takes."""
     before = read_processor_time(pid)
     time.sleep(seconds)
@@ -211,7 +211,7 @@
     print("\n".join(rows))
     if not options.no_write:
         text = "\n".join(["## Data path", "", "`python -m bench.path`", "", *rows])
-        pages.write_section("MEASUREMENTS.md", "path", text)
+        pages.write_section("path", text)
     return 0
 
 
