--- a/src/chervilwing/claims.py
+++ b/src/chervilwing/claims.py
@@ -171,7 +171,7 @@
         return self._take(self._writer.receive(token, reply, now), now)
 
     def tick(self, now):
-        """Do what time has made due; call it every 10 ms while anything is open."""
+        """Do what time has made due; call it every 10 to 50 ms."""
         if now >= self._sweep_at:
             self._sweep(now)
         actions = list(self._take(self._writer.tick(now), now))
