--- a/src/chervilwing/admin.py
+++ b/src/chervilwing/admin.py
@@ -1,11 +1,9 @@
 """The paths under ``/-/``: health for the balancer, figures and stop for operators."""
 
-from . import reports
+from . import __version__, reports
 from .completions import read_json
 from .exceptions import NotReady
 
-VERSION = "0.1.0"
-
 
 class Admin:
     """Answer for one instance; the daemon registers ``routes`` with the dispatcher."""
@@ -64,7 +62,7 @@
             "in_flight": len(dispatcher.sessions),
             "upstreams": [self._describe_upstream(item) for item in upstreams],
             "peers": self._describe_peers()._asdict(),
-            "version": VERSION,
+            "version": __version__,
         }
         exchange.answer_json(200, value)
 
