Stand being out of file descriptors

Change: the listener waits for the next tick; a dial without a socket is told as a connection that failed before a byte. tests/test_sockets.py: 2 red before, green after.

--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from circuits.core import BaseComponent
+from circuits.core import BaseComponent, handler
 
 from .logs import log_failure
 from .models import Address
@@ -101,6 +101,8 @@
         self._owner = handlers
         self._conns: dict[socket.socket, Conn] = {}
         self._listener: socket.socket | None = None
+        self._listener_paused = False
+        self._failed: list[tuple[Conn, OSError]] = []
 
     def listen(self, address):
         """Accept connections and return the address that was bound."""
@@ -123,7 +125,10 @@
 
     def dial(self, address):
         """Start to connect; ``opened`` or ``closed`` follows."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as exc:
+            return self._fail_later(address, exc)
         prepare(sock)
         conn = Conn(sock, address, connecting=True)
         self._conns[sock] = conn
@@ -131,6 +136,18 @@
         self._watch(conn, reading=False, writing=True)
         return conn
 
+    def _fail_later(self, address, exc):
+        """Return a connection that is reported closed at the next tick.
+
+        Guard: out of file descriptors there is no socket. Raised into the dialler, that
+        would end the handling of whatever it was dialling for, and its caller would
+        wait for ever; reported as a failed connection, the request is refused as not
+        run.
+        """
+        conn = Conn(object(), address, connecting=True)
+        self._failed.append((conn, exc))
+        return conn
+
     def send(self, conn, data):
         """Write now what the socket takes and keep the rest."""
         if conn.sock not in self._conns or conn.closing:
@@ -274,7 +291,9 @@
         for _ in range(ACCEPTS_PER_EVENT):
             try:
                 sock, address = self._listener.accept()
-            except OSError:
+            except OSError as exc:
+                if exc.errno not in WOULD_BLOCK:
+                    self._pause_listener()
                 return
             prepare(sock)
             conn = Conn(sock, Address(*address), connecting=False)
@@ -282,6 +301,24 @@
             self._watch(conn, reading=True, writing=False)
             self._owner.opened(conn)
 
+    def _pause_listener(self):
+        """Take no connection until the next tick.
+
+        Guard: out of file descriptors, accept fails and the poller reports the listener
+        again at once: the loop spins, and those it could serve wait.
+        """
+        self._listener_paused = True
+        self._poller.watch(self, self._listener, reading=False, writing=False)
+
+    @handler("tick", channel="*")
+    def _on_tick(self):
+        failed, self._failed = self._failed, []
+        for conn, exc in failed:
+            self._owner.closed(conn, exc)
+        if self._listener_paused and self._listener is not None:
+            self._listener_paused = False
+            self._poller.watch(self, self._listener, reading=True, writing=False)
+
     def _finish_connect(self, conn):
         code = conn.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
