--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the decisions under load: python -m bench.load, bench.decision."""
+"""Measurements; each module prints its figures and rewrites its section of a page."""
--- a/bench/pages.py
+++ b/bench/pages.py
@@ -1,14 +1,15 @@
-"""Sections of docs/MEASUREMENTS.md, each between markers of its own."""
+"""Sections of a page under docs, each between markers of its own."""
 
 from pathlib import Path
 
-PAGE = Path(__file__).resolve().parent.parent / "docs" / "MEASUREMENTS.md"
+DOCS = Path(__file__).resolve().parent.parent / "docs"
+PAGE = DOCS / "MEASUREMENTS.md"
 TITLE = "# Measurements\n"
 
 
 def write_section(name, text, page=PAGE):
     """Replace the section between its markers, or add it at the end."""
-    start, end = f"<!-- begin {name} -->", f"<!-- end {name} -->"
+    start, end = f"<!-- {name} -->", f"<!-- /{name} -->"
     whole = page.read_text() if page.exists() else TITLE
     section = f"{start}\n{text.strip()}\n{end}\n"
     if start not in whole:
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -215,8 +215,7 @@
         pool = self._pools.get(work.pool)
         if pool is None:
             return Refusal(work.request_id, admission.refuse_no_upstream(work.pool, 5))
-        excluded = work.excluded | {upstream} if rule.elsewhere else work.excluded
-        work = work._replace(excluded=excluded, attempts=work.attempts + 1)
+        work = retries.count_attempt(rule, work, upstream)
         exc = self._judge_retry(pool, rule, work, upstream, now)
         if exc is not None:
             return Refusal(work.request_id, exc)
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,353 @@
+"""Upstreams that refuse, break off, cross answers or fall silent."""
+
+import socket
+import time
+import unittest
+from contextlib import ExitStack
+
+from chervilwing.connections import Call, CallHandlers, Client
+from chervilwing.exceptions import NOT_RUN, UNKNOWN, UpstreamFailed, UpstreamSilent
+from chervilwing.models import Address
+from tests.deployments import (
+    AUTHORISED,
+    Deployment,
+    Upstreams,
+    complete,
+    make_configuration,
+    new_key,
+    read_stream,
+)
+from tests.fakes.tokens import expected_tokens
+from tests.procs import HOST, Caller, call, poll
+from tests.upstreams import Loop, RawUpstream, send_load
+
+SILENCE = 0.3
+
+
+class Heard:
+    """What one call's handlers were told."""
+
+    def __init__(self):
+        self.body = b""
+        self.over = False
+        self.failure = None
+        self.exchange = None
+        self.on_data = lambda: None
+        self.handlers = CallHandlers(
+            lambda status, headers: None, self.take, self.end, self.fail
+        )
+
+    def take(self, data):
+        self.body += data
+        self.on_data()
+
+    def end(self):
+        self.over = True
+
+    def fail(self, failure):
+        self.over, self.failure = True, failure
+
+
+def echo(conn, method, path, body):
+    """Answer the path."""
+    size = len(path)
+    conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+    conn.sendall(path.encode())
+
+
+class TestClient(unittest.TestCase):
+    def setUp(self):
+        self.loop = Loop()
+        self.client = Client(self.loop.poller).register(self.loop.root)
+        self.addCleanup(self.loop.run_until, lambda: not self.client.count_idle())
+
+    def submit(self, port, path="/", **options):
+        """Start a call and return what is heard of it."""
+        heard = Heard()
+        call = Call(Address(HOST, port), "GET", path, {}, **options)
+        heard.exchange = self.client.submit(call, heard.handlers)
+        return heard
+
+    def call(self, port, path="/", **options):
+        """Make a call and return it once it has ended."""
+        heard = self.submit(port, path, **options)
+        self.loop.run_until(lambda: heard.over)
+        return heard
+
+    def start(self, script):
+        upstream = RawUpstream(script)
+        self.addCleanup(upstream.close)
+        return upstream
+
+    def check_failure(self, heard, kind, outcome):
+        self.assertIs(type(heard.failure), kind, heard.body)
+        self.assertEqual(heard.failure.outcome, outcome)
+
+    def test_a_connection_carries_one_call_at_a_time(self):
+        upstream = self.start(echo)
+        for turn in range(3):
+            calls = [self.submit(upstream.port, f"/{turn}/{i}") for i in range(5)]
+            self.loop.run_until(lambda calls=calls: all(item.over for item in calls))
+            for i, heard in enumerate(calls):
+                self.assertEqual(heard.body, b"/%d/%d" % (turn, i))
+        self.assertEqual(len(upstream.conns), 5)
+
+    def test_bytes_that_nobody_asked_for_end_the_connection(self):
+        # An engine answers twice, or late. Its bytes must not start the next answer.
+        def answer_twice(conn, *call):
+            echo(conn, *call)
+            echo(conn, "GET", "/crossed", b"")
+
+        upstream = self.start(answer_twice)
+        for i in range(5):
+            self.assertEqual(self.call(upstream.port, f"/{i}").body, b"/%d" % i)
+
+    def test_a_cancelled_call_leaves_nothing_behind(self):
+        def answer_late(conn, method, path, body):
+            if path == "/dropped":
+                conn.recv(1)
+            echo(conn, method, path, body)
+
+        upstream = self.start(answer_late)
+        for i in range(5):
+            dropped = self.submit(upstream.port, "/dropped")
+            self.loop.run_until(lambda i=i: upstream.count("/dropped") == i + 1)
+            self.client.cancel(dropped.exchange)
+            self.assertEqual(self.call(upstream.port, f"/{i}").body, b"/%d" % i)
+            self.assertEqual((dropped.body, dropped.over), (b"", False))
+
+    def test_a_connection_closed_while_idle_is_not_used(self):
+        def answer_and_close(conn, *call):
+            echo(conn, *call)
+            conn.shutdown(socket.SHUT_RDWR)
+
+        upstream = self.start(answer_and_close)
+        for i in range(3):
+            self.assertEqual(self.call(upstream.port, f"/{i}").body, b"/%d" % i)
+            self.loop.run_until(lambda: not self.client.count_idle())
+        self.assertEqual(len(upstream.conns), 3)
+
+    def test_a_paused_connection_is_read_again_by_its_next_call(self):
+        # A slow reader's answer ends in the very read that made it pause. The next
+        # caller gets that connection and would wait for bytes that nobody reads.
+        upstream = self.start(echo)
+        first = self.submit(upstream.port, "/first")
+        first.on_data = lambda: self.client.pause(first.exchange)
+        self.loop.run_until(lambda: first.body)
+        self.loop.run_until(lambda: first.over)
+        second = self.call(upstream.port, "/second", silence_timeout=2.0)
+        self.assertEqual((second.body, second.failure), (b"/second", None))
+        self.client.pause(first.exchange)
+        self.assertEqual(self.call(upstream.port, "/third").body, b"/third")
+
+    def test_what_is_said_of_a_call_that_failed(self):
+        def cut(conn, *call):
+            conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+            conn.shutdown(socket.SHUT_RDWR)
+
+        def answer_without_end(conn, *call):
+            conn.sendall(b"HTTP/1.1 200 OK\r\n\r\nperhaps whole")
+            conn.shutdown(socket.SHUT_RDWR)
+
+        def send_garbage(conn, *call):
+            conn.sendall(b"\0\xff garbage")
+
+        def say_nothing(conn, *call):
+            conn.recv(1)
+
+        for script, kind in (
+            (cut, UpstreamFailed),
+            (answer_without_end, UpstreamFailed),
+            (send_garbage, UpstreamFailed),
+            (lambda conn, *call: conn.shutdown(socket.SHUT_RDWR), UpstreamFailed),
+            (say_nothing, UpstreamSilent),
+        ):
+            upstream = self.start(script)
+            wait = SILENCE if kind is UpstreamSilent else 5.0
+            heard = self.call(upstream.port, silence_timeout=wait)
+            self.check_failure(heard, kind, UNKNOWN)
+        port = upstream.port
+        upstream.close()
+        self.check_failure(self.call(port), UpstreamFailed, NOT_RUN)
+
+    def test_idle_connections_of_a_silent_path_are_retired(self):
+        # A middle box has lost track of every open connection; new ones work.
+        silent = set()
+
+        def answer(conn, *call):
+            if conn not in silent:
+                echo(conn, *call)
+
+        upstream = self.start(answer)
+        calls = [self.submit(upstream.port) for _ in range(4)]
+        self.loop.run_until(lambda: all(item.over for item in calls))
+        silent.update(upstream.conns)
+        heard = self.call(upstream.port, silence_timeout=SILENCE)
+        self.check_failure(heard, UpstreamSilent, UNKNOWN)
+        self.assertEqual(self.call(upstream.port, "/new").body, b"/new")
+        self.assertEqual(len(upstream.conns), 5)
+
+
+class TestEngines(unittest.TestCase):
+    def setUp(self):
+        self.deployment = Deployment()
+        self.addCleanup(self.deployment.close)
+
+    def start(self, engines, *options):
+        self.deployment.start_upstreams(engines, 0, ("--token-time", "0.001"))
+        options += ("--silence-timeout", "1")
+        self.entry = self.deployment.start_entry("one", *options)
+        return self.deployment.upstreams.engines
+
+    def check_whole(self, prompt, stream=True, count=40):
+        answer = complete(self.entry, prompt, count, stream)
+        self.assertEqual(answer.status, 200, answer.raw)
+        text = "".join(expected_tokens("memo", prompt, count))
+        if stream:
+            self.assertEqual(read_stream(answer), (text, True))
+        else:
+            self.assertEqual(answer.json()["choices"][0]["text"], text)
+
+    def hit(self, engine, prompt, **options):
+        """Make calls until one of them was tried on this engine."""
+        before = len(engine.record()["attempts"])
+
+        def check():
+            self.check_whole(prompt, **options)
+            return len(engine.record()["attempts"]) > before
+
+        poll(check, 30)
+
+    def test_answers_are_whole_whatever_an_engine_does(self):
+        # An engine breaks off, garbles, crosses or ends its answers early, or falls
+        # silent. The caller sees one answer without a gap or a repeat.
+        faults = (
+            ("die_after", 7, None),
+            ("garbage", 5, None),
+            ("wrong_attempt", 3, None),
+            ("no_end_mark", True, False),
+            ("stall_after", 4, None),
+        )
+        bad, _ = self.start(2)
+        for name, value, off in faults:
+            for stream in (True, False) if name == "die_after" else (True,):
+                with self.subTest(fault=name, stream=stream):
+                    bad.fault(**{name: value})
+                    self.hit(bad, f"{name} {stream} ", stream=stream)
+                    bad.fault(**{name: off})
+
+    def test_two_engines_in_a_row_may_break_off(self):
+        first, second, third = self.start(3)
+        for number, engine in enumerate((first, second)):
+            engine.fault(die_after=5 + number)
+        for number in range(4):
+            self.check_whole(f"prompt {number} ")
+
+    def test_an_engine_that_is_gone_ran_nothing(self):
+        gone, _ = self.start(2)
+        gone.kill()
+        for number in range(6):
+            self.check_whole(f"prompt {number} ", stream=number % 2 == 0)
+
+    def test_a_silent_path_is_left(self):
+        # The relay loses track of every open connection: neither end hears of it. A
+        # running answer goes on elsewhere or on a new connection.
+        engine, _ = engines = self.start(2)
+        to = f"{HOST}:{engine.port}"
+        relay = self.deployment.processes.start_fake("relay", "--to", to)
+        self.deployment.upstreams = Upstreams((relay, engines[1]), ())
+        configuration = make_configuration(self.deployment.upstreams, 2, "second")
+        self.deployment.put_configuration(configuration, expect=1)
+        poll(lambda: self.entry.get("/-/status")[1]["revision"] == 2)
+        engine.fault(slow=200)
+        engines[1].fault(slow=200)
+        with ExitStack() as stack:
+            callers = [stack.enter_context(Caller(self.entry.port)) for _ in range(6)]
+            for number, caller in enumerate(callers):
+                body = {"model": "memo", "prompt": f"caller {number} ", "stream": True}
+                body["max_tokens"] = 40
+                caller.request("POST", "/v1/completions", body, AUTHORISED)
+            for caller in callers:
+                caller.read_until(b"data: ")
+                caller.buffer = caller.raw
+            self.assertGreater(engine.record()["running"], 0)
+            relay.fault(silent=True)
+            for item in engines:
+                item.fault(slow=1)
+            for number, caller in enumerate(callers):
+                text = "".join(expected_tokens("memo", f"caller {number} ", 40))
+                self.assertEqual(read_stream(caller.read_answer()), (text, True))
+
+
+class TestServices(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.deployment = Deployment()
+        cls.addClassCleanup(cls.deployment.close)
+        cls.deployment.start_upstreams(0, 2)
+        cls.entry = cls.deployment.start_entry("one")
+        cls.services = cls.deployment.upstreams.services
+
+    def send(self, method, path, body=b"", key=None):
+        headers = AUTHORISED | ({"Idempotency-Key": key} if key else {})
+        return call(self.entry.port, method, f"/services/portal/{path}", body, headers)
+
+    def count(self, what, body):
+        """Return how many calls or effects with this body the services saw."""
+        records = [service.record() for service in self.services]
+        return sum(
+            item["body"] == body.decode() for record in records for item in record[what]
+        )
+
+    def test_a_note_whose_connection_dies_is_never_sent_again(self):
+        # The service dies before or after it books the note; the instance can't tell
+        # which, says so, and sends it to nobody else.
+        for fault, effects in (("die_before_effect", 0), ("die_after_effect", 1)):
+            for key in (None, new_key(time.time())):
+                with self.subTest(fault=fault, keyed=bool(key)):
+                    body = f"{fault} {key}".encode()
+                    for service in self.services:
+                        service.fault(**{fault: True})
+                    answer = self.send("POST", "notes", body, key)
+                    for service in self.services:
+                        service.fault(**{fault: False})
+                    self.assertEqual(answer.status, 502)
+                    self.assertEqual(answer.json()["outcome"], "unknown")
+                    self.assertEqual(self.count("calls", body), 1)
+                    self.assertEqual(self.count("effects", body), effects)
+
+    def test_a_refused_note_goes_to_the_other_service(self):
+        self.services[0].fault(refuse=2)
+        for number in range(6):
+            body = f"refused {number}".encode()
+            answer = self.send("POST", "notes", body)
+            self.assertEqual(answer.status, 200, answer.raw)
+            self.assertEqual(self.count("effects", body), 1)
+
+    def test_a_document_is_fetched_again(self):
+        self.services[0].fault(die_before_effect=2)
+        for _ in range(6):
+            answer = self.send("GET", "document?size=3000")
+            self.assertEqual((answer.status, len(answer.body)), (200, 3000))
+
+    def test_a_status_without_a_name_is_passed_on(self):
+        # Statuses without a registered reason broke the answer's writer.
+        def answer(conn, method, path, body):
+            if path == "/-/load":
+                send_load(conn)
+                return
+            conn.sendall(b"HTTP/1.1 299 Odd\r\nContent-Length: 2\r\n\r\nok")
+
+        upstream = RawUpstream(answer)
+        self.addCleanup(upstream.close)
+        deployment = Deployment()
+        self.addCleanup(deployment.close)
+        deployment.upstreams = Upstreams((), (upstream,))
+        deployment.put_configuration(make_configuration(deployment.upstreams))
+        entry = deployment.start_entry("odd")
+        found = call(entry.port, "POST", "/services/portal/notes", b"", AUTHORISED)
+        self.assertEqual((found.status, found.body), (299, b"ok"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_web.py
@@ -0,0 +1,572 @@
+"""Callers that err, dawdle, leave or hurry: what each gets on the wire."""
+
+import json
+import random
+import select
+import signal
+import socket
+import struct
+import unittest
+from contextlib import ExitStack, contextmanager, suppress
+
+from chervilwing import exceptions as exc
+from chervilwing.settings import read_settings
+from chervilwing.web import Web, WebHandlers
+from tests.deployments import (
+    AUTHORISED,
+    Deployment,
+    Upstreams,
+    complete,
+    make_configuration,
+    read_stream,
+)
+from tests.fakes.tokens import expected_tokens
+from tests.procs import HOST, Caller, call, poll
+from tests.upstreams import (
+    CHUNKED_END,
+    CHUNKED_HEAD,
+    Loop,
+    RawUpstream,
+    make_chunk,
+    send_load,
+)
+
+COMPLETIONS, CHATS = "/v1/completions", "/v1/chat/completions"
+NOTES = "/services/portal/notes"
+BODY_LIMIT = 100_000
+MANY = 150
+# A token takes half a second while this factor is set, and no time without it.
+SLOW = 500
+# Long names make long events, so that the kernel's buffers fill with fewer of them.
+LONG_NAME = "entry-" + "x" * 58
+LONG_ID = "r" * 64
+AUTHORISATION = f"Authorization: {AUTHORISED['Authorization']}\r\n".encode()
+GOOD = {"model": "memo", "prompt": "hello", "max_tokens": 8}
+CHAT = {"model": "memo", "messages": [{"role": "user", "content": "hello"}]}
+DEEP = b'{"prompt":' + b"[" * 40_000
+WRONG = (None, 7, 1.5, True, "x", [], {}, -1, 10**30)
+RIGHT = {
+    "model": lambda value: isinstance(value, str),
+    "prompt": lambda value: isinstance(value, str),
+    "max_tokens": lambda value: type(value) is int and 0 < value < 100,
+    "stream": lambda value: isinstance(value, bool),
+}
+
+
+def head(line, *fields):
+    """Return the bytes of a request head."""
+    return "\r\n".join((line, f"Host: {HOST}", *fields, "", "")).encode()
+
+
+def leave(caller, reset):
+    """Close the caller's end, with a reset or as usual."""
+    if reset:
+        linger = struct.pack("ii", 1, 0)
+        caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    caller.close()
+
+
+def drop_field(value, name):
+    """Return the value without one field."""
+    return {key: item for key, item in value.items() if key != name}
+
+
+class WebCase(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.deployment = Deployment()
+        cls.addClassCleanup(cls.deployment.close)
+        cls.deployment.start_upstreams(1, 1, ("--token-time", "0.001"))
+        options = ("--head-timeout", "2", "--body-limit", str(BODY_LIMIT))
+        cls.entry = cls.deployment.start_entry(LONG_NAME, *options)
+        cls.port = cls.entry.port
+        (cls.engine,), (cls.service,) = cls.deployment.upstreams
+
+    def setUp(self):
+        self.engine.fault(slow=0)
+
+    def check_problem(self, answer, kind):
+        self.assertEqual(answer.status, kind.status, answer.raw)
+        self.assertEqual(answer.headers["content-type"], "application/problem+json")
+        value = answer.json()
+        self.assertEqual(value["type"].rpartition("/")[2], kind.type, value)
+        self.assertEqual(value["outcome"], kind.outcome)
+        self.assertEqual(set(value["scope"]), {"kind", "name"})
+        self.assertTrue(answer.whole)
+
+    @contextmanager
+    def witness(self):
+        """Check that another caller's stream goes on whole meanwhile."""
+        self.engine.fault(slow=SLOW)
+        with Caller(self.port) as caller:
+            caller.request("POST", COMPLETIONS, ask(2000), AUTHORISED)
+            caller.read_until(b"data: ")
+            yield
+            self.assertEqual(self.find_attempt("running")["max_tokens"], 2000)
+            self.engine.fault(slow=0)
+            caller.buffer = caller.raw
+            text = "".join(expected_tokens("memo", "hello", 2000))
+            self.assertEqual(read_stream(caller.read_answer()), (text, True))
+
+    def send(self, data):
+        with Caller(self.port) as caller:
+            caller.send(data)
+            return caller.read_answer()
+
+    def find_attempt(self, state):
+        """Return the newest attempt on the engine once it is in this state."""
+
+        def check():
+            newest = self.engine.record()["attempts"][-1]
+            return newest["state"] == state and newest
+
+        return poll(check)
+
+
+def ask(count=8, stream=True, prompt="hello"):
+    """Return the body of a model call."""
+    return GOOD | {"max_tokens": count, "stream": stream, "prompt": prompt}
+
+
+class TestBadInput(WebCase):
+    def test_malformed_http_is_answered_and_disturbs_nobody(self):
+        rows = (
+            (b"\x16\x03\x01\0\xff\r\n\r\n", exc.BadRequest),
+            (head("GET / HTTP/2.0"), exc.BadRequest),
+            (head("GET / HTTP/1.1", "A : b"), exc.BadRequest),
+            (head("GET / HTTP/1.1", "Content-Length: 1", "Content-Length: 2")[:-1]
+             + b"\nx", exc.BadRequest),
+            (head("POST / HTTP/1.1", "Transfer-Encoding: chunked"), exc.LengthRequired),
+            (head("GET / HTTP/1.1", "A: " + "b" * 20_000), exc.TooLarge),
+            (head("GET /nowhere HTTP/1.1"), exc.NotFound),
+            (head("BREW /v1/models HTTP/1.1"), exc.NotFound),
+        )  # fmt: skip
+        with self.witness():
+            for data, kind in rows:
+                with self.subTest(data=data[:40]):
+                    self.check_problem(self.send(data), kind)
+
+    def test_a_caller_that_sends_too_much_reads_why(self):
+        # A clerk uploads a file over the limit. The instance answers and closes while
+        # bytes of the file are unread; the reset that this makes destroys the answer,
+        # and the clerk sees a broken connection.
+        size = 4_000_000
+        data = head("POST /v1/completions HTTP/1.1", f"Content-Length: {size}")
+        for _ in range(5):
+            with Caller(self.port) as caller:
+                caller.send(data)
+                try:
+                    caller.send(b"x" * size)
+                except ConnectionError:
+                    self.fail("the connection broke before the answer was read")
+                self.check_problem(caller.read_answer(), exc.TooLarge)
+
+    def test_wrong_json_is_answered_by_its_type(self):
+        bodies = [b"", b"{", b"[]", b"null", b"\xff\xfe", DEEP]
+        bodies += [b'{"model":"memo","prompt":"\\ud800"}']
+        for name, right in RIGHT.items():
+            values = [value for value in WRONG if not right(value)]
+            bodies += [json.dumps(GOOD | {name: value}).encode() for value in values]
+        bodies += [json.dumps(drop_field(GOOD, name)).encode() for name in GOOD][:2]
+        chats = [json.dumps(CHAT | {"messages": value}).encode() for value in WRONG]
+        for field in ("role", "content"):
+            message = CHAT["messages"][0]
+            rows = [message | {field: value} for value in (None, 7, [], "\ud800")]
+            rows += [drop_field(message, field)]
+            chats += [json.dumps(CHAT | {"messages": [row]}).encode() for row in rows]
+        with self.witness(), Caller(self.port) as caller:
+            for path, body in [(COMPLETIONS, b) for b in bodies] + [
+                (CHATS, b) for b in chats
+            ]:
+                with self.subTest(path=path, body=body[:80]):
+                    answer = caller.call("POST", path, body, AUTHORISED)
+                    self.check_problem(answer, exc.BadRequest)
+
+    def test_unknown_names_and_bad_headers(self):
+        key = {"Authorization": "Bearer wrong"}
+        bad_id = AUTHORISED | {"X-Request-Id": "a b"}
+        bad_key = AUTHORISED | {"Idempotency-Key": "7"}
+        rows = (
+            (COMPLETIONS, GOOD | {"model": "nobody"}, AUTHORISED, exc.NotFound),
+            (COMPLETIONS, GOOD | {"model": "\ud800"}, AUTHORISED, exc.BadRequest),
+            ("/services/nobody/x", {}, AUTHORISED, exc.NotFound),
+            (COMPLETIONS, GOOD, {}, exc.UnknownCustomer),
+            (COMPLETIONS, GOOD, key, exc.UnknownCustomer),
+            (COMPLETIONS, GOOD, bad_id, exc.BadRequest),
+            (NOTES, {}, bad_id, exc.BadRequest),
+            (NOTES, {}, bad_key, exc.BadKey),
+            ("/-/drain", b"{", {}, exc.BadRequest),
+        )
+        calls = len(self.service.record()["calls"])
+        for path, body, headers, kind in rows:
+            with self.subTest(path=path, kind=kind.type):
+                answer = call(self.port, "POST", path, body, headers)
+                self.check_problem(answer, kind)
+        self.assertEqual(len(self.service.record()["calls"]), calls)
+
+    def test_a_slow_sender_is_cut_off_with_its_reason(self):
+        starts = (b"G", head("POST /x HTTP/1.1", "Content-Length: 9") + b"x")
+        with self.witness():
+            for data in starts:
+                answer = self.send(data)
+                self.check_problem(answer, exc.SlowSender)
+
+    def test_random_bytes_never_harm_the_instance(self):
+        rng = random.Random(7)
+        with self.witness():
+            for _ in range(MANY):
+                with Caller(self.port) as caller:
+                    caller.send(rng.randbytes(rng.randrange(1, 300)) + b"\r\n\r\n")
+                    self.assertIn(caller.read_answer().status, (400, 411, 413))
+
+
+class TestLeavers(WebCase):
+    def test_a_caller_that_leaves_frees_the_engine(self):
+        # A broker closes the page while the memo is being written. Without a cancel
+        # the engine would go on for nobody. The answer may not have begun (no stream).
+        for stream in (True, False):
+            for reset in (True, False):
+                with self.subTest(stream=stream, reset=reset):
+                    self.engine.fault(slow=SLOW)
+                    caller = Caller(self.port)
+                    body = ask(30_000, stream, f"leaving {stream} {reset} ")
+                    caller.request("POST", COMPLETIONS, body, AUTHORISED)
+                    if stream:
+                        caller.read_until(b"data: ")
+                    self.find_attempt("running")
+                    leave(caller, reset)
+                    self.find_attempt("cancelled")
+        poll(lambda: self.entry.get("/-/status")[1]["in_flight"] == 0)
+
+    def test_a_pipelining_caller_that_leaves_frees_the_engine(self):
+        # The second request waits in the buffer and the connection isn't read, so the
+        # instance doesn't see the end of it.
+        caller = Caller(self.port)
+        self.engine.fault(slow=SLOW)
+        caller.request("POST", COMPLETIONS, ask(30_000, False, "two "), AUTHORISED)
+        caller.request("GET", "/-/live")
+        self.find_attempt("running")
+        leave(caller, reset=True)
+        self.find_attempt("cancelled")
+
+    def test_a_caller_that_only_closed_its_half_gets_the_whole_answer(self):
+        # `printf ... | nc` sends the request, closes its half and waits. To the
+        # instance this looks like a caller that has left.
+        for stream in (True, False):
+            with Caller(self.port) as caller:
+                caller.request("POST", COMPLETIONS, ask(500, stream), AUTHORISED)
+                caller.sock.shutdown(socket.SHUT_WR)
+                answer = caller.read_answer()
+                while answer.status == 100:
+                    answer = caller.read_answer()
+                text = "".join(expected_tokens("memo", "hello", 500))
+                if stream:
+                    self.assertEqual(read_stream(answer), (text, True))
+                else:
+                    self.assertEqual(answer.json()["choices"][0]["text"], text)
+                with self.assertRaises(EOFError):
+                    caller.fill()
+
+
+class TestStop(unittest.TestCase):
+    def setUp(self):
+        self.deployment = Deployment()
+        self.addCleanup(self.deployment.close)
+        self.deployment.start_upstreams(1, 1, ("--token-time", "0.001"))
+
+    def test_a_planned_stop_cuts_no_request_that_has_come_in_part(self):
+        # A clerk's upload is half there when the instance is told to stop. It ends
+        # with its answer; the idle connection beside it ends at once.
+        entry = self.deployment.start_entry("one")
+        with Caller(entry.port) as caller, Caller(entry.port) as idle:
+            idle.call("GET", "/-/live")
+            first = head("POST " + NOTES + " HTTP/1.1", "Content-Length: 8")
+            caller.send(first[:-2] + AUTHORISATION + b"\r\nhalf")
+            call(entry.port, "GET", "/-/live", headers={"Connection": "close"})
+            entry.signal(signal.SIGTERM)
+            with self.assertRaises(EOFError):
+                idle.fill()
+            caller.send(b"half")
+            answer = caller.read_answer()
+            self.assertEqual((answer.status, answer.whole), (200, True))
+            self.assertEqual(answer.headers["connection"], "close")
+        self.assertEqual(entry.popen.wait(10), 0)
+
+
+class TestReadiness(unittest.TestCase):
+    def test_questions_of_the_balancer_are_no_refused_requests(self):
+        # An instance starts without a configuration; each question of the balancer
+        # meanwhile showed up in the operators' figures as a customer's refused request.
+        deployment = Deployment()
+        self.addCleanup(deployment.close)
+        entry = deployment.start_entry("one", ready=False)
+        answer = call(entry.port, "GET", "/-/ready")
+        self.assertEqual((answer.status, answer.json()["status"]), (503, 503))
+        self.assertEqual(call(entry.port, "GET", "/v1/models").status, 503)
+        lines = call(entry.port, "GET", "/-/metrics").body.decode().splitlines()
+        counts = [line for line in lines if "(none)" in line and "not_run" in line]
+        self.assertEqual([line.split()[-1] for line in counts], ["1"], counts)
+
+
+class TestWeb(unittest.TestCase):
+    def start(self, requested, **changes):
+        """Serve callers within this test's own process."""
+        cfg = read_settings(["--embedded"], {}).unwrap()._replace(**changes)
+        self.loop = Loop()
+        handlers = WebHandlers(requested, lambda exchange: None)
+        web = Web(cfg, self.loop.poller, handlers).register(self.loop.root)
+        self.addCleanup(web.stop_listening)
+        return web, web.listen((HOST, 0)).port
+
+    def test_connections_that_nothing_moves_on_are_closed(self):
+        # Idle callers, and callers that stop reading an answer that is complete, each
+        # hold a socket and a buffer. Who reads slowly but reads is served to the end.
+        document = b"x" * 8_000_000
+        web, port = self.start(lambda ex: ex.answer(200, document), idle_timeout=2.0)
+        with ExitStack() as stack:
+            idle, stalled, slow = (stack.enter_context(Caller(port)) for _ in range(3))
+            for caller in (stalled, slow):
+                caller.request("GET", "/")
+            slow.sock.setblocking(False)
+            self.loop.run_until(lambda: web.count() == 3)
+            received = []
+
+            def read_slowly():
+                with suppress(BlockingIOError):
+                    received.append(len(slow.sock.recv(3_000)))
+                return web.count() == 1
+
+            self.loop.run_until(read_slowly)
+            self.assertLess(sum(received), len(document))
+            with self.assertRaises(EOFError):
+                idle.fill()
+
+            def read_fast():
+                with suppress(BlockingIOError):
+                    received.append(len(slow.sock.recv(1 << 20)))
+                return sum(received) > len(document)
+
+            self.loop.run_until(read_fast)
+            with self.assertRaises(EOFError):
+                while len(stalled.raw) < len(document):
+                    stalled.fill()
+        self.loop.run_until(lambda: web.count() == 0)
+
+    def test_answers_that_nobody_reads_stop_the_requests(self):
+        # A caller pipelines without end and reads nothing: neither its requests nor
+        # the answers may pile up.
+        page, served = b"x" * 10_000, []
+
+        def requested(exchange):
+            served.append(exchange)
+            exchange.answer(200, page)
+
+        web, port = self.start(requested)
+        with Caller(port) as caller:
+            caller.sock.setblocking(False)
+            data = memoryview(head("GET / HTTP/1.1") * 200_000)
+            counts = []
+
+            def push():
+                nonlocal data
+                with suppress(BlockingIOError):
+                    data = data[caller.sock.send(data) :]
+                counts.append(len(served))
+                return len(counts) > 100 and counts[-1] == counts[-50]
+
+            self.loop.run_until(push)
+            self.assertLess(len(served), 1000)
+            self.assertGreater(len(data), 0)
+        self.loop.run_until(lambda: web.count() == 0)
+
+
+class TestSlowReader(unittest.TestCase):
+    def test_a_slow_reader_slows_the_engine_down(self):
+        # A phone stops reading. Nobody may keep the rest of its answer in memory: the
+        # instance stops reading from the engine, and the engine stops writing. The
+        # other callers go on.
+        engine = RawUpstream(lambda *call: write_answer(engine, *call))
+        self.addCleanup(engine.close)
+        deployment = Deployment()
+        self.addCleanup(deployment.close)
+        deployment.upstreams = Upstreams((engine,), ())
+        deployment.put_configuration(make_configuration(deployment.upstreams))
+        entry = deployment.start_entry(LONG_NAME)
+        count, seen = 30_000, []
+
+        def stalled():
+            seen.append(engine.sent)
+            return len(seen) > 100 and len(set(seen[-50:])) == 1
+
+        with Caller(entry.port) as caller:
+            headers = AUTHORISED | {"X-Request-Id": LONG_ID}
+            caller.request("POST", COMPLETIONS, ask(count, True, "slow "), headers)
+            caller.read_until(b"data: ")
+            poll(stalled, 60)
+            # The kernel's buffers on the way and the instance's own, but not 5 MB.
+            self.assertLess(seen[-1], 2_000_000)
+            other = complete(entry, stream=True)
+            self.assertTrue(read_stream(other)[1], other.raw)
+            self.assertLess(engine.sent, 2_000_000)
+            caller.buffer = caller.raw
+            whole = "".join(expected_tokens("memo", "slow ", count))
+            self.assertEqual(read_stream(caller.read_answer()), (whole, True))
+        self.assertGreater(engine.sent, 4_000_000)
+
+
+def write_answer(engine, conn, method, path, body):
+    """Answer a completion as an engine does, as fast as it is read."""
+    if path != COMPLETIONS:
+        send_load(conn)
+        return
+    asked = json.loads(body)
+    count, attempt = asked["max_tokens"], asked["attempt"]
+    tokens = expected_tokens(asked["model"], asked["prompt"], count)
+    engine.send(conn, CHUNKED_HEAD)
+    for index, token in enumerate(tokens):
+        event = {"attempt": attempt, "index": index, "token": token}
+        engine.send(conn, make_chunk(event))
+    usage = {"completion_tokens": count, "prompt_tokens": 1}
+    event = {"attempt": attempt, "usage": usage, "finish_reason": "length"}
+    conn.sendall(make_chunk(event) + make_chunk("[DONE]") + CHUNKED_END)
+
+
+class TestConversation(WebCase):
+    def test_a_connection_serves_one_request_after_another(self):
+        with Caller(self.port) as caller:
+            for count in (1, 5, 3):
+                for stream in (True, False):
+                    body = ask(count, stream)
+                    answer = caller.call("POST", COMPLETIONS, body, AUTHORISED)
+                    self.assertTrue(answer.whole)
+                    self.assertEqual(answer.headers["connection"], "keep-alive")
+            answer = caller.call("GET", "/-/live", headers={"Connection": "close"})
+            self.assertEqual(answer.headers["connection"], "close")
+            with self.assertRaises(EOFError):
+                caller.fill()
+
+    def test_pipelined_requests_are_answered_in_their_order(self):
+        # Hundreds of requests in one packet once ran each inside the one before it.
+        with self.witness(), Caller(self.port) as caller:
+            caller.send(head("GET /-/live HTTP/1.1") * 600)
+            for _ in range(600):
+                self.assertEqual(caller.read_answer().json(), {"live": True})
+        with Caller(self.port) as caller:
+            for count in range(1, 20):
+                body = ask(count, count % 2 == 0)
+                caller.request("POST", COMPLETIONS, body, AUTHORISED)
+            for count in range(1, 20):
+                answer = caller.read_answer()
+                if count % 2 == 0:
+                    self.assertEqual(len(answer.events()), count + 2)
+                else:
+                    usage = answer.json()["usage"]
+                    self.assertEqual(usage["completion_tokens"], count)
+
+    def test_garbage_behind_a_request_does_not_cut_its_answer(self):
+        with Caller(self.port) as caller:
+            caller.request("POST", COMPLETIONS, ask(300), AUTHORISED)
+            caller.send(b"\0garbage\r\n\r\n" + b"x" * 2 * BODY_LIMIT)
+            text = "".join(expected_tokens("memo", "hello", 300))
+            self.assertEqual(read_stream(caller.read_answer()), (text, True))
+            self.check_problem(caller.read_answer(), exc.BadRequest)
+
+    def test_nothing_runs_behind_the_last_request(self):
+        # "Connection: close" ends the conversation; a note sent behind it would be
+        # booked and its answer thrown away.
+        with Caller(self.port) as caller:
+            note = head("POST " + NOTES + " HTTP/1.1", "Content-Length: 4")
+            note = note[:-2] + AUTHORISATION + b"\r\nlost"
+            caller.send(head("GET /-/live HTTP/1.1", "Connection: close") + note)
+            self.assertEqual(caller.read_answer().status, 200)
+            with self.assertRaises(EOFError):
+                caller.fill()
+        self.assertNotIn("lost", self.service.record()["by_body"])
+
+    def test_a_stream_comes_chunk_by_chunk(self):
+        self.engine.fault(slow=SLOW)
+        with Caller(self.port) as caller:
+            caller.request("POST", COMPLETIONS, ask(2000), AUTHORISED)
+            status, headers = caller.read_head()
+            self.assertEqual((status, headers["transfer-encoding"]), (200, "chunked"))
+            self.assertNotIn("content-length", headers)
+            self.assertTrue(caller.read_chunk().endswith(b"\n\n"))
+            # The engine is still writing: the chunk wasn't kept until the end.
+            self.assertLess(self.find_attempt("running")["sent"], 2000)
+            self.engine.fault(slow=0)
+            while caller.read_chunk():
+                pass
+            self.assertEqual(caller.buffer, b"")
+
+    def test_an_old_caller_gets_a_stream_without_chunks(self):
+        data = json.dumps(ask(5)).encode()
+        line = f"POST {COMPLETIONS} HTTP/1.0"
+        first = head(line, f"Content-Length: {len(data)}")[:-2]
+        with Caller(self.port) as caller:
+            caller.send(first + AUTHORISATION + b"\r\n" + data)
+            status, headers = caller.read_head()
+            self.assertNotIn("transfer-encoding", headers)
+            with self.assertRaises(EOFError):
+                while True:
+                    caller.fill()
+            self.assertTrue(caller.buffer.startswith(b"id: "))
+            self.assertTrue(caller.buffer.endswith(b"data: [DONE]\n\n"))
+
+    def test_head_is_get_without_its_body(self):
+        with Caller(self.port) as caller:
+            for path in ("/-/live", "/services/portal/doc?size=5000"):
+                full = caller.call("GET", path, headers=AUTHORISED)
+                caller.request("HEAD", path, headers=AUTHORISED)
+                status, headers = caller.read_head()
+                self.assertEqual((status, caller.buffer), (full.status, b""))
+                expected = full.headers["content-length"]
+                self.assertEqual(headers.get("content-length"), expected)
+
+    def test_a_body_is_asked_for_when_its_sender_waits(self):
+        body = b"x" * 5000
+        expect = ("Content-Length: 5000", "Expect: 100-continue")
+        first = head("POST " + NOTES + " HTTP/1.1", *expect)[:-2] + AUTHORISATION
+        with Caller(self.port) as caller:
+            caller.send(first + b"\r\n")
+            self.assertEqual(caller.read_head(), (100, {}))
+            caller.send(body)
+            self.assertEqual(caller.read_answer().status, 200)
+            caller.send(first.replace(b"5000", b"500000") + b"\r\n")
+            self.check_problem(caller.read_answer(), exc.TooLarge)
+
+    def test_paths_and_queries_reach_the_service_as_sent(self):
+        for path in ("/a%2Fb%20c", "/a;b=c/~d", "/%C3%A9", "//twice", "/"):
+            sent = f"/services/portal{path}?q=a%26b&size=0&x=/?"
+            answer = call(self.port, "GET", sent, headers=AUTHORISED)
+            self.assertEqual(answer.status, 200)
+        answer = call(self.port, "GET", "/services/portal/x?size=77", b"", AUTHORISED)
+        self.assertEqual(len(answer.body), 77)
+
+    def test_many_callers_get_their_own_answer_or_a_refusal_at_once(self):
+        # More than the customer's queue holds: the surplus is told at once to come back
+        # later, and everybody else gets the whole answer to the own request.
+        self.engine.fault(slow=SLOW)
+        with ExitStack() as stack:
+            callers = [stack.enter_context(Caller(self.port)) for _ in range(MANY)]
+            for number, caller in enumerate(callers):
+                body = ask(20, False, f"caller {number} ")
+                caller.request("POST", COMPLETIONS, body, AUTHORISED)
+            socks = [caller.sock for caller in callers]
+            poll(lambda: select.select(socks, (), (), 0)[0])
+            self.engine.fault(slow=0)
+            answers = [caller.read_answer() for caller in callers]
+        refused = [answer for answer in answers if answer.status != 200]
+        self.assertGreater(len(refused), 0)
+        self.assertLess(len(refused), MANY)
+        for answer in refused:
+            self.check_problem(answer, exc.CustomerLimit)
+            self.assertGreaterEqual(int(answer.headers["retry-after"]), 1)
+            self.assertGreater(answer.json()["retry_after"], 0)
+        for number, answer in enumerate(answers):
+            if answer.status == 200:
+                text = "".join(expected_tokens("memo", f"caller {number} ", 20))
+                self.assertEqual(answer.json()["choices"][0]["text"], text)
+
+
+if __name__ == "__main__":
+    unittest.main()
