Let the membership carry the configuration's values, and Revisions only judge them

Cause: two mechanisms spread revisions: Revisions' Have/Want/Offer to random peers (whole values, streams to half of the fleet at the design size) and Membership.publish_revision (chunks, compressed, over the partial view), which nothing used. Ruled out: keeping Have beside the membership's digests: the digests of the tables already tell of a newer number each second. The follower publishes what came into force; a number that the membership brought starts no rumour.

--- a/src/chervilwing/daemon.py
+++ b/src/chervilwing/daemon.py
@@ -100,7 +100,9 @@
         store = Store(cfg, self._client)
         self._claimant = Claimant(cfg, store, self._peers).register(self)
         dispatcher.claimant = self._claimant
-        self._follower = Follower(cfg, store, self._peers, dispatcher).register(self)
+        self._follower = Follower(
+            cfg, store, self._publish_revision, dispatcher
+        ).register(self)
         self._notices = Notices(
             cfg,
             self._client,
@@ -129,6 +131,9 @@
     def _publish(self, notice):
         self._peers.apply(self._membership.publish(notice, time.time()))
 
+    def _publish_revision(self, number, value):
+        self._membership.publish_revision(number, value, time.time())
+
     def _leave(self):
         self._membership.leave()
 
@@ -137,6 +142,8 @@
             self._notices.hear(heard.item)
         elif isinstance(heard.item, Record):
             self._enlist()
+        else:
+            self._follower.hear(heard.value)
 
     def _enlist(self):
         live = [item for item in self._membership.members() if item.state == LIVE]
--- a/src/chervilwing/follower.py
+++ b/src/chervilwing/follower.py
@@ -1,4 +1,4 @@
-"""Keep the newest configuration in force: the store, the peers and the dispatcher."""
+"""Keep the newest configuration in force: store, membership and dispatcher."""
 
 import random
 import time
@@ -7,18 +7,10 @@
 from returns.pipeline import is_successful
 
 from .documents import CONFIG_KEY, parse_document
+from .exceptions import BadConfiguration, TooLarge
 from .logs import log_event
-from .messages import Forward, StoreCall
-from .revisions import (
-    Adopted,
-    Have,
-    Ignored,
-    Offer,
-    Revisions,
-    RevisionSettings,
-    Stamp,
-    Want,
-)
+from .messages import StoreCall
+from .revisions import PEERS, Adopted, Ignored, Revisions, RevisionSettings, Stamp
 
 
 def read_stamp(value):
@@ -39,21 +31,23 @@
 
 
 class Follower(BaseComponent):
-    """Drive the revisions of one instance."""
+    """Drive the revisions of one instance.
+
+    ``publish`` takes the number and the bytes of each value that came into force.
+    """
 
     channel = "follower"
 
-    def __init__(self, cfg, store, peers, dispatcher):
+    def __init__(self, cfg, store, publish, dispatcher):
         super().__init__()
         self._store = store
-        self._peers = peers
+        self._publish = publish
         self._dispatch = dispatcher
         settings = RevisionSettings(key=CONFIG_KEY, watch_wait=cfg.watch_wait)
         self.revisions = Revisions(settings, cfg.name, read_stamp, random.Random())
-        peers.subscribe((Have, Want, Offer), self._hear)
 
     def begin(self, members):
-        """Ask the store and the peers for the configuration."""
+        """Ask the store for the configuration, and wait for the peers."""
         self.revisions.enlist(members)
         self._apply(self.revisions.start(time.monotonic()))
 
@@ -61,6 +55,15 @@
         """Take the live entry instances, name to data centre."""
         self.revisions.enlist(members)
 
+    def hear(self, value):
+        """Take the bytes of a value that the membership brought."""
+        try:
+            text = value.decode()
+        except UnicodeDecodeError as exc:
+            self._ignore(Ignored(PEERS, BadConfiguration(f"not UTF-8: {exc.reason}")))
+            return
+        self._apply(self.revisions.hear(text, time.monotonic()))
+
     def explain_not_ready(self):
         """Return why there is no configuration in force, or None."""
         return self.revisions.explain_not_ready()
@@ -69,9 +72,6 @@
     def _on_tick(self):
         self._apply(self.revisions.tick(time.monotonic()))
 
-    def _hear(self, sender, message):
-        self._apply(self.revisions.hear(sender, message, time.monotonic()))
-
     def _received(self, token, reply):
         self._apply(self.revisions.receive(token, reply, time.monotonic()))
 
@@ -84,13 +84,18 @@
             action.request, lambda reply: self._received(action.token, reply)
         )
 
-    def _forward(self, action):
-        self._peers.forward(action.instance, action.message)
-
     def _adopt(self, action):
         configuration = unwrap(parse_document(action.value))
         self._dispatch.configure(configuration)
         log_event("configuration in force", revision=configuration.revision)
+        self._spread(action)
+
+    def _spread(self, action):
+        # One that the membership brought has its number already and starts no rumour.
+        try:
+            self._publish(action.stamp.revision, action.value.encode())
+        except TooLarge as exc:
+            log_event("configuration not spread", detail=exc.detail)
 
     def _ignore(self, action):
         detail = action.failure.detail
@@ -99,7 +104,6 @@
 
 APPLIERS = {
     StoreCall: Follower._call,
-    Forward: Follower._forward,
     Adopted: Follower._adopt,
     Ignored: Follower._ignore,
 }
--- a/tests/live.py
+++ b/tests/live.py
@@ -7,6 +7,8 @@
 
 import lark
 
+from chervilwing.documents import serialise
+from chervilwing.models import MODEL, Address, Pool, Upstream
 from tests.deployments import (
     AUTHORISED,
     Deployment,
@@ -47,6 +49,7 @@
     | "fault" "engine" "of" NAME WORD                  -> fault_engine
     | "mend" GROUP WORD                                -> mend
     | "publish" "revision" INT                         -> publish
+    | "publish" "revision" INT "of" INT "KB"           -> publish_large
     | "when" NAME "has" "revision" INT                 -> when_revision
     | "expect" NAME "whole"                            -> expect_whole
     | "expect" "answers" "to" NAME "=" INT ("," INT)*  -> expect_answers
@@ -165,6 +168,29 @@
     play.version = play.deployment.put_configuration(configuration, play.version)
 
 
+def publish_large(play, revision, size):
+    configuration = make_configuration(play.upstreams(), int(revision), "edit")
+    step = len(serialise(add_spares(configuration, 100)))
+    step -= len(serialise(configuration))
+    configuration = add_spares(configuration, int(size) * 100_000 // step + 1)
+    assert len(serialise(configuration)) >= int(size) * 1000
+    play.version = play.deployment.put_configuration(configuration, play.version)
+
+
+def add_spares(configuration, count):
+    """Return the configuration with a pool of upstreams that nobody uses."""
+    inventory = configuration.inventory
+    pool = Pool("spares", MODEL, ("spare",))
+    rows = [
+        Upstream(f"spare-{n:03}", MODEL, pool.name, Address(HOST, n), "a")
+        for n in range(1, count + 1)
+    ]
+    inventory = inventory._replace(
+        pools=(*inventory.pools, pool), upstreams=(*inventory.upstreams, *rows)
+    )
+    return configuration._replace(inventory=inventory)
+
+
 def start_model_call(kind):
     def begin(play, name, count, entry):
         sent = Sent(kind, f"prompt of {name}", int(count), [])
@@ -316,6 +342,7 @@
     "entry": start_entry,
     "restart": restart_entry,
     "publish": publish,
+    "publish_large": publish_large,
     "stream": start_model_call("stream"),
     "memo": start_model_call("memo"),
     "note": send_note,
