Test when revisions make ready and what the membership brings; show the spread red

Cause: readiness, unreadable and oversized values had no test of their own. Ruled out: dropping the guard on TooLarge: only our tools check the size, the store's holder may write more. Change: tests/test_revisions.py, a membership test and two weaknesses.

--- a/src/chervilwing/follower.py
+++ b/src/chervilwing/follower.py
@@ -88,13 +88,12 @@
         configuration = unwrap(parse_document(action.value))
         self._dispatch.configure(configuration)
         log_event("configuration in force", revision=configuration.revision)
-        self._spread(action)
-
-    def _spread(self, action):
         # One that the membership brought has its number already and starts no rumour.
         try:
             self._publish(action.stamp.revision, action.value.encode())
         except TooLarge as exc:
+            # Written past our tools, which refuse it: it holds here, the peers read the
+            # store themselves. Raised, it would end the task that talks to the store.
             log_event("configuration not spread", detail=exc.detail)
 
     def _ignore(self, action):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -113,6 +113,18 @@
         values = {node.value() for node in fleet.nodes.values()}
         self.assertEqual(values, {make_value(7)})
 
+    def test_value_that_was_brought_starts_no_rumour_when_published(self):
+        # Each instance publishes what came into force, also what a peer brought: told
+        # anew by all, one edit would go round the fleet once for each instance.
+        fleet = make_fleet(8, centres="ab")
+        first, last = list(fleet.nodes)[::7]
+        self.publish_revision(fleet, 7, first)
+        fleet.run(REVISION_WITHIN)
+        node = fleet.nodes[last]
+        self.assertEqual((node.revision(), node.describe().rumours), (7, 0))
+        self.publish_revision(fleet, 7, last)
+        self.assertEqual(node.describe().rumours, 0)
+
     def test_cut_heals_and_both_sides_merge(self):
         """After a cut, callers of one side meet rules that the other side changed.
 
--- /dev/null
+++ b/tests/test_revisions.py
@@ -0,0 +1,94 @@
+"""Tests of revisions: when an instance is ready, and what it takes from its peers."""
+
+import random
+import unittest
+from types import SimpleNamespace
+
+from chervilwing.documents import serialise
+from chervilwing.exceptions import TooLarge
+from chervilwing.follower import Follower
+from chervilwing.messages import Found, Missing, Unanswered
+from chervilwing.revisions import Adopted, Ignored, Revisions, RevisionSettings
+from tests.deployments import Upstreams, make_configuration
+from tests.world import read_stamp
+
+MEMBERS = {"one": "a", "two": "b", "three": "c"}
+CFG = RevisionSettings()
+
+
+class TestRevisions(unittest.TestCase):
+    def setUp(self):
+        self.core = Revisions(CFG, "one", read_stamp, random.Random(1))
+        self.core.enlist(MEMBERS)
+        (self.read,) = self.core.start(0.0)
+
+    def test_store_answer_makes_ready_at_once(self):
+        self.core.receive(self.read.token, Found("2 op-2", 7), 0.1)
+        self.assertIsNone(self.core.explain_not_ready())
+        self.assertEqual(self.core.stamp.revision, 2)
+
+    def test_peers_make_ready_only_after_the_wait(self):
+        """Callers meet rules that an operator has replaced minutes ago.
+
+        An instance restarts while the store is down. The first peer that it hears was
+        cut off during the edit and has revision 1; one with revision 2 comes later.
+        """
+        self.core.receive(self.read.token, Unanswered(), 0.1)
+        self.core.hear("1 op-1", 0.2)
+        self.core.tick(CFG.peer_wait - 0.1)
+        detail = self.core.explain_not_ready().detail
+        self.assertIn("no answer; peers: 2 known, revision 1 heard", detail)
+        self.core.hear("2 op-2", CFG.peer_wait - 0.1)
+        self.assertIsNotNone(self.core.explain_not_ready())
+        self.core.tick(CFG.peer_wait)
+        self.assertIsNone(self.core.explain_not_ready())
+        self.assertEqual(self.core.stamp.revision, 2)
+
+    def test_value_after_the_wait_makes_ready_at_once(self):
+        self.core.receive(self.read.token, Missing(), 0.1)
+        self.core.tick(CFG.peer_wait + 1)
+        detail = self.core.explain_not_ready().detail
+        self.assertIn("holds none; peers: 2 known, none heard", detail)
+        self.core.hear("1 op-1", CFG.peer_wait + 2)
+        self.assertIsNone(self.core.explain_not_ready())
+
+    def test_only_newer_readable_values_are_adopted(self):
+        (adopted,) = self.core.hear("2 op-2", 0.1)
+        self.assertIsInstance(adopted, Adopted)
+        self.assertEqual(self.core.hear("2 op-2", 0.2), ())
+        self.assertEqual(self.core.hear("1 op-1", 0.3), ())
+        (ignored,) = self.core.hear("of a later version", 0.4)
+        self.assertIsInstance(ignored, Ignored)
+        self.assertEqual(self.core.value, "2 op-2")
+
+
+class TestFollower(unittest.TestCase):
+    def setUp(self):
+        self.published, self.configured = [], []
+        dispatcher = SimpleNamespace(configure=self.configured.append)
+        cfg = SimpleNamespace(name="one", watch_wait=1.0)
+        publish = lambda *args: self.published.append(args)
+        self.follower = Follower(cfg, None, publish, dispatcher)
+
+    def test_value_of_a_peer_comes_into_force(self):
+        value = serialise(make_configuration(Upstreams((), ()), 4)).encode()
+        self.follower.hear(value)
+        self.assertEqual([one.revision for one in self.configured], [4])
+        self.assertEqual(self.published, [(4, value)])
+
+    def test_value_too_large_to_spread_still_comes_into_force(self):
+        # Someone wrote a configuration over a megabyte past our tools. The instances
+        # that read it must go on, each by its own readings of the store.
+        def refuse(number, value):
+            raise TooLarge("over the limit")
+
+        self.follower._publish = refuse
+        self.follower.hear(serialise(make_configuration(Upstreams((), ()))).encode())
+        self.assertEqual(len(self.configured), 1)
+
+    def test_bytes_that_are_no_text_are_ignored(self):
+        # A peer of another version spreads a value in a form that this one can't read.
+        # Raised in the task that serves all peers, the failure would end it.
+        self.follower.hear(b"\xff\xfe")
+        self.follower.hear(b"{}")
+        self.assertEqual((self.configured, self.published), ([], []))
--- a/tests/weakened.py
+++ b/tests/weakened.py
@@ -45,6 +45,7 @@
     Edit("segments", "claims.setdefault(key, claim)", "claims[key] = claim"),
 )
 HOLDER = "tests.test_orders.TestHolder.test_"
+SPREAD = "tests.test_membership.TestSpread.test_"
 LEDGER = "tests.test_claims.TestLedger.test_"
 EDITS = "tests.test_edits.TestLostAnswers.test_"
 
@@ -190,6 +191,22 @@
         (Edit("revisions", "if self.stamp.revision and ", "if "),),
         ("no-configuration",),
     ),
+    Weakness(
+        "what came into force isn't passed on",
+        (
+            Edit(
+                "follower",
+                "            self._publish(action.st",
+                "            (action.st",
+            ),
+        ),
+        ("tests.test_live.TestLargeConfiguration.test_scenario",),
+    ),
+    Weakness(
+        "a value that was brought is told anew",
+        (Edit("membership", "if self._keep(revision):", "if True:"),),
+        (SPREAD + "value_that_was_brought_starts_no_rumour_when_published",),
+    ),
     Weakness(
         "engine without fencing",
         (Edit("orders", "order, self.fence, self", "order, 1 << 40, self"),),
