--- a/tests/world.py
+++ b/tests/world.py
@@ -19,6 +19,9 @@
 TICK = 0.02
 STORE_WAIT = 0.5
 LIST_LAG = 3.0
+# Of the membership: how long a value is on its way at most, and its exchanges.
+SPREAD = 0.5
+EXCHANGE_EVERY = 1.0
 CONFIGURATION = RevisionSettings().key
 
 
@@ -185,12 +188,16 @@
         self.revisions = Revisions(
             RevisionSettings(), self.name, read_stamp, random.Random(world.rng.random())
         )
+        self.published = 0
         self.holder = o.Holder(o.OrderSettings(), self.name, self.zone, "pool")
         self.operations = itertools.count()
         world.enlist(self)
         world.relist()
         self.act(self.revisions.start(world.now))
+        for peer in world.others(self):
+            world.exchange(self, peer)
         self.tick(self.boots)
+        self.gossip(self.boots)
 
     def on(self, boot, method, *args):
         """Run something on this node: later if frozen, never if it restarted."""
@@ -218,6 +225,13 @@
             self.world.in_force.append((now, self.name, revision))
         self.world.later(TICK, self.on, boot, self.tick, boot)
 
+    def gossip(self, boot):
+        """Exchange values with one instance picked at random, as digests lead to."""
+        world = self.world
+        if others := world.others(self):
+            world.exchange(self, world.spread_rng.choice(others))
+        world.later(EXCHANGE_EVERY, self.on, boot, self.gossip, boot)
+
     def act(self, actions):
         """Carry out what the core asks for."""
         for action in actions:
@@ -260,9 +274,14 @@
 
     def hear(self, sender, message):
         """Take a message of a peer."""
-        own = type(message).__module__.endswith("segments")
-        part = self.ledger if own else self.revisions
-        self.take(part, "hear", sender, message)
+        self.take(self.ledger, "hear", sender, message)
+
+    def _adopted(self, action):
+        # The membership makes a rumour only of a number above the one it holds.
+        if action.stamp.revision > self.published:
+            self.published = action.stamp.revision
+            for peer in self.world.others(self):
+                self.world.bring(self, peer)
 
     def _granted(self, action):
         call = self.calls[action.operation]
@@ -302,7 +321,7 @@
     ClaimGranted: Node._granted,
     ClaimRecorded: Node._recorded,
     ClaimRefused: Node._refused,
-    Adopted: lambda node, action: None,
+    Adopted: Node._adopted,
     o.OrderSend: Node._order,
     o.OrderRefused: Node._order_refused,
 }
@@ -314,6 +333,8 @@
     def __init__(self, seed=1, cfg=None):
         self.cfg = cfg or ClaimSettings()
         self.rng = random.Random(seed)
+        # One of its own: how values spread must not change the keys of the notes.
+        self.spread_rng = random.Random(f"spread-{seed}")
         self.now = EPOCH
         self.events = []
         self.order = itertools.count()
@@ -375,16 +396,38 @@
     def carry(self, node, action):
         """Bring a message to another instance, unless a cut is in between."""
         peer = self.nodes[action.instance]
-        far = {node.zone, peer.zone} & self.islands and node.zone != peer.zone
-        if (
-            peer.alive
-            and not far
-            and frozenset([node.name, peer.name]) not in (self.islands)
-        ):
+        if self.reaches(node, peer):
             delay = 0.0015 * self.rng.uniform(0.7, 2.0)
             args = node.name, action.message
             self.later(delay, peer.on, peer.boots, peer.hear, *args)
 
+    def reaches(self, node, peer):
+        """Tell whether something sent now arrives: no cut, and the other end lives."""
+        far = {node.zone, peer.zone} & self.islands and node.zone != peer.zone
+        pair = frozenset([node.name, peer.name])
+        return peer.alive and not far and pair not in self.islands
+
+    def others(self, node):
+        """Return the other instances, whether they are reachable or not."""
+        return [peer for peer in self.nodes.values() if peer is not node]
+
+    def exchange(self, node, peer):
+        """Bring each of two instances the value of the other."""
+        self.bring(node, peer)
+        self.bring(peer, node)
+
+    def bring(self, node, peer):
+        """Bring an instance's value to another, as the membership does."""
+        delay = SPREAD * self.spread_rng.uniform(0.2, 1.0)
+        self.later(delay, node.on, node.boots, self._bring, node, peer)
+
+    def _bring(self, node, peer):
+        # Older values come too, which the membership itself would leave out: that
+        # the core never goes back must not hang on that.
+        if node.revisions.value and self.reaches(node, peer):
+            args = peer.take, peer.revisions, "hear", node.revisions.value
+            peer.on(peer.boots, *args)
+
     def send(self, note, name, altered=False, age=0.0):
         """Send a caller's note to an instance; its key stays the same."""
         if note not in self.keys:
