Tell a dead path from a dead upstream, and retire its connections together

Cause: a connection that goes silent ended only the one call on it, as a dead upstream. A pool of one upstream then refused the caller, twenty calls spent the retry budget, and the load report marked a living upstream down. Ruled out: a bare TCP connect as the test (a frozen process still accepts); retrying on the same upstream by choice (one whose work hangs answers probes: stall_after in test_connections stayed cut). Change: after silence one probe (OPTIONS *) on a new connection; answered, all calls on connections without a byte since half the limit end as PathSilent and go on without budget, elsewhere if there is another. Calls that may not be repeated keep their limit.

--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -130,6 +130,10 @@
     type, title = "upstream-silent", "Upstream silent"
 
 
+class PathSilent(UpstreamSilent):
+    """Old connections to an upstream gave no sign while a new one is answered."""
+
+
 class DeadlinePassed(ChervilwingError):
     """The request was given up on at its deadline."""
 
--- a/src/chervilwing/forwards.py
+++ b/src/chervilwing/forwards.py
@@ -1,8 +1,8 @@
 """One call to a plain service: its attempts and its answer to the caller."""
 
-from .connections import Call, CallHandlers
-from .exceptions import NOT_RUN, RAN, KeyExpired, Scope, UpstreamFailed, UpstreamSilent
-from .work import BUSY, CANCELLED, FAILED, OK, SILENT
+from .connections import Call, CallHandlers, find_outcome
+from .exceptions import NOT_RUN, RAN, KeyExpired, Scope, UpstreamFailed
+from .work import BUSY, CANCELLED, FAILED, OK
 
 # Load: documents pulled all day. Harm: an answer is held whole until its end is known,
 # so that no caller gets a part; the limit bounds what one of them can hold.
@@ -117,7 +117,7 @@
         session.close()
 
     def _failed(self, exc):
-        self._lose(SILENT if isinstance(exc, UpstreamSilent) else FAILED, exc)
+        self._lose(find_outcome(exc), exc)
 
     def _lose(self, outcome, exc):
         self._report(outcome)
--- a/src/chervilwing/generations.py
+++ b/src/chervilwing/generations.py
@@ -5,10 +5,10 @@
 
 from . import completions
 from .answers import Answer
-from .connections import Call, CallHandlers
-from .exceptions import NOT_RUN, Scope, UpstreamFailed, UpstreamSilent
+from .connections import Call, CallHandlers, find_outcome
+from .exceptions import NOT_RUN, Scope, UpstreamFailed
 from .web import EVENTS_TYPE
-from .work import BUSY, CANCELLED, FAILED, OK, SILENT
+from .work import BUSY, CANCELLED, FAILED, OK
 
 COMPLETIONS_PATH = "/v1/completions"
 CANCEL_PATH = "/v1/cancel"
@@ -131,9 +131,7 @@
 
     def _failed(self, exc):
         if not self.answer.complete:
-            self._lose(
-                SILENT if isinstance(exc, UpstreamSilent) else FAILED, exc.detail
-            )
+            self._lose(find_outcome(exc), exc.detail)
 
     def _emit(self, tokens):
         now = time.monotonic()
--- a/src/chervilwing/loads.py
+++ b/src/chervilwing/loads.py
@@ -45,7 +45,10 @@
         path = LOAD_PATHS.get(upstream.kind, SERVICE_LOAD_PATH)
         wait = self._cfg.connect_timeout
         call = Call(upstream.address, "GET", path, {}, b"", wait, wait)
-        self._client.submit(call, collect_json(partial(self._hear, upstream.name)))
+        hear = partial(self._hear, upstream.name)
+        # Guard: an upstream that has just answered on a new connection isn't down; a
+        # pool of one would refuse the very requests that wait to go on there.
+        self._client.submit(call, collect_json(hear, path_lost=lambda: None))
 
     def _hear(self, name, status, value):
         scheduler = self._dispatch.scheduler
--- a/src/chervilwing/notices.py
+++ b/src/chervilwing/notices.py
@@ -9,7 +9,10 @@
 from .logs import log_event
 from .stores import collect_json
 
-NOTICE_WAIT = 10.0
+# A watch that has gone silent is known by its limit, wait and one connect timeout; then
+# a new one must still hear the notice within the 3 s in which work has to stop. Load:
+# two watchers a data centre, a call a second each, whatever the size of the fleet.
+NOTICE_WAIT = 1.0
 RETRY = 1.0
 LIST_INTERVAL = 2.0
 LEAVING = "leaving"
@@ -57,7 +60,7 @@
     def _watch(self):
         self._waiting = True
         path = f"/notices?after={self._seen}&wait={NOTICE_WAIT:g}"
-        silence = NOTICE_WAIT + self._cfg.silence_timeout
+        silence = NOTICE_WAIT + self._cfg.connect_timeout
         call = Call(
             self._cfg.cloud,
             "GET",
@@ -66,7 +69,7 @@
             connect_timeout=self._cfg.connect_timeout,
             silence_timeout=silence,
         )
-        self._client.submit(call, collect_json(self._noticed))
+        self._client.submit(call, collect_json(self._noticed, self._watch))
 
     def _noticed(self, status, value):
         self._waiting = False
--- a/src/chervilwing/placement.py
+++ b/src/chervilwing/placement.py
@@ -162,6 +162,12 @@
         """Return how many upstreams may take new work."""
         return len(self._live)
 
+    def has_other(self, excluded):
+        """Tell whether an upstream beside these may take new work."""
+        states = self.states
+        passed = sum(states[name].is_live() for name in excluded if name in states)
+        return len(self._live) > passed
+
     def count_open(self, yields):
         """Return how many upstreams have room."""
         return len(self._open[yields])
--- a/src/chervilwing/retries.py
+++ b/src/chervilwing/retries.py
@@ -11,7 +11,7 @@
     Scope,
     UpstreamFailed,
 )
-from .work import BUSY, CANCELLED, EXHAUSTED, FAILED, LEAVING, SILENT
+from .work import BUSY, CANCELLED, EXHAUSTED, FAILED, LEAVING, PATH, SILENT
 
 # With two tries after the first, one lost upstream and one lost successor are
 # survived; a request that meets a third is more likely their cause.
@@ -25,16 +25,20 @@
     again: bool
     budgeted: bool
     elsewhere: bool
+    same_if_alone: bool = False
 
 
 # EXHAUSTED names a resource that the siblings share, so that none of them is
 # asked (RFC 5390: retries at siblings of a full server made 18 requests of one).
 # LEAVING costs no budget: moves of accepted work are bounded by what was running.
+# PATH neither, and where there is no other it goes to the same upstream, which has just
+# answered on a new connection. Not by choice: one whose work hangs may answer probes.
 RULES = {
     BUSY: RetryRule(not_run=True, again=True, budgeted=True, elsewhere=False),
     EXHAUSTED: RetryRule(not_run=True, again=False, budgeted=True, elsewhere=False),
     FAILED: RetryRule(not_run=False, again=True, budgeted=True, elsewhere=True),
     SILENT: RetryRule(not_run=False, again=True, budgeted=True, elsewhere=True),
+    PATH: RetryRule(False, True, budgeted=False, elsewhere=True, same_if_alone=True),
     LEAVING: RetryRule(not_run=False, again=True, budgeted=False, elsewhere=True),
     CANCELLED: RetryRule(not_run=False, again=False, budgeted=False, elsewhere=False),
 }
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -216,6 +216,8 @@
         if pool is None:
             return Refusal(work.request_id, admission.refuse_no_upstream(work.pool, 5))
         work = retries.count_attempt(rule, work, upstream)
+        if rule.same_if_alone and not pool.state.has_other(work.excluded):
+            work = work._replace(excluded=work.excluded - {upstream})
         exc = self._judge_retry(pool, rule, work, upstream, now)
         if exc is not None:
             return Refusal(work.request_id, exc)
@@ -379,10 +381,7 @@
         after = admission.grade_retry(1.0, excess, self._rng)
         if not retries.may_repeat(rule, work):
             return retries.refuse_repeat(rule, work, upstream, after)
-        others = [name for name in work.excluded if name in pool.state.states]
-        if pool.state.count_live() <= sum(
-            pool.state.states[name].is_live() for name in others
-        ):
+        if not pool.state.has_other(work.excluded):
             return retries.refuse_repeat(rule, work, upstream, after)
         cost = self._costs.estimate(work)
         if now + pool.state.reference.estimate(cost) > work.deadline:
--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -60,6 +60,7 @@
         "closing",
         "lingering",
         "ended",
+        "heard",
         "paused",
         "pending",
         "pending_size",
@@ -76,6 +77,8 @@
         self.closing = False
         self.lingering = False
         self.ended = False
+        # When its owner last had a sign of the other end, on the monotonic clock.
+        self.heard = 0.0
         self.paused = False
         self.pending = deque()
         self.pending_size = 0
--- a/src/chervilwing/stores.py
+++ b/src/chervilwing/stores.py
@@ -4,6 +4,7 @@
 from urllib.parse import quote, urlencode
 
 from .connections import Call, CallHandlers
+from .exceptions import PathSilent
 from .messages import (
     Found,
     Grant,
@@ -112,8 +113,11 @@
         )
 
 
-def collect(reply):
-    """Return handlers that gather a whole answer; status 0 stands for none."""
+def collect(reply, path_lost=None):
+    """Return handlers that gather a whole answer; status 0 stands for none.
+
+    ``path_lost`` is called in place of ``reply`` when only old connections failed.
+    """
     parts = []
     status = []
 
@@ -124,12 +128,15 @@
         reply(status[0], b"".join(parts))
 
     def failed(exc):
+        if path_lost is not None and isinstance(exc, PathSilent):
+            path_lost()
+            return
         reply(0, b"")
 
     return CallHandlers(head, parts.append, done, failed)
 
 
-def collect_json(reply):
+def collect_json(reply, path_lost=None):
     """Return handlers that gather an answer and decode its JSON, if it has any."""
 
     def decoded(status, body):
@@ -139,4 +146,4 @@
             status, value = 0, None
         reply(status, value)
 
-    return collect(decoded)
+    return collect(decoded, path_lost)
--- a/src/chervilwing/work.py
+++ b/src/chervilwing/work.py
@@ -9,6 +9,7 @@
 OK = "ok"
 FAILED = "failed"
 SILENT = "silent"
+PATH = "path"
 BUSY = "busy"
 EXHAUSTED = "exhausted"
 LEAVING = "leaving"
