--- a/src/chervilwing/daemon.py
+++ b/src/chervilwing/daemon.py
@@ -84,7 +84,7 @@
         self._peer_address = Address(*address)
         record = Record(
             cfg.name,
-            self._peer_address,
+            cfg.peer_address or self._peer_address,
             cfg.data_centre,
             cfg.region,
             LIVE,
--- a/src/chervilwing/settings.py
+++ b/src/chervilwing/settings.py
@@ -25,6 +25,7 @@
 
     listen: Address
     peer_listen: Address
+    peer_address: Address | None
     peers: tuple[Address, ...]
     data_centre: str
     region: str
@@ -142,6 +143,13 @@
         "HOST:PORT",
         "for entry instances",
     ),
+    Field(
+        "peer_address",
+        parse_optional_address,
+        "",
+        "HOST:PORT",
+        "that entry instances dial; that of peer_listen if empty",
+    ),
     Field(
         "peers", parse_addresses, "", "HOST:PORT,...", "entry instances to join first"
     ),
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -2,6 +2,7 @@
 
 import json
 import uuid
+from itertools import zip_longest
 from typing import NamedTuple
 
 from chervilwing.documents import CONFIG_KEY, hash_key, serialise
@@ -32,11 +33,13 @@
     services: tuple[Process, ...]
 
 
-def make_configuration(upstreams, revision=1, operation="first"):
-    """Return the configuration that lists these back ends."""
+def make_configuration(upstreams, revision=1, operation="first", centres=()):
+    """Return the configuration that lists these back ends, engines by data centre."""
     rows = [
-        Upstream(f"engine-{i}", MODEL, "engines", Address(HOST, item.port), "a")
-        for i, item in enumerate(upstreams.engines)
+        Upstream(f"engine-{i}", MODEL, "engines", Address(HOST, item.port), centre)
+        for i, (item, centre) in enumerate(
+            zip_longest(upstreams.engines, centres, fillvalue="a")
+        )
     ]
     rows += [
         Upstream(f"service-{i}", SERVICE, "services", Address(HOST, item.port), "a")
@@ -62,6 +65,7 @@
         self.cloud = self.processes.start_fake("cloud", "--lag", "0.5")
         self.upstreams = Upstreams((), ())
         self.entries = []
+        self.peer_ports = []
 
     def start_upstreams(self, engines=1, services=1, options=()):
         """Start back ends and put a configuration that lists them in the store."""
@@ -95,19 +99,30 @@
         assert self.cloud.post("/-/instances", {"instances": rows})[0] == 200
 
     def start_entry(
-        self, name, *options, data_centre="a", store=None, cloud=None, ready=True
+        self,
+        name,
+        *options,
+        data_centre="a",
+        store=None,
+        cloud=None,
+        peer=None,
+        ready=True,
     ):
-        """Start an entry instance and wait until it is ready."""
-        seeds = ",".join(f"{HOST}:{item.info['peer_port']}" for item in self.entries)
+        """Start an entry instance, perhaps behind a relay, and wait until ready."""
+        seeds = ",".join(f"{HOST}:{port}" for port in self.peer_ports)
         entry = self.processes.start_daemon(
             *("--listen", f"{HOST}:0", "--peer-listen", f"{HOST}:0"),
             *("--name", name, "--data-centre", data_centre),
             *("--store", f"{HOST}:{(store or self.store).port}"),
             *("--cloud", f"{HOST}:{(cloud or self.cloud).port}"),
             *("--instance-list", f"{HOST}:{(cloud or self.cloud).port}"),
+            *("--peer-address", f"{HOST}:{peer.port}" if peer else ""),
             *("--peers", seeds, "--drain-lag", "0.2", *options),
         )
+        if peer:
+            peer.fault(to=f"{HOST}:{entry.info['peer_port']}")
         self.entries.append(entry)
+        self.peer_ports.append(peer.port if peer else entry.info["peer_port"])
         if ready:
             poll(lambda: entry.get("/-/ready")[0] == 200)
         return entry
--- a/tests/fakes/relay.py
+++ b/tests/fakes/relay.py
@@ -13,16 +13,16 @@
 
 def add_options(parser):
     """Add the flags of this role."""
-    parser.add_argument("--to", required=True, help="HOST:PORT")
+    parser.add_argument("--to", default="", help="HOST:PORT; or by the switch to")
 
 
 class Network:
     """The state of the network and the connections through it."""
 
     def __init__(self, options):
-        host, _, port = options.to.rpartition(":")
-        self.target = (host, int(port))
-        self.switches = Switches(cut=False, silent=False, hold=False, delay=0)
+        self.switches = Switches(
+            cut=False, silent=False, hold=False, delay=0, to=options.to
+        )
         self.links = []
         self.server = None
         self.flowing = asyncio.Event()
@@ -30,6 +30,12 @@
         self.claim = bind(options.port)
         self.port = self.claim.getsockname()[1]
 
+    @property
+    def target(self):
+        """Return where connections go."""
+        host, _, port = self.switches["to"].rpartition(":")
+        return host, int(port)
+
 
 class Link:
     """One connection through the network, from caller to target."""
--- a/tests/live.py
+++ b/tests/live.py
@@ -7,7 +7,7 @@
 
 import lark
 
-from tests import live_faults
+from tests import live_faults, live_fleet
 from tests.deployments import (
     AUTHORISED,
     Deployment,
@@ -25,7 +25,7 @@
 
 GRAMMAR = r"""
 start: _NL (step _NL)*
-?step: "engines" INT "taking" MILLIS "a" "token"       -> engines
+?step: "engines" INT "taking" MILLIS "a" "token" ("in" NAME)? -> engines
     | "services" INT                                   -> services
     | "entry" NAME "in" NAME                           -> entry
     | "stream" NAME "of" INT "tokens" "on" NAME        -> stream
@@ -52,8 +52,34 @@
     | "silence" "network" ("of" NAME)? "to" GROUP      -> silence
     | "cut" "network" ("of" NAME)? "to" GROUP          -> cut
     | "join" "network" ("of" NAME)? "to" GROUP         -> join
-    | "freeze" GROUP                                   -> freeze_group
-    | "resume" GROUP                                   -> resume_group
+    | "freeze" "the" GROUP                               -> freeze_group
+    | "resume" "the" GROUP                               -> resume_group
+    | "network" "between" "entries"                    -> network_between
+    | "cut" "network" "between" "entries"              -> cut_between
+    | "join" "network" "between" "entries"             -> join_between
+    | "notes" INT "on" NAME "until" "done"             -> notes
+    | "begin" "note" NAME "on" NAME                    -> begin_note
+    | "begin" INT "notes" "on" NAME                    -> begin_notes
+    | "when" "note" NAME "is" "called"                 -> when_called
+    | "when" "note" NAME "is" "booked"                 -> when_booked
+    | "when" "notes" "are" "answered"                  -> when_notes
+    | "expect" "one" "effect" "of" "every" "note"      -> expect_effect_each
+    | "expect" "no" "note" "called" "twice"            -> expect_call_each
+    | "expect" "every" "note" "whole"                  -> expect_notes_whole
+    | "expect" NAME "has" "revision" INT               -> expect_revision
+    | "expect" "no" "entry" "went" "back"              -> expect_no_reversal
+    | "operator" NAME "sets" FIELD "to" INT            -> operator
+    | "expect" "operator" NAME "done"                  -> expect_operator
+    | "expect" "operator" NAME "done" "or" "refused"   -> expect_operator_typed
+    | "expect" FIELD "=" INT "stored"                  -> expect_stored
+    | "expect" "stored" "revision" "everywhere"        -> expect_everywhere
+    | "reclaim" "data" "centre" NAME "with" INT "s" "notice" -> reclaim_centre
+    | "expect" "engines" "in" NAME "leaving" "on" NAME -> expect_centre_leaving
+    | "when" "the" "notice" "of" NAME "is" "over"      -> when_over
+    | "kill" "engines" "in" NAME                       -> kill_engines
+    | "expect" "no" "new" "work" "in" NAME             -> expect_no_work
+    | "load" INT "callers"                             -> load
+    | "expect" "load" "unharmed"                       -> expect_load
     | "callers" INT "of" INT "tokens" "on" NAME        -> crowd
     | "when" "callers" "are" "served"                  -> when_crowd
     | "expect" "every" "caller" "whole"                -> expect_crowd
@@ -72,6 +98,7 @@
     | "expect" "engine" "of" NAME "leaving" "on" NAME  -> expect_leaving
     | "expect" NAME "not" "on" "engine" "of" NAME      -> expect_elsewhere
 GROUP: "engines" | "services" | "store" | "cloud"
+FIELD: /[a-z]+\.[a-z]+\.[a-z_]+/
 WORD: /[a-z][a-z_-]*/
 NAME: /[a-z][a-z0-9-]*/
 MILLIS: /\d+ms/
@@ -104,10 +131,17 @@
         self.version = 0
         self.networks = {}
         self.crowd = ()
+        self.centres = []
+        self.peers_behind = None
+        self.operators = {}
+        self.noticed_at = {}
+        self.load = None
         self.crowd_tokens = 0
 
     def close(self):
         """End all processes."""
+        if self.load is not None:
+            self.load.stop()
         self.deployment.close()
 
     def read_logs(self):
@@ -162,11 +196,12 @@
         }[name]
 
 
-def start_engines(play, count, pace):
+def start_engines(play, count, pace, centre="a"):
     seconds = str(int(pace[:-2]) / 1000)
     options = ("--token-time", seconds)
     start = play.deployment.processes.start_fake
-    play.engines = tuple(start("engine", *options) for _ in range(int(count)))
+    play.engines += tuple(start("engine", *options) for _ in range(int(count)))
+    play.centres += [centre] * int(count)
 
 
 def start_services(play, count):
@@ -176,7 +211,7 @@
 
 def start_entry(play, name, centre):
     if not play.version:
-        configuration = make_configuration(play.upstreams())
+        configuration = make_configuration(play.upstreams(), centres=play.centres)
         play.version = play.deployment.put_configuration(configuration)
         play.deployment.list_instances(configuration)
     launch_entry(play, name, centre, ready=True)
@@ -192,8 +227,12 @@
         data_centre=centre,
         store=play.reached("store", centre)[0],
         cloud=play.reached("cloud", centre)[0],
+        peer=play.peers_behind and play.peers_behind(),
         ready=ready,
     )
+    row = {"name": name, "role": "entry", "data_centre": centre, "zone": centre}
+    row |= {"host": HOST, "port": play.entries[name].port}
+    assert play.deployment.cloud.post("/-/instances", {"instances": [row]})[0] == 200
 
 
 def signal_group(action):
@@ -205,7 +244,9 @@
 
 
 def publish(play, revision):
-    configuration = make_configuration(play.upstreams(), int(revision), "edit")
+    configuration = make_configuration(
+        play.upstreams(), int(revision), "edit", play.centres
+    )
     play.version = play.deployment.put_configuration(configuration, play.version)
 
 
@@ -259,10 +300,7 @@
 
 
 def reclaim(play, name, seconds):
-    row = {"name": name, "role": "entry", "data_centre": "a", "zone": "a"}
-    row |= {"host": HOST, "port": play.entries[name].port}
     cloud = play.deployment.cloud
-    assert cloud.post("/-/instances", {"instances": [row]})[0] == 200
     assert cloud.post("/-/notice", {"name": name, "seconds": int(seconds)})[0] == 200
 
 
@@ -388,6 +426,7 @@
     "expect_leaving": expect_leaving,
     "expect_elsewhere": expect_elsewhere,
     **live_faults.STEPS,
+    **live_fleet.STEPS,
 }
 
 
--- a/tests/procs.py
+++ b/tests/procs.py
@@ -155,9 +155,13 @@
 
     def start(self, argv, env=None):
         """Start a process and wait for its JSON line."""
+        return self.run(argv, env).wait_ready()
+
+    def run(self, argv, env=None):
+        """Start a process that needn't print a JSON line."""
         process = Process(argv, env)
         self.started.append(process)
-        return process.wait_ready()
+        return process
 
     def start_fake(self, role, *options):
         """Start a stand-in on a free port."""
