--- a/tests/live.py
+++ b/tests/live.py
@@ -9,6 +9,7 @@
 
 from chervilwing.documents import serialise
 from chervilwing.models import MODEL, Address, Pool, Upstream
+from tests import live_faults, live_fleet
 from tests.deployments import (
     AUTHORISED,
     Deployment,
@@ -18,7 +19,7 @@
     read_stream,
 )
 from tests.fakes.tokens import expected_tokens
-from tests.procs import HOST, call, poll, read_file
+from tests.procs import HOST, Process, call, poll, read_file
 
 LIVE = Path(__file__).parent / "scenarios" / "live"
 LOG_LINES = 8
@@ -26,13 +27,14 @@
 
 GRAMMAR = r"""
 start: _NL (step _NL)*
-?step: "engines" INT "taking" MILLIS "a" "token"       -> engines
+?step: "engines" INT "taking" MILLIS "a" "token" ("in" NAME)? -> engines
     | "services" INT                                   -> services
     | "entry" NAME "in" NAME                           -> entry
     | "stream" NAME "of" INT "tokens" "on" NAME        -> stream
     | "memo" NAME "of" INT "tokens" "on" NAME          -> memo
     | "note" NAME "on" NAME                            -> note
     | "note" NAME "without" "key" "on" NAME            -> plain_note
+    | "note" NAME "on" NAME "until" "done"             -> note_until
     | "document" NAME "on" NAME                        -> document
     | "when" NAME "has" INT "tokens"                   -> when
     | "when" NAME "is" "answered"                      -> when_answered
@@ -48,6 +50,43 @@
     | "fault" GROUP WORD INT?                          -> fault
     | "fault" "engine" "of" NAME WORD                  -> fault_engine
     | "mend" GROUP WORD                                -> mend
+    | "network" ("of" NAME)? "to" GROUP                -> network
+    | "silence" "network" ("of" NAME)? "to" GROUP      -> silence
+    | "cut" "network" ("of" NAME)? "to" GROUP          -> cut
+    | "join" "network" ("of" NAME)? "to" GROUP         -> join
+    | "freeze" "the" GROUP                               -> freeze_group
+    | "resume" "the" GROUP                               -> resume_group
+    | "network" "between" "entries"                    -> network_between
+    | "cut" "network" "between" "entries"              -> cut_between
+    | "join" "network" "between" "entries"             -> join_between
+    | "notes" INT "on" NAME "until" "done"             -> notes
+    | "begin" "note" NAME "on" NAME                    -> begin_note
+    | "begin" INT "notes" "on" NAME                    -> begin_notes
+    | "when" "note" NAME "is" "called"                 -> when_called
+    | "when" "note" NAME "is" "booked"                 -> when_booked
+    | "when" "notes" "are" "answered"                  -> when_notes
+    | "expect" "one" "effect" "of" "every" "note"      -> expect_effect_each
+    | "expect" "no" "note" "called" "twice"            -> expect_call_each
+    | "expect" "every" "note" "whole"                  -> expect_notes_whole
+    | "expect" NAME "has" "revision" INT               -> expect_revision
+    | "expect" "no" "entry" "went" "back"              -> expect_no_reversal
+    | "operator" NAME "sets" FIELD "to" INT            -> operator
+    | "expect" "operator" NAME "done"                  -> expect_operator
+    | "expect" "operator" NAME "done" "or" "refused"   -> expect_operator_typed
+    | "expect" FIELD "=" INT "stored"                  -> expect_stored
+    | "expect" "stored" "revision" "everywhere"        -> expect_everywhere
+    | "reclaim" "data" "centre" NAME "with" INT "s" "notice" -> reclaim_centre
+    | "expect" "engines" "in" NAME "leaving" "on" NAME -> expect_centre_leaving
+    | "when" "the" "notice" "of" NAME "is" "over"      -> when_over
+    | "kill" "engines" "in" NAME                       -> kill_engines
+    | "expect" "no" "new" "work" "in" NAME             -> expect_no_work
+    | "load" INT "callers"                             -> load
+    | "expect" "load" "unharmed"                       -> expect_load
+    | "callers" INT "of" INT "tokens" "on" NAME        -> crowd
+    | "when" "callers" "are" "served"                  -> when_crowd
+    | "expect" "every" "caller" "whole"                -> expect_crowd
+    | "expect" "no" "caller" "crossed"                 -> expect_no_crossing
+    | "fault" "first" "of" GROUP WORD INT              -> fault_first
     | "publish" "revision" INT                         -> publish
     | "publish" "revision" INT "of" INT "KB"           -> publish_large
     | "when" NAME "has" "revision" INT                 -> when_revision
@@ -62,6 +101,7 @@
     | "expect" "engine" "of" NAME "leaving" "on" NAME  -> expect_leaving
     | "expect" NAME "not" "on" "engine" "of" NAME      -> expect_elsewhere
 GROUP: "engines" | "services" | "store" | "cloud"
+FIELD: /[a-z]+\.[a-z]+\.[a-z_]+/
 WORD: /[a-z][a-z_-]*/
 NAME: /[a-z][a-z0-9-]*/
 MILLIS: /\d+ms/
@@ -92,26 +132,50 @@
         self.sent = {}
         self.keys = {}
         self.version = 0
-        self.options = ()
+        self.networks = {}
+        self.crowd = ()
+        self.centres = []
+        self.peers_behind = None
+        self.operators = {}
+        self.noticed_at = {}
+        self.load = None
+        self.crowd_tokens = 0
 
     def close(self):
         """End all processes."""
+        if self.load is not None:
+            self.load.stop()
         self.deployment.close()
 
     def read_logs(self):
         """Return the last log lines of each entry instance."""
         return [
-            f"{name}: {line}"
+            f"{name} ({entry.popen.poll()}): {line}"
             for name, entry in self.entries.items()
             for line in read_file(entry.stderr).splitlines()[-LOG_LINES:]
         ]
 
+    def send_note(self, name, entry, keyed=True):
+        """Send a note, under the key that it had before, and keep the answer."""
+        sent = self.sent.setdefault(name, Sent("note", name, 0, []))
+        key = self.keys.setdefault(name, new_key(time.time()))
+        headers = AUTHORISED | ({"Idempotency-Key": key} if keyed else {})
+        path = f"{SERVICE_PATH}/notes"
+        port = self.entries[entry].port
+        sent.answers.append(call(port, "POST", path, name.encode(), headers))
+
     def upstreams(self):
         """Return the back ends as the configuration lists them."""
         return self.deployment.upstreams._replace(
-            engines=self.engines, services=self.services
+            engines=self.reached("engines"), services=self.reached("services")
         )
 
+    def reached(self, group, centre=""):
+        """Return the processes by which a data centre reaches a group."""
+        networks = self.networks
+        found = networks.get((centre, group)) or networks.get(("", group))
+        return found or self.group(group)
+
     def find_engine(self, name):
         """Return the engine that runs a request, and its name, by its own record."""
         for number, engine in enumerate(self.engines):
@@ -135,11 +199,12 @@
         }[name]
 
 
-def start_engines(play, count, pace):
+def start_engines(play, count, pace, centre="a"):
     seconds = str(int(pace[:-2]) / 1000)
     options = ("--token-time", seconds)
     start = play.deployment.processes.start_fake
-    play.engines = tuple(start("engine", *options) for _ in range(int(count)))
+    play.engines += tuple(start("engine", *options) for _ in range(int(count)))
+    play.centres += [centre] * int(count)
 
 
 def start_services(play, count):
@@ -149,22 +214,42 @@
 
 def start_entry(play, name, centre):
     if not play.version:
-        configuration = make_configuration(play.upstreams())
+        configuration = make_configuration(play.upstreams(), centres=play.centres)
         play.version = play.deployment.put_configuration(configuration)
         play.deployment.list_instances(configuration)
-    play.entries[name] = play.deployment.start_entry(
-        name, "--silence-timeout", "1.5", data_centre=centre
-    )
+    launch_entry(play, name, centre, ready=True)
 
 
 def restart_entry(play, name, centre):
+    launch_entry(play, name, centre, ready=False)
+
+
+def launch_entry(play, name, centre, ready):
     play.entries[name] = play.deployment.start_entry(
-        name, "--silence-timeout", "1.5", data_centre=centre, ready=False
+        *(name, "--silence-timeout", "1.5"),
+        data_centre=centre,
+        store=play.reached("store", centre)[0],
+        cloud=play.reached("cloud", centre)[0],
+        peer=play.peers_behind and play.peers_behind(),
+        ready=ready,
     )
+    row = {"name": name, "role": "entry", "data_centre": centre, "zone": centre}
+    row |= {"host": HOST, "port": play.entries[name].port}
+    assert play.deployment.cloud.post("/-/instances", {"instances": [row]})[0] == 200
+
+
+def signal_group(action):
+    def act(play, group):
+        for process in play.group(group):
+            action(process)
+
+    return act
 
 
 def publish(play, revision):
-    configuration = make_configuration(play.upstreams(), int(revision), "edit")
+    configuration = make_configuration(
+        play.upstreams(), int(revision), "edit", play.centres
+    )
     play.version = play.deployment.put_configuration(configuration, play.version)
 
 
@@ -207,17 +292,8 @@
     return begin
 
 
-def send_note(play, name, entry, keyed=True):
-    sent = play.sent.setdefault(name, Sent("note", name, 0, []))
-    key = play.keys.setdefault(name, new_key(time.time()))
-    headers = AUTHORISED | ({"Idempotency-Key": key} if keyed else {})
-    path = f"{SERVICE_PATH}/notes"
-    port = play.entries[entry].port
-    sent.answers.append(call(port, "POST", path, name.encode(), headers))
-
-
 def send_plain_note(play, name, entry):
-    send_note(play, name, entry, keyed=False)
+    play.send_note(name, entry, keyed=False)
 
 
 def fetch_document(play, name, entry):
@@ -250,10 +326,7 @@
 
 
 def reclaim(play, name, seconds):
-    row = {"name": name, "role": "entry", "data_centre": "a", "zone": "a"}
-    row |= {"host": HOST, "port": play.entries[name].port}
     cloud = play.deployment.cloud
-    assert cloud.post("/-/instances", {"instances": [row]})[0] == 200
     assert cloud.post("/-/notice", {"name": name, "seconds": int(seconds)})[0] == 200
 
 
@@ -262,6 +335,10 @@
         process.fault(**{fault: True if value is None else int(value)})
 
 
+def fault_first(play, group, fault, value):
+    play.group(group)[0].fault(**{fault: int(value)})
+
+
 def fault_engine(play, name, fault):
     play.find_engine(name)[0].fault(**{fault: True})
 
@@ -292,7 +369,7 @@
 
 def expect_says(play, name, outcome):
     problem = play.sent[name].answers[-1].json()
-    assert problem["outcome"] == outcome, problem
+    assert problem.get("outcome") == outcome, problem
 
 
 def expect_effects(play, name, count):
@@ -345,7 +422,7 @@
     "publish_large": publish_large,
     "stream": start_model_call("stream"),
     "memo": start_model_call("memo"),
-    "note": send_note,
+    "note": Play.send_note,
     "plain_note": send_plain_note,
     "document": fetch_document,
     "when": wait_for_tokens,
@@ -359,7 +436,10 @@
     "kill": lambda play, name: play.entries[name].kill(),
     "freeze": lambda play, name: play.entries[name].freeze(),
     "resume": lambda play, name: play.entries[name].resume(),
+    "freeze_group": signal_group(Process.freeze),
+    "resume_group": signal_group(Process.resume),
     "fault": set_fault,
+    "fault_first": fault_first,
     "fault_engine": fault_engine,
     "mend": mend_fault,
     "expect_whole": expect_whole,
@@ -372,6 +452,8 @@
     "expect_ended": expect_ended,
     "expect_leaving": expect_leaving,
     "expect_elsewhere": expect_elsewhere,
+    **live_faults.STEPS,
+    **live_fleet.STEPS,
 }
 
 
@@ -384,7 +466,7 @@
             args = [str(arg) for arg in step.children if arg is not None]
             try:
                 STEPS[step.data](play, *args)
-            except AssertionError as exc:
+            except (AssertionError, OSError) as exc:
                 logs = "\n".join(play.read_logs())
                 raise AssertionError(f"{step.data} {args}: {exc}\n{logs}") from exc
     finally:
