Resume with the KV cache when an engine leaves; moves use up no attempts

Cause: a move off a leaving engine resumed from prompt and tokens only, so all tokens so far were computed again; moves counted as failed attempts, so that a wave of three ended a request; work slower than its estimate was never moved, although shift's own line says that all that is left moves at the last call. Ruled out: cancelling first and exporting then (404 once the attempt is gone); a timer of its own for the export (the dispatcher asks to move at each tick). Change: export while the attempt runs, hold the blob (8 MiB each, 32 MiB all), import before the resumed attempt, go on without on any failure. Work.moves are taken off the attempts. At the last call everything idempotent moves. Conclusion: holds with the stand-in; blobs of real engines over 8 MiB go the old way.

--- a/src/chervilwing/dispatch.py
+++ b/src/chervilwing/dispatch.py
@@ -10,6 +10,7 @@
 from circuits.core import BaseComponent, handler
 
 from . import completions, retries
+from .caches import HeldCaches
 from .claimant import KEY_HEADER
 from .directory import Directory
 from .exceptions import (
@@ -62,6 +63,7 @@
         self.scheduler = Scheduler(settings, rng or random.Random())
         self.directory: Directory | None = None
         self.sessions: dict[str, Session] = {}
+        self.caches = HeldCaches()
         self.draining = False
         self.claimant = None
         self.leaving: dict[str, float] = {}
@@ -133,6 +135,7 @@
     def forget(self, session):
         """Drop a finished request and note it."""
         self.sessions.pop(session.serial, None)
+        self.caches.drop(session.serial)
         self.scheduler.withdraw(session.serial, time.monotonic())
         self.pump()
 
--- a/src/chervilwing/generations.py
+++ b/src/chervilwing/generations.py
@@ -3,7 +3,7 @@
 import json
 import time
 
-from . import completions
+from . import caches, completions
 from .answers import Answer
 from .connections import Call, CallHandlers
 from .exceptions import NOT_RUN, Scope, UpstreamFailed, UpstreamSilent
@@ -38,6 +38,8 @@
         self.version = version
         self.answer = Answer()
         self._call = None
+        self._export = None
+        self._export_began = 0.0
         self._attempt = None
         self._upstream = None
         self._began = 0.0
@@ -63,23 +65,70 @@
         self._first_token = None
         self._offset = self.answer.offset
         self.answer.begin(attempt)
-        call = self._make_call(attempt, upstream)
-        handlers = CallHandlers(self._headed, self._received, self._ended, self._failed)
-        self._call = session.client.submit(call, handlers)
+        cache = session.caches.get(session.serial)
+        if cache is None:
+            self._send()
+            return
+        # Whatever comes of the import, prompt and tokens so far are enough to go on.
+        self._call = caches.import_cache(
+            session.client, session.cfg, upstream.address, cache, self._send
+        )
 
     def cancel(self):
         """Stop the attempt under way, here and on the engine; return True."""
         if self.running:
-            self.session.client.cancel(self._call)
+            self._stop_call()
             self._cancel_upstream()
             self._report(CANCELLED)
         return True
 
     def move(self, outcome):
-        """Break the attempt off and resume it elsewhere at the next token."""
+        """Resume elsewhere at the next token, with the KV cache where it can be had.
+
+        It is called again and again until the attempt is over. The attempt runs on
+        during the export: engines export running attempts only.
+        """
+        if not self.running:
+            return
+        session, now = self.session, time.monotonic()
+        if self._export is not None:
+            # Guard: an engine may send its cache too slowly to come to an end; it would
+            # be reclaimed with the request still on it.
+            if now - self._export_began > caches.TRANSFER_LIMIT:
+                self._leave_engine(outcome)
+            return
+        if session.caches.full:
+            self._leave_engine(outcome)
+            return
+
+        def exported(cache):
+            if cache is not None:
+                session.caches.put(session.serial, cache)
+            self._leave_engine(outcome)
+
+        self._export_began = now
+        self._export = caches.export_cache(
+            session.client, session.cfg, self._upstream.address, self._attempt, exported
+        )
+
+    def _leave_engine(self, outcome):
         if self.running:
             self._abandon(outcome, "The engine is leaving.")
 
+    def _send(self):
+        call = self._make_call(self._attempt, self._upstream)
+        handlers = CallHandlers(self._headed, self._received, self._ended, self._failed)
+        self._call = self.session.client.submit(call, handlers)
+
+    def _stop_call(self):
+        self.session.client.cancel(self._call)
+        self._stop_export()
+
+    def _stop_export(self):
+        if self._export is not None:
+            self.session.client.cancel(self._export)
+            self._export = None
+
     def _make_call(self, attempt, upstream):
         completion, cfg = self.completion, self.session.cfg
         body = {
@@ -104,6 +153,7 @@
 
     def _headed(self, status, headers):
         if status == HTTP_OK:
+            self.session.caches.drop(self.session.serial)
             return
         outcome = BUSY if status == HTTP_BUSY else FAILED
         self._abandon(outcome, f"The engine answered {status}.")
@@ -159,6 +209,7 @@
             self.session.client.resume(self._call)
 
     def _complete(self):
+        self._stop_export()
         self._report(OK)
         session = self.session
         session.recomputed = self.answer.recomputed
@@ -177,12 +228,13 @@
         session.close()
 
     def _abandon(self, outcome, detail):
-        self.session.client.cancel(self._call)
+        self._stop_call()
         if outcome != BUSY:
             self._cancel_upstream()
         self._lose(outcome, detail)
 
     def _lose(self, outcome, detail):
+        self._stop_export()
         self._report(outcome)
         scope = Scope("upstream", self._upstream.name)
         run = NOT_RUN if outcome == BUSY else None
--- a/src/chervilwing/retries.py
+++ b/src/chervilwing/retries.py
@@ -25,6 +25,7 @@
     again: bool
     budgeted: bool
     elsewhere: bool
+    counted: bool = True
 
 
 # EXHAUSTED names a resource that the siblings share, so that none of them is
@@ -35,7 +36,9 @@
     EXHAUSTED: RetryRule(not_run=True, again=False, budgeted=True, elsewhere=False),
     FAILED: RetryRule(not_run=False, again=True, budgeted=True, elsewhere=True),
     SILENT: RetryRule(not_run=False, again=True, budgeted=True, elsewhere=True),
-    LEAVING: RetryRule(not_run=False, again=True, budgeted=False, elsewhere=True),
+    LEAVING: RetryRule(
+        not_run=False, again=True, budgeted=False, elsewhere=True, counted=False
+    ),
     CANCELLED: RetryRule(not_run=False, again=False, budgeted=False, elsewhere=False),
 }
 
@@ -43,13 +46,22 @@
 def count_attempt(rule, work, upstream):
     """Return the work as it goes into its next attempt."""
     excluded = work.excluded | {upstream} if rule.elsewhere else work.excluded
-    return work._replace(excluded=excluded, attempts=work.attempts + 1)
+    return work._replace(
+        excluded=excluded,
+        attempts=work.attempts + 1,
+        moves=work.moves + (not rule.counted),
+    )
 
 
 def may_repeat(rule, work):
-    """Tell whether another attempt is safe and allowed at all."""
+    """Tell whether another attempt is safe and allowed at all.
+
+    Load: a reclaim wave that takes one engine after the other. Harm: a long request
+    that moves each time is refused although it was no upstream's failure. Moves don't
+    count; each leaves its upstream for good, so that there are no more than upstreams.
+    """
     safe = rule.not_run or work.idempotent
-    return rule.again and safe and work.attempts < MAX_ATTEMPTS
+    return rule.again and safe and work.attempts - work.moves < MAX_ATTEMPTS
 
 
 def find_outcome(rule):
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -302,13 +302,16 @@
         if pool is None:
             return ()
         pace = pool.state.reference.mean
+        last_call = until - now <= LAST_CALL
         moves = []
         for request_id, attempt in pool.state.states[name].running.items():
             left = attempt.started + attempt.cost * pace - now
-            if attempt.work.idempotent and now + left > until:
+            # Guard: work that is slower than its estimate seems to end in time until
+            # it is cut; what still runs at the last call moves whatever was foreseen.
+            if attempt.work.idempotent and (last_call or now + left > until):
                 moves.append((attempt.band, -left, request_id))
         names = tuple(request_id for *_, request_id in sorted(moves))
-        if until - now <= LAST_CALL:
+        if last_call:
             return names
         room = ceil(pool.state.count_free() / pool.state.entries)
         return names[: max(0, room - len(pool.queue))]
--- a/src/chervilwing/sessions.py
+++ b/src/chervilwing/sessions.py
@@ -16,6 +16,7 @@
         self._dispatcher = dispatcher
         self.cfg = dispatcher.cfg
         self.client = dispatcher.client
+        self.caches = dispatcher.caches
         self.exchange = exchange
         self.request_id = request_id
         self.serial = serial
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -53,6 +53,8 @@
             wrong_attempt=None,
             no_end_mark=False,
             slow=1,
+            export_stalls=False,
+            import_refused=False,
         )
         self.attempts = []
         self.running = 0
@@ -145,6 +147,8 @@
 
 async def export_kv(engine, request):
     """Hand out what a running attempt has computed."""
+    if engine.switches["export_stalls"]:
+        await asyncio.Event().wait()
     attempt = engine.find((await read_json(request)).get("attempt"))
     if attempt is None or attempt.state != "running":
         return reply({"reason": "attempt is gone"}, 404)
@@ -161,6 +165,8 @@
 async def import_kv(engine, request):
     """Take over what another engine computed."""
     body = await read_json(request)
+    if engine.switches["import_refused"]:
+        return reply({"reason": "no room"}, 503)
     try:
         model, text = json.loads(base64.b64decode(body["blob"], validate=True))
     except (KeyError, TypeError, ValueError) as exc:
--- a/tests/live.py
+++ b/tests/live.py
@@ -52,6 +52,8 @@
     | "expect" "answers" "to" NAME "=" INT ("," INT)*  -> expect_answers
     | "expect" NAME "says" WORD                        -> expect_says
     | "expect" "effects" "of" NAME "=" INT             -> expect_effects
+    | "expect" "recomputed" "tokens" "of" NAME "<=" INT -> expect_recomputed
+    | "expect" NAME "tried" INT "times"                -> expect_tried
     | "expect" "calls" "of" NAME "=" INT               -> expect_calls
     | "expect" NAME "not" "ready"                      -> expect_not_ready
     | "expect" NAME "ready"                            -> expect_ready
@@ -275,6 +277,18 @@
     assert found == int(count), found
 
 
+def expect_recomputed(play, name, most):
+    rows = [row for item in play.engines for row in play.attempts(item, name)]
+    found = [row["recomputed"] for row in rows]
+    assert len(rows) > 1, "no engine went on with it"
+    assert sum(found) <= int(most), found
+
+
+def expect_tried(play, name, count):
+    rows = [row for item in play.engines for row in play.attempts(item, name)]
+    assert len(rows) == int(count), rows
+
+
 def expect_calls(play, name, count):
     records = [service.record() for service in play.services]
     calls = [item for record in records for item in record["calls"]]
@@ -339,6 +353,8 @@
     "expect_answers": expect_answers,
     "expect_says": expect_says,
     "expect_effects": expect_effects,
+    "expect_recomputed": expect_recomputed,
+    "expect_tried": expect_tried,
     "expect_calls": expect_calls,
     "expect_ready": expect_ready,
     "expect_not_ready": expect_not_ready,
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -3,6 +3,7 @@
 import unittest
 from random import Random
 
+from chervilwing import retries
 from chervilwing.exceptions import (
     NOT_RUN,
     UNKNOWN,
@@ -257,3 +258,34 @@
         self.assertEqual(set(scheduler.shift("u0", 111.0, 101.0)), {"1", "3"})
         self.assertEqual(len(scheduler.shift("u0", 111.0, 110.5)), 4)
         self.assertEqual(scheduler.shift("u0", 300.0, 101.0), ())
+
+    def test_what_should_have_ended_by_now_moves_before_the_end(self):
+        """An engine writes a plan more slowly than the pool's pace foretells.
+
+        By the estimate the plan ends before the engine does, so it was never moved,
+        and the engine was taken away with the plan half written.
+        """
+        scheduler = make_scheduler()
+        scheduler.offer(make_work("plan"), 0.0)
+        (placed,) = scheduler.dispatch(0.0)
+        scheduler.mark_leaving(placed.upstream, 10.0)
+        self.assertEqual(scheduler.shift(placed.upstream, 30.0, 10.0), ())
+        self.assertEqual(scheduler.shift(placed.upstream, 30.0, 29.0), ("plan",))
+
+    def test_a_reclaim_wave_uses_up_no_attempts(self):
+        """A wave takes five engines one after the other, with notice each time.
+
+        A long plan moves each time. Counted like failures, the moves used up its
+        attempts, and the plan was lost with engines left that could write it.
+        """
+        scheduler = make_scheduler(size=7)
+        scheduler.offer(make_work("plan"), 0.0)
+        work = make_work("plan", tokens=10)
+        for outcome in (LEAVING,) * 5 + (FAILED,):
+            (placed,) = scheduler.dispatch(0.0)
+            scheduler.finish("plan", placed.upstream, outcome, 0.1, 1.0, 10, 0.0)
+            refusal = scheduler.retry(work, placed.upstream, outcome, 0.0)
+            self.assertIsNone(refusal, (outcome, work.attempts))
+            work = retries.count_attempt(retries.RULES[outcome], work, placed.upstream)
+        self.assertFalse(retries.may_repeat(retries.RULES[FAILED], work._replace(
+            attempts=work.moves + retries.MAX_ATTEMPTS)))  # fmt: skip
