Core of the hand-over between entry instances: states, parts, searches

Cause: nothing carries a request from an instance that leaves to a peer. Change: handoffs.py, no input or output: states in parts with receipts, peers by rendezvous order so that a reconnect finds the holder among the first two asked.

--- /dev/null
+++ b/tests/test_handoffs.py
@@ -0,0 +1,196 @@
+"""Tests of states on their way between entry instances, without sockets."""
+
+import unittest
+
+from chervilwing import handoffs
+from chervilwing.exceptions import BadFrame
+from chervilwing.frames import MAX_FRAME, Frame, encode
+from chervilwing.handoffs import (
+    OFFERS,
+    QUESTIONS,
+    RECEIPT_WAIT,
+    SEARCH_WAIT,
+    STATE_LIMIT,
+    TRANSFERS_AT_ONCE,
+    Delivered,
+    Inbox,
+    Key,
+    NotFound,
+    Outbox,
+    Part,
+    Receipt,
+    Received,
+    Searches,
+    Seek,
+    State,
+    Undelivered,
+    Unheld,
+    choose_asked,
+    choose_takers,
+    pack_state,
+    unpack_state,
+)
+from chervilwing.messages import Forward
+from chervilwing.wire import rebuild
+
+KEY = Key("andesur", "req-1", "0f")
+LIVE = {f"e{number}": "abc"[number % 3] for number in range(9)}
+
+
+def make_state(prompt="history", tokens=(" ba", " de")):
+    """Return a request with two tokens so far."""
+    return State(KEY, "memo", prompt, 8, True, False, "memo", 1, tokens, 0, 2.5)
+
+
+def carry(outbox, inbox, actions, now=0.0):
+    """Pass parts and receipts between the two until one has nothing to say."""
+    found = []
+    while actions:
+        action = actions.pop(0)
+        if not isinstance(action, Forward):
+            found.append(action)
+            continue
+        kind = type(action.message)
+        message = rebuild(kind, [*action.message])
+        if kind is Part:
+            actions += inbox.receive("one", message, now)
+        else:
+            actions += outbox.receive("two", message, now)
+    return found
+
+
+class TestStates(unittest.TestCase):
+    def test_a_state_of_any_size_arrives_as_it_was(self):
+        for size in (0, 1, 50_000, 1_000_000):
+            state = make_state("x" * size)
+            outbox, inbox = Outbox(), Inbox(4_000_000)
+            actions = outbox.begin("t", pack_state(state), ("two",), 0.0)
+            (received,) = carry(outbox, inbox, actions)
+            self.assertEqual(received.state, state)
+            self.assertEqual(inbox.size, 0)
+            receipt = Receipt("t", received.number, True)
+            self.assertEqual(
+                outbox.receive("two", receipt, 0.0), [Delivered("t", "two")]
+            )
+            self.assertEqual(outbox.count(), 0)
+
+    def test_each_part_fits_in_a_frame(self):
+        parts = pack_state(make_state("x" * 1_900_000))
+        for number, data in enumerate(parts):
+            body = ["Part", list(Part("t" * 64, number, len(parts), data))]
+            self.assertLess(len(encode(Frame("message", body))), MAX_FRAME)
+
+    def test_a_state_over_the_limit_is_not_sent(self):
+        self.assertIsNone(pack_state(make_state("x" * STATE_LIMIT)))
+
+    def test_nonsense_is_a_bad_frame(self):
+        for data in (b"", b"\xc1", b"\x01", b"\x92\x01\x02"):
+            with self.subTest(data=data), self.assertRaises(BadFrame):
+                unpack_state([data])
+
+
+class TestOutbox(unittest.TestCase):
+    def test_a_dead_or_full_peer_is_passed_over(self):
+        # The first peer has died and the second has no room. Told to neither of the
+        # others, the request would be lost with its instance.
+        outbox = Outbox()
+        outbox.begin("t", [b"a"], ("dead", "full", "three"), 0.0)
+        (sent,) = outbox.tick(RECEIPT_WAIT + 0.1)
+        self.assertEqual(sent.instance, "full")
+        (sent,) = outbox.receive("full", Receipt("t", 0, False), 1.0)
+        self.assertEqual(sent.instance, "three")
+        self.assertEqual(outbox.receive("dead", Receipt("t", 0, True), 1.0), [])
+        found = outbox.tick(1.0 + 2 * RECEIPT_WAIT)
+        self.assertEqual((found, outbox.count()), ([Undelivered("t")], 0))
+
+    def test_a_wave_fills_no_buffer(self):
+        outbox, sent = Outbox(), []
+        for number in range(500):
+            sent += outbox.begin(str(number), [b"a"], ("two",), 0.0)
+        self.assertEqual(len(sent), TRANSFERS_AT_ONCE)
+        while sent:
+            part = sent.pop(0).message
+            actions = outbox.receive("two", Receipt(part.transfer, 0, True), 0.0)
+            sent += [item for item in actions if isinstance(item, Forward)]
+            self.assertLessEqual(len(sent), TRANSFERS_AT_ONCE)
+        self.assertEqual(outbox.count(), 0)
+
+
+class TestInbox(unittest.TestCase):
+    def refused(self, actions):
+        return [action.message.taken for action in actions] == [False]
+
+    def test_parts_out_of_place_or_over_the_limit_are_refused(self):
+        inbox = Inbox(100)
+        self.assertTrue(self.refused(inbox.receive("one", Part("t", 1, 3, b"a"), 0.0)))
+        inbox.receive("one", Part("t", 0, 3, b"a" * 60), 0.0)
+        # Another sender's transfer of the same name is its own.
+        self.assertTrue(self.refused(inbox.receive("two", Part("t", 1, 3, b"a"), 0.0)))
+        self.assertTrue(
+            self.refused(inbox.receive("one", Part("t", 1, 3, b"a" * 60), 0.0))
+        )
+        self.assertTrue(
+            self.refused(inbox.receive("one", Part("t", 0, 10**6, b"a"), 0.0))
+        )
+        self.assertEqual(inbox.size, 0)
+
+    def test_what_a_dead_sender_left_is_dropped(self):
+        inbox = Inbox(100)
+        inbox.receive("one", Part("t", 0, 3, b"a" * 60), 0.0)
+        inbox.tick(0.1)
+        self.assertEqual(inbox.size, 60)
+        inbox.tick(10.0)
+        self.assertEqual(inbox.size, 0)
+
+    def test_a_transfer_that_starts_again_is_whole(self):
+        inbox, parts = Inbox(10**6), pack_state(make_state("x" * 60_000))
+        inbox.receive("one", Part("t", 0, 2, parts[0]), 0.0)
+        inbox.receive("one", Part("t", 0, 2, parts[0]), 1.0)
+        (received,) = inbox.receive("one", Part("t", 1, 2, parts[1]), 1.0)
+        self.assertIsInstance(received, Received)
+
+
+class TestPeers(unittest.TestCase):
+    def test_takers_are_in_other_data_centres_while_there_are_any(self):
+        takers = choose_takers(KEY, LIVE, "a")
+        self.assertEqual(len(takers), OFFERS)
+        self.assertNotIn("a", {LIVE[name] for name in takers})
+        alone = {name: "a" for name in LIVE}
+        self.assertEqual(len(choose_takers(KEY, alone, "a")), OFFERS)
+        self.assertEqual(choose_takers(KEY, {}, "a"), ())
+
+    def test_the_first_two_asked_hold_the_state_wherever_it_came_from(self):
+        # A caller reconnects anywhere in a fleet of hundreds. Whoever it meets must
+        # find the holder without asking all of them.
+        fleet = {f"n{number}": f"dc{number % 10}" for number in range(320)}
+        for number in range(50):
+            key = KEY._replace(request_id=str(number))
+            for centre in ("dc0", "dc3"):
+                holder = choose_takers(key, fleet, centre)[0]
+                asked = choose_asked(key, fleet, ())
+                self.assertIn(holder, asked[:2])
+                self.assertEqual(len(asked), QUESTIONS)
+
+
+class TestSearches(unittest.TestCase):
+    def test_ends_when_all_have_denied_or_one_is_silent(self):
+        searches = Searches()
+        sent = searches.begin("s", KEY, ("two", "three"), 0.0)
+        self.assertEqual(sent[0], Forward("two", Seek("s", KEY)))
+        self.assertEqual(searches.receive("two", Unheld("s"), 0.1), [])
+        self.assertEqual(searches.receive("three", Unheld("s"), 0.1), [NotFound("s")])
+        self.assertEqual(searches.receive("three", Unheld("s"), 0.1), [])
+        searches.begin("s", KEY, ("dead",), 0.0)
+        self.assertEqual(searches.tick(SEARCH_WAIT + 0.1), [NotFound("s")])
+        self.assertEqual(searches.begin("s", KEY, (), 0.0), [NotFound("s")])
+
+    def test_waits_on_while_parts_come(self):
+        searches = Searches()
+        searches.begin("s", KEY, ("two",), 0.0)
+        searches.prolong("s", SEARCH_WAIT)
+        self.assertEqual(searches.tick(SEARCH_WAIT + 0.1), [])
+        searches.find("s")
+        self.assertEqual(searches.tick(99.0), [])
+
+    def test_a_fleet_of_one_asks_nobody(self):
+        self.assertEqual(handoffs.choose_asked(KEY, {}, ()), ())
