A caller's reconnect picks up the same answer, also after a hand-over

Cause: a lost connection cancelled the generation at once; an entry instance with a short notice cut its streams, and nothing told its peers of them. Ruled out: looking every request id up at peers (a question for each request of callers that always name theirs); sending the state while generating on (the caller would read tokens that the peer writes again, perhaps differently); moving new work through the admission check (it was accepted before). Change: reconnects.py holds named model requests by customer, request id and fingerprint; Drain knows the notice's deadline and hands over 1.5 s before it; a reconnect is served from here, or from a peer by Seek. Drain now waits for requests without a connection too. Settings reconnect_grace/keep/bytes. KV cache doesn't travel with a handed-over request yet.

--- a/src/chervilwing/answers.py
+++ b/src/chervilwing/answers.py
@@ -76,6 +76,18 @@
         self._figures = None
         self._start = len(self.tokens)
 
+    def restore(self, state):
+        """Take what another entry instance has of the answer."""
+        self.tokens = list(state.tokens)
+        self.recomputed = state.recomputed
+        self.complete = state.complete
+        self.finish_reason = state.finish_reason
+        if state.complete:
+            count = len(state.tokens)
+            self.usage = Usage(
+                prompt_tokens=state.prompt_tokens, completion_tokens=count
+            )
+
     def feed(self, data):
         """Return the tokens that these bytes add; raises UpstreamFailed on nonsense."""
         *events, self._buffer = (self._buffer + data).split(EVENT_END)
--- a/src/chervilwing/completions.py
+++ b/src/chervilwing/completions.py
@@ -8,6 +8,8 @@
 
 DEFAULT_MAX_TOKENS = 256
 MAX_TOKENS_LIMIT = 32768
+# More than any answer has tokens; Python refuses to read numbers of 5,000 digits.
+INDEX_DIGITS = 9
 ROLES = ("system", "user", "assistant", "tool")
 STREAM_END = b"data: [DONE]\n\n"
 
@@ -104,6 +106,20 @@
     )
 
 
+def read_last_event(headers, request_id):
+    """Return the index of the last token that a caller has read, None for a new one.
+
+    It is -1 for a caller that has read none, by the request id alone.
+    """
+    given = headers.get("last-event-id")
+    if given is None:
+        return None
+    name, _, index = given.partition("/")
+    if name != request_id or not (index == "" or index.isascii() and index.isdigit()):
+        raise BadRequest("Last-Event-ID must be the X-Request-Id, a slash, an index.")
+    return int(index[:INDEX_DIGITS]) if index else -1
+
+
 def make_usage(usage):
     """Return an engine's figures in the caller's form."""
     prompt = usage.get("prompt_tokens", 0)
--- a/src/chervilwing/daemon.py
+++ b/src/chervilwing/daemon.py
@@ -30,6 +30,7 @@
 from .notices import Notices
 from .peers import Peers
 from .pollers import DirectPoller
+from .reconnects import Reconnects
 from .stats import Stats
 from .stores import Store
 from .web import Web, WebHandlers
@@ -99,6 +100,8 @@
         store = Store(cfg, self._client)
         self._claimant = Claimant(cfg, store, self._peers).register(self)
         dispatcher.claimant = self._claimant
+        self._reconnects = Reconnects(cfg, dispatcher, self._peers).register(self)
+        dispatcher.reconnects = self._reconnects
         self._follower = Follower(cfg, store, self._peers, dispatcher).register(self)
         self._notices = Notices(
             cfg,
@@ -106,13 +109,14 @@
             dispatcher,
             self._publish,
             lambda: self._follower.revisions.elected,
-            lambda: self._drain.begin(),
+            lambda deadline: self._drain.begin(deadline),
         ).register(self)
         Loads(cfg, self._client, dispatcher).register(self)
 
     def _answer_operators(self):
-        self._drain = Drain(self.cfg, self._dispatch, self._web, self._leave)
-        self._drain.register(self)
+        self._drain = Drain(
+            self.cfg, self._dispatch, self._web, self._leave, self._reconnects
+        ).register(self)
         admin = Admin(
             self.cfg,
             self._dispatch,
@@ -139,6 +143,7 @@
         live = [item for item in self._membership.members() if item.state == LIVE]
         self._follower.enlist({item.name: item.data_centre for item in live})
         self._claimant.enlist([item.name for item in live])
+        self._reconnects.enlist(self._membership.members())
         self._dispatch.scheduler.update_entries(max(1, len(live)))
 
     @handler("started", channel="*")
--- a/src/chervilwing/directory.py
+++ b/src/chervilwing/directory.py
@@ -38,6 +38,7 @@
         self._services = {service.name: service for service in inventory.services}
         self._routes = {route.name: route for route in rules.routes}
         self._classes = {entry.name: entry for entry in rules.classes}
+        self._names = {customer.name: customer for customer in rules.customers}
         self._customers = {
             digest: customer
             for customer in rules.customers
@@ -51,6 +52,13 @@
             raise UnknownCustomer()
         return customer
 
+    def get_customer(self, name):
+        """Return the customer of a name that another entry instance gives."""
+        customer = self._names.get(name)
+        if customer is None:
+            raise UnknownCustomer()
+        return customer
+
     def find_model(self, customer, name):
         """Return the target of a model call."""
         route = self._routes.get(name)
--- a/src/chervilwing/dispatch.py
+++ b/src/chervilwing/dispatch.py
@@ -11,7 +11,8 @@
 
 from . import completions, retries
 from .caches import HeldCaches
-from .claimant import KEY_HEADER
+from .claimant import KEY_HEADER, make_fingerprint
+from .completions import Completion
 from .directory import Directory
 from .exceptions import (
     NOT_RUN,
@@ -24,6 +25,7 @@
 )
 from .forwards import Forward
 from .generations import Generation
+from .handoffs import Key
 from .logs import RequestLine, log_request
 from .scheduling import Scheduler, SchedulingSettings, Work
 from .sessions import Session
@@ -39,6 +41,11 @@
 PREFIX_CHARACTERS = 256
 
 
+def is_named(exchange):
+    """Tell whether the caller gave its request an id of its own."""
+    return "x-request-id" in exchange.req.headers
+
+
 def read_request_id(headers):
     """Return the caller's request id, or a new one."""
     given = headers.get("x-request-id", "")
@@ -49,6 +56,27 @@
     return given
 
 
+def measure(completion):
+    """Return what the scheduler wants to know of a model request's size."""
+    prefix = completion.prompt[:PREFIX_CHARACTERS].encode()
+    return {
+        "prompt_tokens": len(completion.prompt) // CHARACTERS_PER_TOKEN + 1,
+        "max_tokens": completion.max_tokens,
+        "prefix": hashlib.blake2b(prefix, digest_size=8).hexdigest(),
+    }
+
+
+class NoReconnects:
+    """Stand for an instance that holds nothing for callers to come back for."""
+
+    def detach(self, session):
+        """Return False: the request ends with its caller's connection."""
+        return False
+
+    def end(self, session):
+        """Do nothing."""
+
+
 class Dispatcher(BaseComponent):
     """Own the requests in flight and the decisions about them."""
 
@@ -66,6 +94,7 @@
         self.caches = HeldCaches()
         self.draining = False
         self.claimant = None
+        self.reconnects = NoReconnects()
         self.leaving: dict[str, float] = {}
         self._serial = 0
         self._pumping = False
@@ -84,7 +113,11 @@
 
     def requested(self, exchange):
         """Serve one request of a caller."""
-        guard(self._serve, self._note_refusal)(exchange)
+        self.serve(self._serve, exchange)
+
+    def serve(self, serve, exchange):
+        """Serve an exchange by this function; a failure answers it."""
+        guard(serve, self._note_refusal)(exchange)
         self.pump()
 
     def left(self, exchange):
@@ -236,16 +269,68 @@
         customer = directory.find_customer(exchange.req.headers)
         completion = completions.read_completion(exchange.req.body, chat)
         target = directory.find_model(customer, completion.model)
-        session = self._open(exchange, target)
+        request_id = read_request_id(exchange.req.headers)
+        key = Key(customer.name, request_id, make_fingerprint(exchange.req))
+
+        def begin():
+            self._generate(exchange, completion, target, key)
+
+        if not is_named(exchange) or not self.reconnects.resume(exchange, key, begin):
+            begin()
+
+    def _generate(self, exchange, completion, target, key):
+        customer = target.customer
+        session = self._open(exchange, target, key.request_id)
+        session.key, session.named = key, is_named(exchange)
         version = self.scheduler.choose_version(completion.model, customer.name)
         session.run = Generation(session, completion, version or completion.model)
-        prefix = completion.prompt[:PREFIX_CHARACTERS].encode()
-        self._offer(
-            session,
-            prompt_tokens=len(completion.prompt) // CHARACTERS_PER_TOKEN + 1,
-            max_tokens=completion.max_tokens,
-            prefix=hashlib.blake2b(prefix, digest_size=8).hexdigest(),
-        )
+        self._offer(session, **measure(completion))
+        if session.named and not session.closed:
+            self.reconnects.admit(session)
+
+    def adopt(self, state, exchange):
+        """Go on with a model request that another entry instance began."""
+        directory = self._require_ready()
+        customer = directory.get_customer(state.key.customer)
+        target = directory.find_model(customer, state.model)
+        session = self._open(exchange, target, state.key.request_id)
+        session.key, session.named = state.key, True
+        session.began -= state.elapsed
+        # It may have run where it comes from, whatever becomes of it here.
+        session.touched = True
+        fields = {name: getattr(state, name) for name in Completion._fields}
+        completion = Completion(**fields)
+        session.run = Generation(session, completion, state.version, state)
+        session.tokens = len(state.tokens)
+        session.last_token = time.monotonic() if state.tokens else None
+        sizes = measure(completion) | {"tokens": session.tokens}
+        session.work = self._make_work(session, **sizes)
+        if state.complete:
+            session.closed = True
+            return session
+        self.sessions[session.serial] = session
+        refusal = self._push(session)
+        if refusal is not None:
+            del self.sessions[session.serial]
+            raise refusal.exc
+        return session
+
+    def readmit(self, session):
+        """Queue a request again that no other entry instance has taken."""
+        refusal = self._push(session)
+        if refusal is not None:
+            session.refuse(refusal.exc)
+        self.pump()
+
+    def withdraw(self, session):
+        """Take a request out of the queue."""
+        self.scheduler.withdraw(session.serial, time.monotonic())
+
+    def _push(self, session):
+        """Queue a request that was accepted before, ahead of all new work."""
+        work = session.work._replace(tokens=session.tokens)
+        session.work = retries.count_attempt(retries.RULES[LEAVING], work, "")
+        return self.scheduler.retry(work, "", LEAVING, time.monotonic())
 
     def _forward(self, exchange):
         directory = self._require_ready()
@@ -254,7 +339,7 @@
         name, _, path = req.path[len(SERVICES) :].partition("/")
         path = "/" + path
         target = directory.find_service(customer, name, req.method, unquote(path))
-        session = self._open(exchange, target)
+        session = self._open(exchange, target, read_request_id(req.headers))
         query = f"?{req.query}" if req.query else ""
         session.run = Forward(session, quote(path, safe="/%~:@!$&'()*+,;=") + query)
         if self.claimant is None or target.idempotent or KEY_HEADER not in req.headers:
@@ -263,28 +348,30 @@
         session.exchange.tag = session
         self.claimant.claim(session, self._offer)
 
-    def _open(self, exchange, target):
-        request_id = read_request_id(exchange.req.headers)
+    def _open(self, exchange, target, request_id):
         self._serial += 1
         serial = f"{self.cfg.name}-{self._serial}-{uuid.uuid4().hex[:8]}"
         return Session(self, exchange, request_id, serial, target)
 
     def _offer(self, session, **sizes):
-        target, now = session.target, time.monotonic()
-        session.work = Work(
+        session.work = self._make_work(session, **sizes)
+        self.sessions[session.serial] = session
+        session.exchange.tag = session
+        refusal = self.scheduler.offer(session.work, time.monotonic())
+        if refusal is not None:
+            refusal.exc.outcome = NOT_RUN
+            session.refuse(refusal.exc)
+
+    def _make_work(self, session, **sizes):
+        target = session.target
+        return Work(
             request_id=session.serial,
             customer=target.customer.name,
             work_class=target.work_class.name,
             kind=target.kind,
             pool=target.pool,
             target=target.name,
-            deadline=now + target.work_class.deadline,
+            deadline=session.began + target.work_class.deadline,
             idempotent=target.idempotent,
             **sizes,
         )
-        self.sessions[session.serial] = session
-        session.exchange.tag = session
-        refusal = self.scheduler.offer(session.work, now)
-        if refusal is not None:
-            refusal.exc.outcome = NOT_RUN
-            session.refuse(refusal.exc)
--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -136,6 +136,18 @@
     status, type, title, outcome = 504, "deadline-passed", "Deadline passed", UNKNOWN
 
 
+class HandedOver(ChervilwingError):
+    """The instance is stopping and a peer goes on; ask for the same request again."""
+
+    status, type, title, outcome = 503, "handed-over", "Handed over", UNKNOWN
+
+
+class AnswerLost(ChervilwingError):
+    """No instance holds the answer that the caller has read a part of."""
+
+    status, type, title, outcome = 410, "answer-lost", "Answer lost", UNKNOWN
+
+
 class PlatformDown(ChervilwingError):
     """The key-value service can't be reached, so the claim can't be written."""
 
--- a/src/chervilwing/generations.py
+++ b/src/chervilwing/generations.py
@@ -7,6 +7,7 @@
 from .answers import Answer
 from .connections import Call, CallHandlers
 from .exceptions import NOT_RUN, Scope, UpstreamFailed, UpstreamSilent
+from .handoffs import State
 from .web import EVENTS_TYPE
 from .work import BUSY, CANCELLED, FAILED, OK, SILENT
 
@@ -32,7 +33,7 @@
     gap.
     """
 
-    def __init__(self, session, completion, version):
+    def __init__(self, session, completion, version, state=None):
         self.session = session
         self.completion = completion
         self.version = version
@@ -46,6 +47,9 @@
         self._first_token = None
         self._offset = 0
         self._created = int(time.time())
+        if state is not None:
+            self.answer.restore(state)
+            self._created = state.created
         self._write = completions.make_chunk_writer(
             completion, session.request_id, self._created
         )
@@ -111,6 +115,35 @@
             session.client, session.cfg, self._upstream.address, self._attempt, exported
         )
 
+    def make_state(self, key, elapsed):
+        """Return what another entry instance needs to go on."""
+        completion, answer = self.completion, self.answer
+        return State(
+            key=key,
+            version=self.version,
+            created=self._created,
+            tokens=tuple(answer.tokens),
+            recomputed=answer.recomputed,
+            elapsed=elapsed,
+            complete=answer.complete,
+            finish_reason=answer.finish_reason,
+            prompt_tokens=answer.usage.get("prompt_tokens", 0),
+            **completion._asdict(),
+        )
+
+    def replay(self, after):
+        """Give a caller that reconnected what follows token ``after``, and go on."""
+        tokens = self.answer.tokens[after + 1 :]
+        if self.completion.stream and tokens:
+            self._write_tokens(after + 1, tokens)
+        if self.answer.complete:
+            self._finish()
+
+    def release(self):
+        """Read on from the engine although the caller has gone."""
+        if self.running:
+            self.session.client.resume(self._call)
+
     def _leave_engine(self, outcome):
         if self.running:
             self._abandon(outcome, "The engine is leaving.")
@@ -190,18 +223,19 @@
         if self._first_token is None:
             self._first_token = now - self._began
         self.session.record_tokens(len(tokens), now)
-        if not self.completion.stream:
-            return
+        if self.completion.stream:
+            self._write_tokens(self.answer.offset - len(tokens), tokens)
+
+    def _write_tokens(self, first, tokens):
         exchange = self.session.exchange
         if not exchange.started:
             exchange.start(HTTP_OK, EVENTS_TYPE, self.session.headers)
             exchange.on_drain = self._resume_reading
-        first = self.answer.offset - len(tokens)
         events = [self._write(first + i, token) for i, token in enumerate(tokens)]
         exchange.write("".join(events).encode())
         # Load: a caller that reads more slowly than the engine writes. Harm: the answer
         # piles up here. The engine is slowed by its own full socket instead.
-        if exchange.congested:
+        if exchange.congested and self.running:
             self.session.client.pause(self._call)
 
     def _resume_reading(self):
@@ -213,6 +247,11 @@
         self._report(OK)
         session = self.session
         session.recomputed = self.answer.recomputed
+        self._finish()
+        session.close()
+
+    def _finish(self):
+        session = self.session
         if self.completion.stream:
             if not session.exchange.started:
                 session.exchange.start(HTTP_OK, EVENTS_TYPE, session.headers)
@@ -225,7 +264,6 @@
                 self.completion, session.request_id, self.answer, self._created
             )
             session.exchange.answer_json(HTTP_OK, value, session.headers)
-        session.close()
 
     def _abandon(self, outcome, detail):
         self._stop_call()
--- a/src/chervilwing/notices.py
+++ b/src/chervilwing/notices.py
@@ -84,7 +84,7 @@
 
     def _obey(self, name, deadline):
         if name == self._cfg.name:
-            self._drain()
+            self._drain(deadline)
             return
         self._dispatch.mark_leaving(name, deadline)
 
--- a/src/chervilwing/sessions.py
+++ b/src/chervilwing/sessions.py
@@ -2,11 +2,12 @@
 
 import time
 
-from .exceptions import NOT_RUN, RAN, UNKNOWN
+from .exceptions import NOT_RUN, RAN, UNKNOWN, HandedOver
 from .logs import RequestLine, log_request
 from .work import LEAVING
 
 LEFT = "caller-left"
+HANDED = "handed-over"
 
 
 class Session:
@@ -25,6 +26,10 @@
         self.work = None
         self.run = None
         self.claimant = None
+        # A model request has a key, by which its caller may ask for it again.
+        self.key = None
+        self.named = False
+        self.moving = False
         self.tries = 0
         self.touched = False
         self.tokens = 0
@@ -45,6 +50,16 @@
         """Return when the request is given up on, on the monotonic clock."""
         return self.began + self.cfg.request_timeout
 
+    @property
+    def stream(self):
+        """Tell whether the answer goes out token by token."""
+        return self.run.completion.stream
+
+    @property
+    def may_move(self):
+        """Tell whether its caller can ask another entry instance for it."""
+        return self.key is not None and (self.named or self.exchange.started)
+
     def place(self, upstream):
         """Start an attempt on an upstream."""
         self.upstream = upstream
@@ -104,12 +119,45 @@
         self.close()
 
     def leave(self):
-        """Stop the work of a caller that has gone, unless it must run to its end."""
+        """Stop the work of a caller that has gone, unless it may come back for it."""
+        if not self.closed and not self._dispatcher.reconnects.detach(self):
+            self.abandon()
+
+    def abandon(self):
+        """Stop the work, unless it must run to its end."""
         if self.closed or not self.run.cancel():
             return
         self.outcome = LEFT
         self.close()
 
+    def attach(self, exchange):
+        """Answer to this exchange from now on; the caller has left the old one."""
+        old, self.exchange = self.exchange, exchange
+        old.tag = None
+        # Guard: a balancer may keep the connection of a caller that has reconnected
+        # elsewhere; left open, it would take the rest of the answer.
+        old.abort()
+        exchange.tag = self
+
+    def suspend(self):
+        """Stop generating, queued or running, and keep what there is."""
+        if not self.closed:
+            self.run.cancel()
+            self._dispatcher.withdraw(self)
+
+    def make_state(self):
+        """Return what another entry instance needs to go on."""
+        return self.run.make_state(self.key, time.monotonic() - self.began)
+
+    def finish_move(self):
+        """End the request here: another entry instance goes on with it."""
+        if self.closed:
+            return
+        self.outcome = self.cause = HANDED
+        exc = HandedOver("Send the same request again.", retry_after=1.0)
+        self.exchange.refuse(exc, self.headers)
+        self.close()
+
     def close(self):
         """Forget the request and write its line in the log."""
         if self.closed:
@@ -117,6 +165,7 @@
         self.closed = True
         self._record()
         self._dispatcher.forget(self)
+        self._dispatcher.reconnects.end(self)
 
     def _record(self):
         seconds = time.monotonic() - self.began
--- a/src/chervilwing/settings.py
+++ b/src/chervilwing/settings.py
@@ -44,6 +44,9 @@
     request_timeout: float
     drain_timeout: float
     drain_lag: float
+    reconnect_grace: float
+    reconnect_keep: float
+    reconnect_bytes: int
     store_timeout: float
     watch_wait: float
     default_class: str
@@ -175,6 +178,32 @@
     Field("request_timeout", parse_seconds, "120", "s", "for a whole request"),
     Field("drain_timeout", parse_seconds, "150", "s", "for a planned stop"),
     Field("drain_lag", parse_seconds, "5", "s", "that the balancer may lag at a stop"),
+    # Load: callers that give up look the same as callers that come back. Harm: each
+    # second is an engine's slot that may write for nobody; a client that reconnects
+    # does so within a second or two.
+    Field(
+        "reconnect_grace",
+        parse_seconds,
+        "5",
+        "s",
+        "that a request runs on after its caller's connection broke",
+    ),
+    # A caller whose entry instance went away first waits for its balancer.
+    Field(
+        "reconnect_keep",
+        parse_seconds,
+        "30",
+        "s",
+        "that an answer is kept for its caller to come back",
+    ),
+    # An eighth of the 128 MB that a node has for control (letter 1).
+    Field(
+        "reconnect_bytes",
+        parse_count,
+        str(16 * MIB),
+        "bytes",
+        "largest size of all answers kept",
+    ),
     Field("store_timeout", parse_seconds, "2", "s", "for a key-value call"),
     Field("watch_wait", parse_seconds, "30", "s", "that one watch waits"),
     Field("default_class", parse_name, "standard", "name", "class of unclassed work"),
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -23,6 +23,8 @@
 
 API_KEY = "example-key"
 AUTHORISED = {"Authorization": f"Bearer {API_KEY}"}
+OTHER_KEY = "other-key"
+OTHER = {"Authorization": f"Bearer {OTHER_KEY}"}
 
 
 class Upstreams(NamedTuple):
@@ -45,7 +47,10 @@
     pools = (Pool("engines", MODEL, ("memo",)), Pool("services", SERVICE))
     services = (Service("portal", "services", ("POST /notes",)),)
     rules = Rules(
-        customers=(Customer("andesur", (hash_key(API_KEY),)),),
+        customers=(
+            Customer("andesur", (hash_key(API_KEY),)),
+            Customer("tournelle", (hash_key(OTHER_KEY),)),
+        ),
         classes=(WorkClass("standard"),),
         routes=(ModelRoute("memo", "engines"),),
     )
--- a/tests/live.py
+++ b/tests/live.py
@@ -1,5 +1,6 @@
 """The scenario language on real processes: steps follow each other, none is timed."""
 
+import json
 import threading
 import time
 from pathlib import Path
@@ -7,8 +8,10 @@
 
 import lark
 
+from tests import resuming
 from tests.deployments import (
     AUTHORISED,
+    OTHER,
     Deployment,
     complete,
     make_configuration,
@@ -29,6 +32,19 @@
     | "entry" NAME "in" NAME                           -> entry
     | "stream" NAME "of" INT "tokens" "on" NAME        -> stream
     | "memo" NAME "of" INT "tokens" "on" NAME          -> memo
+    | "resumable" "stream" NAME "of" INT "tokens" "on" NAME -> begin_stream
+    | "resumable" "memo" NAME "of" INT "tokens" "on" NAME -> begin_memo
+    | "when" NAME "has" "read" INT "tokens"            -> when_read
+    | "drop" "caller" "of" NAME                        -> drop
+    | "when" NAME "is" "cut"                           -> when_cut
+    | "reconnect" NAME "on" NAME                       -> reconnect
+    | "other" "customer" "reconnects" NAME "on" NAME   -> reconnect_other
+    | "other" "customer" "repeats" NAME "on" NAME      -> repeat_other
+    | "when" NAME "is" "given" "up" "on" NAME          -> when_given_up
+    | "expect" NAME "gets" WORD                        -> expect_gets
+    | "expect" NAME "joined" "whole"                   -> expect_joined
+    | "expect" NAME "refused" "as" WORD                -> expect_refused
+    | "expect" "answer" "of" NAME "ended" "by" NAME    -> expect_by
     | "note" NAME "on" NAME                            -> note
     | "note" NAME "without" "key" "on" NAME            -> plain_note
     | "document" NAME "on" NAME                        -> document
@@ -89,6 +105,7 @@
         self.services = ()
         self.entries = {}
         self.sent = {}
+        self.readers = {}
         self.keys = {}
         self.version = 0
         self.options = ()
@@ -324,7 +341,94 @@
     assert not rows, rows
 
 
+def begin_resumable(stream):
+    def begin(play, name, count, entry):
+        kind = "stream" if stream else "memo"
+        play.sent[name] = Sent(kind, f"prompt of {name}", int(count), [])
+        reader = resuming.Reader(name, play.sent[name].prompt, int(count), stream)
+        play.readers[name] = reader
+        reader.connect(play.entries[entry].port)
+
+    return begin
+
+
+def wait_for_read(play, name, count):
+    poll(lambda: len(play.readers[name].tokens) >= int(count), 20.0)
+
+
+def wait_for_cut(play, name):
+    poll(lambda: play.readers[name].ended, 20.0)
+    assert not play.readers[name].whole
+
+
+def reconnect(play, name, entry):
+    play.readers[name].connect(play.entries[entry].port)
+
+
+def reconnect_other(play, name, entry, repeat=False):
+    """Send another customer's request that is the same in all but its key."""
+    reader = play.readers[name].copy(OTHER, repeat)
+    play.readers[f"other-{name}"] = reader
+    reader.connect(play.entries[entry].port)
+
+
+def repeat_other(play, name, entry):
+    reconnect_other(play, name, entry, repeat=True)
+
+
+def wait_for_giving_up(play, name, entry):
+    poll(lambda: "caller-left" in read_outcomes(play, name, entry), 20.0)
+
+
+def read_outcomes(play, name, entry):
+    """Return how an entry instance's attempts at a request ended, by its log."""
+    lines = read_file(play.entries[entry].stderr).splitlines()
+    rows = [json.loads(line) for line in lines]
+    return [row.get("outcome") for row in rows if row.get("request") == name]
+
+
+def expect_gets(play, name, kind):
+    reader = play.readers[name]
+    poll(lambda: reader.ended, 20.0)
+    assert reader.problem == kind, (reader.status, reader.body)
+
+
+def expect_joined(play, name):
+    reader = play.readers[name]
+    poll(lambda: reader.ended, 30.0)
+    assert reader.whole, (reader.status, reader.tokens, reader.body)
+    expected = expected_tokens("memo", reader.prompt, reader.count)
+    assert reader.text == "".join(expected), reader.tokens
+    if reader.stream:
+        assert reader.indexes == list(range(reader.count)), reader.indexes
+
+
+def expect_refused(play, name, kind):
+    reader = play.readers[name]
+    poll(lambda: reader.ended, 20.0)
+    assert reader.problem == kind, (reader.status, reader.body)
+    assert not reader.tokens, reader.tokens
+
+
+def expect_by(play, name, entry):
+    outcomes = read_outcomes(play, name, entry)
+    assert "ran" in outcomes, outcomes
+
+
 STEPS = {
+    "begin_stream": begin_resumable(True),
+    "begin_memo": begin_resumable(False),
+    "when_read": wait_for_read,
+    "when_cut": wait_for_cut,
+    "drop": lambda play, name: play.readers[name].drop(),
+    "reconnect": reconnect,
+    "reconnect_other": reconnect_other,
+    "repeat_other": repeat_other,
+    "when_given_up": wait_for_giving_up,
+    "expect_gets": expect_gets,
+    "expect_joined": expect_joined,
+    "expect_refused": expect_refused,
+    "expect_by": expect_by,
     "engines": start_engines,
     "services": start_services,
     "entry": start_entry,
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -30,6 +30,7 @@
     "parsers",
     "peers",
     "pollers",
+    "reconnects",
     "sessions",
     "sockets",
     "stores",
