--- a/src/chervilwing/placement.py
+++ b/src/chervilwing/placement.py
@@ -97,6 +97,7 @@
         self.yielding = 0
         self.entries = 1
         self.reserve = 0
+        self.ahead = 0
         self._data_centre = data_centre
         self._ring = Ring()
         # By whether the work is over its quota, and so has to leave the reserve.
@@ -105,6 +106,7 @@
         self._live = Members()
         self._load = 0
         self._slots = 0
+        self._running = 0
         self._counted = {}
 
     def update(self, upstreams, leaving):
@@ -118,7 +120,7 @@
             self.yielding -= sum(attempt.yielding for attempt in lost)
             self._count(name)
         for name, upstream in wanted.items():
-            state = self.states.setdefault(name, UpstreamState(upstream))
+            state = self.states.setdefault(name, UpstreamState(upstream, self.entries))
             state.upstream = upstream
             state.leaving = name in leaving
         self._rebuild()
@@ -135,9 +137,22 @@
         for name in self.states:
             self._count(name)
 
+    def set_usual(self, seconds, ahead):
+        """Set how long usual work takes and how much may wait in each upstream."""
+        for state in self.states.values():
+            state.usual = seconds
+        if ahead == self.ahead:
+            return
+        self.ahead = ahead
+        for name in self.states:
+            self._count(name)
+
     def set_entries(self, entries):
         """Set how many entry instances share the pool."""
         self.entries = max(1, entries)
+        for name, state in self.states.items():
+            state.entries = self.entries
+            self._count(name)
 
     def count_slots(self):
         """Return the slots of all live upstreams."""
@@ -147,10 +162,9 @@
         """Return how many upstreams may take new work."""
         return len(self._live)
 
-    def has_open(self, excluded):
-        """Tell whether any upstream outside the excluded ones has room."""
-        members = self._open[False]
-        return len(members) > sum(name in members for name in excluded)
+    def count_open(self, yields):
+        """Return how many upstreams have room."""
+        return len(self._open[yields])
 
     def count_free(self):
         """Return the slots that look free on all live upstreams."""
@@ -158,8 +172,12 @@
         return sum(max(0, state.slots - state.load) for state in live)
 
     def measure_concurrency(self):
-        """Return how many requests this entry instance can have running."""
-        return max(min(self.running, self._slots), self.measure_part(), 1.0)
+        """Return how many requests this entry instance can have running.
+
+        Of those in flight on live upstreams some wait in one that is over full.
+        """
+        started = self._running * min(1.0, self._slots / max(self._load, 1e-9))
+        return max(started, self.measure_part(), 1.0)
 
     def measure_part(self):
         """Return this entry instance's part of all live slots."""
@@ -230,6 +248,7 @@
         state = self.states[name]
         if name in work.excluded or not state.is_live() or state.paused_until:
             return False
+        over += self.ahead
         return state.has_room(self.reserve if yields else 0, over)
 
     def _score(self, name, work, owners, estimate):
@@ -239,7 +258,9 @@
         cost = estimate(work, cached)
         pace = state.limit.pace or self.reference.mean
         crowd = 1.0 + BATCH_PART * state.load
-        return cost * pace * crowd, name, cost, cached
+        ahead = max(0.0, state.load + 1 - state.slots)
+        wait = ahead * state.usual / state.slots
+        return wait + cost * pace * crowd, name, cost, cached
 
     def _rebuild(self):
         self._ring = Ring(self.states)
@@ -248,20 +269,24 @@
 
     def _count(self, name):
         """Renew what the totals and sets hold of one upstream."""
-        load, slots = self._counted.pop(name, (0, 0))
+        load, slots, running = self._counted.pop(name, (0, 0, 0))
         self._load -= load
         self._slots -= slots
+        self._running -= running
         state = self.states.get(name)
         live = state is not None and state.is_live()
         self._put(self._live, name, live)
         if live:
-            self._counted[name] = (state.load, state.slots)
+            running = len(state.running)
+            self._counted[name] = (state.load, state.slots, running)
             self._load += state.load
             self._slots += state.slots
+            self._running += running
         ready = live and not state.paused_until
         near = live and state.upstream.data_centre == self._data_centre
         for yields in (False, True):
-            room = ready and state.has_room(self.reserve if yields else 0)
+            kept = self.reserve if yields else 0
+            room = ready and state.has_room(kept, self.ahead)
             self._put(self._open[yields], name, room)
             self._put(self._near[yields], name, room and near)
 
--- a/src/chervilwing/transfer.py
+++ b/src/chervilwing/transfer.py
@@ -69,7 +69,7 @@
     def ask_again(self, now):
         """Return the next holder and the body of a fetch when an answer is overdue."""
         pending = self._pending
-        if pending is None or now - pending.asked < self._cfg.fetch_timeout:
+        if pending is None or abs(now - pending.asked) < self._cfg.fetch_timeout:
             return None
         pending.asked = now
         pending.holders.append(pending.holders.pop(0))
