Leave the KV cache at an engine while a request changes its entry instance

A caller that read slowly and lost its connection left the engine paused, and the answer never ended. Change: export, import at an engine that stays, name it in the state; work with a keeper is placed there while there is room. Reading goes on when an exchange is replaced. Tests of reconnects; the resumable steps moved out of live.py. Conclusion: holds with the stand-in's import; a real engine must take a cache that it has itself exported.

--- a/src/chervilwing/caches.py
+++ b/src/chervilwing/caches.py
@@ -15,6 +15,9 @@
 # slowly. Harm: the engine is gone before its requests were moved. The limit is within
 # the last call of 1.5 s in which the scheduler moves everything left.
 TRANSFER_LIMIT = 1.0
+# The same while a request changes its entry instance: both ways and the offers to peers
+# must fit between the hand-over's start and the instance's end.
+PARK_LIMIT = 0.4
 # Load: a data centre reclaimed, hundreds of requests moved at once. Harm: memory for
 # control is 128 MB a node (letter 1). One cache may take a quarter of what all may;
 # what doesn't fit is resumed from its tokens alone.
@@ -65,16 +68,16 @@
             self.size -= len(cache["blob"])
 
 
-def make_call(cfg, address, path, body):
+def make_call(cfg, address, path, body, limit):
     """Return the call that moves a cache one way."""
-    connect = min(cfg.connect_timeout, TRANSFER_LIMIT)
+    connect = min(cfg.connect_timeout, limit)
     data = json.dumps(body).encode()
-    return Call(address, "POST", path, JSON_HEADERS, data, connect, TRANSFER_LIMIT)
+    return Call(address, "POST", path, JSON_HEADERS, data, connect, limit)
 
 
-def export_cache(client, cfg, address, attempt, reply):
+def export_cache(client, cfg, address, attempt, reply, limit=TRANSFER_LIMIT):
     """Ask for the cache of a running attempt; ``reply`` gets it, or None."""
-    call = make_call(cfg, address, EXPORT_PATH, {"attempt": attempt})
+    call = make_call(cfg, address, EXPORT_PATH, {"attempt": attempt}, limit)
 
     def read(status, body):
         reply(read_answer(body) if status == HTTP_OK else None)
@@ -90,10 +93,10 @@
         return None
 
 
-def import_cache(client, cfg, address, cache, reply):
+def import_cache(client, cfg, address, cache, reply, limit=TRANSFER_LIMIT):
     """Give an engine a cache; ``reply`` is called whatever comes of it."""
     body = {"handle": cache["handle"], "blob": cache["blob"]}
-    call = make_call(cfg, address, IMPORT_PATH, body)
+    call = make_call(cfg, address, IMPORT_PATH, body, limit)
     return submit_bounded(client, call, lambda status, answer: reply())
 
 
--- a/src/chervilwing/directory.py
+++ b/src/chervilwing/directory.py
@@ -78,6 +78,10 @@
         work_class = self._find_class(calls.find_class(service, customer, method, path))
         return Target(customer, work_class, SERVICE, service.pool, name, repeatable)
 
+    def list_pool(self, pool):
+        """Return the names of a pool's upstreams."""
+        return [item.name for item in self.upstreams.values() if item.pool == pool]
+
     def list_models(self, customer):
         """Return the names of the models that a customer may use."""
         return [
--- a/src/chervilwing/dispatch.py
+++ b/src/chervilwing/dispatch.py
@@ -25,7 +25,7 @@
 )
 from .forwards import Forward
 from .generations import Generation
-from .handoffs import Key
+from .handoffs import Key, rank
 from .logs import RequestLine, log_request
 from .scheduling import Scheduler, SchedulingSettings, Work
 from .sessions import Session
@@ -313,12 +313,25 @@
             session.closed = True
             return session
         self.sessions[session.serial] = session
+        session.parked_at = state.upstream
         refusal = self._push(session)
         if refusal is not None:
             del self.sessions[session.serial]
             raise refusal.exc
         return session
 
+    def choose_keeper(self, session):
+        """Return the engine that is to keep a request's KV cache, or None.
+
+        It is the one that has it, as long as that one stays.
+        """
+        names = rank(session.key, self.directory.list_pool(session.target.pool))
+        staying = [name for name in names if name not in self.leaving]
+        current = session.upstream
+        if current is not None and current.name in staying:
+            return current
+        return self.directory.upstreams[staying[0]] if staying else None
+
     def readmit(self, session):
         """Queue a request again that no other entry instance has taken."""
         refusal = self._push(session)
@@ -332,7 +345,8 @@
 
     def _push(self, session):
         """Queue a request that was accepted before, ahead of all new work."""
-        work = session.work._replace(tokens=session.tokens)
+        keeper = session.parked_at
+        work = session.work._replace(tokens=session.tokens, keeper=keeper)
         session.work = retries.count_attempt(retries.RULES[LEAVING], work, "")
         return self.scheduler.retry(work, "", LEAVING, time.monotonic())
 
--- a/src/chervilwing/generations.py
+++ b/src/chervilwing/generations.py
@@ -41,6 +41,7 @@
         self._call = None
         self._export = None
         self._export_began = 0.0
+        self._parking = False
         self._attempt = None
         self._upstream = None
         self._began = 0.0
@@ -92,7 +93,7 @@
         It is called again and again until the attempt is over. The attempt runs on
         during the export: engines export running attempts only.
         """
-        if not self.running:
+        if not self.running or self._parking:
             return
         session, now = self.session, time.monotonic()
         if self._export is not None:
@@ -115,7 +116,40 @@
             session.client, session.cfg, self._upstream.address, self._attempt, exported
         )
 
-    def make_state(self, key, elapsed):
+    def park(self, address, parked):
+        """Leave the KV cache at an engine; ``parked`` is called whatever comes of it.
+
+        The attempt runs on until then, since engines export running attempts only.
+        """
+        session = self.session
+        client, cfg, limit = session.client, session.cfg, caches.PARK_LIMIT
+        self._stop_export()
+
+        def end():
+            session.caches.drop(session.serial)
+            self._parking = False
+            parked()
+
+        def put(cache):
+            if cache is None:
+                end()
+                return
+            session.caches.put(session.serial, cache)
+            caches.import_cache(client, cfg, address, cache, end, limit)
+
+        # One that was to go to the next engine anyway.
+        cache = session.caches.get(session.serial)
+        if cache is None and (not self.running or session.caches.full):
+            parked()
+            return
+        self._parking = True
+        if cache is not None:
+            put(cache)
+            return
+        source, attempt = self._upstream.address, self._attempt
+        caches.export_cache(client, cfg, source, attempt, put, limit)
+
+    def make_state(self, key, elapsed, upstream):
         """Return what another entry instance needs to go on."""
         completion, answer = self.completion, self.answer
         return State(
@@ -125,6 +159,7 @@
             tokens=tuple(answer.tokens),
             recomputed=answer.recomputed,
             elapsed=elapsed,
+            upstream=upstream,
             complete=answer.complete,
             finish_reason=answer.finish_reason,
             prompt_tokens=answer.usage.get("prompt_tokens", 0),
--- a/src/chervilwing/handoffs.py
+++ b/src/chervilwing/handoffs.py
@@ -60,6 +60,8 @@
     complete: bool = False
     finish_reason: str | None = None
     prompt_tokens: int = 0
+    # The engine that keeps the KV cache, where one does.
+    upstream: str = ""
 
 
 class Part(NamedTuple):
--- a/src/chervilwing/placement.py
+++ b/src/chervilwing/placement.py
@@ -190,6 +190,9 @@
         everywhere means every prefix is computed everywhere; the same one always
         means that a hot prefix drowns its owner.
         """
+        if self._keeps(work, yields):
+            cached = work.prompt_tokens + work.tokens
+            return work.keeper, estimate(work, cached), cached
         owners = self._find_owners(work)
         names = list(owners) + self._draw(rng, work, yields)
         able = [name for name in names if self._fits(name, work, yields)]
@@ -201,6 +204,15 @@
         _, name, cost, cached = min(scored)
         return name, cost, cached
 
+    def _keeps(self, work, yields):
+        """Tell whether to go where the KV cache of half-done work is.
+
+        Load: a data centre's entry instances reclaimed, all their work resumed by
+        others. Harm prevented: everything computed a second time, on engines that are
+        just then short. The limit is the keeper's room: beyond it, waiting costs more.
+        """
+        return work.keeper in self.states and self._fits(work.keeper, work, yields)
+
     def _find_owners(self, work):
         """Return name to cached tokens for those that may hold the prefix."""
         if not work.prefix or work.prompt_tokens < AFFINITY_TOKENS:
--- a/src/chervilwing/reconnects.py
+++ b/src/chervilwing/reconnects.py
@@ -144,7 +144,9 @@
         if held is not None:
             self._attach(held, exchange, last)
             return True
-        if key in self._moved:
+        # An instance that is stopping would only have to hand it over again.
+        stopping = self._dispatch.draining and last is not None
+        if stopping or key in self._moved:
             raise HandedOver(retry_after=1.0)
         # Load: callers that name all their requests. Harm: questions to peers for each.
         # Only a reconnect, or a time when others have left, makes one worth asking.
@@ -296,15 +298,18 @@
         self._apply(self._searches.receive(sender, message, time.monotonic()))
 
     def _send_state(self, session, transfer, peers):
-        """Stop the request here and offer its state.
+        """Stop the request here and offer its state, its KV cache left at an engine.
 
         Guard: tokens that the caller got after the state was taken would be written
         again elsewhere, and may read differently; so nothing is generated meanwhile.
         """
-        session.suspend()
-        parts = handoffs.pack_state(session.make_state())
         session.moving = True
         self._moving[transfer] = session
+        session.park(lambda: self._send_parked(session, transfer, peers))
+
+    def _send_parked(self, session, transfer, peers):
+        session.suspend()
+        parts = handoffs.pack_state(session.make_state())
         if parts is None:
             self._apply([Undelivered(transfer)])
             return
--- a/src/chervilwing/sessions.py
+++ b/src/chervilwing/sessions.py
@@ -30,6 +30,7 @@
         self.key = None
         self.named = False
         self.moving = False
+        self.parked_at = ""
         self.tries = 0
         self.touched = False
         self.tokens = 0
@@ -138,6 +139,18 @@
         # elsewhere; left open, it would take the rest of the answer.
         old.abort()
         exchange.tag = self
+        # Guard: the engine was held up for a caller that read slowly; nothing of the
+        # new connection would let it go on, and the answer would never end.
+        self.run.release()
+
+    def park(self, parked):
+        """Leave the KV cache where the next entry instance finds it, if it can be."""
+        upstream = None if self.closed else self._dispatcher.choose_keeper(self)
+        if upstream is None:
+            parked()
+            return
+        self.parked_at = upstream.name
+        self.run.park(upstream.address, parked)
 
     def suspend(self):
         """Stop generating, queued or running, and keep what there is."""
@@ -147,7 +160,8 @@
 
     def make_state(self):
         """Return what another entry instance needs to go on."""
-        return self.run.make_state(self.key, time.monotonic() - self.began)
+        elapsed = time.monotonic() - self.began
+        return self.run.make_state(self.key, elapsed, self.parked_at)
 
     def finish_move(self):
         """End the request here: another entry instance goes on with it."""
--- a/src/chervilwing/work.py
+++ b/src/chervilwing/work.py
@@ -25,6 +25,7 @@
     ``now`` is read from. ``prefix`` is a hash of the prompt's beginning, empty
     when there is none worth keeping together. ``tokens`` were already streamed.
     ``moves`` of the ``attempts`` ended only because their upstream was leaving.
+    ``keeper`` is the upstream that has the KV cache of prompt and tokens, if any.
     """
 
     request_id: str
@@ -42,6 +43,7 @@
     tokens: int = 0
     attempts: int = 0
     moves: int = 0
+    keeper: str = ""
 
 
 class Placement(NamedTuple):
--- a/tests/live.py
+++ b/tests/live.py
@@ -1,6 +1,5 @@
 """The scenario language on real processes: steps follow each other, none is timed."""
 
-import json
 import threading
 import time
 from pathlib import Path
@@ -11,7 +10,6 @@
 from tests import resuming
 from tests.deployments import (
     AUTHORISED,
-    OTHER,
     Deployment,
     complete,
     make_configuration,
@@ -137,7 +135,7 @@
 
     def attempts(self, engine, name):
         """Return the attempts at a request that an engine has seen."""
-        prompt = self.sent[name].prompt
+        prompt = (self.sent.get(name) or self.readers[name]).prompt
         rows = engine.record()["attempts"]
         return [row for row in rows if row["prompt"] == prompt]
 
@@ -341,94 +339,8 @@
     assert not rows, rows
 
 
-def begin_resumable(stream):
-    def begin(play, name, count, entry):
-        kind = "stream" if stream else "memo"
-        play.sent[name] = Sent(kind, f"prompt of {name}", int(count), [])
-        reader = resuming.Reader(name, play.sent[name].prompt, int(count), stream)
-        play.readers[name] = reader
-        reader.connect(play.entries[entry].port)
-
-    return begin
-
-
-def wait_for_read(play, name, count):
-    poll(lambda: len(play.readers[name].tokens) >= int(count), 20.0)
-
-
-def wait_for_cut(play, name):
-    poll(lambda: play.readers[name].ended, 20.0)
-    assert not play.readers[name].whole
-
-
-def reconnect(play, name, entry):
-    play.readers[name].connect(play.entries[entry].port)
-
-
-def reconnect_other(play, name, entry, repeat=False):
-    """Send another customer's request that is the same in all but its key."""
-    reader = play.readers[name].copy(OTHER, repeat)
-    play.readers[f"other-{name}"] = reader
-    reader.connect(play.entries[entry].port)
-
-
-def repeat_other(play, name, entry):
-    reconnect_other(play, name, entry, repeat=True)
-
-
-def wait_for_giving_up(play, name, entry):
-    poll(lambda: "caller-left" in read_outcomes(play, name, entry), 20.0)
-
-
-def read_outcomes(play, name, entry):
-    """Return how an entry instance's attempts at a request ended, by its log."""
-    lines = read_file(play.entries[entry].stderr).splitlines()
-    rows = [json.loads(line) for line in lines]
-    return [row.get("outcome") for row in rows if row.get("request") == name]
-
-
-def expect_gets(play, name, kind):
-    reader = play.readers[name]
-    poll(lambda: reader.ended, 20.0)
-    assert reader.problem == kind, (reader.status, reader.body)
-
-
-def expect_joined(play, name):
-    reader = play.readers[name]
-    poll(lambda: reader.ended, 30.0)
-    assert reader.whole, (reader.status, reader.tokens, reader.body)
-    expected = expected_tokens("memo", reader.prompt, reader.count)
-    assert reader.text == "".join(expected), reader.tokens
-    if reader.stream:
-        assert reader.indexes == list(range(reader.count)), reader.indexes
-
-
-def expect_refused(play, name, kind):
-    reader = play.readers[name]
-    poll(lambda: reader.ended, 20.0)
-    assert reader.problem == kind, (reader.status, reader.body)
-    assert not reader.tokens, reader.tokens
-
-
-def expect_by(play, name, entry):
-    outcomes = read_outcomes(play, name, entry)
-    assert "ran" in outcomes, outcomes
-
-
 STEPS = {
-    "begin_stream": begin_resumable(True),
-    "begin_memo": begin_resumable(False),
-    "when_read": wait_for_read,
-    "when_cut": wait_for_cut,
-    "drop": lambda play, name: play.readers[name].drop(),
-    "reconnect": reconnect,
-    "reconnect_other": reconnect_other,
-    "repeat_other": repeat_other,
-    "when_given_up": wait_for_giving_up,
-    "expect_gets": expect_gets,
-    "expect_joined": expect_joined,
-    "expect_refused": expect_refused,
-    "expect_by": expect_by,
+    **resuming.STEPS,
     "engines": start_engines,
     "services": start_services,
     "entry": start_entry,
--- a/tests/resuming.py
+++ b/tests/resuming.py
@@ -5,8 +5,9 @@
 import threading
 from contextlib import suppress
 
-from tests.deployments import AUTHORISED
-from tests.procs import Caller
+from tests.deployments import AUTHORISED, OTHER
+from tests.fakes.tokens import expected_tokens
+from tests.procs import Caller, poll, read_file
 
 PATH = "/v1/completions"
 
@@ -97,3 +98,92 @@
         if "choices" in value:
             self.tokens.append(value["choices"][0]["text"])
             self.whole = True
+
+
+def begin_resumable(stream):
+    def begin(play, name, count, entry):
+        reader = Reader(name, f"prompt of {name}", int(count), stream)
+        play.readers[name] = reader
+        reader.connect(play.entries[entry].port)
+
+    return begin
+
+
+def wait_for_read(play, name, count):
+    poll(lambda: len(play.readers[name].tokens) >= int(count), 20.0)
+
+
+def wait_for_cut(play, name):
+    poll(lambda: play.readers[name].ended, 20.0)
+    assert not play.readers[name].whole
+
+
+def reconnect(play, name, entry):
+    play.readers[name].connect(play.entries[entry].port)
+
+
+def reconnect_other(play, name, entry, repeat=False):
+    """Send another customer's request that is the same in all but its key."""
+    reader = play.readers[name].copy(OTHER, repeat)
+    play.readers[f"other-{name}"] = reader
+    reader.connect(play.entries[entry].port)
+
+
+def repeat_other(play, name, entry):
+    reconnect_other(play, name, entry, repeat=True)
+
+
+def wait_for_giving_up(play, name, entry):
+    poll(lambda: "caller-left" in read_outcomes(play, name, entry), 20.0)
+
+
+def read_outcomes(play, name, entry):
+    """Return how an entry instance's attempts at a request ended, by its log."""
+    lines = read_file(play.entries[entry].stderr).splitlines()
+    rows = [json.loads(line) for line in lines]
+    return [row.get("outcome") for row in rows if row.get("request") == name]
+
+
+def expect_gets(play, name, kind):
+    reader = play.readers[name]
+    poll(lambda: reader.ended, 20.0)
+    assert reader.problem == kind, (reader.status, reader.body)
+
+
+def expect_joined(play, name):
+    reader = play.readers[name]
+    poll(lambda: reader.ended, 30.0)
+    assert reader.whole, (reader.status, reader.tokens, reader.body)
+    expected = expected_tokens("memo", reader.prompt, reader.count)
+    assert reader.text == "".join(expected), reader.tokens
+    if reader.stream:
+        assert reader.indexes == list(range(reader.count)), reader.indexes
+
+
+def expect_refused(play, name, kind):
+    reader = play.readers[name]
+    poll(lambda: reader.ended, 20.0)
+    assert reader.problem == kind, (reader.status, reader.body)
+    assert not reader.tokens, reader.tokens
+
+
+def expect_by(play, name, entry):
+    outcomes = read_outcomes(play, name, entry)
+    assert "ran" in outcomes, outcomes
+
+
+STEPS = {
+    "begin_stream": begin_resumable(True),
+    "begin_memo": begin_resumable(False),
+    "when_read": wait_for_read,
+    "when_cut": wait_for_cut,
+    "drop": lambda play, name: play.readers[name].drop(),
+    "reconnect": reconnect,
+    "reconnect_other": reconnect_other,
+    "repeat_other": repeat_other,
+    "when_given_up": wait_for_giving_up,
+    "expect_gets": expect_gets,
+    "expect_joined": expect_joined,
+    "expect_refused": expect_refused,
+    "expect_by": expect_by,
+}
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -76,6 +76,21 @@
             after = ring.find(f"prefix-{number}", 1, rest)[0]
             self.assertTrue(after == before or before == "u3")
 
+    def test_half_done_work_goes_to_its_cache_while_there_is_room(self):
+        # An entry instance is reclaimed; its plans' KV caches stay on their engines.
+        # Placed by load, each is computed once more, wherever its cache is.
+        state = make_state(8, slots=2)
+        work = make_work("plan", prompt=20)._replace(tokens=50, keeper="u5")
+        chosen = [choose(state, work._replace(request_id=str(n)), Random(n))
+                  for n in range(4)]  # fmt: skip
+        self.assertEqual(chosen[:2], ["u5", "u5"])
+        self.assertNotIn("u5", chosen[2:])
+        self.assertNotIn(None, chosen)
+        gone = work._replace(keeper="u99", excluded=frozenset({"u1"}))
+        self.assertIsNotNone(choose(make_state(8), gone, Random(1)))
+        refused = work._replace(excluded=frozenset({"u5"}))
+        self.assertNotEqual(choose(make_state(8), refused, Random(1)), "u5")
+
     def test_work_stays_in_its_data_centre_until_that_is_full(self):
         state = make_state(6, ("a", "b", "c"), slots=4)
         rng = Random(5)
--- /dev/null
+++ b/tests/test_reconnects.py
@@ -0,0 +1,188 @@
+"""Callers that come back for an answer: what they get, and what is kept for them."""
+
+import unittest
+
+from tests.deployments import AUTHORISED, OTHER, Deployment, complete
+from tests.fakes.tokens import expected_tokens
+from tests.procs import Caller, call, poll
+from tests.resuming import PATH, Reader
+
+SLOW = 100
+KEPT = 2000
+# Long names make long events, so that the kernel's buffers fill with fewer of them.
+LONG_NAME = "entry-" + "x" * 58
+LONG_ID = "r" * 64
+
+
+class ReconnectCase(unittest.TestCase):
+    options = ()
+    names = ("one",)
+
+    @classmethod
+    def setUpClass(cls):
+        cls.deployment = Deployment()
+        cls.addClassCleanup(cls.deployment.close)
+        cls.deployment.start_upstreams(1, 1, ("--token-time", "0.001"))
+        start = cls.deployment.start_entry
+        cls.entries = [
+            start(name, *cls.options, data_centre=name[0]) for name in cls.names
+        ]
+        cls.port = cls.entries[0].port
+        (cls.engine,), _ = cls.deployment.upstreams
+
+    def setUp(self):
+        self.engine.fault(slow=1)
+
+    def count_attempts(self, prompt):
+        rows = self.engine.record()["attempts"]
+        return sum(row["prompt"] == prompt for row in rows)
+
+    def wait_idle(self, entry):
+        poll(lambda: entry.get("/-/status")[1]["in_flight"] == 0)
+
+
+class TestSameInstance(ReconnectCase):
+    def test_a_whole_answer_is_given_again_byte_for_byte(self):
+        # The last bytes of a memo are lost between balancer and broker, after the
+        # instance has written them. Asked for again, it must be the very same memo.
+        headers = {"X-Request-Id": "memo-1"}
+        first = complete(self.entries[0], "whole", headers=headers)
+        again = complete(self.entries[0], "whole", headers=headers)
+        self.assertEqual((first.status, first.body), (200, again.body))
+        self.assertEqual(self.count_attempts("whole"), 1)
+
+    def test_another_request_or_customer_under_the_id_is_its_own(self):
+        headers = {"X-Request-Id": "memo-2"}
+        for prompt, count, key in (
+            ("mine", 8, AUTHORISED),
+            ("mine", 9, AUTHORISED),
+            ("other", 8, AUTHORISED),
+            ("mine", 8, OTHER),
+        ):
+            answer = complete(self.entries[0], prompt, count, headers=headers | key)
+            text = "".join(expected_tokens("memo", prompt, count))
+            self.assertEqual(answer.json()["choices"][0]["text"], text)
+        self.assertEqual(self.count_attempts("mine"), 3)
+
+    def test_a_reader_lacks_no_event_wherever_it_stopped(self):
+        text = "".join(expected_tokens("memo", "events", 8))
+        for last in (None, "", "/0", "/5", "/7"):
+            with self.subTest(last=last):
+                reader = Reader("stream-1", "events", 8, True)
+                reader.last = None if last is None else f"stream-1{last}"
+                reader.connect(self.port)
+                poll(lambda reader=reader: reader.ended)
+                self.assertTrue(reader.whole)
+                after = int(last[1:]) if last else -1
+                self.assertEqual(reader.indexes, list(range(after + 1, 8)))
+                self.assertTrue(text.endswith(reader.text))
+        self.assertEqual(self.count_attempts("events"), 1)
+
+    def test_an_event_that_was_never_sent_or_is_malformed_is_refused(self):
+        complete(self.entries[0], "short", headers={"X-Request-Id": "s-9"}, stream=True)
+        body = {"model": "memo", "prompt": "short", "max_tokens": 8, "stream": True}
+        for last, status in (
+            ("s-9/8", 410),
+            ("s-9/999999999999", 410),
+            ("s-9/" + "9" * 6000, 410),
+            ("s-9/-1", 400),
+            ("s-9/x", 400),
+            ("s-9/1/2", 400),
+            ("s-8/1", 400),
+            ("", 400),
+        ):
+            with self.subTest(last=last[:20]):
+                headers = {"X-Request-Id": "s-9", "Last-Event-ID": last}
+                answer = call(self.port, "POST", PATH, body, AUTHORISED | headers)
+                self.assertEqual(answer.status, status, answer.body)
+
+    def test_a_reconnect_takes_the_stream_from_the_old_connection(self):
+        # The balancer gives a reader a new connection and keeps the old one open. The
+        # rest must come on the new one only, and the old one must not look whole.
+        self.engine.fault(slow=SLOW)
+        old = Reader("stream-2", "twice", 30, True)
+        old.connect(self.port)
+        poll(lambda: len(old.tokens) > 3)
+        new = Reader("stream-2", "twice", 30, True)
+        new.last = old.last
+        new.connect(self.port)
+        poll(lambda: old.ended)
+        self.engine.fault(slow=1)
+        poll(lambda: new.ended)
+        self.assertEqual((old.whole, new.whole), (False, True))
+        self.assertEqual(new.indexes[-1], 29)
+        self.assertEqual(self.count_attempts("twice"), 1)
+
+
+class TestGrace(ReconnectCase):
+    options = ("--reconnect-grace", "0.3", "--reconnect-bytes", str(KEPT))
+
+    def test_the_engine_is_freed_after_the_grace(self):
+        self.engine.fault(slow=SLOW)
+        for named in (True, False):
+            with self.subTest(named=named), Caller(self.port) as caller:
+                body = {"model": "memo", "prompt": "left", "max_tokens": 3000}
+                headers = AUTHORISED | ({"X-Request-Id": "left"} if named else {})
+                caller.request("POST", PATH, body | {"stream": True}, headers)
+                caller.read_until(b"data: ")
+            self.wait_idle(self.entries[0])
+            self.assertEqual(self.engine.record()["attempts"][-1]["state"], "cancelled")
+
+    def test_no_more_is_kept_than_the_limit(self):
+        for number in range(20):
+            headers = {"X-Request-Id": f"kept-{number}"}
+            prompt = f"kept {number}" + "x" * 500
+            complete(self.entries[0], prompt, headers=headers)
+        for number, attempts in ((19, 1), (0, 2)):
+            prompt = f"kept {number}" + "x" * 500
+            complete(
+                self.entries[0], prompt, headers={"X-Request-Id": f"kept-{number}"}
+            )
+            self.assertEqual(self.count_attempts(prompt), attempts)
+
+
+class TestSlowReader(ReconnectCase):
+    names = (LONG_NAME,)
+
+    def test_a_slow_reader_that_leaves_frees_the_engine_for_the_next(self):
+        # A phone stops reading and then loses its connection. The engine was held up
+        # for it; it must write on, so that the reconnect finds the answer.
+        self.engine.fault(slow=0)
+        with Caller(self.port) as caller:
+            body = {"model": "memo", "prompt": "phone", "max_tokens": 30_000}
+            headers = AUTHORISED | {"X-Request-Id": LONG_ID}
+            caller.request("POST", PATH, body | {"stream": True}, headers)
+            caller.read_until(b"data: ")
+            poll(lambda: self.engine.record()["attempts"][-1]["sent"] == 30_000)
+            self.assertEqual(self.entries[0].get("/-/status")[1]["in_flight"], 1)
+        self.wait_idle(self.entries[0])
+        reader = Reader(LONG_ID, "phone", 30_000, True)
+        reader.connect(self.port)
+        poll(lambda: reader.ended, 30)
+        self.assertTrue(reader.whole)
+        self.assertEqual(reader.indexes, list(range(30_000)))
+        self.assertEqual(self.count_attempts("phone"), 1)
+
+
+class TestPlannedStop(ReconnectCase):
+    names = ("a-one", "b-two")
+
+    def test_an_answer_that_nobody_has_read_outlives_its_instance(self):
+        # The broker's connection breaks; the memo gets ready; an operator stops the
+        # instance. It ends within the grace, and the memo was paid for and lost.
+        one, two = self.entries
+        poll(lambda: one.get("/-/status")[1]["peers"]["members"] == 2)
+        with Caller(one.port) as caller:
+            self.engine.fault(slow=SLOW)
+            body = {"model": "memo", "prompt": "unread", "max_tokens": 8}
+            body["stream"] = False
+            headers = AUTHORISED | {"X-Request-Id": "unread"}
+            caller.request("POST", PATH, body, headers)
+            poll(lambda: self.count_attempts("unread"))
+        self.engine.fault(slow=1)
+        self.wait_idle(one)
+        self.assertEqual(one.terminate(), 0)
+        answer = complete(two, "unread", headers=headers)
+        text = "".join(expected_tokens("memo", "unread", 8))
+        self.assertEqual(answer.json()["choices"][0]["text"], text)
+        self.assertEqual(self.count_attempts("unread"), 1)
