Follow states that have moved, recall those taken twice, bound what is held

Cause: a reconnect in the middle of a move was told that nobody holds its answer; a frozen peer took a state late and went on with it beside another; kept whole answers could fill the limit, so that no state would be taken over. Ruled out: waiting longer for receipts (takes the notice of all others). Change: Moved and Recall messages, held.py with eviction before refusal. Conclusion: recall needs the sender alive; otherwise the second copy runs for reconnect_keep at most.

--- a/src/chervilwing/handoffs.py
+++ b/src/chervilwing/handoffs.py
@@ -94,6 +94,19 @@
     search: str
 
 
+class Moved(NamedTuple):
+    """The asked instance has given the state to this peer."""
+
+    search: str
+    peer: str
+
+
+class Recall(NamedTuple):
+    """Another peer goes on with what this transfer brought; drop it."""
+
+    transfer: str
+
+
 class Delivered(NamedTuple):
     """The peer has taken the whole state."""
 
@@ -193,7 +206,10 @@
     def receive(self, sender, receipt, now):
         """Take the answer to a part."""
         moving = self._moving.get(receipt.transfer)
-        if moving is None or (moving.peer, moving.number) != (sender, receipt.number):
+        if moving is None or moving.peer != sender:
+            late = Forward(sender, Recall(receipt.transfer))
+            return [late] if receipt.taken else []
+        if moving.number != receipt.number:
             return []
         if not receipt.taken:
             return self._offer(receipt.transfer, moving, now) + self._fill(now)
@@ -292,8 +308,11 @@
 class _Search:
     """State of one search."""
 
-    def __init__(self, asked, due):
+    def __init__(self, key, asked, due):
+        self.key = key
+        # Those that have not answered yet, and those that others have named.
         self.asked = set(asked)
+        self.told = set()
         self.due = due
 
 
@@ -305,7 +324,7 @@
 
     def begin(self, search, key, asked, now):
         """Ask the peers."""
-        self._searches[search] = _Search(asked, now + SEARCH_WAIT)
+        self._searches[search] = _Search(key, asked, now + SEARCH_WAIT)
         if not asked:
             return self._end(search)
         return [Forward(name, Seek(search, key)) for name in asked]
@@ -318,6 +337,19 @@
         search.asked.discard(sender)
         return [] if search.asked else self._end(message.search)
 
+    def redirect(self, sender, message, now):
+        """Ask the peer that the state has moved to."""
+        search = self._searches.get(message.search)
+        if search is None:
+            return []
+        search.asked.discard(sender)
+        if message.peer in search.told:
+            return [] if search.asked else self._end(message.search)
+        search.told.add(message.peer)
+        search.asked.add(message.peer)
+        search.due = now + SEARCH_WAIT
+        return [Forward(message.peer, Seek(message.search, search.key))]
+
     def prolong(self, name, now):
         """Go on waiting: parts of the state are coming."""
         if name in self._searches:
--- a/src/chervilwing/reconnects.py
+++ b/src/chervilwing/reconnects.py
@@ -23,9 +23,11 @@
 from .handoffs import (
     Delivered,
     Inbox,
+    Moved,
     NotFound,
     Outbox,
     Part,
+    Recall,
     Receipt,
     Received,
     Searches,
@@ -33,50 +35,13 @@
     Undelivered,
     Unheld,
 )
+from .held import Detached, HeldAnswers
 from .logs import log_event
 from .messages import Forward
 
 EXPIRE_EVERY = 0.25
 
 
-class Detached:
-    """Take the place of an exchange whose caller has gone: it writes to nobody."""
-
-    started = gone = finished = congested = False
-    on_drain = tag = None
-
-    def start(self, status, content_type, headers=None):
-        """Do nothing."""
-
-    def write(self, data):
-        """Do nothing."""
-
-    def finish(self, data=b""):
-        """Do nothing."""
-
-    def answer_json(self, status, value, headers=None):
-        """Do nothing."""
-
-    def refuse(self, exc, headers=None):
-        """Do nothing."""
-
-    def abort(self):
-        """Do nothing."""
-
-
-class _Held:
-    """State of one request that its caller may ask for again."""
-
-    __slots__ = ("session", "until", "size", "read")
-
-    def __init__(self, session, until=None, size=0):
-        self.session = session
-        # Without a caller it is kept until then.
-        self.until = until
-        self.size = size
-        self.read = until is None
-
-
 class _Waiting:
     """State of a reconnect whose answer is looked for at the peers."""
 
@@ -103,8 +68,7 @@
         self._cfg = cfg
         self._dispatch = dispatcher
         self._peers = peers
-        self._held = {}
-        self._size = 0
+        self._held = HeldAnswers(cfg.reconnect_bytes)
         self._live = {}
         self._parting = ()
         self._ask_until = 0.0
@@ -116,8 +80,9 @@
         self._waiting = {}
         self._moving = {}
         self._tried = set()
-        self._moved = set()
-        peers.subscribe((Part, Receipt, Seek, Unheld), self._hear)
+        self._moved = {}
+        self._later = {}
+        peers.subscribe(tuple(HEARERS), self._hear)
 
     def enlist(self, records):
         """Take the entry instances that are known."""
@@ -132,7 +97,7 @@
 
     def admit(self, session):
         """Hold a request whose caller can name it again."""
-        self._held[session.key] = _Held(session)
+        self._held.put(session)
 
     def resume(self, exchange, key, begin):
         """Serve a reconnect; return False for a request that is new.
@@ -145,20 +110,20 @@
             self._attach(held, exchange, last)
             return True
         # An instance that is stopping would only have to hand it over again.
-        stopping = self._dispatch.draining and last is not None
-        if stopping or key in self._moved:
+        moved = key in self._moved
+        if self._dispatch.draining and (moved or last is not None):
             raise HandedOver(retry_after=1.0)
         # Load: callers that name all their requests. Harm: questions to peers for each.
         # Only a reconnect, or a time when others have left, makes one worth asking.
-        if last is None and time.monotonic() > self._ask_until:
+        if last is None and not moved and time.monotonic() > self._ask_until:
             return False
         self._ask(_Waiting(exchange, key, last, begin))
         return True
 
     def detach(self, session):
         """Let a request run on for a while without its caller; False if it may not."""
-        held = self._held.get(session.key)
-        if held is None or held.session is not session:
+        held = self._held.find(session)
+        if held is None:
             return False
         session.attach(Detached())
         held.until = time.monotonic() + self._cfg.reconnect_grace
@@ -167,20 +132,18 @@
 
     def end(self, session):
         """Keep a whole answer for a while; forget a request that failed."""
-        held = self._held.get(session.key)
-        if held is None or held.session is not session:
+        held = self._held.find(session)
+        if held is None:
             return
         if session.outcome != RAN:
-            self._drop(session.key)
+            self._held.drop(session.key)
             return
-        held.until = time.monotonic() + self._cfg.reconnect_keep
-        self._resize(held, measure(session))
-        self._evict()
+        self._held.finish(held, time.monotonic() + self._cfg.reconnect_keep)
 
     def hand_over(self):
         """Give each model request that its caller can name to a peer, once."""
         sessions = [s for s in self._dispatch.sessions.values() if s.may_move]
-        unread = [held.session for held in self._held.values() if not held.read]
+        unread = [held.session for held in self._held.list() if not held.read]
         for session in dict.fromkeys(sessions + unread):
             if session.serial not in self._tried:
                 self._tried.add(session.serial)
@@ -210,32 +173,12 @@
         return f"{self._cfg.name}-{next(self._serials)}"
 
     def _expire(self, now):
-        held = [item for item in self._held.values() if not item.session.moving]
-        for item in held:
-            if item.until is not None and now > item.until:
-                self._drop(item.session.key)
-                item.session.abandon()
-
-    def _drop(self, key):
-        held = self._held.pop(key, None)
-        if held is not None:
-            self._size -= held.size
-
-    def _resize(self, held, size):
-        self._size += size - held.size
-        held.size = size
-
-    def _evict(self):
-        """Forget the oldest whole answers over the limit.
-
-        Load: long answers to callers that name all of them. Harm: memory for control
-        is 128 MB a node (letter 1). What still runs has no other copy and stays.
-        """
-        for key, held in list(self._held.items()):
-            if self._size <= self._cfg.reconnect_bytes:
-                return
-            if held.session.closed:
-                self._drop(key)
+        for held in self._held.list_late(now):
+            self._held.drop(held.session.key)
+            held.session.abandon()
+        for key, (_, until) in list(self._moved.items()):
+            if now > until:
+                del self._moved[key]
 
     def _attach(self, held, exchange, last):
         session = held.session
@@ -253,7 +196,9 @@
         search = self._name_transfer()
         waiting.exchange.tag = waiting
         self._waiting[search] = waiting
-        asked = handoffs.choose_asked(waiting.key, self._live, self._parting)
+        peer, _ = self._moved.get(waiting.key, ("", 0.0))
+        first = (peer, *self._parting) if peer else self._parting
+        asked = handoffs.choose_asked(waiting.key, self._live, first)
         now = time.monotonic()
         self._apply(self._searches.begin(search, waiting.key, asked, now))
 
@@ -289,10 +234,32 @@
 
     def _hear_seek(self, sender, seek):
         held = self._held.get(seek.key)
-        if held is None or held.session.moving:
-            self._peers.forward(sender, Unheld(seek.search))
-            return
-        self._send_state(held.session, seek.search, (sender,))
+        if held is None:
+            peer, _ = self._moved.get(seek.key, ("", 0.0))
+            answer = Moved(seek.search, peer) if peer else Unheld(seek.search)
+            self._peers.forward(sender, answer)
+        elif held.session.moving:
+            # Who asks in the middle of a move is answered after it.
+            self._later.setdefault(seek.key, []).append((sender, seek))
+        else:
+            self._send_state(held.session, seek.search, (sender,))
+
+    def _hear_moved(self, sender, message):
+        now = time.monotonic()
+        self._apply(self._searches.redirect(sender, message, now))
+
+    def _hear_recall(self, sender, message):
+        """Drop a state that its sender has given to another peer meanwhile.
+
+        Guard: a frozen instance takes a state that was offered long ago, and goes on
+        with it beside the one that took its place; a caller that met both could read
+        a mixture.
+        """
+        for held in self._held.list():
+            waits = held.until is not None and not held.read
+            if waits and held.transfer == f"{sender}/{message.transfer}":
+                self._held.drop(held.session.key)
+                held.session.abandon()
 
     def _hear_unheld(self, sender, message):
         self._apply(self._searches.receive(sender, message, time.monotonic()))
@@ -326,11 +293,12 @@
     def _delivered(self, action):
         session = self._moving.pop(action.transfer)
         session.moving = False
-        if self._dispatch.draining:
-            self._moved.add(session.key)
-        self._drop(session.key)
+        until = time.monotonic() + self._cfg.reconnect_keep
+        self._moved[session.key] = (action.peer, until)
+        self._held.drop(session.key)
         session.finish_move()
         log_event("handed over", request=session.request_id, peer=action.peer)
+        self._answer_later(session.key)
 
     def _undelivered(self, action):
         session = self._moving.pop(action.transfer)
@@ -338,11 +306,16 @@
         log_event("not handed over", request=session.request_id)
         if not session.closed:
             self._dispatch.readmit(session)
+        self._answer_later(session.key)
+
+    def _answer_later(self, key):
+        for sender, seek in self._later.pop(key, ()):
+            self._hear_seek(sender, seek)
 
     def _received(self, action):
         taken = True
         try:
-            self._take_over(action.state, action.transfer)
+            self._take_over(action)
         except ChervilwingError as exc:
             taken = False
             log_event("not taken over", detail=exc.detail)
@@ -354,20 +327,22 @@
             self._resolve(action.transfer)
         self._dispatch.pump()
 
-    def _take_over(self, state, transfer):
+    def _take_over(self, action):
         """Go on with a request that another instance began."""
-        if self._dispatch.draining and transfer not in self._waiting:
+        state = action.state
+        if self._dispatch.draining and action.transfer not in self._waiting:
             raise NotReady("The instance is stopping.")
         # A receipt that was lost brings the same state again.
-        if state.key in self._held:
+        if self._held.get(state.key) is not None:
             return
         size = len(state.prompt) + sum(map(len, state.tokens))
-        if self._size + size > self._cfg.reconnect_bytes:
+        if not self._held.make_room(size):
             raise PoolFull("No room for another state.")
         session = self._dispatch.adopt(state, Detached())
-        held = _Held(session, time.monotonic() + self._cfg.reconnect_keep)
-        self._held[state.key] = held
-        self._resize(held, size)
+        until = time.monotonic() + self._cfg.reconnect_keep
+        transfer = f"{action.sender}/{action.transfer}"
+        self._held.put(session, until, size, transfer)
+        self._moved.pop(state.key, None)
         log_event("taken over", request=session.request_id, tokens=len(state.tokens))
 
     def _not_found(self, action):
@@ -386,9 +361,6 @@
     Receipt: Reconnects._hear_receipt,
     Seek: Reconnects._hear_seek,
     Unheld: Reconnects._hear_unheld,
+    Moved: Reconnects._hear_moved,
+    Recall: Reconnects._hear_recall,
 }
-
-
-def measure(session):
-    """Return about how many bytes an answer takes while it is held."""
-    return len(session.run.completion.prompt) + len(session.run.answer.text)
--- a/tests/resuming.py
+++ b/tests/resuming.py
@@ -47,7 +47,9 @@
         """Send the request, with the last event's id if there was one, and read on."""
         self.clear()
         body = {"model": "memo", "prompt": self.prompt, "max_tokens": self.count}
-        headers = {**self.headers, "X-Request-Id": self.request_id}
+        headers = dict(self.headers)
+        if self.request_id:
+            headers["X-Request-Id"] = self.request_id
         if self.last is not None:
             headers["Last-Event-ID"] = self.last
         self.caller = Caller(port, timeout=30.0)
--- a/tests/test_handoffs.py
+++ b/tests/test_handoffs.py
@@ -15,9 +15,11 @@
     Delivered,
     Inbox,
     Key,
+    Moved,
     NotFound,
     Outbox,
     Part,
+    Recall,
     Receipt,
     Received,
     Searches,
@@ -99,7 +101,9 @@
         self.assertEqual(sent.instance, "full")
         (sent,) = outbox.receive("full", Receipt("t", 0, False), 1.0)
         self.assertEqual(sent.instance, "three")
-        self.assertEqual(outbox.receive("dead", Receipt("t", 0, True), 1.0), [])
+        late = outbox.receive("dead", Receipt("t", 0, True), 1.0)
+        # It was frozen, and took what another goes on with by now.
+        self.assertEqual(late, [Forward("dead", Recall("t"))])
         found = outbox.tick(1.0 + 2 * RECEIPT_WAIT)
         self.assertEqual((found, outbox.count()), ([Undelivered("t")], 0))
 
@@ -184,6 +188,17 @@
         self.assertEqual(searches.tick(SEARCH_WAIT + 0.1), [NotFound("s")])
         self.assertEqual(searches.begin("s", KEY, (), 0.0), [NotFound("s")])
 
+    def test_follows_a_state_that_has_moved_but_not_in_circles(self):
+        searches = Searches()
+        searches.begin("s", KEY, ("two",), 0.0)
+        sent = searches.redirect("two", Moved("s", "three"), 0.1)
+        self.assertEqual(sent, [Forward("three", Seek("s", KEY))])
+        sent = searches.redirect("three", Moved("s", "two"), 0.2)
+        self.assertEqual(sent, [Forward("two", Seek("s", KEY))])
+        self.assertEqual(
+            searches.redirect("two", Moved("s", "three"), 0.3), [NotFound("s")]
+        )
+
     def test_waits_on_while_parts_come(self):
         searches = Searches()
         searches.begin("s", KEY, ("two",), 0.0)
--- a/tests/test_reconnects.py
+++ b/tests/test_reconnects.py
@@ -4,7 +4,7 @@
 
 from tests.deployments import AUTHORISED, OTHER, Deployment, complete
 from tests.fakes.tokens import expected_tokens
-from tests.procs import Caller, call, poll
+from tests.procs import HOST, Caller, call, poll
 from tests.resuming import PATH, Reader
 
 SLOW = 100
@@ -37,6 +37,15 @@
         rows = self.engine.record()["attempts"]
         return sum(row["prompt"] == prompt for row in rows)
 
+    def give_notice(self, entry):
+        """Tell the instance a-one that it has a second left."""
+        row = {"name": "a-one", "role": "entry", "data_centre": "a", "zone": "a"}
+        row |= {"host": HOST, "port": entry.port}
+        cloud = self.deployment.cloud
+        self.assertEqual(cloud.post("/-/instances", {"instances": [row]})[0], 200)
+        notice = {"name": "a-one", "seconds": 1}
+        self.assertEqual(cloud.post("/-/notice", notice)[0], 200)
+
     def wait_idle(self, entry):
         poll(lambda: entry.get("/-/status")[1]["in_flight"] == 0)
 
@@ -164,6 +173,50 @@
         self.assertEqual(self.count_attempts("phone"), 1)
 
 
+class TestFullPeer(ReconnectCase):
+    names = ("a-one", "b-two")
+    options = ("--reconnect-bytes", "10")
+
+    def test_a_state_that_no_peer_has_room_for_goes_on_where_it_is(self):
+        # A whole data centre goes and its neighbour is full of states. Refused there,
+        # a plan is not lost as long as its own instance lives.
+        one = self.entries[0]
+        poll(lambda: one.get("/-/status")[1]["peers"]["members"] == 2)
+        self.engine.fault(slow=SLOW)
+        reader = Reader("plan", "full", 20, True)
+        reader.connect(one.port)
+        poll(lambda: reader.tokens)
+        self.give_notice(one)
+        poll(lambda: self.count_attempts("full") == 2)
+        self.engine.fault(slow=1)
+        poll(lambda: reader.ended)
+        self.assertTrue(reader.whole)
+        self.assertEqual(reader.indexes, list(range(20)))
+
+
+class TestUnnamed(ReconnectCase):
+    names = ("a-one", "b-two")
+
+    def test_a_stream_is_found_by_the_id_that_it_was_given(self):
+        # A client that names nothing still reads an id with each event. Its instance
+        # ends under it; what it read an id of, it can ask for.
+        one, two = self.entries
+        poll(lambda: one.get("/-/status")[1]["peers"]["members"] == 2)
+        self.engine.fault(slow=SLOW)
+        reader = Reader("", "unnamed", 40, True)
+        reader.connect(one.port)
+        poll(lambda: len(reader.tokens) > 3)
+        self.give_notice(one)
+        poll(lambda: reader.ended)
+        self.assertFalse(reader.whole)
+        reader.request_id = reader.last.partition("/")[0]
+        self.engine.fault(slow=1)
+        reader.connect(two.port)
+        poll(lambda: reader.ended)
+        self.assertTrue(reader.whole)
+        self.assertEqual(reader.indexes, list(range(40)))
+
+
 class TestPlannedStop(ReconnectCase):
     names = ("a-one", "b-two")
 
