End a KV cache's transfer that drips, also while it is never silent

Cause: an engine that sends a byte now and then kept a hand-over waiting for its cache until the instance was gone; the deadline on silence never acted. Ruled out: a timer for each transfer (the next byte is sign enough). Change: submit_bounded ends a call by its whole time too; the test of size is as strict as before, with a limit on time that can't end it.

--- a/src/chervilwing/caches.py
+++ b/src/chervilwing/caches.py
@@ -1,6 +1,7 @@
 """KV caches on their way from an engine that leaves to the one that goes on."""
 
 import json
+import time
 from typing import TypedDict
 
 import msgspec
@@ -101,16 +102,18 @@
 
 
 def submit_bounded(client, call, reply):
-    """Start a call whose answer is read up to ``BLOB_LIMIT``; return its state.
+    """Start a call whose answer is bounded in size and time; return its state.
 
     Guard: an engine may answer with a cache of gigabytes, which would take the memory
-    of every other request; beyond the limit the call ends as if it had failed.
+    of every other request, or send one byte at a time, never silent and never done,
+    until it is reclaimed; beyond size or time the call ends as if it had failed.
     """
-    body, statuses = bytearray(), []
+    body, statuses, began = bytearray(), [], time.monotonic()
 
     def take(data):
         body.extend(data)
-        if len(body) > BLOB_LIMIT:
+        late = time.monotonic() - began > call.silence_timeout
+        if late or len(body) > BLOB_LIMIT:
             client.cancel(exchange)
             reply(0, b"")
 
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -1,5 +1,6 @@
 """Tests of KV caches on their way between engines: what is held, and what is not."""
 
+import threading
 import unittest
 
 from chervilwing.caches import BLOB_LIMIT, HeldCaches, submit_bounded
@@ -35,23 +36,40 @@
 
 
 class TestBoundedCall(unittest.TestCase):
-    def test_an_endless_cache_counts_as_none(self):
-        # An engine sends a cache of gigabytes. The instance must neither hold it nor
-        # wait for its end: the request goes on from its tokens.
-        block = b"x" * 65536
-
-        def send(conn, method, path, body):
-            engine.send(conn, b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n")
-            while True:
-                engine.send(conn, block)
-
-        engine = RawUpstream(send)
+    def check_given_up(self, script, limit):
+        """Check that a call to such an engine ends by itself, as one without answer."""
+        engine = RawUpstream(lambda *request: script(engine, *request))
         self.addCleanup(engine.close)
         loop = Loop()
         client = Client(loop.poller).register(loop.root)
-        call = Call(Address(HOST, engine.port), "POST", "/v1/kv/export", {})
+        address = Address(HOST, engine.port)
+        call = Call(address, "POST", "/v1/kv/export", {}, silence_timeout=limit)
         replies = []
         submit_bounded(client, call, lambda *reply: replies.append(reply))
         loop.run_until(lambda: replies)
         self.assertEqual((replies, client.count()), ([(0, b"")], 0))
+        return engine
+
+    def test_an_endless_cache_counts_as_none(self):
+        # An engine sends a cache of gigabytes. The instance must neither hold it nor
+        # wait for its end: the request goes on from its tokens.
+        def send(engine, conn, method, path, body):
+            conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n")
+            while True:
+                engine.send(conn, b"x" * 65536)
+
+        engine = self.check_given_up(send, 60.0)
         self.assertLess(engine.sent, 2 * BLOB_LIMIT)
+
+    def test_a_cache_that_comes_byte_by_byte_counts_as_none(self):
+        # An engine on a dying machine sends a byte now and then. Never silent for long
+        # enough, it would hold the request until the instance is gone.
+        done = threading.Event()
+        self.addCleanup(done.set)
+
+        def send(engine, conn, method, path, body):
+            conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n")
+            while not done.wait(0.02):
+                conn.sendall(b"x")
+
+        self.check_given_up(send, 0.3)
