--- a/tests/live.py
+++ b/tests/live.py
@@ -25,67 +25,8 @@
 LOG_LINES = 8
 SERVICE_PATH = "/services/portal"
 
-GRAMMAR = r"""
-start: _NL (step _NL)*
-?step: "engines" INT "taking" MILLIS "a" "token"       -> engines
-    | "services" INT                                   -> services
-    | "entry" NAME "in" NAME                           -> entry
-    | "stream" NAME "of" INT "tokens" "on" NAME        -> stream
-    | "memo" NAME "of" INT "tokens" "on" NAME          -> memo
-    | "resumable" "stream" NAME "of" INT "tokens" "on" NAME -> begin_stream
-    | "resumable" "memo" NAME "of" INT "tokens" "on" NAME -> begin_memo
-    | "when" NAME "has" "read" INT "tokens"            -> when_read
-    | "drop" "caller" "of" NAME                        -> drop
-    | "when" NAME "is" "cut"                           -> when_cut
-    | "reconnect" NAME "on" NAME                       -> reconnect
-    | "other" "customer" "reconnects" NAME "on" NAME   -> reconnect_other
-    | "other" "customer" "repeats" NAME "on" NAME      -> repeat_other
-    | "when" NAME "is" "given" "up" "on" NAME          -> when_given_up
-    | "expect" NAME "gets" WORD                        -> expect_gets
-    | "expect" NAME "joined" "whole"                   -> expect_joined
-    | "expect" NAME "refused" "as" WORD                -> expect_refused
-    | "expect" "answer" "of" NAME "ended" "by" NAME    -> expect_by
-    | "note" NAME "on" NAME                            -> note
-    | "note" NAME "without" "key" "on" NAME            -> plain_note
-    | "document" NAME "on" NAME                        -> document
-    | "when" NAME "has" INT "tokens"                   -> when
-    | "when" NAME "is" "answered"                      -> when_answered
-    | "kill" "engine" "of" NAME                        -> kill_engine
-    | "freeze" "engine" "of" NAME                      -> freeze_engine
-    | "reclaim" "engine" "of" NAME "with" INT "s" "notice" -> reclaim_engine
-    | "reclaim" NAME "with" INT "s" "notice"           -> reclaim
-    | "stop" NAME                                      -> stop
-    | "kill" NAME                                      -> kill
-    | "freeze" NAME                                    -> freeze
-    | "resume" NAME                                    -> resume
-    | "restart" NAME "in" NAME                         -> restart
-    | "fault" GROUP WORD INT?                          -> fault
-    | "fault" "engine" "of" NAME WORD                  -> fault_engine
-    | "mend" GROUP WORD                                -> mend
-    | "publish" "revision" INT                         -> publish
-    | "publish" "revision" INT "of" INT "KB"           -> publish_large
-    | "when" NAME "has" "revision" INT                 -> when_revision
-    | "expect" NAME "whole"                            -> expect_whole
-    | "expect" "answers" "to" NAME "=" INT ("," INT)*  -> expect_answers
-    | "expect" NAME "says" WORD                        -> expect_says
-    | "expect" "effects" "of" NAME "=" INT             -> expect_effects
-    | "expect" "recomputed" "tokens" "of" NAME "<=" INT -> expect_recomputed
-    | "expect" NAME "tried" INT "times"                -> expect_tried
-    | "expect" "calls" "of" NAME "=" INT               -> expect_calls
-    | "expect" NAME "not" "ready"                      -> expect_not_ready
-    | "expect" NAME "ready"                            -> expect_ready
-    | "expect" NAME "ended"                            -> expect_ended
-    | "expect" "engine" "of" NAME "leaving" "on" NAME  -> expect_leaving
-    | "expect" NAME "not" "on" "engine" "of" NAME      -> expect_elsewhere
-GROUP: "engines" | "services" | "store" | "cloud"
-WORD: /[a-z][a-z_-]*/
-NAME: /[a-z][a-z0-9-]*/
-MILLIS: /\d+ms/
-_NL: /(\r?\n[ \t]*(#[^\n]*)?)+/
-%import common.INT
-%ignore /[ \t]+/
-"""
-PARSER = lark.Lark(GRAMMAR, parser="earley")
+GRAMMAR = LIVE.with_suffix(".lark")
+PARSER = lark.Lark(GRAMMAR.read_text(), parser="earley")
 
 
 class Sent(NamedTuple):
