--- a/src/chervilwing/directory.py
+++ b/src/chervilwing/directory.py
@@ -38,6 +38,7 @@
         self._services = {service.name: service for service in inventory.services}
         self._routes = {route.name: route for route in rules.routes}
         self._classes = {entry.name: entry for entry in rules.classes}
+        self._names = {customer.name: customer for customer in rules.customers}
         self._customers = {
             digest: customer
             for customer in rules.customers
@@ -51,6 +52,13 @@
             raise UnknownCustomer()
         return customer
 
+    def get_customer(self, name):
+        """Return the customer of a name that another entry instance gives."""
+        customer = self._names.get(name)
+        if customer is None:
+            raise UnknownCustomer()
+        return customer
+
     def find_model(self, customer, name):
         """Return the target of a model call."""
         route = self._routes.get(name)
@@ -70,6 +78,10 @@
         work_class = self._find_class(calls.find_class(service, customer, method, path))
         return Target(customer, work_class, SERVICE, service.pool, name, repeatable)
 
+    def list_pool(self, pool):
+        """Return the names of a pool's upstreams."""
+        return [item.name for item in self.upstreams.values() if item.pool == pool]
+
     def list_models(self, customer):
         """Return the names of the models that a customer may use."""
         return [
--- a/tests/live_fleet.py
+++ b/tests/live_fleet.py
@@ -92,6 +92,13 @@
     assert status == 200 and answer["noticed"], answer
 
 
+def reclaim_engines(play, centre, seconds):
+    """Give notice to the engines of a data centre only."""
+    for name, _ in find_engines(play, centre):
+        body = {"name": name, "seconds": int(seconds)}
+        assert play.deployment.cloud.post("/-/notice", body)[0] == 200
+
+
 def expect_centre_leaving(play, centre, entry):
     """Expect an instance to send nothing new to a data centre in time."""
     names = {name for name, _ in find_engines(play, centre)}
@@ -205,6 +212,7 @@
     "expect_stored": expect_stored,
     "expect_everywhere": expect_everywhere,
     "reclaim_centre": reclaim_centre,
+    "reclaim_engines": reclaim_engines,
     "expect_centre_leaving": expect_centre_leaving,
     "when_over": wait_until_over,
     "kill_engines": kill_engines,
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -10,6 +10,7 @@
 
 # The modules that own sockets, files, processes' arguments or timers.
 EDGE = {
+    "caches",
     "claimant",
     "cli",
     "clients",
@@ -29,6 +30,7 @@
     "parsers",
     "peers",
     "pollers",
+    "reconnects",
     "sessions",
     "sockets",
     "stores",
