--- a/src/chervilwing/daemon.py
+++ b/src/chervilwing/daemon.py
@@ -23,9 +23,10 @@
 from .drain import Drain
 from .follower import Follower
 from .gossip import LIVE, Notice, Record
+from .gossip_settings import MembershipSettings
 from .loads import Loads
 from .logs import log_event, set_up_logs
-from .membership import Membership, MembershipSettings
+from .membership import Membership
 from .models import Address
 from .notices import Notices
 from .peers import Peers
@@ -100,7 +101,9 @@
         store = Store(cfg, self._client)
         self._claimant = Claimant(cfg, store, self._peers).register(self)
         dispatcher.claimant = self._claimant
-        self._follower = Follower(cfg, store, self._peers, dispatcher).register(self)
+        self._follower = Follower(
+            cfg, store, self._publish_revision, dispatcher
+        ).register(self)
         self._notices = Notices(
             cfg,
             self._client,
@@ -129,6 +132,9 @@
     def _publish(self, notice):
         self._peers.apply(self._membership.publish(notice, time.time()))
 
+    def _publish_revision(self, number, value):
+        self._membership.publish_revision(number, value, time.time())
+
     def _leave(self):
         self._membership.leave()
 
@@ -137,6 +143,8 @@
             self._notices.hear(heard.item)
         elif isinstance(heard.item, Record):
             self._enlist()
+        else:
+            self._follower.hear(heard.value)
 
     def _enlist(self):
         live = [item for item in self._membership.members() if item.state == LIVE]
