Order engines to load and unload models, by one holder a pool and data centre

Cause: orders.py was a tested core that nothing drove; engines had to be loaded by hand, and a request could be placed on an engine without its version.

Ruled out: copies by share (the inventory knows no memory), a counter of loads in the store (two writes a load), filtering after two random draws (one engine of 20 that has a version is found once in ten), orders to engines that don't say what they have.

Change: assignments.py (pure) works out loads and unloads, orderer.py sends them, engines report `models`, placing keeps to engines that have the version, a call can carry `send_before`, checked again when its connection opens.

--- a/src/chervilwing/admin.py
+++ b/src/chervilwing/admin.py
@@ -10,12 +10,15 @@
 class Admin:
     """Answer for one instance; the daemon registers ``routes`` with the dispatcher."""
 
-    def __init__(self, cfg, dispatcher, explain_not_ready, describe_peers, drain):
+    def __init__(
+        self, cfg, dispatcher, explain_not_ready, describe_peers, drain, describe_orders
+    ):
         self._cfg = cfg
         self._dispatch = dispatcher
         self._explain_not_ready = explain_not_ready
         self._describe_peers = describe_peers
         self._drain = drain
+        self._describe_orders = describe_orders
         self.routes = {
             ("GET", "/-/live"): self._live,
             ("GET", "/-/ready"): self._ready,
@@ -64,6 +67,7 @@
             "in_flight": len(dispatcher.sessions),
             "upstreams": [self._describe_upstream(item) for item in upstreams],
             "peers": self._describe_peers()._asdict(),
+            "orders": self._describe_orders(),
             "version": VERSION,
         }
         exchange.answer_json(200, value)
--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -23,6 +23,7 @@
 
     ``fresh`` asks for a new connection: one kept alive may have been closed by the
     other end already, and what was written to it can't be told from what was run.
+    ``send_before`` is on the monotonic clock: nothing is sent from then on.
     """
 
     address: Address
@@ -33,6 +34,7 @@
     connect_timeout: float = 1.0
     silence_timeout: float = 5.0
     fresh: bool = False
+    send_before: float = float("inf")
 
 
 class CallHandlers(NamedTuple):
@@ -169,8 +171,14 @@
         return idle.pop() if idle else None
 
     def _opened(self, conn):
-        if conn.state is not None:
-            conn.state.heard = time.monotonic()
+        exchange = conn.state
+        if exchange is None:
+            return
+        exchange.heard = time.monotonic()
+        # Guard: a process frozen while it connects goes on, unaware, with an order of
+        # a lease that has lapsed; the check before ``submit`` is long over by then.
+        if exchange.heard >= exchange.call.send_before:
+            self._fail(exchange, "Too late to be sent.")
 
     def _received(self, conn, data):
         exchange = conn.state
--- a/src/chervilwing/daemon.py
+++ b/src/chervilwing/daemon.py
@@ -28,6 +28,7 @@
 from .membership import Membership, MembershipSettings
 from .models import Address
 from .notices import Notices
+from .orderer import Orderer
 from .peers import Peers
 from .pollers import DirectPoller
 from .stats import Stats
@@ -110,6 +111,7 @@
             lambda: self._drain.begin(),
         ).register(self)
         Loads(cfg, self._client, dispatcher).register(self)
+        self._orderer = Orderer(cfg, store, self._client, dispatcher).register(self)
 
     def _answer_operators(self):
         self._drain = Drain(self.cfg, self._dispatch, self._web, self._leave)
@@ -120,6 +122,7 @@
             self._follower.explain_not_ready,
             self._membership.describe,
             self._drain.begin,
+            self._orderer.describe,
         )
         for (method, path), serve in admin.routes.items():
             self._dispatch.add_route(method, path, serve)
@@ -140,6 +143,8 @@
         live = [item for item in self._membership.members() if item.state == LIVE]
         self._follower.enlist({item.name: item.data_centre for item in live})
         self._claimant.enlist([item.name for item in live])
+        here = [item.name for item in live if item.data_centre == self.cfg.data_centre]
+        self._orderer.enlist(here)
         self._dispatch.scheduler.update_entries(max(1, len(live)))
 
     @handler("started", channel="*")
--- a/src/chervilwing/dispatch.py
+++ b/src/chervilwing/dispatch.py
@@ -61,6 +61,7 @@
         self.stats = stats
         settings = SchedulingSettings(cfg.data_centre, entries=1)
         self.scheduler = Scheduler(settings, rng or random.Random())
+        self.configuration = None
         self.directory: Directory | None = None
         self.sessions: dict[str, Session] = {}
         self.draining = False
@@ -78,6 +79,7 @@
 
     def configure(self, configuration):
         """Put a revision in force."""
+        self.configuration = configuration
         self.directory = Directory(configuration)
         self.scheduler.configure(configuration)
 
@@ -239,13 +241,15 @@
         target = directory.find_model(customer, completion.model)
         session = self._open(exchange, target)
         version = self.scheduler.choose_version(completion.model, customer.name)
-        session.run = Generation(session, completion, version or completion.model)
+        model = version or completion.model
+        session.run = Generation(session, completion, model)
         prefix = completion.prompt[:PREFIX_CHARACTERS].encode()
         self._offer(
             session,
             prompt_tokens=len(completion.prompt) // CHARACTERS_PER_TOKEN + 1,
             max_tokens=completion.max_tokens,
             prefix=hashlib.blake2b(prefix, digest_size=8).hexdigest(),
+            model=model,
         )
 
     def _forward(self, exchange):
--- a/src/chervilwing/loads.py
+++ b/src/chervilwing/loads.py
@@ -17,6 +17,14 @@
 SERVICE_LOAD_PATH = "/-/load"
 
 
+def read_models(value):
+    """Return the models that a load report names, or None when it names none."""
+    models = value.get("models")
+    if not isinstance(models, list):
+        return None
+    return frozenset(model for model in models if isinstance(model, str))
+
+
 class Loads(BaseComponent):
     """Poll upstreams in turn and tell the scheduler."""
 
@@ -61,4 +69,5 @@
             return
         scheduler.mark_up(name)
         scheduler.report_load(name, *load, now - age, now)
+        scheduler.report_models(name, read_models(value))
         self._dispatch.pump()
--- a/src/chervilwing/orders.py
+++ b/src/chervilwing/orders.py
@@ -66,7 +66,7 @@
 
 
 class OrderSend(NamedTuple):
-    """Send the order, unless it is ``send_before`` (Unix seconds) by then."""
+    """Send the order, unless it is ``send_before`` by then, on the clock of ``now``."""
 
     order_id: str
     order: Order
--- a/src/chervilwing/placement.py
+++ b/src/chervilwing/placement.py
@@ -1,6 +1,6 @@
 """The choice of an upstream: cached prefix against load, near against far."""
 
-from collections import OrderedDict
+from collections import OrderedDict, defaultdict
 
 from .hashing import Ring
 from .limits import Reference
@@ -23,6 +23,9 @@
 BATCH_PART = 0.15
 # Random picks before a full pool is taken as full.
 TRIES = 4
+# Random picks among the holders of a model that not every engine has: more, since
+# those with room and those near can't be drawn apart.
+HOLDER_TRIES = 8
 
 
 class Members:
@@ -108,6 +111,10 @@
         self._slots = 0
         self._running = 0
         self._counted = {}
+        # Live upstreams by the model that they say they have, and those that don't say.
+        self._having = defaultdict(Members)
+        self._silent = Members()
+        self._models = {}
 
     def update(self, upstreams, leaving):
         """Set the members; what is known of those that stay is kept."""
@@ -129,6 +136,15 @@
         """Bring the sets up to date after one upstream changed."""
         self._count(name)
 
+    def set_models(self, name, models):
+        """Set the models that an upstream says it has."""
+        self.states[name].models = models
+        self._count(name)
+
+    def is_bound(self, work):
+        """Tell whether some live upstreams may not run this work."""
+        return bool(work.excluded) or self._find_holders(work) is not None
+
     def set_reserve(self, reserve):
         """Keep so many slots of each upstream for short urgent work."""
         if reserve == self.reserve:
@@ -191,9 +207,15 @@
         means that a hot prefix drowns its owner.
         """
         owners = self._find_owners(work)
-        names = list(owners) + self._draw(rng, work, yields)
+        holders = self._find_holders(work)
+        if holders is None:
+            names = list(owners) + self._draw(rng, work, yields)
+        else:
+            names = self._draw_holders(rng, holders)
         able = [name for name in names if self._fits(name, work, yields)]
-        if not able:
+        if holders is not None:
+            able = self._prefer_near(able)
+        if not able and holders is None:
             able = self._draw_over(rng, work, yields, over)
         if not able:
             return None
@@ -215,6 +237,29 @@
                 owners[name] = work.prompt_tokens
         return owners
 
+    def _find_holders(self, work):
+        """Return the sets of live upstreams that have the model, or None for all.
+
+        Load: a new version while its engines load it. Harm: an engine that hasn't
+        loaded it answers that it can't, and the caller pays with a retry. Where none
+        has it, any is as good: the report may be late.
+        """
+        having = self._having.get(work.model, ())
+        count = len(having) + len(self._silent)
+        if not work.model or count in (0, len(self._live)):
+            return None
+        return [having, self._silent] if having else [self._silent]
+
+    def _draw_holders(self, rng, holders):
+        return [name for one in holders for name in one.sample(rng, HOLDER_TRIES)]
+
+    def _prefer_near(self, names):
+        near = [name for name in names if self._is_near(name)]
+        return near or names
+
+    def _is_near(self, name):
+        return self.states[name].upstream.data_centre == self._data_centre
+
     def _is_within_bound(self, name):
         state = self.states[name]
         mean = self._load / max(1, self._slots)
@@ -283,13 +328,28 @@
             self._slots += state.slots
             self._running += running
         ready = live and not state.paused_until
-        near = live and state.upstream.data_centre == self._data_centre
+        near = live and self._is_near(name)
+        self._count_models(name, state.models if live else frozenset())
         for yields in (False, True):
             kept = self.reserve if yields else 0
             room = ready and state.has_room(kept, self.ahead)
             self._put(self._open[yields], name, room)
             self._put(self._near[yields], name, room and near)
 
+    def _count_models(self, name, models):
+        """Renew the sets by model; None is put into that of the silent."""
+        before = self._models.pop(name, frozenset())
+        if before != models:
+            for model in before or ():
+                self._having[model].discard(name)
+                if not len(self._having[model]):
+                    del self._having[model]
+            for model in models or ():
+                self._having[model].add(name)
+            self._put(self._silent, name, models is None)
+        if models is None or models:
+            self._models[name] = models
+
     def _put(self, members, name, wanted):
         if wanted:
             members.add(name)
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -221,6 +221,18 @@
         pool.state.states[name].report(running + waiting, slots, min(as_of, now))
         pool.refresh(name)
 
+    def report_models(self, name, models):
+        """Take in which models an engine says it has; None when it doesn't say."""
+        pool = self._find_pool_of(name)
+        if pool is not None and pool.state.states[name].models != models:
+            pool.state.set_models(name, models)
+            pool.changed = True
+
+    def list_engines(self, name):
+        """Return the live upstreams of a pool with the models that they report."""
+        states = self._pools[name].state.states.values()
+        return [(state.upstream, state.models) for state in states if state.is_live()]
+
     def hear_cache(self, name, prefix):
         """Take a cache event as a hint that the upstream holds the prefix."""
         pool = self._find_pool_of(name)
@@ -518,7 +530,7 @@
             placement = self._place(pool, item, now)
             if placement is not None:
                 yield placement
-            elif item.work.excluded and pool.state.count_open(yields=False):
+            elif pool.state.is_bound(item.work) and pool.state.count_open(yields=False):
                 # Only where it must not go is there room: let others pass it.
                 aside.append(pool.queue.remove(item.work.request_id))
             else:
--- a/src/chervilwing/settings.py
+++ b/src/chervilwing/settings.py
@@ -48,6 +48,7 @@
     watch_wait: float
     default_class: str
     stats_pairs: int
+    loads_at_once: int
 
 
 class Field(NamedTuple):
@@ -181,6 +182,9 @@
     Field(
         "stats_pairs", parse_count, "64", "count", "customer and class pairs kept apart"
     ),
+    # Load: a new version for all engines of a data centre. Harm: loads that share the
+    # weight store's rate all end late. While one reads, another fills its accelerator.
+    Field("loads_at_once", parse_count, "2", "count", "model loads in a data centre"),
 )
 FIELD_OF = {field.name: field for field in FIELDS}
 
--- a/src/chervilwing/upstreams.py
+++ b/src/chervilwing/upstreams.py
@@ -45,6 +45,8 @@
         self.limit = Limit(upstream.slots)
         self.running = {}
         self.leaving = False
+        # None for an engine that doesn't say; it serves every model.
+        self.models = None
         self.down_since = None
         self.paused_until = 0.0
         self.load = 0
--- a/src/chervilwing/work.py
+++ b/src/chervilwing/work.py
@@ -24,6 +24,7 @@
     ``deadline`` and ``arrived`` are seconds on the caller's clock, the same that
     ``now`` is read from. ``prefix`` is a hash of the prompt's beginning, empty
     when there is none worth keeping together. ``tokens`` were already streamed.
+    ``model`` is the version chosen for this request.
     """
 
     request_id: str
@@ -40,6 +41,7 @@
     idempotent: bool = True
     tokens: int = 0
     attempts: int = 0
+    model: str = ""
 
 
 class Placement(NamedTuple):
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -32,17 +32,26 @@
     services: tuple[Process, ...]
 
 
-def make_configuration(upstreams, revision=1, operation="first"):
+def make_configuration(
+    upstreams, revision=1, operation="first", models=("memo",), fenced=True
+):
     """Return the configuration that lists these back ends."""
     rows = [
-        Upstream(f"engine-{i}", MODEL, "engines", Address(HOST, item.port), "a")
+        Upstream(
+            f"engine-{i}",
+            MODEL,
+            "engines",
+            Address(HOST, item.port),
+            "a",
+            fenced=fenced,
+        )
         for i, item in enumerate(upstreams.engines)
     ]
     rows += [
         Upstream(f"service-{i}", SERVICE, "services", Address(HOST, item.port), "a")
         for i, item in enumerate(upstreams.services)
     ]
-    pools = (Pool("engines", MODEL, ("memo",)), Pool("services", SERVICE))
+    pools = (Pool("engines", MODEL, models), Pool("services", SERVICE))
     services = (Service("portal", "services", ("POST /notes",)),)
     rules = Rules(
         customers=(Customer("andesur", (hash_key(API_KEY),)),),
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -53,7 +53,9 @@
             wrong_attempt=None,
             no_end_mark=False,
             slow=1,
+            restarted=False,
         )
+        self.switches.react = self.forget
         self.attempts = []
         self.running = 0
         self.waiting = []
@@ -61,11 +63,12 @@
         self.cache = PrefixCache(options.cache_blocks, self.publish)
         self.events = []
         self.event_seq = 0
-        self.loaded = set(options.models.split(","))
+        self.loaded = set(filter(None, options.models.split(",")))
         self.unloaded = set()
         self.role = "mixed"
         self.fence = 0
         self.orders = []
+        self.received = []
         self.load = Lagged(options.load_lag, self.measure())
 
     def measure(self):
@@ -84,6 +87,12 @@
             event = {"seq": self.event_seq, "op": op, "prefix": digest}
             self.events.append((time.time(), event))
 
+    async def forget(self):
+        """Be as after a restart, once: no models, no orders known."""
+        if self.switches.take("restarted"):
+            self.loaded, self.orders, self.fence = set(), [], 0
+            self.received = []
+
     def serves(self, model):
         """Tell whether the model is loaded."""
         every = ALL_MODELS in self.loaded and model not in self.unloaded
@@ -172,7 +181,9 @@
 async def show_load(engine, request):
     """Report the load as it was a moment ago."""
     as_of, load = engine.load.get()
-    return reply({**load, "as_of": as_of})
+    # One that serves every model has no list to tell.
+    said = {} if ALL_MODELS in engine.loaded else {"models": sorted(engine.loaded)}
+    return reply({**load, **said, "as_of": as_of})
 
 
 async def show_cache_events(engine, request):
@@ -208,6 +219,7 @@
     """Carry out an order once; refuse an old fencing number where these are checked."""
     body = await read_json(request)
     fence, order = body.get("fence", 0), body.get("order")
+    engine.received.append({"fence": fence, "order": order, "at": time.time()})
     if body.get("op") not in ORDERS or order is None:
         raise bad_request("unknown op or no order id")
     if any(done["order"] == order and done["done"] for done in engine.orders):
@@ -227,6 +239,7 @@
     return {
         "attempts": [attempt.show() for attempt in engine.attempts],
         "orders": engine.orders,
+        "received": engine.received,
         "fence": engine.fence,
         "role": engine.role,
         "loaded": sorted(engine.loaded),
--- a/tests/live.py
+++ b/tests/live.py
@@ -25,6 +25,7 @@
 GRAMMAR = r"""
 start: _NL (step _NL)*
 ?step: "engines" INT "taking" MILLIS "a" "token"       -> engines
+    | "engines" INT WORD "without" "models"            -> bare_engines
     | "services" INT                                   -> services
     | "entry" NAME "in" NAME                           -> entry
     | "stream" NAME "of" INT "tokens" "on" NAME        -> stream
@@ -47,6 +48,16 @@
     | "fault" "engine" "of" NAME WORD                  -> fault_engine
     | "mend" GROUP WORD                                -> mend
     | "publish" "revision" INT                         -> publish
+    | "publish" "revision" INT "with" "models" NAME ("," NAME)* -> publish_models
+    | "freeze" "the" "holder"                          -> freeze_holder
+    | "resume" "the" "holder"                          -> resume_holder
+    | "when" "another" "holds"                         -> when_another_holds
+    | "when" "no" "one" "holds"                        -> when_no_one_holds
+    | "when" "the" "holder" "has" "revision" INT       -> when_holder_revision
+    | "expect" "engines" "with" NAME                   -> expect_engines_with
+    | "expect" "engine" INT "without" NAME             -> expect_engine_without
+    | "expect" "fences" "in" "order"                   -> expect_fences
+    | "expect" "fences" "newer"                        -> expect_newer
     | "when" NAME "has" "revision" INT                 -> when_revision
     | "expect" NAME "whole"                            -> expect_whole
     | "expect" "answers" "to" NAME "=" INT ("," INT)*  -> expect_answers
@@ -89,7 +100,9 @@
         self.sent = {}
         self.keys = {}
         self.version = 0
-        self.options = ()
+        self.fenced = True
+        self.holder = None
+        self.fences = ()
 
     def close(self):
         """End all processes."""
@@ -139,6 +152,13 @@
     play.engines = tuple(start("engine", *options) for _ in range(int(count)))
 
 
+def start_bare_engines(play, count, kind):
+    play.fenced = kind == "fenced"
+    options = ("--models", "", f"--{kind}")
+    start = play.deployment.processes.start_fake
+    play.engines = tuple(start("engine", *options) for _ in range(int(count)))
+
+
 def start_services(play, count):
     start = play.deployment.processes.start_fake
     play.services = tuple(start("service") for _ in range(int(count)))
@@ -146,7 +166,7 @@
 
 def start_entry(play, name, centre):
     if not play.version:
-        configuration = make_configuration(play.upstreams())
+        configuration = make_configuration(play.upstreams(), fenced=play.fenced)
         play.version = play.deployment.put_configuration(configuration)
         play.deployment.list_instances(configuration)
     play.entries[name] = play.deployment.start_entry(
@@ -160,11 +180,58 @@
     )
 
 
-def publish(play, revision):
-    configuration = make_configuration(play.upstreams(), int(revision), "edit")
+def publish(play, revision, *models):
+    configuration = make_configuration(
+        play.upstreams(), int(revision), "edit", models or ("memo",), play.fenced
+    )
     play.version = play.deployment.put_configuration(configuration, play.version)
 
 
+def find_holder(play, *besides):
+    """Return the name of the entry instance that gives the engines' orders."""
+    for name, entry in play.entries.items():
+        if name in besides:
+            continue
+        state = entry.get("/-/status")[1]["orders"].get("engines")
+        if state in ("settling", "holding"):
+            return name
+    return None
+
+
+def freeze_holder(play):
+    play.holder = poll(lambda: find_holder(play), 20.0)
+    play.entries[play.holder].freeze()
+
+
+def wait_for_no_holder(play):
+    play.fences = [engine.record()["received"][-1]["fence"] for engine in play.engines]
+    poll(lambda: find_holder(play) is None, 20.0)
+
+
+def expect_engines_with(play, model):
+    poll(lambda: all(model in item.record()["loaded"] for item in play.engines), 30.0)
+
+
+def expect_engine_without(play, number, model):
+    assert model not in play.engines[int(number)].record()["loaded"]
+
+
+def expect_fences(play):
+    for engine in play.engines:
+        fences = [row["fence"] for row in engine.record()["received"]]
+        done = [row["fence"] for row in engine.record()["orders"] if row["done"]]
+        assert len(set(done)) > 1, done
+        assert done == sorted(done), done
+        # A careless engine obeys whatever comes, so nothing old may come at all.
+        assert play.fenced or fences == sorted(fences), fences
+
+
+def expect_newer(play):
+    for old, engine in zip(play.fences, play.engines, strict=True):
+        fences = [row["fence"] for row in engine.record()["received"]]
+        assert fences and min(fences) > old, (old, fences)
+
+
 def start_model_call(kind):
     def begin(play, name, count, entry):
         sent = Sent(kind, f"prompt of {name}", int(count), [])
@@ -312,10 +379,25 @@
 
 STEPS = {
     "engines": start_engines,
+    "bare_engines": start_bare_engines,
     "services": start_services,
     "entry": start_entry,
     "restart": restart_entry,
     "publish": publish,
+    "publish_models": publish,
+    "freeze_holder": freeze_holder,
+    "resume_holder": lambda play: play.entries[play.holder].resume(),
+    "when_another_holds": lambda play: poll(
+        lambda: find_holder(play, play.holder), 30.0
+    ),
+    "when_no_one_holds": wait_for_no_holder,
+    "when_holder_revision": lambda play, number: wait_for_revision(
+        play, play.holder, number
+    ),
+    "expect_engines_with": expect_engines_with,
+    "expect_engine_without": expect_engine_without,
+    "expect_fences": expect_fences,
+    "expect_newer": expect_newer,
     "stream": start_model_call("stream"),
     "memo": start_model_call("memo"),
     "note": send_note,
--- /dev/null
+++ b/tests/test_assignments.py
@@ -0,0 +1,127 @@
+"""Tests of which models engines are ordered to load, and of placing by model."""
+
+import unittest
+from random import Random
+
+from chervilwing.assignments import (
+    LOAD_LIMIT,
+    REFUSED_PAUSE,
+    Engine,
+    Rollout,
+    list_wanted,
+    share_room,
+)
+from chervilwing.models import (
+    Address,
+    Configuration,
+    Inventory,
+    ModelRoute,
+    Pool,
+    Rules,
+    Share,
+    Upstream,
+)
+from tests.test_placement import choose, make_state, make_work
+
+WANTED = ("big", "small")
+
+
+def make_engines(*models):
+    """Return engines e0, e1, ... that have these models, one text each."""
+    address = Address("127.0.0.1", 1)
+    return [
+        Engine(
+            Upstream(f"e{i}", "model", "pool", address, "a"), frozenset(text.split())
+        )
+        for i, text in enumerate(models)
+    ]
+
+
+class TestRollout(unittest.TestCase):
+    def setUp(self):
+        self.rollout = Rollout()
+
+    def plan(self, engines, room=9, may_unload=False, now=0.0):
+        """Return what is ordered, as short texts, and note it as given."""
+        orders = self.rollout.plan(WANTED, engines, room, may_unload, now)
+        rows = [(f"{o.upstream.name} {o.operation} {o.model}", o) for o in orders]
+        for text, order in rows:
+            self.rollout.note(text, order, now)
+        return [text for text, _ in rows]
+
+    def test_models_of_a_pool_come_by_their_traffic(self):
+        shares = (Share("v1", 0.1), Share("v2", 0.9))
+        routes = (ModelRoute("memo", "p", shares), ModelRoute("plan", "q"))
+        pools = (
+            Pool("p", "model", ("spare", "v1", "v2")),
+            Pool("q", "model"),
+            Pool("s", "service"),
+        )
+        found = list_wanted(
+            Configuration(1, "o", Inventory(pools), Rules((), (), routes))
+        )
+        self.assertEqual(found, {"p": ("v2", "v1", "spare")})
+
+    def test_first_copies_come_first_and_no_more_than_the_room(self):
+        # A new version goes to a data centre and every engine asked the weight store
+        # at once; none ended soon, and a model without a copy waited behind copies.
+        engines = make_engines("", "", "small", "big small")
+        self.assertEqual(self.plan(engines, 2), ["e0 load big", "e1 load big"])
+        self.assertEqual(self.plan(engines, 2), [])
+        done = make_engines("big", "", "small", "big small")
+        self.assertEqual(self.rollout.settle(done, 1.0), ["e0 load big"])
+        self.assertEqual(self.plan(done, 2, now=1.0), ["e0 load small"])
+        self.assertEqual([share_room(4, n) for n in (0, 1, 3, 9)], [4, 4, 1, 1])
+
+    def test_unloads_follow_the_loads_and_only_when_let(self):
+        engines = make_engines("old big", "old big small")
+        self.assertEqual(self.plan(engines), ["e0 load small"])
+        self.assertEqual(self.plan(engines, may_unload=True), ["e1 unload old"])
+        done = make_engines("old big small", "big small")
+        self.assertEqual(len(self.rollout.settle(done, 1.0)), 2)
+        self.assertEqual(self.plan(done, may_unload=True), ["e0 unload old"])
+
+    def test_lost_slow_and_refusing_engines_free_the_room(self):
+        engines = make_engines("big", "big")
+        self.assertEqual(self.plan(engines, 1), ["e0 load small"])
+        self.assertEqual(self.rollout.settle(engines[1:], 1.0), ["e0 load small"])
+        self.assertEqual(self.plan(engines[1:], 1), ["e1 load small"])
+        late = LOAD_LIMIT + 1.0
+        self.assertEqual(self.rollout.settle(engines, late), ["e1 load small"])
+        self.assertEqual(self.plan(engines, 1, now=late), ["e0 load small"])
+        self.rollout.refuse("e0 load small", late)
+        self.assertEqual(self.plan(engines, 1, now=late), ["e1 load small"])
+        self.rollout.clear()
+        later = late + REFUSED_PAUSE
+        self.assertEqual(self.plan(engines, 1, now=later), ["e0 load small"])
+
+
+class TestPlacingByModel(unittest.TestCase):
+    def choose(self, state, count, model="new"):
+        """Return who gets a number of requests for a model."""
+        rng = Random(1)
+        works = [make_work(n)._replace(model=model) for n in range(count)]
+        return [choose(state, work, rng) for work in works]
+
+    def test_engine_that_has_not_loaded_a_version_gets_none_of_it(self):
+        # A caller asks for a version that one engine of twenty has loaded so far: the
+        # others answer that they can't, and retries use up the caller's budget.
+        state = make_state(20)
+        for name in state.states:
+            state.set_models(name, frozenset({"memo"}))
+        state.set_models("u7", frozenset({"memo", "new"}))
+        self.assertEqual(self.choose(state, 9), ["u7"] * 8 + [None])
+        self.assertTrue(state.is_bound(make_work(1)._replace(model="new")))
+        self.assertGreater(len(set(self.choose(state, 20, "memo"))), 8)
+
+    def test_engine_that_does_not_say_serves_all_and_none_is_no_bar(self):
+        state = make_state(4, ("a", "b"))
+        for name in ("u0", "u1", "u2"):
+            state.set_models(name, frozenset({"memo"}))
+        self.assertEqual(set(self.choose(state, 8)), {"u3"})
+        state.set_models("u3", frozenset())
+        self.assertEqual(set(self.choose(state, 8)), {"u0", "u2"})
+        state.set_models("u1", frozenset({"new"}))
+        state.states["u1"].leaving = True
+        state.refresh("u1")
+        self.assertFalse(state.is_bound(make_work(1)._replace(model="new")))
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -26,6 +26,7 @@
     "generations",
     "loads",
     "notices",
+    "orderer",
     "parsers",
     "peers",
     "pollers",
