Buy and give back instances for a pool, by one holder, each purchase recorded first

Cause: nothing was bought; a reclaim wave with refused starts left a pool short until an operator acted.

Before: no purchase at all.

Conclusion: wired; giving back and a price change are proved in the core only.

--- a/src/chervilwing/admin.py
+++ b/src/chervilwing/admin.py
@@ -55,6 +55,7 @@
 
     def _status(self, exchange):
         dispatcher = self._dispatch
+        orders, purchases = self._describe_orders()
         reason = self.explain()
         directory = dispatcher.directory
         upstreams = sorted(directory.upstreams.values()) if directory else ()
@@ -67,7 +68,8 @@
             "in_flight": len(dispatcher.sessions),
             "upstreams": [self._describe_upstream(item) for item in upstreams],
             "peers": self._describe_peers()._asdict(),
-            "orders": self._describe_orders(),
+            "orders": orders,
+            "purchases": purchases,
             "version": VERSION,
         }
         exchange.answer_json(200, value)
--- a/src/chervilwing/checks.py
+++ b/src/chervilwing/checks.py
@@ -21,6 +21,7 @@
     _check_classes(inventory, rules)
     _check_shares(inventory, rules)
     _check_customers(inventory, rules)
+    _check_fleets(rules, kinds)
     return inventory, rules
 
 
@@ -96,6 +97,16 @@
                 fail(path, f"pool {route.pool!r} doesn't list model {version!r}")
 
 
+def _check_fleets(rules, kinds):
+    holders = {}
+    for item in rules.fleets:
+        if item.pool not in kinds:
+            fail(f"fleets.{item.name}.pool", f"no pool {item.pool!r}")
+        holder = holders.setdefault(item.pool, item.name)
+        if holder != item.name:
+            fail(f"fleets.{item.name}.pool", f"fleet {holder!r} has it too")
+
+
 def _check_customers(inventory, rules):
     targets = {ANY} | {item.name for item in inventory.services + rules.routes}
     holders = {}
--- a/src/chervilwing/daemon.py
+++ b/src/chervilwing/daemon.py
@@ -17,6 +17,7 @@
 
 from . import embedded, settings
 from .admin import Admin
+from .buyer import Buyer
 from .claimant import Claimant
 from .connections import Client
 from .dispatch import Dispatcher
@@ -111,6 +112,9 @@
             lambda: self._drain.begin(),
         ).register(self)
         Loads(cfg, self._client, dispatcher).register(self)
+        self._buyer = Buyer(
+            cfg, store, self._client, dispatcher, self._notices.leave
+        ).register(self)
         self._orderer = Orderer(cfg, store, self._client, dispatcher).register(self)
 
     def _answer_operators(self):
@@ -122,7 +126,7 @@
             self._follower.explain_not_ready,
             self._membership.describe,
             self._drain.begin,
-            self._orderer.describe,
+            lambda: (self._orderer.describe(), self._buyer.describe()),
         )
         for (method, path), serve in admin.routes.items():
             self._dispatch.add_route(method, path, serve)
@@ -145,6 +149,7 @@
         self._claimant.enlist([item.name for item in live])
         here = [item.name for item in live if item.data_centre == self.cfg.data_centre]
         self._orderer.enlist(here)
+        self._buyer.enlist([item.name for item in live])
         self._dispatch.scheduler.update_entries(max(1, len(live)))
 
     @handler("started", channel="*")
--- a/src/chervilwing/directory.py
+++ b/src/chervilwing/directory.py
@@ -33,7 +33,8 @@
     def __init__(self, configuration):
         inventory, rules = configuration.inventory, configuration.rules
         self.revision = configuration.revision
-        self.upstreams = {upstream.name: upstream for upstream in inventory.upstreams}
+        self._owned = {upstream.name: upstream for upstream in inventory.upstreams}
+        self.upstreams = dict(self._owned)
         self._pools = {pool.name: pool for pool in inventory.pools}
         self._services = {service.name: service for service in inventory.services}
         self._routes = {route.name: route for route in rules.routes}
@@ -44,6 +45,16 @@
             for digest in customer.key_hashes
         }
 
+    def add_listed(self, rows):
+        """Add what the instance list has beside the inventory; return it."""
+        found = {
+            row.name: row._replace(kind=self._pools[row.pool].kind)
+            for row in rows
+            if row.pool in self._pools and row.name not in self._owned
+        }
+        self.upstreams = self._owned | found
+        return tuple(found.values())
+
     def find_customer(self, headers):
         """Return the customer that a request's API key names."""
         customer = self._customers.get(hash_key(read_bearer(headers)))
--- a/src/chervilwing/dispatch.py
+++ b/src/chervilwing/dispatch.py
@@ -62,6 +62,7 @@
         settings = SchedulingSettings(cfg.data_centre, entries=1)
         self.scheduler = Scheduler(settings, rng or random.Random())
         self.configuration = None
+        self.listed = {}
         self.directory: Directory | None = None
         self.sessions: dict[str, Session] = {}
         self.draining = False
@@ -82,6 +83,16 @@
         self.configuration = configuration
         self.directory = Directory(configuration)
         self.scheduler.configure(configuration)
+        listed, self.listed = self.listed, {}
+        self.update_listed(listed)
+
+    def update_listed(self, rows):
+        """Take the instance list's rows that name a pool, by name."""
+        if self.directory is None or rows == self.listed:
+            return
+        self.listed = rows
+        upstreams = self.directory.add_listed(rows.values())
+        self.scheduler.update_upstreams(upstreams)
 
     def requested(self, exchange):
         """Serve one request of a caller."""
--- a/src/chervilwing/models.py
+++ b/src/chervilwing/models.py
@@ -97,6 +97,22 @@
     allowed: tuple[str, ...] = ("*",)
 
 
+class Fleet(NamedTuple):
+    """What may be bought for a pool; a ceiling of 0 is none.
+
+    ``spare`` is the part of the load that must still fit once the largest zone or data
+    centre is lost. At most ``max_instances`` are bought, beside the inventory's.
+    """
+
+    name: str
+    pool: str
+    machine_classes: tuple[str, ...] = ("standard",)
+    min_instances: int = 0
+    max_instances: int = 0
+    spare: float = 1.0
+    price_ceiling: float = 0.0
+
+
 class Inventory(NamedTuple):
     """What the operators own and where."""
 
@@ -111,6 +127,7 @@
     customers: tuple[Customer, ...] = ()
     classes: tuple[WorkClass, ...] = ()
     routes: tuple[ModelRoute, ...] = ()
+    fleets: tuple[Fleet, ...] = ()
 
 
 class Configuration(NamedTuple):
--- a/src/chervilwing/notices.py
+++ b/src/chervilwing/notices.py
@@ -7,6 +7,7 @@
 from .connections import Call
 from .gossip import UPSTREAM, Notice
 from .logs import log_event
+from .models import MODEL, Address, Upstream
 from .stores import collect_json
 
 NOTICE_WAIT = 10.0
@@ -15,6 +16,28 @@
 LEAVING = "leaving"
 
 
+def read_listed(row):
+    """Return the upstream that a row of the instance list adds to a pool, or None."""
+    try:
+        return read_upstream(row) if row.get("pool") else None
+    except (KeyError, TypeError, ValueError):
+        # Guard: one row that can't be read must not keep all the others out.
+        return None
+
+
+def read_upstream(row):
+    """Return the upstream that a row names; the directory sets its pool's kind."""
+    return Upstream(
+        str(row["name"]),
+        MODEL,
+        str(row["pool"]),
+        Address(str(row["host"]), int(row["port"])),
+        str(row["data_centre"]),
+        machine_class=str(row.get("machine_class", "standard")),
+        zone=str(row.get("zone", "")),
+    )
+
+
 class Notices(BaseComponent):
     """Take leaving upstreams out of service and tell the other instances.
 
@@ -75,9 +98,10 @@
             return
         for row in value.get("notices", ()):
             self._seen = max(self._seen, int(row["seq"]))
-            self._leave(str(row["instance"]), float(row["deadline"]))
+            self.leave(str(row["instance"]), float(row["deadline"]))
 
-    def _leave(self, name, deadline):
+    def leave(self, name, deadline):
+        """Tell all instances that an upstream leaves."""
         log_event("notice", instance=name, deadline=deadline)
         self._publish(Notice(UPSTREAM, name, deadline))
         self._obey(name, deadline)
@@ -96,6 +120,11 @@
     def _listed(self, status, value):
         if status != 200 or not isinstance(value, dict):
             return
+        listed = {}
         for row in value.get("instances", ()):
             if row.get("state") == LEAVING:
                 self._obey(str(row.get("name")), 0.0)
+            upstream = read_listed(row)
+            if upstream is not None:
+                listed[upstream.name] = upstream
+        self._dispatch.update_listed(listed)
--- a/src/chervilwing/orders.py
+++ b/src/chervilwing/orders.py
@@ -129,6 +129,10 @@
         self._orders[order_id] = order, now + self.cfg.resend_every
         return (self._send_order(order_id, order),)
 
+    def may_act(self, now):
+        """Tell whether this holder alone acts, for those who take no fences."""
+        return self.state == HOLDING and now < self._get_end()
+
     def finish(self, order_id, newer_fence=None):
         """Take the engine's answer; ``newer_fence`` is what it refused the order by."""
         if self._orders.pop(order_id, None) is None:
--- a/src/chervilwing/placement.py
+++ b/src/chervilwing/placement.py
@@ -174,6 +174,10 @@
         """Return the slots of all live upstreams."""
         return self._slots
 
+    def measure_load(self):
+        """Return what all live upstreams have in hand."""
+        return self._load
+
     def count_live(self):
         """Return how many upstreams may take new work."""
         return len(self._live)
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -233,6 +233,14 @@
         states = self._pools[name].state.states.values()
         return [(state.upstream, state.models) for state in states if state.is_live()]
 
+    def measure_load(self, name):
+        """Return the slots of a pool in use or waited for, by all entry instances.
+
+        Others' queues can't be seen; behind one balancer they are about as long.
+        """
+        pool = self._pools[name]
+        return pool.state.measure_load() + len(pool.queue) * pool.state.entries
+
     def hear_cache(self, name, prefix):
         """Take a cache event as a hint that the upstream holds the prefix."""
         pool = self._find_pool_of(name)
--- a/src/chervilwing/shapes.py
+++ b/src/chervilwing/shapes.py
@@ -13,6 +13,7 @@
     Address,
     CallClass,
     Customer,
+    Fleet,
     Inventory,
     ModelRoute,
     Pool,
@@ -78,6 +79,14 @@
     return read
 
 
+def from_zero(most):
+    """Return a reader of numbers from 0 to ``most``."""
+    read_above = above_zero(most)
+    return lambda raw, path: (
+        0.0 if type(raw) in (int, float) and raw == 0 else read_above(raw, path)
+    )
+
+
 def items(read_item):
     """Return a reader of lists."""
 
@@ -219,6 +228,18 @@
             "work_class": read_optional_name,
         },
     ),
+    "fleets": _shape(
+        Fleet,
+        {
+            "name": read_name,
+            "pool": read_name,
+            "machine_classes": items(read_name),
+            "min_instances": whole(0, 100_000),
+            "max_instances": whole(0, 100_000),
+            "spare": from_zero(1),
+            "price_ceiling": from_zero(1_000_000),
+        },
+    ),
 }
 INVENTORY = Shape(
     Inventory,
--- a/tests/fakes/cloud.py
+++ b/tests/fakes/cloud.py
@@ -8,6 +8,7 @@
     Lagged,
     Switches,
     build_app,
+    drop,
     read_json,
     reply,
     wait_until,
@@ -36,12 +37,17 @@
     """Instances, purchases and notices."""
 
     def __init__(self, options):
-        self.switches = Switches(refuse_starts=False, list_frozen=False)
+        self.switches = Switches(
+            refuse_starts=False, refused_zones=(), lose_answers=0, list_frozen=False
+        )
         self.switches.react = self.freeze
         self.instances = {}
         self.view = Lagged(options.lag, [])
         self.frozen_view = None
         self.bought = {}
+        self.requests = []
+        self.spares = []
+        self.prices = PRICES
         self.refused = 0
         self.returned = []
         self.notices = []
@@ -57,6 +63,14 @@
         frozen = self.switches["list_frozen"]
         self.frozen_view = self.view.get() if frozen else None
 
+    def start(self, bought):
+        """List a bought instance as one of the processes that stand ready, if any."""
+        if self.spares:
+            row = {**bought, **self.spares.pop(0), "name": bought["instance"]}
+            row |= {"role": "model", "data_centre": bought["zone"], "state": "live"}
+            self.instances[row["name"]] = row
+            self.publish()
+
     def remove(self, name):
         """Take an instance off the list."""
         if self.instances.pop(name, None):
@@ -79,18 +93,23 @@
 
 async def show_prices(cloud, request):
     """Answer the prices by the hour."""
-    return reply({"prices": PRICES})
+    return reply({"prices": cloud.prices})
 
 
 async def buy(cloud, request):
     """Start an instance, once for each request id."""
     body = await read_json(request)
-    if cloud.switches.take("refuse_starts"):
-        cloud.refused += 1
-        return reply({"reason": "no capacity"}, 503)
     key = body.get("request")
+    cloud.requests.append(key)
     if key not in cloud.bought:
+        refused = body.get("zone") in cloud.switches["refused_zones"]
+        if refused or cloud.switches.take("refuse_starts"):
+            cloud.refused += 1
+            return reply({"reason": "no capacity"}, 503)
         cloud.bought[key] = {**body, "instance": f"i-{next(cloud.numbers)}"}
+        cloud.start(cloud.bought[key])
+    if cloud.switches.take("lose_answers"):
+        await drop(request)
     return reply({"instance": cloud.bought[key]["instance"]}, 201)
 
 
@@ -125,6 +144,14 @@
     return reply({})
 
 
+async def set_up_market(cloud, request):
+    """Set the processes that stand ready for purchases, or the prices."""
+    body = await read_json(request)
+    cloud.spares += body.get("spares", [])
+    cloud.prices = body.get("prices", cloud.prices)
+    return reply({})
+
+
 async def issue_notices(cloud, request):
     """Give notice to one instance, a zone or a data centre, seconds ahead."""
     body = await read_json(request)
@@ -146,6 +173,7 @@
     """Return what the cloud did; ``instances`` is the truth that the list lags."""
     return {
         "instances": list(cloud.instances.values()),
+        "requests": cloud.requests,
         "bought": list(cloud.bought.values()),
         "refused_starts": cloud.refused,
         "returned": cloud.returned,
@@ -160,6 +188,7 @@
     ("GET", "/notices", show_notices),
     ("GET", "/list", show_list),
     ("POST", "/-/instances", add_instances),
+    ("POST", "/-/market", set_up_market),
     ("POST", "/-/notice", issue_notices),
 )
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -62,6 +62,10 @@
                 {"name": "d", "key_hashes": [hash_key("j")]},
             ],
             "classes": [{"name": "memo"}],
+            "fleets": [
+                {"name": "f", "pool": "p", "spare": 0},
+                {"name": "g", "pool": "s"},
+            ],
             "routes": [
                 {"name": "m", "pool": "p", "shares": [{"version": "m-1", "part": 1}]}
             ],
@@ -103,6 +107,11 @@
     ("rules.routes.0.shares.0.part", 0.5, "routes.m.shares"),
     ("rules.routes.0.shares.0.version", "m-3", "routes.m"),
     ("rules.routes", {}, "rules.routes"),
+    ("rules.fleets.0.pool", "q", "fleets.f.pool"),
+    ("rules.fleets.1.pool", "p", "fleets.g.pool"),
+    ("rules.fleets.0.spare", 1.5, "rules.fleets.f.spare"),
+    ("rules.fleets.0.spare", True, "rules.fleets.f.spare"),
+    ("rules.fleets.0.max_instances", -1, "rules.fleets.f.max_instances"),
 )
 
 
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -10,6 +10,7 @@
 
 # The modules that own sockets, files, processes' arguments or timers.
 EDGE = {
+    "buyer",
     "claimant",
     "cli",
     "clients",
