Ask for the operators' key on the paths that show figures and stop an instance

Cause: POST /-/drain stands on the callers' port and asked for nothing.

Ruled out: a port of its own (one more setting for each balancer and firewall, and the tool's list of instances names one port); customers' keys (a caller is no operator).

The tool sends CHERVILWING_OPERATOR_KEY to instances only, never to the platform.

--- a/src/chervilwing/admin.py
+++ b/src/chervilwing/admin.py
@@ -1,6 +1,6 @@
 """The paths under ``/-/``: health for the balancer, figures and stop for operators."""
 
-from . import reports
+from . import operators, reports
 from .completions import read_json
 from .exceptions import NotReady
 
@@ -22,12 +22,19 @@
         self.routes = {
             ("GET", "/-/live"): self._live,
             ("GET", "/-/ready"): self._ready,
-            ("GET", "/-/metrics"): self._metrics,
-            ("GET", "/-/histograms"): self._histograms,
-            ("GET", "/-/status"): self._status,
+            ("GET", "/-/metrics"): self._guard(self._metrics),
+            ("GET", "/-/histograms"): self._guard(self._histograms),
+            ("GET", "/-/status"): self._guard(self._status),
             ("POST", "/-/drain"): self._start_drain,
         }
 
+    def _guard(self, serve):
+        def check_and_serve(exchange):
+            operators.check_key(self._cfg.operator_key_hash, exchange.req.headers)
+            serve(exchange)
+
+        return check_and_serve
+
     def explain(self):
         """Return why the instance takes no new work, or None."""
         if self._dispatch.draining:
@@ -83,6 +90,8 @@
         }
 
     def _start_drain(self, exchange):
+        key_hash = self._cfg.operator_key_hash
+        operators.check_stop(key_hash, exchange.req.headers, exchange.host)
         name = read_json(exchange.req.body or b"{}").get("name")
         if name not in (None, self._cfg.name):
             raise NotReady(f"This instance is {self._cfg.name}.")
--- a/src/chervilwing/cli.py
+++ b/src/chervilwing/cli.py
@@ -50,6 +50,8 @@
             instance_list=parse_optional_address(instance_list),
             timeout=timeout,
             pause=pause,
+            # From the environment only: other users can read arguments.
+            operator_key=os.environ.get("CHERVILWING_OPERATOR_KEY", ""),
         )
     except ValueError as exc:
         quit_with(BadSetting(str(exc)))
--- a/src/chervilwing/clients.py
+++ b/src/chervilwing/clients.py
@@ -45,14 +45,20 @@
     instance_list: Address | None = None
     timeout: float = 5.0
     pause: float = 1.0
+    operator_key: str = ""
 
 
-def call(address, method, path, body, timeout) -> Result[Answer, ChervilwingError]:
+def call(
+    address, method, path, body, timeout, key=""
+) -> Result[Answer, ChervilwingError]:
     """Make one call on a connection of its own; never repeated here."""
+    headers = {"Content-Type": "application/json"}
+    if key:
+        headers["Authorization"] = f"Bearer {key}"
     conn = http.client.HTTPConnection(address.host, address.port, timeout=timeout)
     data = None if body is None else json.dumps(body)
     try:
-        conn.request(method, path, data, {"Content-Type": "application/json"})
+        conn.request(method, path, data, headers)
         response = conn.getresponse()
         content = response.read(BODY_LIMIT + 1)
     except (OSError, http.client.HTTPException) as exc:
@@ -69,9 +75,9 @@
     return Unreachable(f"{scope.name}: {reason}", scope=scope)
 
 
-def call_json(address, method, path, body, timeout) -> Result:
+def call_json(address, method, path, body, timeout, key="") -> Result:
     """Return the JSON table of an answer; Failure unless its status is 2xx."""
-    return call(address, method, path, body, timeout).bind(
+    return call(address, method, path, body, timeout, key).bind(
         lambda answer: _read_table(address, answer)
     )
 
@@ -192,14 +198,20 @@
     return tuple(Address(row["host"], int(row["port"])) for row in rows)
 
 
+def _call_instance(links, address, method, path, body=None):
+    # Only instances get the operators' key; the platform has no use for it.
+    key = links.operator_key
+    return call_json(address, method, path, body, links.timeout, key)
+
+
 def ask_histograms(links, address) -> Result:
     """Return an entry instance's report of histograms."""
-    return call_json(address, "GET", "/-/histograms", None, links.timeout)
+    return _call_instance(links, address, "GET", "/-/histograms")
 
 
 def ask_status(links, address) -> Result:
     """Return what an entry instance says of itself, with the keys that we read."""
-    result = call_json(address, "GET", "/-/status", None, links.timeout)
+    result = _call_instance(links, address, "GET", "/-/status")
     return result.bind(_parse_with(_parse_status, address))
 
 
@@ -212,4 +224,4 @@
 
 def drain_instance(links, address, name) -> Result:
     """Ask an instance to stop gracefully; it refuses if the name isn't its own."""
-    return call_json(address, "POST", "/-/drain", {"name": name}, links.timeout)
+    return _call_instance(links, address, "POST", "/-/drain", {"name": name})
--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -54,6 +54,13 @@
     status, type, title, outcome = 401, "unknown-customer", "Unknown API key", NOT_RUN
 
 
+class WrongOperatorKey(ChervilwingError):
+    """The request doesn't carry the operators' key."""
+
+    status, type, title = 401, "wrong-operator-key", "Operators' key needed"
+    outcome = NOT_RUN
+
+
 class NotAllowed(ChervilwingError):
     """The rules don't let this customer use this model or service."""
 
--- a/src/chervilwing/fleet_commands.py
+++ b/src/chervilwing/fleet_commands.py
@@ -101,7 +101,9 @@
     rows = ask_status(ctx, as_json)
     found = [row["address"] for row in rows if row.get("name") == name]
     if not found:
-        quit_with(NotFound(f"no instance {name!r} answers"), as_json)
+        failures = [row["failure"] for row in rows if row["failure"]]
+        detail = "; ".join([f"no instance {name!r} answers", *failures])
+        quit_with(NotFound(detail), as_json)
     address = parse_optional_address(found[0])
     take(clients.drain_instance(ctx.obj, address, name), as_json)
     value = {"name": name, "draining": True}
--- a/src/chervilwing/settings.py
+++ b/src/chervilwing/settings.py
@@ -1,6 +1,7 @@
 """Settings of the entry daemon: one table drives parsing, checks, help and docs."""
 
 import argparse
+import re
 from collections.abc import Callable
 from math import isfinite
 from typing import Any, NamedTuple
@@ -18,6 +19,9 @@
 LOG_FORMATS = ("json", "text")
 LOG_LEVELS = ("debug", "info", "warning", "error")
 MIB = 1024 * 1024
+DIGEST = re.compile(r"[0-9a-f]{64}", re.ASCII)
+# Variables of the operators' tool, which may stand in the same environment.
+TOOL_VARIABLES = frozenset({PREFIX + "INSTANCES", PREFIX + "OPERATOR_KEY"})
 
 
 class Settings(NamedTuple):
@@ -49,6 +53,7 @@
     default_class: str
     stats_pairs: int
     loads_at_once: int
+    operator_key_hash: str
 
 
 class Field(NamedTuple):
@@ -97,6 +102,13 @@
     return parse_name(text) if text else ""
 
 
+def parse_digest(text):
+    """Return a SHA-256 digest in small hex, or an empty text."""
+    if text and not DIGEST.fullmatch(text):
+        raise ValueError("not a SHA-256 digest in small hex")
+    return text
+
+
 def parse_flag(text):
     """Return True or False for the usual words."""
     word = text.lower()
@@ -185,6 +197,7 @@
     # Load: a new version for all engines of a data centre. Harm: loads that share the
     # weight store's rate all end late. While one reads, another fills its accelerator.
     Field("loads_at_once", parse_count, "2", "count", "model loads in a data centre"),
+    Field("operator_key_hash", parse_digest, "", "digest", "SHA-256 of operators' key"),
 )
 FIELD_OF = {field.name: field for field in FIELDS}
 
@@ -233,7 +246,7 @@
 
 
 def _refuse_unknown(environ):
-    known = {field.variable for field in FIELDS} | {PREFIX + "INSTANCES"}
+    known = {field.variable for field in FIELDS} | TOOL_VARIABLES
     for variable in sorted(environ):
         if variable.startswith(PREFIX) and variable not in known:
             raise BadSetting(f"{variable}: no such setting")
@@ -310,6 +323,8 @@
 
 def describe(cfg):
     """Return the settings as plain values, for the log line at the start."""
+    # The digest of a key that is too short can be searched through by who reads logs.
+    cfg = cfg._replace(operator_key_hash="set" if cfg.operator_key_hash else "")
     return {name: _to_plain(value) for name, value in cfg._asdict().items()}
 
 
--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -86,6 +86,11 @@
         """Tell whether the caller reads more slowly than the answer comes."""
         return self._conn.congested
 
+    @property
+    def host(self):
+        """Return the caller's IP number, or that of what stands before it."""
+        return self._conn.address.host
+
     def answer(self, status, body=b"", content_type=JSON_TYPE, headers=None):
         """Send a whole answer."""
         fields = {"Content-Type": content_type, "Content-Length": str(len(body))}
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -5,8 +5,10 @@
 
 from typer.testing import CliRunner
 
+from chervilwing import operators
 from chervilwing.cli import app
 from chervilwing.documents import hash_key
+from chervilwing.exceptions import NotAllowed
 from tests.procs import ROOT, Processes, call_json, poll
 
 ANDESUR = ROOT / "examples" / "andesur"
@@ -21,9 +23,10 @@
         self.processes = Processes()
         self.addCleanup(self.processes.close)
 
-    def run_tool(self, *args, code=0, text=None):
+    def run_tool(self, *args, code=0, text=None, environ=()):
         """Run the tool, check its exit code and return its output."""
-        result = CliRunner().invoke(app, args, input=text, env={"USER": "ana"})
+        environ = {"USER": "ana", **dict(environ)}
+        result = CliRunner().invoke(app, args, input=text, env=environ)
         self.assertEqual(result.exit_code, code, result.output)
         return result
 
@@ -44,18 +47,51 @@
         """Run a command that prints JSON and return the value."""
         return json.loads(self.edit(*args, "--json"))
 
-    def start_daemon(self, name, store):
+    def start_daemon(self, name, store, *options):
         """Start an entry instance and wait for its configuration."""
         daemon = self.processes.start_daemon(
             *("--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"),
             *("--name", name, "--data-centre", "scl-a", "--drain-lag", "0.1"),
             *("--store", f"127.0.0.1:{store.port}"),
+            *options,
         )
         poll(lambda: daemon.get("/-/ready")[0] == 200)
         self.options += ["--instance", f"127.0.0.1:{daemon.port}"]
         return daemon
 
 
+class TestOperatorKey(CliTest):
+    def test_only_the_operators_key_reads_figures_and_drains(self):
+        # A caller finds `/-/drain` on the port that it calls anyway, and stops one
+        # instance after the other; `/-/status` tells it what to ask next.
+        store = self.start_store()
+        digest = ("--operator-key-hash", hash_key("secret"))
+        entry = self.start_daemon("one", store, *digest)
+        paths = ("/-/status", "/-/metrics", "/-/histograms")
+        calls = [("GET", path) for path in paths] + [("POST", "/-/drain")]
+        for headers in ({}, {"Authorization": "Bearer wrong"}):
+            for method, path in calls:
+                status, body = call_json(entry.port, method, path, {}, headers)
+                found = (status, body["type"].rpartition("/")[2])
+                self.assertEqual(found, (401, "wrong-operator-key"))
+        self.assertEqual(entry.get("/-/live")[0], 200)
+        self.assertIn(" 401 ", self.edit("drain", "one", code=1))
+        self.assertEqual(entry.get("/-/ready")[0], 200)
+        environ = {"CHERVILWING_OPERATOR_KEY": "secret"}
+        for command in (("instances",), ("stats",), ("drain", "one")):
+            self.run_tool(*self.options, *command, environ=environ)
+        poll(lambda: entry.popen.poll() == 0)
+
+    def test_without_a_key_a_stop_is_only_taken_from_the_machine_itself(self):
+        for host, allowed in (("127.0.0.1", True), ("::1", True), ("10.2.0.5", False)):
+            with self.subTest(host):
+                if allowed:
+                    operators.check_stop("", {}, host)
+                    continue
+                with self.assertRaises(NotAllowed):
+                    operators.check_stop("", {}, host)
+
+
 class TestConfiguration(CliTest):
     def test_apply_show_edit_history_and_rollback(self):
         self.start_store()
