--- a/src/chervilwing/admin.py
+++ b/src/chervilwing/admin.py
@@ -1,11 +1,9 @@
 """The paths under ``/-/``: health for the balancer, figures and stop for operators."""
 
-from . import operators, reports
+from . import __version__, operators, reports
 from .completions import read_json
 from .exceptions import NotReady
 
-VERSION = "0.1.0"
-
 
 class Admin:
     """Answer for one instance; the daemon registers ``routes`` with the dispatcher."""
@@ -77,7 +75,7 @@
             "peers": self._describe_peers()._asdict(),
             "orders": orders,
             "purchases": purchases,
-            "version": VERSION,
+            "version": __version__,
         }
         exchange.answer_json(200, value)
 
--- a/src/chervilwing/buyer.py
+++ b/src/chervilwing/buyer.py
@@ -6,10 +6,11 @@
 from circuits.core import BaseComponent, handler
 
 from .connections import Call
+from .fleets import FleetPlanner, Machine, Situation
 from .logs import log_event
 from .messages import ABSENT, Found, Missing, Read, StoreCall, Write, Written
 from .orders import Holder, OrderSettings
-from .planner import Machine, Offer, Planner, Situation
+from .planner import Offer
 from .purchases import (
     ASKED,
     BOUGHT,
@@ -38,7 +39,7 @@
     """What one instance knows of one fleet."""
 
     def __init__(self, cfg, fleet, names):
-        self.planner = Planner(fleet)
+        self.planner = FleetPlanner(fleet)
         self.holder = Holder(OrderSettings(), cfg.name, EVERYWHERE, fleet.pool)
         self.holder.enlist(names)
         self.key = PURCHASES_KEY.format(fleet.pool)
@@ -185,16 +186,15 @@
             self._release(task, lost)
             return
         situation = self._describe(task, pool, upstreams, known, now)
-        offer = task.planner.choose_offer(situation, now)
-        if offer is not None:
-            self._begin(task, offer)
+        plan = task.planner.plan(situation, now)
+        if plan.buys:
+            self._begin(task, plan.buys[0])
             return
         # What is under way may be refused yet: nothing is given back for it.
         if len(situation.owned) > len(upstreams):
             return
-        surplus = task.planner.choose_surplus(situation, now)
         for row in task.rows:
-            if surplus is not None and row.instance == surplus.name:
+            if row.instance in plan.returns:
                 self._release(task, row)
                 return
 
@@ -231,13 +231,13 @@
             if task.rows is None or row not in task.rows:
                 return
             if status == CREATED and isinstance(value, dict) and value.get("instance"):
-                task.planner.accept(get_offer(row))
+                task.planner.refusals.forget(get_offer(row))
                 name = str(value["instance"])
                 bought = row._replace(state=BOUGHT, instance=name, at=time.time())
                 self._replace(task, row, bought)
             elif status == REFUSED:
                 log_event("buy refused", request=row.request, zone=row.zone)
-                task.planner.refuse(get_offer(row), time.monotonic())
+                task.planner.refusals.record(get_offer(row), time.monotonic())
                 self._replace(task, row)
 
         self._call("POST", "/instances", body, answered)
--- a/src/chervilwing/daemon.py
+++ b/src/chervilwing/daemon.py
@@ -36,9 +36,9 @@
 from .stores import Store
 from .web import Web, WebHandlers
 
-# Seconds between ticks. Deadlines are this late at most; at 20 a second the ticks of
+# Seconds between ticks. Deadlines are this late at most; at 10 a second the ticks of
 # all tasks together stay within the 1.2 % of a core that control may take (letter 1).
-TICK = 0.05
+TICK = 0.1
 
 
 class tick(Event):
@@ -118,7 +118,9 @@
         self._orderer = Orderer(cfg, store, self._client, dispatcher).register(self)
 
     def _answer_operators(self):
-        self._drain = Drain(self.cfg, self._dispatch, self._web, self._leave)
+        self._drain = Drain(
+            self.cfg, self._dispatch, self._web, self._claimant, self._leave
+        )
         self._drain.register(self)
         admin = Admin(
             self.cfg,
--- a/src/chervilwing/purchases.py
+++ b/src/chervilwing/purchases.py
@@ -51,14 +51,16 @@
 
 def list_owned(rows, upstreams, known, machines, usual):
     """Return what counts as owned: live upstreams, and buys that aren't known yet."""
-    markets = {row.instance: row for row in rows if row.instance}
+    markets = {row.instance: row.market for row in rows if row.instance}
     owned = [
         Owned(
             item.name,
             item.zone or item.data_centre,
-            item.machine_class,
+            0.0,
             item.slots,
-            markets[item.name].market if item.name in markets else "",
+            item.machine_class,
+            markets.get(item.name, ""),
+            kept=item.name not in markets,
         )
         for item in upstreams
     ]
@@ -66,8 +68,9 @@
         Owned(
             row.instance or row.request,
             row.zone,
-            row.machine_class,
+            0.0,
             machines.get(row.machine_class, usual).slots,
+            row.machine_class,
             row.market,
         )
         for row in rows
