Test that a call whose time is over when it connects isn't sent

Cause: the guard in Client._opened had no test. The model sets are left alone when a report brings nothing new.

--- a/src/chervilwing/placement.py
+++ b/src/chervilwing/placement.py
@@ -248,9 +248,11 @@
         loaded it answers that it can't, and the caller pays with a retry. Where none
         has it, any is as good: the report may be late.
         """
+        if not work.model or len(self._silent) == len(self._live):
+            return None
         having = self._having.get(work.model, ())
         count = len(having) + len(self._silent)
-        if not work.model or count in (0, len(self._live)):
+        if count in (0, len(self._live)):
             return None
         return [having, self._silent] if having else [self._silent]
 
@@ -342,17 +344,19 @@
 
     def _count_models(self, name, models):
         """Renew the sets by model; None is put into that of the silent."""
-        before = self._models.pop(name, frozenset())
-        if before != models:
-            for model in before or ():
-                self._having[model].discard(name)
-                if not len(self._having[model]):
-                    del self._having[model]
-            for model in models or ():
-                self._having[model].add(name)
-            self._put(self._silent, name, models is None)
-        if models is None or models:
-            self._models[name] = models
+        before = self._models.get(name, frozenset())
+        if before == models:
+            return
+        for model in before or ():
+            self._having[model].discard(name)
+            if not len(self._having[model]):
+                del self._having[model]
+        for model in models or ():
+            self._having[model].add(name)
+        self._put(self._silent, name, models is None)
+        self._models[name] = models
+        if models == frozenset():
+            del self._models[name]
 
     def _put(self, members, name, wanted):
         if wanted:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -79,6 +79,16 @@
         self.addCleanup(upstream.close)
         return upstream
 
+    def test_call_whose_time_is_over_when_it_connects_is_not_sent(self):
+        # A holder is frozen while its order's connection opens; resumed, it would
+        # send an order of a lease that has lapsed, and a careless engine obeys.
+        seen = []
+        upstream = self.start(lambda *call: seen.append(call) or echo(*call))
+        heard = self.call(upstream.port, send_before=time.monotonic())
+        self.assertEqual((heard.failure.outcome, seen), (NOT_RUN, []))
+        late = time.monotonic() + SILENCE * 100
+        self.assertEqual(self.call(upstream.port, send_before=late).body, b"/")
+
     def check_failure(self, heard, kind, outcome):
         self.assertIs(type(heard.failure), kind, heard.body)
         self.assertEqual(heard.failure.outcome, outcome)
