--- a/tests/live.py
+++ b/tests/live.py
@@ -7,6 +7,8 @@
 
 import lark
 
+from chervilwing.documents import serialise
+from chervilwing.models import MODEL, Address, Pool, Upstream
 from tests.deployments import (
     AUTHORISED,
     Deployment,
@@ -55,9 +57,9 @@
     | "when" "no" "one" "holds"                        -> when_no_one_holds
     | "when" "the" "holder" "has" "revision" INT       -> when_holder_revision
     | "expect" "engines" "with" NAME                   -> expect_engines_with
-    | "expect" "engine" INT "without" NAME             -> expect_engine_without
     | "expect" "fences" "in" "order"                   -> expect_fences
     | "expect" "fences" "newer"                        -> expect_newer
+    | "publish" "revision" INT "of" INT "KB"           -> publish_large
     | "when" NAME "has" "revision" INT                 -> when_revision
     | "expect" NAME "whole"                            -> expect_whole
     | "expect" "answers" "to" NAME "=" INT ("," INT)*  -> expect_answers
@@ -212,10 +214,6 @@
     poll(lambda: all(model in item.record()["loaded"] for item in play.engines), 30.0)
 
 
-def expect_engine_without(play, number, model):
-    assert model not in play.engines[int(number)].record()["loaded"]
-
-
 def expect_fences(play):
     for engine in play.engines:
         fences = [row["fence"] for row in engine.record()["received"]]
@@ -232,6 +230,29 @@
         assert fences and min(fences) > old, (old, fences)
 
 
+def publish_large(play, revision, size):
+    configuration = make_configuration(play.upstreams(), int(revision), "edit")
+    step = len(serialise(add_spares(configuration, 100)))
+    step -= len(serialise(configuration))
+    configuration = add_spares(configuration, int(size) * 100_000 // step + 1)
+    assert len(serialise(configuration)) >= int(size) * 1000
+    play.version = play.deployment.put_configuration(configuration, play.version)
+
+
+def add_spares(configuration, count):
+    """Return the configuration with a pool of upstreams that nobody uses."""
+    inventory = configuration.inventory
+    pool = Pool("spares", MODEL, ("spare",))
+    rows = [
+        Upstream(f"spare-{n:03}", MODEL, pool.name, Address(HOST, n), "a")
+        for n in range(1, count + 1)
+    ]
+    inventory = inventory._replace(
+        pools=(*inventory.pools, pool), upstreams=(*inventory.upstreams, *rows)
+    )
+    return configuration._replace(inventory=inventory)
+
+
 def start_model_call(kind):
     def begin(play, name, count, entry):
         sent = Sent(kind, f"prompt of {name}", int(count), [])
@@ -395,9 +416,9 @@
         play, play.holder, number
     ),
     "expect_engines_with": expect_engines_with,
-    "expect_engine_without": expect_engine_without,
     "expect_fences": expect_fences,
     "expect_newer": expect_newer,
+    "publish_large": publish_large,
     "stream": start_model_call("stream"),
     "memo": start_model_call("memo"),
     "note": send_note,
