--- a/src/chervilwing/admin.py
+++ b/src/chervilwing/admin.py
@@ -1,6 +1,6 @@
 """The paths under ``/-/``: health for the balancer, figures and stop for operators."""
 
-from . import __version__, reports
+from . import __version__, operators, reports
 from .completions import read_json
 from .exceptions import NotReady
 
@@ -8,21 +8,31 @@
 class Admin:
     """Answer for one instance; the daemon registers ``routes`` with the dispatcher."""
 
-    def __init__(self, cfg, dispatcher, explain_not_ready, describe_peers, drain):
+    def __init__(
+        self, cfg, dispatcher, explain_not_ready, describe_peers, drain, describe_orders
+    ):
         self._cfg = cfg
         self._dispatch = dispatcher
         self._explain_not_ready = explain_not_ready
         self._describe_peers = describe_peers
         self._drain = drain
+        self._describe_orders = describe_orders
         self.routes = {
             ("GET", "/-/live"): self._live,
             ("GET", "/-/ready"): self._ready,
-            ("GET", "/-/metrics"): self._metrics,
-            ("GET", "/-/histograms"): self._histograms,
-            ("GET", "/-/status"): self._status,
+            ("GET", "/-/metrics"): self._guard(self._metrics),
+            ("GET", "/-/histograms"): self._guard(self._histograms),
+            ("GET", "/-/status"): self._guard(self._status),
             ("POST", "/-/drain"): self._start_drain,
         }
 
+    def _guard(self, serve):
+        def check_and_serve(exchange):
+            operators.check_key(self._cfg.operator_key_hash, exchange.req.headers)
+            serve(exchange)
+
+        return check_and_serve
+
     def explain(self):
         """Return why the instance takes no new work, or None."""
         if self._dispatch.draining:
@@ -50,6 +60,7 @@
 
     def _status(self, exchange):
         dispatcher = self._dispatch
+        orders, purchases = self._describe_orders()
         reason = self.explain()
         directory = dispatcher.directory
         upstreams = sorted(directory.upstreams.values()) if directory else ()
@@ -62,6 +73,8 @@
             "in_flight": len(dispatcher.sessions),
             "upstreams": [self._describe_upstream(item) for item in upstreams],
             "peers": self._describe_peers()._asdict(),
+            "orders": orders,
+            "purchases": purchases,
             "version": __version__,
         }
         exchange.answer_json(200, value)
@@ -75,6 +88,8 @@
         }
 
     def _start_drain(self, exchange):
+        key_hash = self._cfg.operator_key_hash
+        operators.check_stop(key_hash, exchange.req.headers, exchange.host)
         name = read_json(exchange.req.body or b"{}").get("name")
         if name not in (None, self._cfg.name):
             raise NotReady(f"This instance is {self._cfg.name}.")
--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -40,6 +40,7 @@
 
     ``fresh`` asks for a new connection: one kept alive may have been closed by the
     other end already, and what was written to it can't be told from what was run.
+    ``send_before`` is on the monotonic clock: nothing is sent from then on.
     """
 
     address: Address
@@ -50,6 +51,7 @@
     connect_timeout: float = 1.0
     silence_timeout: float = 5.0
     fresh: bool = False
+    send_before: float = float("inf")
 
 
 class CallHandlers(NamedTuple):
@@ -228,8 +230,14 @@
 
     def _opened(self, conn):
         conn.heard = time.monotonic()
-        if conn.state is not None:
-            conn.state.heard = conn.heard
+        exchange = conn.state
+        if exchange is None:
+            return
+        exchange.heard = conn.heard
+        # Guard: a process frozen while it connects goes on, unaware, with an order of
+        # a lease that has lapsed; the check before ``submit`` is long over by then.
+        if exchange.heard >= exchange.call.send_before:
+            self._fail(exchange, "Too late to be sent.")
 
     def _received(self, conn, data):
         exchange = conn.state
--- a/src/chervilwing/daemon.py
+++ b/src/chervilwing/daemon.py
@@ -17,6 +17,7 @@
 
 from . import embedded, settings
 from .admin import Admin
+from .buyer import Buyer
 from .claimant import Claimant
 from .connections import Client
 from .dispatch import Dispatcher
@@ -29,6 +30,7 @@
 from .membership import Membership
 from .models import Address
 from .notices import Notices
+from .orderer import Orderer
 from .peers import Peers
 from .pollers import DirectPoller
 from .reconnects import Reconnects
@@ -116,6 +118,10 @@
             lambda deadline: self._drain.begin(deadline),
         ).register(self)
         Loads(cfg, self._client, dispatcher).register(self)
+        self._buyer = Buyer(
+            cfg, store, self._client, dispatcher, self._notices.leave
+        ).register(self)
+        self._orderer = Orderer(cfg, store, self._client, dispatcher).register(self)
 
     def _answer_operators(self):
         self._drain = Drain(
@@ -132,6 +138,7 @@
             self._follower.explain_not_ready,
             self._membership.describe,
             self._drain.begin,
+            lambda: (self._orderer.describe(), self._buyer.describe()),
         )
         for (method, path), serve in admin.routes.items():
             self._dispatch.add_route(method, path, serve)
@@ -158,6 +165,9 @@
         self._follower.enlist({item.name: item.data_centre for item in live})
         self._claimant.enlist([item.name for item in live])
         self._reconnects.enlist(self._membership.members())
+        here = [item.name for item in live if item.data_centre == self.cfg.data_centre]
+        self._orderer.enlist(here)
+        self._buyer.enlist([item.name for item in live])
         self._dispatch.scheduler.update_entries(max(1, len(live)))
 
     @handler("started", channel="*")
--- a/src/chervilwing/dispatch.py
+++ b/src/chervilwing/dispatch.py
@@ -90,6 +90,8 @@
         self.stats = stats
         settings = SchedulingSettings(cfg.data_centre, entries=1)
         self.scheduler = Scheduler(settings, rng or random.Random())
+        self.configuration = None
+        self.listed = {}
         self.directory: Directory | None = None
         self.sessions: dict[str, Session] = {}
         self.caches = HeldCaches()
@@ -109,8 +111,19 @@
 
     def configure(self, configuration):
         """Put a revision in force."""
+        self.configuration = configuration
         self.directory = Directory(configuration)
         self.scheduler.configure(configuration)
+        listed, self.listed = self.listed, {}
+        self.update_listed(listed)
+
+    def update_listed(self, rows):
+        """Take the instance list's rows that name a pool, by name."""
+        if self.directory is None or rows == self.listed:
+            return
+        self.listed = rows
+        upstreams = self.directory.add_listed(rows.values())
+        self.scheduler.update_upstreams(upstreams)
 
     def requested(self, exchange):
         """Serve one request of a caller."""
@@ -287,8 +300,9 @@
         session = self._open(exchange, target, key.request_id)
         session.key, session.named = key, is_named(exchange)
         version = self.scheduler.choose_version(completion.model, customer.name)
-        session.run = Generation(session, completion, version or completion.model)
-        self._offer(session, **measure(completion))
+        model = version or completion.model
+        session.run = Generation(session, completion, model)
+        self._offer(session, model=model, **measure(completion))
         if session.named and not session.closed:
             self.reconnects.admit(session)
 
@@ -308,6 +322,7 @@
         session.tokens = len(state.tokens)
         session.last_token = time.monotonic() if state.tokens else None
         sizes = measure(completion) | {"tokens": session.tokens}
+        sizes["model"] = state.version
         session.work = self._make_work(session, **sizes)
         if state.complete:
             session.closed = True
--- a/src/chervilwing/orders.py
+++ b/src/chervilwing/orders.py
@@ -66,7 +66,7 @@
 
 
 class OrderSend(NamedTuple):
-    """Send the order, unless it is ``send_before`` (Unix seconds) by then."""
+    """Send the order, unless it is ``send_before`` by then, on the clock of ``now``."""
 
     order_id: str
     order: Order
@@ -129,6 +129,10 @@
         self._orders[order_id] = order, now + self.cfg.resend_every
         return (self._send_order(order_id, order),)
 
+    def may_act(self, now):
+        """Tell whether this holder alone acts, for those who take no fences."""
+        return self.state == HOLDING and now < self._get_end()
+
     def finish(self, order_id, newer_fence=None):
         """Take the engine's answer; ``newer_fence`` is what it refused the order by."""
         if self._orders.pop(order_id, None) is None:
--- a/src/chervilwing/planner.py
+++ b/src/chervilwing/planner.py
@@ -33,24 +33,42 @@
 
 
 class Owned(NamedTuple):
-    """An instance that runs or starts; leaving ones don't count."""
+    """An instance that runs or starts; leaving ones don't count.
+
+    The inventory's own are ``kept``, and never returned.
+    """
 
     name: str
     zone: str
     price: float
     slots: int
+    machine_class: str = ""
+    market: str = ""
+    kept: bool = False
+
+    @property
+    def key(self):
+        """What the cloud sells it as."""
+        return self.zone, self.machine_class, self.market
 
 
 class Need(NamedTuple):
     """What a pool has to carry: slots busy at the peak, slots of one instance.
 
     ``starts`` is how many new instances the weight store can feed in this round.
+    ``spare`` is the part of the load that has to fit into what a loss leaves, ``least``
+    the fewest instances; ``classes`` gives the slots of a machine class where they
+    differ, ``sites`` the data centre of a zone where the loss of that counts.
     """
 
     busy: float
     slots: int
     starts: int
     zones_lost: int = 1
+    spare: float = 1.0
+    least: int = 0
+    classes: dict[str, int] = {}
+    sites: dict[str, str] = {}
 
 
 class Plan(NamedTuple):
@@ -105,23 +123,24 @@
     wanted = need.busy / BUSY
     slots = Counter()
     for instance in owned:
-        slots[instance.zone] += instance.slots
-    buys = _buy(need, wanted, slots, [o for o in offers if refusals.allows(o, now)])
+        slots[_find_site(need, instance)] += instance.slots
+    allowed = [offer for offer in offers if refusals.allows(offer, now)]
+    buys = _buy(need, wanted, slots, allowed, need.least - len(owned))
     if buys:
         return Plan(buys=buys)
     return Plan(returns=_return(need, wanted, slots, owned))
 
 
-def _buy(need, wanted, slots, offers):
+def _buy(need, wanted, slots, offers, missing):
     slots = Counter(slots)
     enough = min(wanted, _find_reachable(need, slots, offers))
     buys = []
     while offers and len(buys) < need.starts:
-        left = count_left(slots, need.zones_lost)
-        if left >= enough and slots.total() >= wanted:
+        usable = _count_usable(need, slots)
+        if usable >= enough and slots.total() >= wanted and len(buys) >= missing:
             break
         best = min(offers, key=lambda offer: _rank(need, slots, offer))
-        slots[best.zone] += need.slots
+        slots[_find_site(need, best)] += _count_slots(need, best)
         buys.append(best)
     return tuple(buys)
 
@@ -132,29 +151,49 @@
     Load: a wave in which all but one zone refuse. Harm prevented: endless buying in
     that zone, which never makes its own loss bearable.
     """
-    zones = {offer.zone for offer in offers}
+    zones = {_find_site(need, offer) for offer in offers}
     if len(zones) > need.zones_lost:
         return float("inf")
     others = {zone: held for zone, held in slots.items() if zone not in zones}
-    return count_left(others, need.zones_lost - len(zones))
+    return count_left(others, need.zones_lost - len(zones)) / (need.spare or 1.0)
 
 
 def _rank(need, slots, offer):
-    """Return the order of an offer: first what it adds after a loss, then price.
+    """Return the order of an offer: by the price of each usable slot that it adds.
 
     Two zones of equal size have to grow in turn before a loss leaves more, so the
     slots that the offer's zone holds already decide between those that add nothing.
     """
-    after = slots + Counter({offer.zone: need.slots})
-    left = count_left(after, need.zones_lost)
-    return -left, rate_offer(offer) + 1e-6 * slots[offer.zone], offer.key
+    site, size = _find_site(need, offer), _count_slots(need, offer)
+    after = slots + Counter({site: size})
+    gain = _count_usable(need, after) - _count_usable(need, slots)
+    if gain > 0:
+        return False, rate_offer(offer) / gain, offer.key
+    return True, rate_offer(offer) / size + 1e-6 * slots[site], offer.key
+
+
+def _count_usable(need, slots):
+    """Return the slots that may be in use so that the spare part of them is left."""
+    if not need.spare:
+        return slots.total()
+    return min(slots.total(), count_left(slots, need.zones_lost) / need.spare)
+
+
+def _find_site(need, item):
+    return need.sites.get(item.zone, item.zone)
+
+
+def _count_slots(need, offer):
+    return need.classes.get(offer.machine_class, need.slots)
 
 
 def _return(need, wanted, slots, owned):
     """Return the dearest instance whose loss leaves more than enough, if any."""
+    if len(owned) <= need.least:
+        return ()
     for instance in sorted(owned, key=lambda item: (-item.price, item.name)):
         rest = Counter(slots)
-        rest[instance.zone] -= instance.slots
-        if count_left(rest, need.zones_lost) >= wanted * SURPLUS:
+        rest[_find_site(need, instance)] -= instance.slots
+        if not instance.kept and _count_usable(need, rest) >= wanted * SURPLUS:
             return (instance.name,)
     return ()
--- a/src/chervilwing/work.py
+++ b/src/chervilwing/work.py
@@ -27,6 +27,7 @@
     when there is none worth keeping together. ``tokens`` were already streamed.
     ``moves`` of the ``attempts`` ended only because their upstream was leaving.
     ``keeper`` is the upstream that has the KV cache of prompt and tokens, if any.
+    ``model`` is the version chosen for this request.
     """
 
     request_id: str
@@ -45,6 +46,7 @@
     attempts: int = 0
     moves: int = 0
     keeper: str = ""
+    model: str = ""
 
 
 class Placement(NamedTuple):
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -35,10 +35,19 @@
     services: tuple[Process, ...]
 
 
-def make_configuration(upstreams, revision=1, operation="first", centres=()):
+def make_configuration(
+    upstreams, revision=1, operation="first", centres=(), models=("memo",), fenced=True
+):
     """Return the configuration that lists these back ends, engines by data centre."""
     rows = [
-        Upstream(f"engine-{i}", MODEL, "engines", Address(HOST, item.port), centre)
+        Upstream(
+            f"engine-{i}",
+            MODEL,
+            "engines",
+            Address(HOST, item.port),
+            centre,
+            fenced=fenced,
+        )
         for i, (item, centre) in enumerate(
             zip_longest(upstreams.engines, centres, fillvalue="a")
         )
@@ -47,7 +56,7 @@
         Upstream(f"service-{i}", SERVICE, "services", Address(HOST, item.port), "a")
         for i, item in enumerate(upstreams.services)
     ]
-    pools = (Pool("engines", MODEL, ("memo",)), Pool("services", SERVICE))
+    pools = (Pool("engines", MODEL, models), Pool("services", SERVICE))
     services = (Service("portal", "services", ("POST /notes",)),)
     rules = Rules(
         customers=(
--- a/tests/live.py
+++ b/tests/live.py
@@ -9,7 +9,7 @@
 
 from chervilwing.documents import serialise
 from chervilwing.models import MODEL, Address, Pool, Upstream
-from tests import live_faults, live_fleet, resuming
+from tests import live_faults, live_fleet, live_orders, resuming
 from tests.deployments import (
     AUTHORISED,
     Deployment,
@@ -58,6 +58,9 @@
         self.noticed_at = {}
         self.load = None
         self.crowd_tokens = 0
+        self.fenced = True
+        self.holder = None
+        self.fences = ()
 
     def close(self):
         """End all processes."""
@@ -132,7 +135,9 @@
 
 def start_entry(play, name, centre):
     if not play.version:
-        configuration = make_configuration(play.upstreams(), centres=play.centres)
+        configuration = make_configuration(
+            play.upstreams(), centres=play.centres, fenced=play.fenced
+        )
         play.version = play.deployment.put_configuration(configuration)
         play.deployment.list_instances(configuration)
     launch_entry(play, name, centre, ready=True)
@@ -164,9 +169,14 @@
     return act
 
 
-def publish(play, revision):
+def publish(play, revision, *models):
     configuration = make_configuration(
-        play.upstreams(), int(revision), "edit", play.centres
+        play.upstreams(),
+        int(revision),
+        "edit",
+        play.centres,
+        models or ("memo",),
+        play.fenced,
     )
     play.version = play.deployment.put_configuration(configuration, play.version)
 
@@ -350,6 +360,7 @@
     "entry": start_entry,
     "restart": restart_entry,
     "publish": publish,
+    "publish_models": publish,
     "publish_large": publish_large,
     "stream": start_model_call("stream"),
     "memo": start_model_call("memo"),
@@ -387,6 +398,7 @@
     "expect_elsewhere": expect_elsewhere,
     **live_faults.STEPS,
     **live_fleet.STEPS,
+    **live_orders.STEPS,
 }
 
 
