--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,9 @@
 format:
 	$(PY) -m ruff format .
 	$(PY) -m ruff check --fix .
+
+# Each writes its own section of docs/MEASUREMENTS.md, the last one docs/CAPACITY.md.
+BENCHES := path load decision gossip claims revisions planner capacity
+
+bench:
+	for name in $(BENCHES); do $(PY) -m bench.$$name || exit 1; done
