Read the change once more: one check of what a customer may use, no dead names

- directory.is_allowed serves both the list of models and the check of a call.
- Removed, used nowhere: directory.list_shares, work.NOT_STARTED (RetryRule.not_run says it), gossip.Item; Work's comment named a field that it doesn't have.
- The stand-ins' build_app takes the state and its record function; five roles wrote the same closure round it.

--- a/src/chervilwing/directory.py
+++ b/src/chervilwing/directory.py
@@ -27,6 +27,11 @@
     return key.strip() if scheme.lower() == "bearer" else ""
 
 
+def is_allowed(customer, name):
+    """Tell whether the rules let a customer use a model or service."""
+    return "*" in customer.allowed or name in customer.allowed
+
+
 class Directory:
     """Indexes over one configuration; a new revision makes a new directory."""
 
@@ -95,20 +100,12 @@
 
     def list_models(self, customer):
         """Return the names of the models that a customer may use."""
-        return [
-            name
-            for name in sorted(self._routes)
-            if name in customer.allowed or "*" in customer.allowed
-        ]
-
-    def list_shares(self, name):
-        """Return the traffic shares of a model's versions."""
-        return self._routes[name].shares
+        return [name for name in sorted(self._routes) if is_allowed(customer, name)]
 
     def _find_class(self, name):
         return self._classes.get(name, DEFAULT_CLASS)
 
     def _check_allowed(self, customer, kind, name):
-        if "*" in customer.allowed or name in customer.allowed:
+        if is_allowed(customer, name):
             return
         raise NotAllowed(f"{name!r} is not allowed.", scope=Scope(kind, name))
--- a/src/chervilwing/gossip.py
+++ b/src/chervilwing/gossip.py
@@ -56,8 +56,6 @@
     digest: bytes
 
 
-Item = Record | Notice | Revision
-
 # The order in which items are sent when the byte budget is short: a late notice loses
 # work, a late revision breaks a promise, a late record only misinforms.
 PRIORITIES = {Notice: 0, Revision: 1, Record: 2}
--- a/src/chervilwing/work.py
+++ b/src/chervilwing/work.py
@@ -15,15 +15,12 @@
 LEAVING = "leaving"
 CANCELLED = "cancelled"
 
-# Attempts that the upstream, or we, say were never started.
-NOT_STARTED = frozenset({BUSY, EXHAUSTED})
-
 
 class Work(NamedTuple):
     """One request as the scheduler sees it.
 
-    ``deadline`` and ``arrived`` are seconds on the caller's clock, the same that
-    ``now`` is read from. ``prefix`` is a hash of the prompt's beginning, empty
+    ``deadline`` is in seconds on the caller's clock, the same that ``now`` is read
+    from. ``prefix`` is a hash of the prompt's beginning, empty
     when there is none worth keeping together. ``tokens`` were already streamed.
     ``moves`` of the ``attempts`` ended only because their upstream was leaving.
     ``keeper`` is the upstream that has the KV cache of prompt and tokens, if any.
--- a/tests/fakes/cloud.py
+++ b/tests/fakes/cloud.py
@@ -196,5 +196,4 @@
 async def build(options):
     """Make the application."""
     cloud = Cloud(options)
-    record = lambda: make_record(cloud)
-    return build_app(cloud, cloud.switches, record, ROUTES), None
+    return build_app(cloud, make_record, ROUTES), None
--- a/tests/fakes/control.py
+++ b/tests/fakes/control.py
@@ -121,11 +121,11 @@
     return reply(record())
 
 
-def build_app(state, switches, record, routes, middlewares=()):
+def build_app(state, make_record, routes, middlewares=()):
     """Make the application: the role's routes after the control endpoints."""
     app = web.Application(client_max_size=BODY_LIMIT, middlewares=middlewares)
-    app.router.add_post("/-/fault", partial(set_faults, switches))
-    app.router.add_get("/-/record", partial(show_record, record))
+    app.router.add_post("/-/fault", partial(set_faults, state.switches))
+    app.router.add_get("/-/record", partial(show_record, partial(make_record, state)))
     for method, path, handler in routes:
         app.router.add_route(method, path, partial(handler, state))
     return app
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -268,5 +268,4 @@
 async def build(options):
     """Make the application."""
     engine = Engine(options)
-    record = lambda: make_record(engine)
-    return build_app(engine, engine.switches, record, ROUTES), None
+    return build_app(engine, make_record, ROUTES), None
--- a/tests/fakes/relay.py
+++ b/tests/fakes/relay.py
@@ -173,5 +173,4 @@
     await start(network)
     network.switches.react = make_react(network)
     await network.switches.react()
-    record = lambda: make_record(network)
-    return build_app(network, network.switches, record, ()), network.port
+    return build_app(network, make_record, ()), network.port
--- a/tests/fakes/service.py
+++ b/tests/fakes/service.py
@@ -128,5 +128,4 @@
 async def build(options):
     """Make the application."""
     service = Service(options)
-    record = lambda: make_record(service)
-    return build_app(service, service.switches, record, ROUTES), None
+    return build_app(service, make_record, ROUTES), None
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -290,6 +290,5 @@
 async def build(options):
     """Make the application."""
     store = Store(options)
-    record = lambda: make_record(store)
     gate = make_gate(store)
-    return build_app(store, store.switches, record, ROUTES, [gate]), None
+    return build_app(store, make_record, ROUTES, [gate]), None
