--- /dev/null
+++ b/src/chervilwing/allowances.py
@@ -0,0 +1,111 @@
+"""Organisations' allowances over all instances, without a call for each request.
+
+Every instance keeps the whole bucket of each organisation and takes from it what it
+spends itself and what the others say they have spent. Instances that aren't heard
+from keep their equal part of the rate, so that a part of the system that is cut off
+can't spend what the other part spends too.
+"""
+
+from .exceptions import CustomerLimit, Scope
+
+# Seconds that an instance counts as heard after its last message: four messages, so
+# that one lost datagram changes nothing.
+HEARD_FOR = 1.0
+SHORTEST_RETRY = 0.25
+LONGEST_RETRY = 10.0
+
+
+class Bucket:
+    """State of one organisation's allowance, in cost."""
+
+    __slots__ = ("level", "at", "rate", "burst")
+
+    def __init__(self, rate, burst, now):
+        self.level = burst
+        self.at = now
+        self.rate = rate
+        self.burst = burst
+
+    def refill(self, part, now):
+        """Add what has come since the last time, for a part of the rate."""
+        gained = max(0.0, now - self.at) * self.rate * part
+        self.level = min(self.burst, self.level + gained)
+        self.at = now
+
+
+class Allowances:
+    """State of all organisations' allowances in one instance."""
+
+    def __init__(self):
+        self.spent = {}
+        self._buckets = {}
+        self._heard = {}
+        self._peers = {}
+        self._known = 1
+
+    def configure(self, organisations, now):
+        """Put new limits in force; what was spent stays spent."""
+        limited = {item.name: item for item in organisations if item.rate > 0}
+        for name in set(self._buckets) - set(limited):
+            del self._buckets[name]
+        for name, item in limited.items():
+            bucket = self._buckets.setdefault(name, Bucket(item.rate, item.burst, now))
+            bucket.refill(self._part(now), now)
+            bucket.rate, bucket.burst = item.rate, item.burst
+            bucket.level = min(bucket.level, item.burst)
+
+    def set_known(self, count):
+        """Set how many instances there are, this one included."""
+        self._known = max(1, count)
+
+    def hear(self, peer, incarnation, spent, now):
+        """Take another instance's totals since its start, by organisation."""
+        self._heard[peer] = now
+        before = self._peers.get(peer, (None, {}))
+        old = before[1] if before[0] == incarnation else {}
+        # The first word of an instance tells of its whole past, which is no news.
+        fresh = peer in self._peers
+        self._peers[peer] = (incarnation, dict(spent))
+        for name, total in spent.items():
+            bucket = self._buckets.get(name)
+            if bucket is not None and fresh:
+                bucket.level -= max(0.0, total - old.get(name, 0.0))
+
+    def charge(self, organisation, cost, now):
+        """Spend the cost, or raise CustomerLimit with a time to come back."""
+        if organisation is None:
+            return
+        bucket = self._buckets.get(organisation.name)
+        if bucket is not None:
+            bucket.refill(self._part(now), now)
+            if bucket.level < min(cost, bucket.burst):
+                raise self._refuse(organisation, bucket, cost, now)
+            bucket.level -= cost
+        spent = self.spent.get(organisation.name, 0.0)
+        self.spent[organisation.name] = spent + cost
+
+    def refund(self, organisation, cost):
+        """Give back what a request cost that did not run."""
+        if organisation is None:
+            return
+        bucket = self._buckets.get(organisation.name)
+        if bucket is not None:
+            bucket.level = min(bucket.burst, bucket.level + cost)
+
+    def _part(self, now):
+        """Return the part of the rate that the instances within hearing may spend."""
+        self._heard = {
+            peer: at for peer, at in self._heard.items() if now - at <= HEARD_FOR
+        }
+        heard = 1 + len(self._heard)
+        return min(1.0, heard / max(self._known, heard))
+
+    def _refuse(self, organisation, bucket, cost, now):
+        rate = max(1e-9, bucket.rate * self._part(now))
+        wait = (min(cost, bucket.burst) - bucket.level) / rate
+        wait = min(LONGEST_RETRY, max(SHORTEST_RETRY, wait))
+        return CustomerLimit(
+            "The allowance is used up.",
+            scope=Scope("customer", organisation.name),
+            retry_after=round(wait, 2),
+        )
--- /dev/null
+++ b/src/chervilwing/balancing.py
@@ -0,0 +1,243 @@
+"""Which upstream of a pool takes a request: the one that is expected to start it first.
+
+Load reports are old when they come and every instance reads the same ones, so that all
+would pick the same upstream. Here each instance adds up what it has sent itself and
+what the others said a moment ago that they have in flight.
+"""
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+from .costs import blend
+from .hashing import Ring
+
+# Tokens a second that an engine reads of prompts beside the tokens it generates, before
+# anything was measured: chunks of 1,024 in steps of about 30 ms. What is measured
+# replaces it within some twenty answers.
+PREFILL_RATE = 34_000.0
+SLOWEST_RATE = 4_000.0
+FASTEST_RATE = 200_000.0
+# Prompts shorter than this say nothing about the rate: one step dominates.
+MEASURED_TOKENS = 1500
+# Seconds from the arrival at an idle engine to its first token, and for each request
+# that it generates for.
+FIRST_STEP = 0.015
+STEP_PER_REQUEST = 0.0006
+# Seconds that a plain service takes for a call before anything was measured.
+SERVICE_TIME = 0.05
+# Seconds of expected wait that a failure rate of 1 counts for: about as long as a
+# caller loses by an attempt that fails and is made once more.
+FAILURE_COST = 3.0
+# Seconds after which a failure counts half. Load: an upstream that fails part of its
+# calls while it looks healthy. Harm: left for ever it would never be tried again; tried
+# every second it would fail every tenth caller.
+FAILURE_HALF_LIFE = 4.0
+FAILURE_WEIGHT = 0.25
+# Seconds that another data centre counts for: bytes between them are paid for, and a
+# round trip takes 3 ms. It only decides between equals.
+FAR_COST = 0.008
+# Spread of the estimate, so that instances that know the same choose differently.
+SPREAD = 0.15
+# Parts remembered for an engine: some hundred subjects and shared parts, with room.
+PARTS_KEPT = 512
+# Seconds after which what another instance said no longer counts.
+STALE_AFTER = 1.5
+# An engine is full at this part of its memory: what is generated needs room too.
+MEMORY_PART = 0.9
+# Where a subject's first request goes is kept within this many upstreams of the ring.
+OWNERS = 1
+
+
+class InFlight(NamedTuple):
+    """What one instance has in flight at one upstream.
+
+    ``prefill`` are the prompt tokens not yet read, ``tokens`` all that is in memory.
+    """
+
+    requests: int = 0
+    prefill: int = 0
+    tokens: int = 0
+
+
+class Estimate(NamedTuple):
+    """Seconds until the first byte, and prompt tokens that must be read for it."""
+
+    seconds: float
+    prefill: int
+
+
+class Sent(NamedTuple):
+    """One request in flight, as it was estimated."""
+
+    prefill: int
+    tokens: int
+    ahead: int
+    at: float
+    started: bool = False
+
+
+class Station:
+    """What one instance knows of one upstream."""
+
+    def __init__(self, registration):
+        self.registration = registration
+        self.sent = {}
+        self.peers = {}
+        self.parts = OrderedDict()
+        self.failure_rate = 0.0
+        self.failure_at = 0.0
+
+    def count(self, now):
+        """Return what all instances have in flight here."""
+        own = self.own()
+        fresh = [load for load, at in self.peers.values() if now - at < STALE_AFTER]
+        return InFlight(*(sum(column) for column in zip(own, *fresh, strict=True)))
+
+    def own(self):
+        """Return what this instance has in flight here."""
+        sent = self.sent.values()
+        prefill = sum(item.prefill for item in sent if not item.started)
+        return InFlight(len(self.sent), prefill, sum(item.tokens for item in sent))
+
+    def measure_failures(self, now):
+        """Return the failure rate, which fades as time passes."""
+        return self.failure_rate * 0.5 ** ((now - self.failure_at) / FAILURE_HALF_LIFE)
+
+    def record(self, failed, now):
+        """Take the outcome of one attempt."""
+        rate = self.measure_failures(now)
+        self.failure_rate = blend(rate, 1.0 if failed else 0.0, FAILURE_WEIGHT)
+        self.failure_at = now
+
+    def remember(self, parts):
+        """Take note that the upstream now has these parts of prompts."""
+        for part in parts:
+            self.parts[part.name] = part.tokens
+            self.parts.move_to_end(part.name)
+        while len(self.parts) > PARTS_KEPT:
+            self.parts.popitem(last=False)
+
+    def count_cached(self, parts):
+        """Return the tokens of the leading parts that the upstream has."""
+        cached = 0
+        for part in parts:
+            if part.name not in self.parts:
+                break
+            cached += part.tokens
+        return cached
+
+
+class PoolBalance:
+    """State of one pool: its stations and what its upstreams were measured to do."""
+
+    def __init__(self, traits, data_centre, rng):
+        self.traits = traits
+        self.stations = {}
+        self.rate = PREFILL_RATE
+        self.service_time = SERVICE_TIME
+        self._data_centre = data_centre
+        self._rng = rng
+        self._ring = Ring()
+
+    def put(self, registration):
+        """Take a new or changed upstream."""
+        known = self.stations.get(registration.name)
+        if known is not None:
+            known.registration = registration
+            return
+        self.stations[registration.name] = Station(registration)
+        self._ring = Ring(self.stations)
+
+    def remove(self, name):
+        """Forget an upstream."""
+        if self.stations.pop(name, None) is not None:
+            self._ring = Ring(self.stations)
+
+    def list_open(self, excluded=()):
+        """Return the stations that may take new work."""
+        return [
+            station
+            for name, station in self.stations.items()
+            if not station.registration.leaving and name not in excluded
+        ]
+
+    def choose(self, demand, excluded, now):
+        """Return the best station and its estimate, or None where there is none."""
+        able = self.list_open(excluded)
+        if not able:
+            return None
+        owners = self._find_owners(demand, able)
+        ranked = []
+        for station in able:
+            owned = station.registration.name in owners
+            estimate = self.estimate(station, demand, now, owned)
+            ranked.append((self._weigh(station, estimate, now), len(ranked), estimate))
+        _, index, estimate = min(ranked)
+        return able[index], estimate
+
+    def estimate(self, station, demand, now, owned=False):
+        """Return when the station is expected to answer, failures left aside."""
+        load = station.count(now)
+        if self.traits.engine is None:
+            slots = max(1, station.registration.slots)
+            turns = (load.requests + 1) / slots
+            return Estimate(self.service_time * max(1.0, turns), 0)
+        cached = station.count_cached(demand.parts)
+        if owned and demand.parts:
+            # Its subject's requests all go there, whichever instance they come by.
+            cached = max(cached, demand.prompt_tokens - demand.parts[-1].tokens)
+        prefill = max(0, demand.prompt_tokens - cached)
+        seconds = (load.prefill + prefill) / self.rate
+        seconds += FIRST_STEP + STEP_PER_REQUEST * load.requests
+        if self._is_full(load, demand):
+            seconds += self._wait_for_room(load)
+        return Estimate(seconds, prefill)
+
+    def _is_full(self, load, demand):
+        room = self.traits.engine.memory_tokens * MEMORY_PART
+        tokens = load.tokens + demand.prompt_tokens + demand.output_tokens
+        return load.requests >= self.traits.engine.slots or tokens > room
+
+    def _wait_for_room(self, load):
+        """Return seconds until one of the running requests has ended, roughly."""
+        return 1.0 + load.requests / self.traits.engine.slots
+
+    def _weigh(self, station, estimate, now):
+        far = station.registration.data_centre != self._data_centre
+        seconds = estimate.seconds * self._rng.uniform(1.0, 1.0 + SPREAD)
+        seconds += station.measure_failures(now) * FAILURE_COST
+        return seconds + (FAR_COST if far else 0.0)
+
+    def _find_owners(self, demand, able):
+        if not demand.subject:
+            return ()
+        names = {station.registration.name for station in able}
+        return self._ring.find(demand.subject, OWNERS, names)
+
+    def send(self, station, demand, estimate, now):
+        """Take note that the request goes to the station."""
+        ahead = station.count(now).prefill
+        tokens = demand.prompt_tokens + demand.output_tokens
+        sent = Sent(estimate.prefill, tokens, ahead, now)
+        station.sent[demand.request_id] = sent
+        station.remember(demand.parts[:-1])
+
+    def start(self, station, demand, now):
+        """Take note of the first byte of the answer."""
+        sent = station.sent.get(demand.request_id)
+        if sent is None or sent.started:
+            return
+        station.sent[demand.request_id] = sent._replace(started=True)
+        took = now - sent.at
+        tokens = sent.prefill + sent.ahead
+        if self.traits.engine is None:
+            self.service_time = blend(self.service_time, took)
+        elif tokens >= MEASURED_TOKENS and took > FIRST_STEP:
+            rate = min(FASTEST_RATE, max(SLOWEST_RATE, tokens / (took - FIRST_STEP)))
+            self.rate = blend(self.rate, rate)
+
+    def end(self, station, demand, failed, now):
+        """Take note that the attempt is over."""
+        station.sent.pop(demand.request_id, None)
+        if failed is not None:
+            station.record(failed, now)
--- /dev/null
+++ b/src/chervilwing/beacons.py
@@ -0,0 +1,111 @@
+"""What instances tell each other several times a second, as single datagrams.
+
+Each datagram has totals since its sender's start, so that one that is lost or comes
+twice changes nothing. It carries what a decision needs fresh and may lose: what was
+spent of allowances, what is in flight at each upstream, the time of day.
+"""
+
+import socket
+import time
+
+import msgpack
+from circuits.core import BaseComponent, handler
+
+from .balancing import InFlight
+from .clocks import read_boottime
+from .logs import log_event
+
+FORMAT = 1
+# Seconds between two datagrams to each other instance. At 7 instances that is 24
+# datagrams a second and some 5 KB; load that is half a second old makes all instances
+# choose the same upstream.
+INTERVAL = 0.25
+
+
+READ_SIZE = 65536
+READS = 256
+
+
+class Beacons(BaseComponent):
+    """Send and take datagrams; own their socket."""
+
+    channel = "beacons"
+
+    def __init__(self, cfg, poller, gateway, list_peers, agreed):
+        super().__init__()
+        self._cfg = cfg
+        self._gateway = gateway
+        self._list_peers = list_peers
+        self._agreed = agreed
+        self._incarnation = time.time_ns()
+        self._due = 0.0
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setblocking(False)
+        self._sock.bind(cfg.beacon_listen)
+        self.address = self._sock.getsockname()
+        poller.watch(self, self._sock, reading=True, writing=False)
+
+    @handler("tick", channel="*")
+    def _on_tick(self):
+        now = read_boottime()
+        if now < self._due:
+            return
+        self._due = now + INTERVAL
+        peers = self._list_peers()
+        if not peers:
+            return
+        data = msgpack.packb(self._describe())
+        for address in peers.values():
+            self._send(data, address)
+
+    def _send(self, data, address):
+        try:
+            self._sock.sendto(data, address)
+        except OSError as exc:
+            # The next datagram says the same and more; a full buffer is no failure.
+            log_event("beacon not sent", code=exc.errno or 0)
+
+    def _describe(self):
+        in_flight = {
+            name: list(station.own())
+            for pool in self._gateway.pools.values()
+            for name, station in pool.stations.items()
+            if station.sent
+        }
+        spent = self._gateway.allowances.spent
+        return [
+            FORMAT,
+            self._cfg.name,
+            self._incarnation,
+            time.time(),
+            spent,
+            in_flight,
+        ]
+
+    def handle_ready(self, sock, readable, writable):
+        """Take all datagrams that have come."""
+        for _ in range(READS):
+            try:
+                data = sock.recv(READ_SIZE)
+            except OSError:
+                # Nothing more has come, or an earlier datagram found no listener.
+                return
+            self._take(data)
+
+    def _take(self, data):
+        try:
+            kind, name, incarnation, time_of_day, spent, in_flight = msgpack.unpackb(
+                data
+            )
+        except (ValueError, TypeError, msgpack.UnpackException) as exc:
+            log_event("beacon ignored", error=type(exc).__name__)
+            return
+        if kind != FORMAT:
+            return
+        now = read_boottime()
+        self._gateway.allowances.hear(name, incarnation, spent, now)
+        self._agreed.hear(name, time_of_day, now)
+        for pool in self._gateway.pools.values():
+            for upstream, station in pool.stations.items():
+                load = InFlight(*in_flight.get(upstream, (0, 0, 0)))
+                station.peers[name] = (load, now)
--- a/src/chervilwing/bodies.py
+++ b/src/chervilwing/bodies.py
@@ -33,26 +33,38 @@
 
     def __init__(self, length):
         self._left = math.inf if length is None else length
-        self.excess = False
+        self.rest = b""
 
     @property
     def complete(self):
         """Tell whether the end has come; a closed connection proves none."""
         return self._left == 0
 
+    @property
+    def endless(self):
+        """Tell whether only the end of the connection ends this body."""
+        return self._left == math.inf
+
+    @property
+    def excess(self):
+        """Tell whether bytes came after the end."""
+        return bool(self.rest)
+
     def take(self, data):
         """Return what of these bytes belongs to the body."""
         if len(data) <= self._left:
             self._left -= len(data)
             return data
-        self.excess = True
-        part, self._left = data[: self._left], 0
+        part, self.rest = data[: self._left], self.rest + data[self._left :]
+        self._left = 0
         return part
 
 
 class ChunkedBody:
     """A chunked body; each step reads one piece of its framing."""
 
+    endless = False
+
     def __init__(self):
         self._buffer = bytearray()
         self._left = 0
@@ -64,6 +76,11 @@
         """Tell whether bytes came after the end mark."""
         return self.complete and bool(self._buffer)
 
+    @property
+    def rest(self):
+        """Return the bytes behind the end mark."""
+        return bytes(self._buffer) if self.complete else b""
+
     def take(self, data):
         """Return what of these bytes belongs to the body."""
         if self._step == self._read_size and not self._buffer:
--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -1,5 +1,6 @@
 """HTTP calls to upstreams and to the platform, one call at a time on a connection."""
 
+import re
 import time
 from collections import defaultdict
 from collections.abc import Callable
@@ -7,6 +8,7 @@
 
 from circuits.core import BaseComponent, handler
 
+from .addresses import format_address
 from .exceptions import (
     NOT_RUN,
     UNKNOWN,
@@ -17,7 +19,7 @@
 )
 from .logs import log_failure
 from .models import Address
-from .parsers import ResponseReader
+from .parsers import HttpHead, ResponseReader
 from .sockets import StreamHandlers, Streams
 from .work import FAILED, PATH, SILENT
 
@@ -26,6 +28,13 @@
 IDLE_LIMIT = 8
 # RFC 9110, section 9.3.7: what only asks whether a server is there.
 PROBE = ("OPTIONS", "*")
+# RFC 9110, section 8.6: a length is sent where the method gives the body a meaning.
+BODILESS_METHODS = frozenset({"GET", "HEAD", "DELETE"})
+KEEP_ALIVE = re.compile(r"timeout=([0-9]{1,6})")
+# How much sooner than the upstream we let go of an idle connection, in seconds: a call
+# that crosses the upstream's close can't be told from one that ran. A link's delay and
+# a late timer of the other end, with room.
+IDLE_MARGIN = 0.5
 # How a failed call counts for the scheduler; the first row that fits.
 OUTCOMES = ((PathSilent, PATH), (UpstreamSilent, SILENT), (UpstreamFailed, FAILED))
 
@@ -40,7 +49,11 @@
 
     ``fresh`` asks for a new connection: one kept alive may have been closed by the
     other end already, and what was written to it can't be told from what was run.
-    ``send_before`` is on the monotonic clock: nothing is sent from then on.
+    ``send_before`` is on the monotonic clock: nothing is sent from then on. ``probed``
+    asks a silent address on a new connection before the call fails. ``host`` replaces
+    the address in the Host field. A connection that has been idle for ``idle_limit`` is
+    not taken. ``expects`` tells the answer from one to an earlier call. ``until_close``
+    takes the orderly end of a connection for the end of an answer without a length.
     """
 
     address: Address
@@ -52,6 +65,11 @@
     silence_timeout: float = 5.0
     fresh: bool = False
     send_before: float = float("inf")
+    probed: bool = True
+    host: str = ""
+    idle_limit: float = float("inf")
+    expects: Callable[[HttpHead], bool] | None = None
+    until_close: bool = False
 
 
 class CallHandlers(NamedTuple):
@@ -91,12 +109,19 @@
 def encode_call(call):
     """Return the request as bytes."""
     lines = [f"{call.method} {call.path} HTTP/1.1"]
-    lines.append(f"Host: {call.address.host}:{call.address.port}")
-    lines.append(f"Content-Length: {len(call.body)}")
+    lines.append(f"Host: {call.host or format_address(call.address)}")
+    if call.body or call.method not in BODILESS_METHODS:
+        lines.append(f"Content-Length: {len(call.body)}")
     lines += [f"{name}: {value}" for name, value in call.headers.items()]
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + call.body
 
 
+def read_idle_limit(headers):
+    """Return for how many seconds an upstream keeps an idle connection."""
+    match = KEEP_ALIVE.search(headers.get("keep-alive", ""))
+    return max(0.0, int(match.group(1)) - IDLE_MARGIN) if match else float("inf")
+
+
 class Client(BaseComponent):
     """Own the connections to outside systems.
 
@@ -177,7 +202,8 @@
                 continue
             self.retire(exchange.call.address)
             probing = self._probes.get(exchange.call.address)
-            if exchange.conn.connecting or exchange is probing:
+            unasked = exchange.conn.connecting or not exchange.call.probed
+            if unasked or exchange is probing:
                 self._fail(exchange, "No answer in time.", UpstreamSilent)
             elif probing is None:
                 self._probe(exchange.call, now)
@@ -225,8 +251,14 @@
     def _take_idle(self, call):
         if call.fresh:
             return None
-        idle = self._idle.get(call.address)
-        return idle.pop() if idle else None
+        idle = self._idle.get(call.address, [])
+        now = time.monotonic()
+        while idle:
+            conn = idle.pop()
+            if now - conn.heard < min(call.idle_limit, conn.idle_limit):
+                return conn
+            self._streams.drop(conn)
+        return None
 
     def _opened(self, conn):
         conn.heard = time.monotonic()
@@ -265,6 +297,10 @@
         exchange.handlers.failed(UpstreamFailed("The answer was not handled."))
 
     def _report(self, exchange, body):
+        while self._is_stray(exchange):
+            if not exchange.reader.complete:
+                return
+            body = self._read_next(exchange)
         if not exchange.headed and exchange.reader.head is not None:
             exchange.headed = True
             exchange.handlers.head(*exchange.reader.head)
@@ -274,14 +310,34 @@
             self._release(exchange)
             exchange.handlers.done()
 
+    def _is_stray(self, exchange):
+        """Tell whether the answer that is being read belongs to an earlier call.
+
+        Guard: a faulty upstream answers one request twice, the second time late: just
+        as the next call waits on this connection. Taken for the answer, one caller
+        would read what was meant for another.
+        """
+        head, expects = exchange.reader.head, exchange.call.expects
+        return head is not None and expects is not None and not expects(head)
+
+    def _read_next(self, exchange):
+        rest = exchange.reader.rest
+        exchange.reader = ResponseReader(exchange.call.method)
+        return exchange.reader.feed(rest)
+
     def _release(self, exchange):
         conn = exchange.conn
+        head = exchange.reader.head
         # Guard: an answer can end in the read that paused it; left paused, the
         # connection would never bring the next call's answer.
         self.resume(exchange)
         self._end(exchange)
         idle = self._idle[exchange.call.address]
-        if exchange.reader.reusable and len(idle) < IDLE_LIMIT:
+        # Guard: an answer may come before the request has left whole; another call's
+        # bytes would reach the upstream as the rest of this one's body.
+        reusable = exchange.reader.reusable and not conn.pending
+        if reusable and len(idle) < IDLE_LIMIT:
+            conn.idle_limit = read_idle_limit(head.headers)
             idle.append(conn)
             return
         self._streams.drop(conn)
@@ -293,6 +349,11 @@
         exchange = conn.state
         if exchange is None or exchange.over:
             return
+        endless = exchange.call.until_close and exchange.reader.endless
+        if exc is None and exchange.headed and endless:
+            self._end(exchange)
+            exchange.handlers.done()
+            return
         self._fail(exchange, "The connection broke off.")
 
     def _fail(self, exchange, detail, kind=UpstreamFailed):
--- /dev/null
+++ b/src/chervilwing/coordination.py
@@ -0,0 +1,186 @@
+"""What an instance learns from the platform's store, and its place among the others."""
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from circuits.core import BaseComponent, handler
+
+from .addresses import format_address, parse_address
+from .clocks import read_boottime
+from .exceptions import BadConfiguration
+from .logs import log_event
+from .mirrors import Mirror
+from .tenures import Record, Tenure
+
+# The product's own keys: instances that run, and who holds the duties.
+INSTANCES = "chervilwing/instances/"
+DUTIES = "chervilwing/instances-duties"
+# Seconds that a watch waits. An answered one proves how fresh the configuration is, so
+# it is asked for again well within the bound on keys; a silent connection shows by it.
+CONFIGURATION_WAIT = 1.2
+REGISTRATIONS_WAIT = 2.0
+INSTANCES_WAIT = 4.0
+# Seconds after a failed call in which a vanished registration may only have lapsed.
+DOUBT = 3.0
+# Part of the bound on keys up to which an instance trusts what it knows. The rest is
+# for a watch that heard nothing of a change for a second, and for the way to the
+# upstream.
+TRUSTED_PART = 0.7
+
+
+class Sources(NamedTuple):
+    """Where the platform keeps what the product follows, and how it is read.
+
+    ``read_document`` and ``read_registration`` take a key and bytes, and raise
+    BadConfiguration.
+    """
+
+    documents: str
+    registrations: str
+    read_document: Callable
+    read_registration: Callable
+
+
+class Coordinator(BaseComponent):
+    """Follow configuration, registrations and the other instances."""
+
+    channel = "coordination"
+
+    def __init__(self, cfg, store, sources, gateway):
+        super().__init__()
+        self.cfg = cfg
+        self._store = store
+        self._sources = sources
+        self._gateway = gateway
+        rng = random.Random()
+        value = format_address(cfg.beacon_listen).encode()
+        record = Record(INSTANCES + cfg.name, value)
+        self.tenure = Tenure(DUTIES, record, cfg.name, cfg.lease, rng)
+        self._documents = Mirror(sources.documents, CONFIGURATION_WAIT, rng)
+        self._registrations = Mirror(sources.registrations, REGISTRATIONS_WAIT, rng)
+        self._instances = Mirror(INSTANCES.rstrip("/"), INSTANCES_WAIT, rng)
+        self._followers = (
+            (self._documents, self._take_document),
+            (self._registrations, self._take_registration),
+            (self._instances, self._take_instance),
+        )
+
+    def knows_keys(self):
+        """Tell whether what is known of keys is fresh enough to honour them."""
+        age = read_boottime() - self._documents.as_of
+        return age < self.cfg.revoke_bound * TRUSTED_PART
+
+    @property
+    def ready(self):
+        """Tell whether requests can be served."""
+        known = self._gateway.table is not None and self._registrations.complete
+        return known and self.knows_keys()
+
+    def list_peers(self):
+        """Return name and address of all other instances that are registered."""
+        peers = {}
+        for key, item in self._instances.items.items():
+            name = key.removeprefix(INSTANCES)
+            if key.startswith(INSTANCES) and name != self.cfg.name:
+                peers[name] = parse_address(item.value.decode())
+        return peers
+
+    @property
+    def lease(self):
+        """Return the lease under which this instance's items stand, or None."""
+        return self.tenure.lease
+
+    @handler("tick", channel="*")
+    def _on_tick(self):
+        self.advance()
+
+    def advance(self):
+        """Make the calls that are due."""
+        now = read_boottime()
+        for mirror, take in self._followers:
+            call = mirror.next_call(now)
+            if call is not None:
+                self._store.submit(
+                    call, lambda r, m=mirror, t=take: self._hear(m, t, r)
+                )
+        call = self.tenure.next_call(now)
+        if call is not None:
+            self._store.submit(call, self._hear_tenure)
+        self._gateway.expire_upstreams(self._is_doubtful(now))
+
+    def _hear_tenure(self, reply):
+        now = read_boottime()
+        held = self.tenure.fence(now)
+        self.tenure.receive(reply, now)
+        self._log_tenure(held, now)
+
+    def _log_tenure(self, held, now):
+        fence = self.tenure.fence(now)
+        if fence != held:
+            log_event("duty", fence=fence or 0, lease=self.lease or 0)
+
+    def _hear(self, mirror, take, reply):
+        now = read_boottime()
+        lost = mirror.lost_since
+        changed = mirror.receive(reply, now)
+        self._log_dependency(mirror, lost, reply)
+        for item in changed:
+            take(item, now)
+        self.advance()
+
+    def _log_dependency(self, mirror, lost, reply):
+        if lost is None and mirror.lost_since is not None:
+            log_event("store lost", prefix=mirror.prefix, reason=reply.reason)
+        elif lost is not None and mirror.lost_since is None:
+            away = round(read_boottime() - lost, 3)
+            log_event("store regained", prefix=mirror.prefix, seconds=away)
+
+    def _is_doubtful(self, now):
+        mirror = self._registrations
+        return mirror.lost_since is not None or now - mirror.failed_at < DOUBT
+
+    def _take_document(self, item, now):
+        if item.value is None:
+            return
+        document = self._read(self._sources.read_document, item)
+        if document is not None and self._gateway.configure(document):
+            log_event(
+                "configuration in force",
+                version=document.version,
+                revision=item.revision,
+            )
+
+    def _read(self, read, item):
+        try:
+            return read(item.key, item.value)
+        except BadConfiguration as exc:
+            log_event("item ignored", key=item.key, detail=exc.detail)
+            return None
+
+    def _take_registration(self, item, now):
+        name = item.key.removeprefix(self._sources.registrations)
+        if item.value is None:
+            self._gateway.remove_upstream(name, self._is_doubtful(now))
+            log_event("upstream unregistered", upstream=name, revision=item.revision)
+            return
+        found = self._read(self._sources.read_registration, item)
+        if found is not None:
+            self._gateway.put_upstream(found)
+            log_event(
+                "upstream registered",
+                upstream=name,
+                pool=found.pool,
+                leaving=found.leaving,
+                reclaimable=found.reclaimable,
+                revision=item.revision,
+            )
+
+    def _take_instance(self, item, now):
+        if item.key == DUTIES:
+            held = self.tenure.fence(now)
+            self.tenure.observe(item if item.value is not None else None)
+            self._log_tenure(held, now)
+        known = 1 + len(self.list_peers())
+        self._gateway.allowances.set_known(known)
+        self._gateway.retries.set_instances(known)
--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -238,6 +238,12 @@
     type, title = "no-configuration", "No configuration"
 
 
+class StaleKeys(NotReady):
+    """What is known of the keys is too old: this one may have been taken away."""
+
+    type, title = "stale-keys", "Keys not fresh"
+
+
 class NotHolder(ChervilwingError):
     """This instance doesn't hold the lease of the pool, so it gives no orders."""
 
--- /dev/null
+++ b/src/chervilwing/gateway_settings.py
@@ -0,0 +1,142 @@
+"""Settings of the gateway daemon: flags, variables and a file of the same names."""
+
+import argparse
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from .exceptions import BadSetting
+from .models import Address
+from .routing import CallerLimits, PoolTraits
+from .settings import (
+    LOG_FORMATS,
+    LOG_LEVELS,
+    PREFIX,
+    Field,
+    one_of,
+    parse_count,
+    parse_flag,
+    parse_name,
+    parse_optional_address,
+    parse_seconds,
+)
+
+MS_PER_SECOND = 1000
+# Names the file whose lines are VARIABLE=value; a variable of the environment wins.
+FILE_VARIABLE = PREFIX + "SETTINGS"
+
+
+class GatewaySettings(NamedTuple):
+    """All settings of one gateway; times are in seconds.
+
+    ``revoke_bound`` is how soon after its removal a key must be dead everywhere.
+    ``retry_ratio`` and ``retry_burst`` bound the attempts beyond the first of all
+    instances together.
+    """
+
+    listen: Address
+    ready_listen: Address
+    beacon_listen: Address
+    metrics_listen: Address | None
+    name: str
+    data_centre: str
+    store: Address
+    cloud: Address | None
+    lease: float
+    store_timeout: float
+    drain_timeout: float
+    drain_lag: float
+    revoke_bound: float
+    retry_ratio: float
+    retry_burst: float
+    usage_window: float
+    buys: bool
+    log_format: str
+    log_level: str
+    stats_pairs: int
+    limits: CallerLimits = CallerLimits()
+    plain_pool: PoolTraits = PoolTraits("")
+
+
+def parse_duration(text):
+    """Return seconds from a number of seconds, or of milliseconds ending in ``ms``."""
+    if text.endswith("ms"):
+        return parse_seconds(text.removesuffix("ms")) / MS_PER_SECOND
+    return parse_seconds(text)
+
+
+FIELDS = (
+    Field("listen", parse_optional_address, "", "HOST:PORT", "for callers"),
+    Field("ready_listen", parse_optional_address, "", "HOST:PORT", "for the balancer"),
+    Field(
+        "beacon_listen",
+        parse_optional_address,
+        "",
+        "HOST:PORT",
+        "for other instances' datagrams",
+    ),
+    Field("metrics_listen", parse_optional_address, "", "HOST:PORT", "for figures"),
+    Field("name", parse_name, "", "name", "this instance"),
+    Field("data_centre", parse_name, "local", "name", "where this instance runs"),
+    Field("store", parse_optional_address, "", "HOST:PORT", "the platform's store"),
+    Field("cloud", parse_optional_address, "", "HOST:PORT", "the platform's API"),
+    Field("lease", parse_duration, "3", "s", "after which a dead instance is gone"),
+    Field("store_timeout", parse_duration, "1", "s", "for a call to the store"),
+    Field("drain_timeout", parse_duration, "8", "s", "for a planned stop"),
+    Field("drain_lag", parse_duration, "2.5", "s", "that the balancer may lag"),
+    Field("revoke_bound", parse_duration, "5", "s", "until a removed key is dead"),
+    Field("retry_ratio", parse_seconds, "0.2", "part", "retries to first attempts"),
+    Field("retry_burst", parse_seconds, "50", "count", "retries at once, of all"),
+    Field("usage_window", parse_duration, "5", "s", "length of a window of usage"),
+    Field("buys", parse_flag, "false", "true|false", "order instances by load"),
+    Field("log_format", one_of(LOG_FORMATS), "json", "json|text", "form of log lines"),
+    Field("log_level", one_of(LOG_LEVELS), "info", "|".join(LOG_LEVELS), "least level"),
+    Field(
+        "stats_pairs", parse_count, "64", "count", "customer and route pairs kept apart"
+    ),
+)
+NEEDED = ("listen", "ready_listen", "beacon_listen", "store")
+
+
+class _Parser(argparse.ArgumentParser):
+    def error(self, message):
+        raise BadSetting(message)
+
+
+def read_lines(text):
+    """Return variable to value for lines ``VARIABLE=value``; others are comments."""
+    lines = (line.strip() for line in text.splitlines())
+    pairs = (line.partition("=") for line in lines if not line.startswith("#"))
+    return {name.strip(): value.strip() for name, equals, value in pairs if equals}
+
+
+def read_gateway_settings(argv, environ, text="") -> Result:
+    """Return checked GatewaySettings or a BadSetting that names the fault.
+
+    ``text`` is what stands in the settings file; names it has that are not ours are
+    passed over, so that a newer platform can tell more.
+    """
+    parser = _Parser(prog="chervilwing-gateway", add_help=False, allow_abbrev=False)
+    for field in FIELDS:
+        parser.add_argument(field.flag)
+    try:
+        flags = vars(parser.parse_args(list(argv)))
+        given = {**read_lines(text), **environ}
+        values = {field.name: _read(field, flags, given) for field in FIELDS}
+        for name in NEEDED:
+            if values[name] is None:
+                raise BadSetting(f"--{name.replace('_', '-')}: needed")
+        return Success(GatewaySettings(**values))
+    except BadSetting as exc:
+        return Failure(exc)
+
+
+def _read(field, flags, given):
+    text = flags[field.name]
+    source = field.flag if text is not None else field.variable
+    if text is None:
+        text = given.get(field.variable) or field.default
+    try:
+        return field.parse(text.strip())
+    except ValueError as exc:
+        raise BadSetting(f"{source}: {exc}") from None
--- /dev/null
+++ b/src/chervilwing/gatewayd.py
@@ -0,0 +1,149 @@
+"""The gateway daemon: the wiring of callers, upstreams, store and other instances."""
+
+import signal
+import time
+
+from circuits import Timer
+from circuits.core import BaseComponent, handler
+
+from .beacons import Beacons
+from .clocks import AgreedTime, read_boottime
+from .connections import Client
+from .coordination import Coordinator
+from .daemon import tick
+from .duties import UsageParts, UsageReporter
+from .exceptions import NotFound
+from .gateway import Gateway, Limits
+from .items import EndLease
+from .logs import log_event
+from .pollers import DirectPoller
+from .reports import render_metrics
+from .routing import CallerLimits
+from .web import Web, WebHandlers
+
+# Seconds between ticks: time limits, silent connections and calls that are due are this
+# late at most.
+TICK = 0.05
+
+
+class GatewayDaemon(BaseComponent):
+    """Register the tasks of one gateway.
+
+    ``adapter`` has the platform's store, API, sources and dialect.
+    """
+
+    channel = "gatewayd"
+
+    def __init__(self, cfg, adapter):
+        super().__init__()
+        self.cfg = cfg
+        self._stopping_at = None
+        poller = DirectPoller().register(self)
+        upstreams = Client(poller, "upstreams").register(self)
+        platform = Client(poller, "platform").register(self)
+        self.gateway = Gateway(
+            cfg, poller, upstreams, adapter.dialect, self._knows_keys
+        ).register(self)
+        self._store = adapter.make_store(cfg, platform)
+        self._coordinator = Coordinator(
+            cfg, self._store, adapter.sources, self.gateway
+        ).register(self)
+        agreed = AgreedTime()
+        Beacons(
+            cfg, poller, self.gateway, self._coordinator.list_peers, agreed
+        ).register(self)
+        self._parts = UsageParts(cfg, self._store, agreed).register(self)
+        self.gateway.on_run = self._parts.count
+        if cfg.cloud is not None:
+            cloud = adapter.make_cloud(cfg, platform)
+            UsageReporter(
+                cfg, self._store, cloud, self._coordinator, self._parts
+            ).register(self)
+        self._listen(poller)
+        Timer(TICK, tick(), "*", persist=True).register(self)
+
+    def _knows_keys(self):
+        return self._coordinator.knows_keys()
+
+    def _listen(self, poller):
+        cfg = self.cfg
+        self.gateway.web.listen(cfg.listen)
+        handlers = WebHandlers(self._answer, lambda exchange: None)
+        addresses = [cfg.ready_listen, cfg.metrics_listen]
+        for number, address in enumerate(filter(None, addresses)):
+            limits = Limits(CallerLimits())
+            web = Web(limits, poller, handlers, f"operators-{number}").register(self)
+            web.listen(address)
+
+    def _answer(self, exchange):
+        serve = OWN_PATHS.get(exchange.req.path)
+        if serve is None:
+            exchange.refuse(NotFound())
+            return
+        serve(self, exchange)
+
+    def _answer_ready(self, exchange):
+        ready = self._stopping_at is None and self._coordinator.ready
+        exchange.answer_json(200 if ready else 503, {"ready": ready})
+
+    def _answer_metrics(self, exchange):
+        text = render_metrics(self.gateway.stats)
+        exchange.answer(200, text.encode(), "text/plain")
+
+    @handler("started", channel="*")
+    def _on_started(self, *args):
+        self._parts.counter.begin(time.time())
+        log_event("started", name=self.cfg.name, data_centre=self.cfg.data_centre)
+        self._coordinator.advance()
+
+    @handler("signal", channel="*", priority=1)
+    def _on_signal(self, event, number, stack):
+        event.stop()
+        SIGNALS.get(number, GatewayDaemon._stop)(self)
+
+    def _reload(self):
+        log_event("reload")
+
+    def _stop(self):
+        """Begin a planned stop: not ready at once, and no request is cut."""
+        if self._stopping_at is None:
+            self._stopping_at = read_boottime()
+            self.gateway.web.stopping = True
+            log_event("draining", in_flight=len(self.gateway.relays))
+
+    @handler("tick", channel="*")
+    def _on_tick(self):
+        if self._stopping_at is None:
+            return
+        waited = read_boottime() - self._stopping_at
+        if waited < self.cfg.drain_lag:
+            return
+        if not self.gateway.draining:
+            self.gateway.draining = True
+            self._parts.flush()
+            if self._coordinator.lease is not None:
+                call = EndLease(self._coordinator.lease)
+                self._store.submit(call, lambda reply: None)
+        if not self.gateway.relays and self._parts.is_idle():
+            log_event("stopped", cut=0)
+            self.root.stop()
+
+
+OWN_PATHS = {
+    "/-/ready": GatewayDaemon._answer_ready,
+    "/-/metrics": GatewayDaemon._answer_metrics,
+}
+SIGNALS = {signal.SIGHUP: GatewayDaemon._reload}
+
+
+def read_file(path):
+    """Return the text of the settings file, or an empty one without a path."""
+    if not path:
+        return ""
+    with open(path, encoding="utf-8") as file:
+        return file.read()
+
+
+def run(cfg, adapter):
+    """Run a gateway until it is stopped."""
+    GatewayDaemon(cfg, adapter).run()
--- a/src/chervilwing/parsers.py
+++ b/src/chervilwing/parsers.py
@@ -58,6 +58,11 @@
     keep_alive: bool
     chunks: bool = True
 
+    @property
+    def target(self):
+        """Return path and query as they stood in the request line."""
+        return f"{self.path}?{self.query}" if self.query else self.path
+
 
 class HttpHead(NamedTuple):
     """The status and headers of an answer."""
@@ -145,8 +150,11 @@
     return path, query
 
 
-def read_request_head(head):
-    """Return the request without its body, and the body's length."""
+def read_request_head(head, chunked=False):
+    """Return the request without its body, and the empty reader of its body.
+
+    ``chunked`` takes bodies that come in chunks too.
+    """
     first, *lines = head.split(CRLF)
     match = REQUEST_LINE.match(first)
     if match is None:
@@ -158,23 +166,45 @@
     path, query = split_target(target.decode())
     parser = parse_head(REQUEST, method + b" / HTTP/1.1", lines)
     headers = lower_headers(parser)
-    if "transfer-encoding" in headers:
+    if chunked:
+        body = make_request_body(version, headers)
+    elif "transfer-encoding" in headers:
         raise LengthRequired("Send the body with a Content-Length.")
-    length = read_length(headers) or 0
+    else:
+        body = SizedBody(read_length(headers) or 0)
     keep = is_persistent(version, headers)
     chunks = version == (1, 1)
     method = parser.get_method()
-    return HttpRequest(method, path, query, headers, b"", keep, chunks), length
+    return HttpRequest(method, path, query, headers, b"", keep, chunks), body
+
+
+def make_request_body(version, headers):
+    """Return the reader of a request's body, or raise BadRequest.
+
+    Guard: a request with two framings, or with a coding other than ``chunked``, ends at
+    one place for us and at another for the upstream; a second request hidden in its
+    body would then run without having passed our checks (RFC 9112, section 6.1).
+    """
+    coding = headers.get("transfer-encoding")
+    length = read_length(headers)
+    if coding is None:
+        return SizedBody(length or 0)
+    if length is not None or coding.lower() != "chunked" or version != (1, 1):
+        raise BadRequest("The request's framing is ambiguous.")
+    return ChunkedBody()
 
 
 class RequestReader:
     """Cut a byte stream into requests; keeps what belongs to the next one."""
 
-    def __init__(self, cfg):
+    def __init__(self, cfg, chunked=False):
         self._cfg = cfg
+        self._chunked = chunked
         self._buffer = bytearray()
         self._req = None
-        self._length = 0
+        self._body = None
+        self._parts = []
+        self._size = 0
 
     @property
     def idle(self):
@@ -184,7 +214,7 @@
     @property
     def expects_continue(self):
         """Tell whether the sender keeps its body back until it is asked for it."""
-        if self._req is None or self._buffer or not self._req.chunks:
+        if self._req is None or self._size or self._buffer or not self._req.chunks:
             return False
         return self._req.headers.get("expect", "").lower() == "100-continue"
 
@@ -196,13 +226,25 @@
         """Return the next whole request, or None."""
         if self._req is None and not self._take_head():
             return None
-        if len(self._buffer) < self._length:
+        self._take_body()
+        if not self._body.complete:
             return None
-        body = bytes(self._buffer[: self._length])
-        del self._buffer[: self._length]
         req, self._req = self._req, None
+        self._buffer[:0] = self._body.rest
+        body = b"".join(self._parts)
         return req._replace(body=body)
 
+    def _take_body(self):
+        part = self._body.take(bytes(self._buffer))
+        self._buffer.clear()
+        self._parts.append(part)
+        self._size += len(part)
+        self._check_size(self._size)
+
+    def _check_size(self, size):
+        if size > self._cfg.body_limit:
+            raise TooLarge(f"The body is over {self._cfg.body_limit} bytes.")
+
     def _take_head(self):
         # Some senders put an empty line before a request (RFC 9112, section 2.2).
         while self._buffer.startswith(CRLF):
@@ -215,10 +257,9 @@
             return False
         head = bytes(self._buffer[:end])
         del self._buffer[: end + len(HEAD_END)]
-        req, length = read_request_head(head)
-        if length > self._cfg.body_limit:
-            raise TooLarge(f"The body is over {self._cfg.body_limit} bytes.")
-        self._req, self._length = req, length
+        self._req, self._body = read_request_head(head, self._chunked)
+        self._check_size(read_length(self._req.headers) or 0)
+        self._parts, self._size = [], 0
         return True
 
 
@@ -259,6 +300,16 @@
         """Tell whether the end mark of the answer has come."""
         return self._body is not None and self._body.complete
 
+    @property
+    def endless(self):
+        """Tell whether only the end of the connection ends the answer."""
+        return self._body is not None and self._body.endless
+
+    @property
+    def rest(self):
+        """Return the bytes that came behind a complete answer."""
+        return self._body.rest if self.complete else b""
+
     def feed(self, data):
         """Return the part of the body that these bytes complete.
 
--- /dev/null
+++ b/src/chervilwing/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform: it translates names and forms, and no more."""
--- /dev/null
+++ b/src/chervilwing/platform/__main__.py
@@ -0,0 +1,45 @@
+"""The entry point on the platform: the gateway with this folder's adapter."""
+
+import os
+import sys
+from typing import NamedTuple
+
+from returns.pipeline import is_successful
+
+from ..gateway_settings import FILE_VARIABLE, read_gateway_settings
+from ..gatewayd import read_file, run
+from ..logs import set_up_logs
+from .cloud import PlatformCloud
+from .documents import SOURCES
+from .headers import DIALECT
+from .store import PlatformStore
+
+
+class Adapter(NamedTuple):
+    """What the gateway has to know of the platform."""
+
+    make_store: type = PlatformStore
+    make_cloud: type = PlatformCloud
+    sources: object = SOURCES
+    dialect: object = DIALECT
+
+
+def main():
+    """Run the gateway on the platform: exit 2 on a bad setting."""
+    try:
+        text = read_file(os.environ.get(FILE_VARIABLE, ""))
+    except OSError as exc:
+        print(f"settings file: {exc.strerror}", file=sys.stderr)
+        return 2
+    result = read_gateway_settings(sys.argv[1:], os.environ, text)
+    if not is_successful(result):
+        print(f"settings: {result.failure()}", file=sys.stderr)
+        return 2
+    cfg = result.unwrap()
+    set_up_logs(cfg, sys.stdout)
+    run(cfg, Adapter())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/chervilwing/platform/cloud.py
@@ -0,0 +1,68 @@
+"""The platform's API: usage reports and orders of instances as HTTP."""
+
+import msgspec
+
+from ..connections import Call
+from ..duties import Accepted, Denied, NoAnswer, OrderInstances, Outdated, ReportUsage
+from ..stores import collect
+
+CONNECT_TIMEOUT = 0.5
+SILENCE_TIMEOUT = 2.0
+CONFLICT = 409
+
+
+def encode_usage(req):
+    """Return path and body of a usage report."""
+    return "/usage", {"windowId": req.window, "counts": req.counts}
+
+
+def encode_order(req):
+    """Return path and body of an order; ``desired`` counts one kind alone."""
+    body = {"service": req.pool, "zone": req.data_centre, "desired": req.count}
+    return "/scale", body | ({"spot": True} if req.reclaimable else {})
+
+
+ENCODERS = {ReportUsage: encode_usage, OrderInstances: encode_order}
+
+
+def decode(req, status, body):
+    """Return what an answer says of a call."""
+    if status == 200:
+        return Accepted()
+    if status != CONFLICT:
+        return NoAnswer(status)
+    # An order is refused alike for a higher number seen and for want of instances.
+    text = body.decode("latin-1").lower()
+    if isinstance(req, OrderInstances) and "fence" not in text:
+        return Denied(text)
+    return Outdated(text)
+
+
+class PlatformCloud:
+    """Send the duties' calls to the platform's API."""
+
+    def __init__(self, cfg, client):
+        self.cfg = cfg
+        self._client = client
+
+    def submit(self, req, reply):
+        """Send one call under its holder's name and number."""
+        path, body = ENCODERS[type(req)](req)
+        headers = {
+            "content-type": "application/json",
+            "X-Duty-Holder": req.holder,
+            "X-Fence-Token": str(req.fence),
+        }
+        call = Call(
+            self.cfg.cloud,
+            "POST",
+            path,
+            headers,
+            msgspec.json.encode(body),
+            connect_timeout=CONNECT_TIMEOUT,
+            silence_timeout=SILENCE_TIMEOUT,
+            probed=False,
+            send_before=req.send_before,
+        )
+        answered = collect(lambda status, data: reply(decode(req, status, data)))
+        self._client.submit(call, answered)
--- /dev/null
+++ b/src/chervilwing/platform/documents.py
@@ -0,0 +1,135 @@
+"""The platform's documents, read into the gateway's own."""
+
+import msgspec
+
+from ..addresses import parse_address
+from ..coordination import Sources
+from ..exceptions import BadConfiguration
+from ..registrations import Registration
+from ..routing import (
+    IDEMPOTENT,
+    NON_IDEMPOTENT,
+    STREAM,
+    CallerLimits,
+    EngineTraits,
+    FleetTraits,
+    Organisation,
+    PoolTraits,
+    Route,
+    RoutingDocument,
+    Target,
+)
+
+DOCUMENT_KEY = "op/config"
+REGISTRATIONS = "servers/"
+KINDS = {"safe": IDEMPOTENT, "unsafe": NON_IDEMPOTENT, "streaming": STREAM}
+MS = 1000.0
+# Where the document names none: the longest deadline of the platform's callers.
+DEFAULT_TIME_LIMIT = 30.0
+
+
+def read_route(value):
+    """Return a Route from an entry of ``routes``."""
+    # ``split`` stands in place of ``service`` where a route has several pools.
+    targets = value.get("split") or [{"service": value["service"], "weight": 1}]
+    return Route(
+        name=value["name"],
+        host=value["host"].lower(),
+        prefix=value["prefix"],
+        kind=KINDS[value["kind"]],
+        targets=tuple(Target(item["service"], item["weight"]) for item in targets),
+        attempts=value.get("attempts", 1),
+        time_limit=value.get("timeoutMs", DEFAULT_TIME_LIMIT * MS) / MS,
+        latency_target=value.get("sloMs", MS) / MS,
+        priority=value.get("priority", 0),
+        # ``noAuth``: no key is asked for.
+        open=value.get("noAuth", False),
+        resumable=value.get("canResume", False),
+        pause_limit=value.get("gapTargetMs", MS) / MS,
+    )
+
+
+def read_pool(value):
+    """Return PoolTraits from an entry of ``services``."""
+    engine, scale = value.get("engine"), value.get("scale")
+    return PoolTraits(
+        value["name"],
+        value.get("maxConns", 64),
+        EngineTraits(engine["slots"], engine["kvCapacity"]) if engine else None,
+        read_fleet(scale) if scale else None,
+    )
+
+
+def read_fleet(value):
+    """Return FleetTraits from ``scale``; its bounds hold in each data centre."""
+    return FleetTraits(
+        value["min"],
+        value["max"],
+        value.get("bootTimeS", 0.0),
+        value.get("spotPrice", 1.0),
+        value.get("zonePrices", {}),
+    )
+
+
+def read_organisation(value):
+    """Return an Organisation from an entry of ``tenants``."""
+    by_tokens = value.get("unit") == "tokens"
+    return Organisation(
+        value["name"],
+        tuple(value.get("apiKeys", ())),
+        value.get("priority"),
+        # ``ratePerS`` and ``burst`` count what ``unit`` names, not always requests.
+        value.get("ratePerS") or 0.0,
+        value.get("burst") or 0.0,
+        value.get("plainTokens", 1.0) if by_tokens else 0.0,
+    )
+
+
+def read_limits(value):
+    """Return CallerLimits from ``limits``."""
+    return CallerLimits(
+        value["headerBytes"],
+        value["bodyBytes"],
+        value["headerTimeoutMs"] / MS,
+        value["idleTimeoutMs"] / MS,
+    )
+
+
+def read_document(key, data):
+    """Return the RoutingDocument, or raise BadConfiguration."""
+    if key != DOCUMENT_KEY:
+        return None
+    try:
+        value = msgspec.json.decode(data)
+        return RoutingDocument(
+            value["version"],
+            tuple(map(read_route, value["routes"])),
+            tuple(map(read_pool, value["services"])),
+            tuple(map(read_organisation, value.get("tenants") or ())),
+            read_limits(value["limits"]),
+        )
+    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as exc:
+        raise BadConfiguration(f"{key}: {type(exc).__name__} {exc}") from exc
+
+
+def read_registration(key, data):
+    """Return the Registration, or raise BadConfiguration."""
+    try:
+        value = msgspec.json.decode(data)
+        leaves = value.get("leaves_ms")
+        return Registration(
+            # The id of one start; the address may be another's later.
+            name=key.removeprefix(REGISTRATIONS),
+            pool=value["service"],
+            address=parse_address(value["address"]),
+            data_centre=value["zone"],
+            slots=value.get("slots") or 1,
+            leaving=value.get("state") == "draining",
+            reclaimable=value.get("spot", False),
+            leaves_in=None if leaves is None else leaves / MS,
+        )
+    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as exc:
+        raise BadConfiguration(f"{key}: {type(exc).__name__} {exc}") from exc
+
+
+SOURCES = Sources("op/", REGISTRATIONS, read_document, read_registration)
--- /dev/null
+++ b/src/chervilwing/platform/store.py
@@ -0,0 +1,146 @@
+"""The platform's store: the product's calls on items as HTTP, and the replies."""
+
+import base64
+from urllib.parse import urlencode
+
+import msgspec
+
+from ..connections import Call
+from ..items import (
+    Changes,
+    Commit,
+    Committed,
+    Conflict,
+    EndLease,
+    HistoryGone,
+    Item,
+    KeepLease,
+    Leased,
+    LeaseGone,
+    ListItems,
+    Page,
+    TakeLease,
+    Unavailable,
+    WatchItems,
+)
+from ..stores import collect
+
+JSON_HEADERS = {"content-type": "application/json"}
+CONNECT_TIMEOUT = 0.5
+MS = 1000
+
+
+def encode_list(req):
+    """Return method, path and body that list a prefix."""
+    query = {"prefix": req.prefix}
+    if req.after:
+        query["after"] = req.after
+    return "GET", f"/-/kv-range?{urlencode(query)}", None
+
+
+def encode_watch(req):
+    """Return method, path and body that watch a prefix."""
+    query = {
+        "prefix": req.prefix,
+        "after": req.after,
+        "waitMs": int(req.wait * MS),
+    }
+    return "GET", f"/-/kv-watch?{urlencode(query)}", None
+
+
+def encode_commit(req):
+    """Return method, path and body of a conditional write."""
+    body = {
+        "ifRev": [{"key": key, "revision": revision} for key, revision in req.expect],
+        "puts": [encode_put(*put) for put in req.puts],
+        "delete": list(req.deletes),
+    }
+    return "POST", "/-/kv-txn", body
+
+
+def encode_put(key, value, lease):
+    """Return one write; a lease of 0 is left out."""
+    put = {"key": key, "value": base64.b64encode(value).decode()}
+    return put | ({"lease": lease} if lease else {})
+
+
+ENCODERS = {
+    ListItems: encode_list,
+    WatchItems: encode_watch,
+    Commit: encode_commit,
+    TakeLease: lambda req: ("POST", "/-/kv-lease", {"ttlMs": int(req.ttl * MS)}),
+    KeepLease: lambda req: ("POST", f"/-/kv-keep/{req.lease}", {}),
+    EndLease: lambda req: ("DELETE", f"/-/kv-lease-end/{req.lease}", None),
+}
+
+
+def read_item(value):
+    """Return an Item from an entry of ``items`` or ``events``."""
+    data = None if value.get("deleted") else base64.b64decode(value.get("value") or "")
+    return Item(value["key"], data, value["revision"])
+
+
+def decode_page(req, value):
+    """Return a Page; ``storeRevision`` is the whole store's."""
+    items = tuple(map(read_item, value["items"]))
+    return Page(items, value["storeRevision"], value.get("truncated", False))
+
+
+def decode_changes(req, value):
+    """Return the Changes of a watch."""
+    return Changes(tuple(map(read_item, value["events"])), value["storeRevision"])
+
+
+def decode_leased(req, value):
+    """Return a Leased; a renewal's answer doesn't name the lease."""
+    lease = value.get("lease", getattr(req, "lease", None))
+    return Leased(lease, value["ttlMs"] / MS)
+
+
+DECODERS = {
+    (ListItems, 200): decode_page,
+    (WatchItems, 200): decode_changes,
+    (WatchItems, 410): lambda req, value: HistoryGone(),
+    (Commit, 200): lambda req, value: Committed(value["revision"]),
+    (Commit, 412): lambda req, value: Conflict(),
+    (Commit, 404): lambda req, value: LeaseGone(),
+    (TakeLease, 200): decode_leased,
+    (KeepLease, 200): decode_leased,
+    (KeepLease, 404): lambda req, value: LeaseGone(),
+}
+
+
+def decode(req, status, body):
+    """Return the reply that an answer stands for."""
+    read = DECODERS.get((type(req), status))
+    if read is None:
+        return Unavailable(f"status {status}")
+    try:
+        return read(req, msgspec.json.decode(body) if body else {})
+    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as exc:
+        return Unavailable(f"unreadable: {type(exc).__name__}")
+
+
+class PlatformStore:
+    """Send the product's calls to the store and hand back each reply, once."""
+
+    def __init__(self, cfg, client):
+        self.cfg = cfg
+        self._client = client
+
+    def submit(self, req, reply):
+        """Send one call; a lost answer shows as Unavailable."""
+        method, path, body = ENCODERS[type(req)](req)
+        wait = req.wait if isinstance(req, WatchItems) else 0.0
+        call = Call(
+            self.cfg.store,
+            method,
+            path,
+            JSON_HEADERS,
+            b"" if body is None else msgspec.json.encode(body),
+            connect_timeout=CONNECT_TIMEOUT,
+            silence_timeout=self.cfg.store_timeout + wait,
+            probed=False,
+        )
+        answered = collect(lambda status, data: reply(decode(req, status, data)))
+        self._client.submit(call, answered)
--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -61,6 +61,7 @@
         "lingering",
         "ended",
         "heard",
+        "idle_limit",
         "paused",
         "pending",
         "pending_size",
@@ -79,6 +80,8 @@
         self.ended = False
         # When its owner last had a sign of the other end, on the monotonic clock.
         self.heard = 0.0
+        # Seconds that its other end keeps it open without use.
+        self.idle_limit = float("inf")
         self.paused = False
         self.pending = deque()
         self.pending_size = 0
--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -32,6 +32,17 @@
     left: Callable[["Exchange"], None]
 
 
+class WebOptions(NamedTuple):
+    """How callers of one listener may speak.
+
+    ``chunked`` takes request bodies in chunks. ``half_open`` keeps an exchange whose
+    caller has closed its sending half.
+    """
+
+    chunked: bool = False
+    half_open: bool = True
+
+
 def encode_head(status, headers):
     """Return the status line and header fields of an answer as bytes."""
     # A service may answer a status that has no registered reason.
@@ -66,6 +77,7 @@
         "gone",
         "finished",
         "on_drain",
+        "sized",
         "_web",
         "_conn",
         "tag",
@@ -77,6 +89,7 @@
         self.finished = False
         self.gone = False
         self.on_drain = None
+        self.sized = False
         self.tag = None
         self._web = web
         self._conn = conn
@@ -131,6 +144,22 @@
         self.started = True
         self._write(data)
 
+    def relay_head(self, status, headers, length):
+        """Open an answer with an upstream's own header fields.
+
+        ``length`` is that of the body, or None for one that comes in pieces.
+        """
+        self.sized = length is not None
+        fields = dict(headers)
+        if self.sized:
+            fields["Content-Length"] = str(length)
+        elif self.req.chunks:
+            fields["Transfer-Encoding"] = "chunked"
+        else:
+            self.req = self.req._replace(keep_alive=False)
+        self.started = True
+        self._write(encode_head(status, fields | self._persistence()))
+
     def write(self, data):
         """Send one piece."""
         # An empty chunk would be the end mark.
@@ -139,12 +168,14 @@
 
     def finish(self, data=b""):
         """Send a last piece, if any, and the end mark."""
-        end = CHUNKED_END if self.req.chunks else b""
+        end = CHUNKED_END if self.req.chunks and not self.sized else b""
         self._write((self._frame(data) if data else b"") + end)
         self._end()
 
     def _frame(self, data):
-        return b"%x\r\n%b\r\n" % (len(data), data) if self.req.chunks else data
+        if self.sized or not self.req.chunks:
+            return data
+        return b"%x\r\n%b\r\n" % (len(data), data)
 
     def abort(self):
         """Cut the connection: the missing end mark tells the answer is not whole."""
@@ -171,10 +202,11 @@
 class _Caller:
     """What is known of one caller's connection."""
 
-    __slots__ = ("reader", "exchange", "since", "sent", "advancing")
+    __slots__ = ("reader", "exchange", "since", "sent", "advancing", "idle_limit")
 
-    def __init__(self, reader, now):
+    def __init__(self, reader, now, idle_limit):
         self.reader = reader
+        self.idle_limit = idle_limit
         self.exchange = None
         self.since = now
         self.sent = 0
@@ -186,9 +218,10 @@
 
     channel = "web"
 
-    def __init__(self, cfg, poller, handlers, channel="web"):
+    def __init__(self, cfg, poller, handlers, channel="web", options=None):
         super().__init__(channel=channel)
         self._cfg = cfg
+        self._options = options or WebOptions()
         self._owner = handlers
         self.stopping = False
         self._callers = set()
@@ -225,6 +258,7 @@
         caller = conn.state
         caller.exchange = None
         caller.since = time.monotonic()
+        caller.idle_limit = self._cfg.idle_timeout
         if self.stopping or conn.ended or not keep_alive:
             self._streams.linger(conn)
             return
@@ -255,13 +289,15 @@
             if waited > LINGER_TIMEOUT:
                 self._streams.drop(conn)
         elif conn.pending or caller.reader.idle:
-            if waited > self._cfg.idle_timeout:
+            # A caller counts on the limit that stood when it got its last answer.
+            if waited > max(caller.idle_limit, self._cfg.idle_timeout):
                 self._streams.drop(conn)
         elif waited > self._cfg.head_timeout:
             self._reject(conn, SlowSender())
 
     def _opened(self, conn):
-        conn.state = _Caller(RequestReader(self._cfg), time.monotonic())
+        reader = RequestReader(self._cfg, self._options.chunked)
+        conn.state = _Caller(reader, time.monotonic(), self._cfg.idle_timeout)
         self._callers.add(conn)
 
     def _received(self, conn, data):
@@ -326,7 +362,7 @@
         client passes over brings out the reset (RFC 9110, section 15.2).
         """
         exchange = conn.state.exchange
-        if exchange is None:
+        if exchange is None or not self._options.half_open:
             return False
         if exchange.req.chunks and not exchange.started:
             self._streams.send(conn, CONTINUE)
