Take the duty when its key is missing, and hold it until something newer is known

Cause: a tenure was told of the duty's key only when it changed, and a key that was never written never changes, so nobody took the duty and no usage was reported. Ruled out: losing the lease (renewed 0.9 s apart in the logs) and a refused claim (none sent). Change: the key is observed after each answer of the mirror, with the revision it is as of.

--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -127,6 +127,8 @@
         self._log_dependency(mirror, lost, reply)
         for item in changed:
             take(item, now)
+        if mirror is self._instances and mirror.complete:
+            self._observe_duty(mirror, now)
         self.advance()
 
     def _log_dependency(self, mirror, lost, reply):
@@ -136,6 +138,13 @@
             away = round(read_boottime() - lost, 3)
             log_event("store regained", prefix=mirror.prefix, seconds=away)
 
+    def _observe_duty(self, mirror, now):
+        if mirror.revision is None:
+            return
+        held = self.tenure.fence(now)
+        self.tenure.observe(mirror.items.get(DUTIES), mirror.revision)
+        self._log_tenure(held, now)
+
     def _is_doubtful(self, now):
         mirror = self._registrations
         return mirror.lost_since is not None or now - mirror.failed_at < DOUBT
@@ -177,10 +186,6 @@
             )
 
     def _take_instance(self, item, now):
-        if item.key == DUTIES:
-            held = self.tenure.fence(now)
-            self.tenure.observe(item if item.value is not None else None)
-            self._log_tenure(held, now)
         known = 1 + len(self.list_peers())
         self._gateway.allowances.set_known(known)
         self._gateway.retries.set_instances(known)
--- a/src/chervilwing/mirrors.py
+++ b/src/chervilwing/mirrors.py
@@ -38,7 +38,7 @@
         self.lost_since = None
         self._wait = wait
         self._rng = rng
-        self._revision = None
+        self.revision = None
         self._listing = None
         self._sent = None
         self._due = 0.0
@@ -49,8 +49,8 @@
         if self._sent is not None or now < self._due:
             return None
         self._sent = now
-        if self._revision is not None:
-            return WatchItems(self.prefix, self._revision, self._wait)
+        if self.revision is not None:
+            return WatchItems(self.prefix, self.revision, self._wait)
         if self._listing is None:
             self._listing = (None, {})
         last = max(self._listing[1], default="")
@@ -79,14 +79,14 @@
             if key not in found and item.revision <= revision
         ]
         self._listing = None
-        self._revision = revision
+        self.revision = revision
         self.complete = True
         self.as_of = sent
         return self._apply([*found.values(), *gone])
 
     def _receive_changes(self, changes, sent, now):
         self._recover()
-        self._revision = max(self._revision, changes.revision)
+        self.revision = max(self.revision, changes.revision)
         self.as_of = sent
         return self._apply(changes.items)
 
@@ -106,7 +106,7 @@
         return changed
 
     def _receive_gone(self, reply, sent, now):
-        self._revision = None
+        self.revision = None
         self._listing = None
         return []
 
--- a/src/chervilwing/tenures.py
+++ b/src/chervilwing/tenures.py
@@ -80,8 +80,14 @@
         """Give the duty up after somebody with a higher number was seen."""
         self._fence = 0
 
-    def observe(self, item):
-        """Take what the mirror knows of the duty's key, None if it doesn't exist."""
+    def observe(self, item, revision):
+        """Take the duty's key as of a revision of the store, None if there is none.
+
+        Guard: what is known of the key may be older than our own claim; taken for
+        news, it would end a tenure that has just begun.
+        """
+        if revision < self._fence:
+            return
         if item is None or item.revision != self._fence:
             self._fence = 0
         if item is not None and self.lease is not None:
@@ -140,6 +146,7 @@
 
     def _receive_taken(self, reply, sent, now):
         self._vacant = False
+        self._receive_nothing(reply, sent, now)
 
     def _receive_nothing(self, reply, sent, now):
         self._due = now + RETRY_WAIT * self._rng.uniform(0.5, 1.5)
