Carry most work on reclaimable instances; read the settings again while running

Change: sizing.py plans both kinds a data centre from measured work; from the first notice or refusal on, others suffice alone. Settings are read again on SIGHUP and every 2 s.

--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -23,6 +23,8 @@
 # that it generates for.
 FIRST_STEP = 0.015
 STEP_PER_REQUEST = 0.0006
+# Engine seconds of one generated token in a full batch: 64 tokens in 7.4 ms.
+TOKEN_TIME = 0.000115
 # Seconds that a plain service takes for a call before anything was measured.
 SERVICE_TIME = 0.05
 # Seconds of expected wait that a failure rate of 1 counts for: about as long as a
@@ -135,6 +137,9 @@
         self.stations = {}
         self.rate = PREFILL_RATE
         self.service_time = SERVICE_TIME
+        # Engine seconds of all that was sent, here and by each other instance.
+        self.work = 0.0
+        self.peers_work = {}
         self._data_centre = data_centre
         self._rng = rng
         self._ring = Ring()
@@ -220,6 +225,8 @@
         tokens = demand.prompt_tokens + demand.output_tokens
         sent = Sent(estimate.prefill, tokens, ahead, now)
         station.sent[demand.request_id] = sent
+        self.work += estimate.prefill / self.rate
+        self.work += demand.expected_tokens * TOKEN_TIME
         station.remember(demand.parts[:-1])
 
     def start(self, station, demand, now):
--- a/src/chervilwing/beacons.py
+++ b/src/chervilwing/beacons.py
@@ -72,6 +72,9 @@
             for name, station in pool.stations.items()
             if station.sent
         }
+        work = {
+            name: pool.work for name, pool in self._gateway.pools.items() if pool.work
+        }
         spent = self._gateway.allowances.spent
         return [
             FORMAT,
@@ -80,6 +83,7 @@
             time.time(),
             spent,
             in_flight,
+            work,
         ]
 
     def handle_ready(self, sock, readable, writable):
@@ -94,18 +98,18 @@
 
     def _take(self, data):
         try:
-            kind, name, incarnation, time_of_day, spent, in_flight = msgpack.unpackb(
-                data
-            )
+            kind, *fields = msgpack.unpackb(data)
+            if kind == FORMAT:
+                self._hear(*fields)
         except (ValueError, TypeError, msgpack.UnpackException) as exc:
             log_event("beacon ignored", error=type(exc).__name__)
-            return
-        if kind != FORMAT:
-            return
+
+    def _hear(self, name, incarnation, time_of_day, spent, in_flight, work):
         now = read_boottime()
         self._gateway.allowances.hear(name, incarnation, spent, now)
         self._agreed.hear(name, time_of_day, now)
-        for pool in self._gateway.pools.values():
+        for pool_name, pool in self._gateway.pools.items():
+            pool.peers_work[name] = (incarnation, work.get(pool_name, 0.0))
             for upstream, station in pool.stations.items():
                 load = InFlight(*in_flight.get(upstream, (0, 0, 0)))
                 station.peers[name] = (load, now)
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -77,7 +77,7 @@
         self.table = None
         self.registry = Registry()
         self.allowances = Allowances()
-        self.retries = RetryShares(cfg)
+        self.retries = RetryShares(self)
         self.relays = set()
         self.pools = {}
         self.stats = Stats(cfg.stats_pairs)
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -5,13 +5,14 @@
 
 from circuits import Timer
 from circuits.core import BaseComponent, handler
+from returns.pipeline import is_successful
 
 from .beacons import Beacons
 from .clocks import AgreedTime, read_boottime
 from .connections import Client
 from .coordination import Coordinator
 from .daemon import tick
-from .duties import UsageParts, UsageReporter
+from .duties import Orders, UsageParts, UsageReporter
 from .exceptions import NotFound
 from .gateway import Gateway, Limits
 from .items import EndLease
@@ -24,19 +25,24 @@
 # Seconds between ticks: time limits, silent connections and calls that are due are this
 # late at most.
 TICK = 0.05
+# Seconds between two looks at the settings file, which may change without a signal.
+RELOAD_EVERY = 2.0
 
 
 class GatewayDaemon(BaseComponent):
     """Register the tasks of one gateway.
 
-    ``adapter`` has the platform's store, API, sources and dialect.
+    ``adapter`` has the platform's store, API, sources and dialect; ``read_settings``
+    returns the settings as they stand now.
     """
 
     channel = "gatewayd"
 
-    def __init__(self, cfg, adapter):
+    def __init__(self, cfg, adapter, read_settings):
         super().__init__()
         self.cfg = cfg
+        self._read_settings = read_settings
+        self._reload_at = 0.0
         self._stopping_at = None
         poller = DirectPoller().register(self)
         upstreams = Client(poller, "upstreams").register(self)
@@ -59,6 +65,11 @@
             UsageReporter(
                 cfg, self._store, cloud, self._coordinator, self._parts
             ).register(self)
+        if cfg.cloud is not None and cfg.buys:
+            Orders(cfg, cloud, self._coordinator, self.gateway).register(self)
+        self._owners = [self, self.gateway, self._store, self._coordinator]
+        if cfg.cloud is not None:
+            self._owners.append(cloud)
         self._listen(poller)
         Timer(TICK, tick(), "*", persist=True).register(self)
 
@@ -93,16 +104,37 @@
     @handler("started", channel="*")
     def _on_started(self, *args):
         self._parts.counter.begin(time.time())
+        # Left alone, this signal ends the process; circuits handles only two others.
+        signal.signal(signal.SIGHUP, self._ask_reload)
         log_event("started", name=self.cfg.name, data_centre=self.cfg.data_centre)
         self._coordinator.advance()
 
     @handler("signal", channel="*", priority=1)
     def _on_signal(self, event, number, stack):
         event.stop()
-        SIGNALS.get(number, GatewayDaemon._stop)(self)
+        self._stop()
+
+    def _ask_reload(self, number, frame):
+        self._reload_at = 0.0
 
     def _reload(self):
-        log_event("reload")
+        """Read the settings again; what can't change in a running process stays.
+
+        The addresses of the platform's store and API may move, and the bounds may; an
+        address that is listened on, or a name, can't without a restart.
+        """
+        result = self._read_settings()
+        if not is_successful(result):
+            log_event("settings ignored", detail=str(result.failure()))
+            return
+        found = result.unwrap()
+        changes = {name: getattr(found, name) for name in RELOADED}
+        cfg = self.cfg._replace(**changes)
+        if cfg == self.cfg:
+            return
+        log_event("reload", **{name: str(changes[name]) for name in RELOADED})
+        for owner in self._owners:
+            owner.cfg = cfg
 
     def _stop(self):
         """Begin a planned stop: not ready at once, and no request is cut."""
@@ -113,9 +145,15 @@
 
     @handler("tick", channel="*")
     def _on_tick(self):
-        if self._stopping_at is None:
-            return
-        waited = read_boottime() - self._stopping_at
+        now = read_boottime()
+        if now >= self._reload_at:
+            self._reload_at = now + RELOAD_EVERY
+            self._reload()
+        if self._stopping_at is not None:
+            self._advance_stop(now)
+
+    def _advance_stop(self, now):
+        waited = now - self._stopping_at
         if waited < self.cfg.drain_lag:
             return
         if not self.gateway.draining:
@@ -133,7 +171,8 @@
     "/-/ready": GatewayDaemon._answer_ready,
     "/-/metrics": GatewayDaemon._answer_metrics,
 }
-SIGNALS = {signal.SIGHUP: GatewayDaemon._reload}
+# What may change while a gateway runs.
+RELOADED = ("store", "cloud", "revoke_bound", "retry_ratio", "retry_burst", "log_level")
 
 
 def read_file(path):
@@ -144,6 +183,6 @@
         return file.read()
 
 
-def run(cfg, adapter):
+def run(cfg, adapter, read_settings):
     """Run a gateway until it is stopped."""
-    GatewayDaemon(cfg, adapter).run()
+    GatewayDaemon(cfg, adapter, read_settings).run()
--- a/src/chervilwing/platform/__main__.py
+++ b/src/chervilwing/platform/__main__.py
@@ -5,7 +5,9 @@
 from typing import NamedTuple
 
 from returns.pipeline import is_successful
+from returns.result import Failure
 
+from ..exceptions import BadSetting
 from ..gateway_settings import FILE_VARIABLE, read_gateway_settings
 from ..gatewayd import read_file, run
 from ..logs import set_up_logs
@@ -24,20 +26,24 @@
     dialect: object = DIALECT
 
 
-def main():
-    """Run the gateway on the platform: exit 2 on a bad setting."""
+def read_settings():
+    """Return the settings as the platform's file has them now."""
     try:
         text = read_file(os.environ.get(FILE_VARIABLE, ""))
-    except OSError as exc:
-        print(f"settings file: {exc.strerror}", file=sys.stderr)
-        return 2
-    result = read_gateway_settings(sys.argv[1:], os.environ, text)
+    except (OSError, UnicodeDecodeError) as exc:
+        return Failure(BadSetting(f"settings file: {type(exc).__name__}"))
+    return read_gateway_settings(sys.argv[1:], os.environ, text)
+
+
+def main():
+    """Run the gateway on the platform: exit 2 on a bad setting."""
+    result = read_settings()
     if not is_successful(result):
         print(f"settings: {result.failure()}", file=sys.stderr)
         return 2
     cfg = result.unwrap()
     set_up_logs(cfg, sys.stdout)
-    run(cfg, Adapter())
+    run(cfg, Adapter(), read_settings)
     return 0
 
 
--- a/src/chervilwing/retry_shares.py
+++ b/src/chervilwing/retry_shares.py
@@ -12,8 +12,8 @@
     attempts, and has an equal part of what may be used at once.
     """
 
-    def __init__(self, cfg):
-        self._cfg = cfg
+    def __init__(self, owner):
+        self._owner = owner
         self._instances = 1
         self._levels = {}
 
@@ -23,7 +23,7 @@
 
     def note_first(self, pool):
         """Take note of a first attempt."""
-        earned = self._cfg.retry_ratio * USED_PART
+        earned = self._owner.cfg.retry_ratio * USED_PART
         self._levels[pool] = min(self._capacity(), self._level(pool) + earned)
 
     def may_retry(self, pool):
@@ -38,4 +38,4 @@
         return self._levels.get(pool, self._capacity())
 
     def _capacity(self):
-        return max(1.0, self._cfg.retry_burst * USED_PART / self._instances)
+        return max(1.0, self._owner.cfg.retry_burst * USED_PART / self._instances)
--- /dev/null
+++ b/src/chervilwing/sizing.py
@@ -0,0 +1,167 @@
+"""How many instances of which kind a pool should have in each data centre.
+
+Reclaimable instances cost a fraction of the others, but all of a data centre's leave
+within seconds, and for a while none may be had anywhere. So most of the work is carried
+by reclaimable ones, spread over the data centres, with room for the loss of one; a few
+others stand beside them, and more are ordered for as long as reclaimable ones lack.
+"""
+
+from math import ceil
+from typing import NamedTuple
+
+from .costs import blend
+
+# Engines for each engine second of work a second: bursts of 1.7 times the usual, and
+# half as much again for a data centre of three that leaves.
+HEADROOM = 2.5
+# Below this many engines for the work, callers wait; others are ordered at once.
+SHORT = 1.6
+# Part of the work that the engines which can't be reclaimed carry alone.
+ANCHORED = 0.3
+# Fewest engines in a data centre: one alone is lost with each crash or release.
+PER_CENTRE = 2
+# Fewest engines that may remain while others boot.
+FEWEST = 3
+# Seconds between two measurements of the work, and the weight of one: a burst of three
+# seconds moves the figure by half.
+MEASURE_EVERY = 0.5
+MEASURE_WEIGHT = 0.12
+# Seconds after a refused order until the same is asked for again.
+DENIED_FOR = 3.0
+# Seconds that extra engines are kept once reclaimable ones are back: each change moves
+# work, and their caches are warm.
+KEPT_FOR = 8.0
+# Seconds after boot time until an order that shows no effect is repeated.
+REPEAT_AFTER = 3.0
+
+
+class Kind(NamedTuple):
+    """Instances of one pool that are ordered together."""
+
+    data_centre: str
+    reclaimable: bool
+
+
+class WorkMeter:
+    """Engine seconds of work a second, as all instances send it."""
+
+    def __init__(self):
+        self.rate = 0.0
+        self._totals = {}
+        self._at = None
+
+    def measure(self, totals, now):
+        """Take start and total since then of all instances, by name."""
+        if self._at is not None and now - self._at < MEASURE_EVERY:
+            return
+        gained = sum(
+            max(0.0, total - self._totals[name][1])
+            for name, (start, total) in totals.items()
+            if name in self._totals and self._totals[name][0] == start
+        )
+        if self._at is not None:
+            self.rate = blend(self.rate, gained / (now - self._at), MEASURE_WEIGHT)
+        self._totals, self._at = dict(totals), now
+
+
+class Sizing:
+    """State of one pool's orders; times are seconds on one clock."""
+
+    def __init__(self):
+        self.meter = WorkMeter()
+        self._denied = {}
+        self._short_until = float("-inf")
+        self._scarce_until = float("-inf")
+        self._extra = 0
+        self._ordered = {}
+
+    def forget_orders(self):
+        """Order all anew: another instance may have ordered meanwhile."""
+        self._ordered = {}
+
+    def note_denied(self, kind, now):
+        """Take note that no such instances are to be had."""
+        self._denied[kind] = now + DENIED_FOR
+        if kind.reclaimable:
+            self._scarce_until = now + KEPT_FOR
+        self._ordered.pop(kind, None)
+
+    def note_ordered(self, kind, count, now):
+        """Take note of an order that was taken."""
+        self._ordered[kind] = (count, now)
+
+    def plan(self, fleet, registrations, now):
+        """Return how many instances each Kind should have."""
+        present = count_present(registrations)
+        self._note_notices(registrations, now)
+        centres = sorted(fleet.prices, key=fleet.prices.get)
+        want = max(PER_CENTRE * len(centres), ceil(self.meter.rate * HEADROOM))
+        anchors = max(1, ceil(self.meter.rate * ANCHORED))
+        plan = {Kind(centre, kind): 0 for kind in (False, True) for centre in centres}
+        place(plan, centres, anchors, False, fleet.maximum)
+        place(plan, centres, want, True, fleet.maximum)
+        extra = self._count_extra(present, anchors, now)
+        place(plan, centres, extra, False, fleet.maximum)
+        for centre in centres:
+            bound(plan, centre, fleet)
+        return plan
+
+    def _count_extra(self, present, anchors, now):
+        """Return how many to order in place of reclaimable ones that lack.
+
+        Load: waves that take one data centre's reclaimable instances after the other
+        while no more are to be had. Harm: ordered only once too few are left, others
+        would start when the last are gone. So from the first notice or refusal on, the
+        ones that can't be reclaimed are to suffice alone.
+        """
+        standing = anchors
+        if now >= self._scarce_until:
+            standing += sum(n for kind, n in present.items() if kind.reclaimable)
+        needed = max(FEWEST, ceil(self.meter.rate * SHORT))
+        if standing < needed:
+            self._short_until = now + KEPT_FOR
+            self._extra = needed - standing
+        return self._extra if now < self._short_until else 0
+
+    def _note_notices(self, registrations, now):
+        if any(item.leaving and item.reclaimable for item in registrations):
+            self._scarce_until = now + KEPT_FOR
+
+    def list_due(self, fleet, registrations, now):
+        """Return the orders to give now, as pairs of Kind and count."""
+        present = count_present(registrations)
+        due = []
+        for kind, count in self.plan(fleet, registrations, now).items():
+            if now < self._denied.get(kind, 0.0):
+                continue
+            ordered, at = self._ordered.get(kind, (None, 0.0))
+            late = now - at > fleet.boot + REPEAT_AFTER
+            if count != ordered or (late and present.get(kind, 0) != count):
+                due.append((kind, count))
+        return due
+
+
+def count_present(registrations):
+    """Return how many instances of each Kind stay."""
+    present = {}
+    for item in registrations:
+        if not item.leaving:
+            kind = Kind(item.data_centre, item.reclaimable)
+            present[kind] = present.get(kind, 0) + 1
+    return present
+
+
+def place(plan, centres, count, reclaimable, most):
+    """Spread so many instances of one kind, the cheapest data centres first."""
+    for number in range(count):
+        kind = Kind(centres[number % len(centres)], reclaimable)
+        if plan[kind] < most:
+            plan[kind] += 1
+
+
+def bound(plan, centre, fleet):
+    """Keep both kinds together within what may be ordered in a data centre."""
+    others, reclaimable = Kind(centre, False), Kind(centre, True)
+    plan[reclaimable] = min(plan[reclaimable], fleet.maximum - plan[others])
+    lacking = fleet.minimum - plan[others] - plan[reclaimable]
+    plan[others] += max(0, lacking)
--- /dev/null
+++ b/tests/test_allowances.py
@@ -0,0 +1,89 @@
+"""Allowances over all instances: bursts, partitions, restarts, lowered limits."""
+
+import unittest
+
+from chervilwing.allowances import Allowances
+from chervilwing.exceptions import CustomerLimit
+from chervilwing.routing import Organisation
+
+RATE, BURST = 100.0, 50.0
+INSURER = Organisation("insurer", ("k",), rate=RATE, burst=BURST)
+
+
+def make_allowances(known=1):
+    """Return allowances of one organisation."""
+    allowances = Allowances()
+    allowances.configure([INSURER], 0.0)
+    allowances.set_known(known)
+    return allowances
+
+
+def spend_all(allowances, now, cost=10.0):
+    """Spend until refused and return what was spent."""
+    spent = 0.0
+    while True:
+        try:
+            allowances.charge(INSURER, cost, now)
+        except CustomerLimit as exc:
+            return spent, exc.retry_after
+        spent += cost
+
+
+class TestAllowances(unittest.TestCase):
+    def test_a_burst_and_then_the_rate(self):
+        allowances = make_allowances()
+        self.assertEqual(spend_all(allowances, 0.0)[0], BURST)
+        self.assertEqual(spend_all(allowances, 0.3)[0], 30.0)
+
+    def test_a_refused_caller_is_told_when_there_is_room(self):
+        allowances = make_allowances()
+        _, wait = spend_all(allowances, 0.0, cost=50.0)
+        self.assertAlmostEqual(wait, 0.5, places=1)
+
+    def test_a_request_over_the_burst_is_served_from_a_full_bucket(self):
+        # One large request would otherwise never fit, however long its caller waits.
+        allowances = make_allowances()
+        allowances.charge(INSURER, 4 * BURST, 0.0)
+        with self.assertRaises(CustomerLimit):
+            allowances.charge(INSURER, 1.0, 0.5)
+
+    def test_what_others_spend_is_spent_here(self):
+        allowances = make_allowances(known=2)
+        allowances.hear("two", 1, {"insurer": 500.0}, 0.0)
+        allowances.hear("two", 1, {"insurer": 540.0}, 0.0)
+        self.assertEqual(spend_all(allowances, 0.0)[0], 10.0)
+
+    def test_a_repeated_or_lost_message_changes_nothing(self):
+        allowances = make_allowances(known=2)
+        for at, total in ((0.0, 0.0), (0.01, 10.0), (0.02, 10.0), (0.03, 30.0)):
+            allowances.hear("two", 1, {"insurer": total}, at)
+        self.assertEqual(spend_all(allowances, 0.03)[0], 20.0)
+
+    def test_a_restarted_instance_counts_from_nothing(self):
+        # Its total falls back; taken as it stands the difference would be negative.
+        allowances = make_allowances(known=2)
+        allowances.hear("two", 1, {"insurer": 900.0}, 0.0)
+        allowances.hear("two", 2, {"insurer": 20.0}, 0.0)
+        self.assertEqual(spend_all(allowances, 0.0)[0], 30.0)
+
+    def test_an_instance_that_hears_nobody_keeps_to_its_part(self):
+        # Cut off, both parts of the system would spend the whole rate.
+        allowances = make_allowances(known=5)
+        spend_all(allowances, 0.0)
+        spent = sum(spend_all(allowances, tenth / 10)[0] for tenth in range(1, 101))
+        self.assertAlmostEqual(spent, 10 * RATE / 5, delta=10.0)
+
+    def test_a_lowered_limit_binds_at_once(self):
+        allowances = make_allowances()
+        allowances.configure([INSURER._replace(rate=10.0, burst=5.0)], 0.0)
+        with self.assertRaises(CustomerLimit):
+            for _ in range(2):
+                allowances.charge(INSURER, 5.0, 0.0)
+
+    def test_no_limit_is_no_limit(self):
+        allowances = Allowances()
+        plain = Organisation("plain")
+        allowances.configure([plain], 0.0)
+        for _ in range(1000):
+            allowances.charge(plain, 1e6, 0.0)
+        self.assertEqual(allowances.spent["plain"], 1e9)
--- /dev/null
+++ b/tests/test_sizing.py
@@ -0,0 +1,118 @@
+"""How many instances are ordered: waves, scarcity, refusals, lost and late orders."""
+
+import unittest
+
+from chervilwing.models import Address
+from chervilwing.registrations import Registration
+from chervilwing.routing import FleetTraits
+from chervilwing.sizing import DENIED_FOR, KEPT_FOR, Kind, Sizing, WorkMeter
+
+FLEET = FleetTraits(1, 3, 4.0, 0.22, {"a": 0.85, "b": 1.2, "c": 1.0})
+CENTRES = tuple("abc")
+
+
+def make_members(reclaimable=2, others=(), leaving=()):
+    """Return registrations: some in each data centre, others by data centre."""
+    members = []
+    for centre in CENTRES:
+        for number in range(reclaimable):
+            name = f"{centre}{number}"
+            gone = centre in leaving
+            members.append(make_member(name, centre, True, gone))
+    return members + [make_member(f"o{c}{i}", c, False) for i, c in enumerate(others)]
+
+
+def make_member(name, centre, reclaimable, leaving=False):
+    """Return one registration."""
+    address = Address("10.0.0.1", 80)
+    return Registration(name, "pool", address, centre, 64, leaving, reclaimable)
+
+
+def count(plan, reclaimable):
+    """Return how many instances of one kind a plan has."""
+    return sum(n for kind, n in plan.items() if kind.reclaimable == reclaimable)
+
+
+class TestSizing(unittest.TestCase):
+    def setUp(self):
+        self.sizing = Sizing()
+        self.sizing.meter.rate = 1.3
+
+    def plan(self, members, now=0.0):
+        """Return the plan for these members."""
+        return self.sizing.plan(FLEET, members, now)
+
+    def test_in_calm_most_can_be_reclaimed_and_one_anchor_stands(self):
+        plan = self.plan(make_members(others=("a",)))
+        self.assertEqual(count(plan, True), 6)
+        self.assertEqual([k.data_centre for k, n in plan.items() if n == 1], ["a"])
+
+    def test_a_notice_in_one_place_buys_what_suffices_alone(self):
+        # Data centre by data centre loses its reclaimable instances within ten seconds
+        # and none are to be had: ordered when the last ones leave, the others would
+        # boot while every caller waits.
+        plan = self.plan(make_members(others=("a",), leaving=("b",)))
+        self.assertGreaterEqual(count(plan, False), 3)
+
+    def test_a_refused_order_counts_as_scarcity(self):
+        self.sizing.note_denied(Kind("b", True), 0.0)
+        plan = self.plan(make_members(others=("a",)), 1.0)
+        self.assertGreaterEqual(count(plan, False), 3)
+
+    def test_the_others_go_back_once_the_market_is_calm(self):
+        self.plan(make_members(others=("a",), leaving=("b",)), 0.0)
+        members = make_members(others=("a", "c", "b"))
+        self.assertGreaterEqual(count(self.plan(members, KEPT_FOR - 1), False), 3)
+        self.plan(members, KEPT_FOR + 1)
+        self.assertEqual(count(self.plan(members, 3 * KEPT_FOR), False), 1)
+
+    def test_a_refused_kind_is_left_alone_for_a_while(self):
+        kind = Kind("b", True)
+        self.sizing.note_denied(kind, 0.0)
+        due = dict(self.sizing.list_due(FLEET, make_members(), DENIED_FOR / 2))
+        self.assertNotIn(kind, due)
+        due = dict(self.sizing.list_due(FLEET, make_members(), DENIED_FOR * 1.1))
+        self.assertIn(kind, due)
+
+    def order_all(self, members, now):
+        """Give every order that is due and return them."""
+        due = self.sizing.list_due(FLEET, members, now)
+        for kind, number in due:
+            self.sizing.note_ordered(kind, number, now)
+        return due
+
+    def test_an_order_is_given_once_and_again_only_without_effect(self):
+        # The platform takes an order and carries it out late, or never: repeated at
+        # each look it would cost a call each, never repeated the pool would stay small.
+        members = make_members(others=("a",))
+        self.assertTrue(self.order_all(members, 0.0))
+        self.assertEqual(self.order_all(members, 20.0), [])
+        fewer = [item for item in members if item.data_centre != "b"]
+        self.assertEqual(self.order_all(fewer, 20.0), [(Kind("b", True), 2)])
+        self.assertEqual(self.order_all(fewer, 21.0), [])
+
+    def test_a_new_holder_orders_all_anew(self):
+        members = make_members(others=("a",))
+        self.order_all(members, 0.0)
+        self.sizing.forget_orders()
+        self.assertEqual(len(self.order_all(members, 1.0)), 6)
+
+    def test_no_data_centre_leaves_its_bounds(self):
+        for rate in (0.0, 1.0, 3.0, 9.0, 99.0):
+            self.sizing.meter.rate = rate
+            for now, members in enumerate((make_members(), make_members(0), [])):
+                plan = self.plan(members, now)
+                for centre in CENTRES:
+                    total = plan[Kind(centre, True)] + plan[Kind(centre, False)]
+                    self.assertIn(total, range(FLEET.minimum, FLEET.maximum + 1))
+
+
+class TestWorkMeter(unittest.TestCase):
+    def test_it_adds_up_all_instances_and_passes_over_a_restart(self):
+        meter = WorkMeter()
+        for second in range(60):
+            start = 1 if second < 30 else 2
+            total = second if second < 30 else second - 30
+            totals = {"one": (1, second * 0.5), "two": (start, float(total))}
+            meter.measure(totals, float(second))
+        self.assertAlmostEqual(meter.rate, 1.5, places=1)
