--- a/tests/upstreams.py
+++ b/tests/upstreams.py
@@ -23,6 +23,7 @@
     def __init__(self, script):
         self.script = script
         self.seen = []
+        self.heads = []
         self.conns = []
         self.sent = 0
         self.listener = socket.create_server((HOST, 0), backlog=64)
@@ -48,6 +49,7 @@
                 line, *lines = reader.read_until(b"\r\n\r\n").decode().split("\r\n")
                 method, path, _ = line.split(" ")
                 fields = dict(line.lower().split(": ", 1) for line in lines)
+                self.heads.append((line, fields))
                 body = reader.read_bytes(int(fields.get("content-length", 0)))
                 number = self.conns.index(conn)
                 self.seen.append((number, method, path, body))
@@ -78,12 +80,16 @@
         self.poller = DirectPoller().register(self.root)
         self.root._running = True
 
+    def run_once(self):
+        """Handle what has happened, and let a tick pass."""
+        self.root.fire(tick(), "*")
+        self.root.tick(0.01)
+
     def run_until(self, check):
         """Handle events until the check holds."""
 
         def step():
-            self.root.fire(tick(), "*")
-            self.root.tick(0.01)
+            self.run_once()
             return check()
 
         return poll(step)
