--- a/src/chervilwing/duties.py
+++ b/src/chervilwing/duties.py
@@ -194,7 +194,7 @@
         """Tell whether every count of the past is stored."""
         return not self._busy
 
-    def flush(self):
+    def write_open_window(self):
         """Write the open window too, before the process ends."""
         window = int(self.read_time() // self.counter.length)
         self._write(window)
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -158,7 +158,7 @@
             return
         if not self.gateway.draining:
             self.gateway.draining = True
-            self._parts.flush()
+            self._parts.write_open_window()
             if self._coordinator.lease is not None:
                 call = EndLease(self._coordinator.lease)
                 self._store.submit(call, lambda reply: None)
