Doubt a vanished registration only until shortly after the store's return

Ruled out: a late watch (the deletion was logged 3 ms after its acknowledgement). Change: the doubt ends 1.8 s after the mirror's return, whatever came after.

--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -21,8 +21,6 @@
 CONFIGURATION_WAIT = 1.2
 REGISTRATIONS_WAIT = 2.0
 INSTANCES_WAIT = 4.0
-# Seconds after a failed call in which a vanished registration may only have lapsed.
-DOUBT = 3.0
 # Part of the bound on keys up to which an instance trusts what it knows. The rest is
 # for a watch that heard nothing of a change for a second, and for the way to the
 # upstream.
@@ -107,7 +105,7 @@
         call = self.tenure.next_call(now)
         if call is not None:
             self._store.submit(call, self._hear_tenure)
-        self._gateway.expire_upstreams(self._is_doubtful(now))
+        self._gateway.expire_upstreams()
 
     def _hear_tenure(self, reply):
         now = read_boottime()
@@ -145,10 +143,6 @@
         self.tenure.observe(mirror.items.get(DUTIES), mirror.revision)
         self._log_tenure(held, now)
 
-    def _is_doubtful(self, now):
-        mirror = self._registrations
-        return mirror.lost_since is not None or now - mirror.failed_at < DOUBT
-
     def _take_document(self, item, now):
         if item.value is None:
             return
@@ -170,7 +164,7 @@
     def _take_registration(self, item, now):
         name = item.key.removeprefix(self._sources.registrations)
         if item.value is None:
-            self._gateway.remove_upstream(name, self._is_doubtful(now))
+            self._gateway.remove_upstream(name, self._registrations.regained_at)
             log_event("upstream unregistered", upstream=name, revision=item.revision)
             return
         found = self._read(self._sources.read_registration, item)
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -108,15 +108,17 @@
         self.registry.put(registration)
         self._find_pool(registration.pool).put(registration)
 
-    def remove_upstream(self, name, doubtful):
-        """Take note that an upstream's registration is gone."""
-        self.registry.remove(name, read_boottime(), doubtful)
-        if name not in self.registry.members:
+    def remove_upstream(self, name, regained_at):
+        """Take note that an upstream's registration is gone.
+
+        ``regained_at`` is when the store was last there again.
+        """
+        if self.registry.remove(name, read_boottime(), regained_at):
             self._forget_upstream(name)
 
-    def expire_upstreams(self, doubtful):
+    def expire_upstreams(self):
         """Forget upstreams whose registrations didn't come back."""
-        for name in self.registry.expire(read_boottime(), doubtful):
+        for name in self.registry.expire(read_boottime()):
             self._forget_upstream(name)
 
     def _forget_upstream(self, name):
--- a/src/chervilwing/mirrors.py
+++ b/src/chervilwing/mirrors.py
@@ -26,7 +26,8 @@
 
     ``as_of`` is when the last answered call was sent: whatever was acknowledged before
     is known here. The time of the answer would claim too much, as it may have been
-    long on its way. ``lost_since`` is when calls began to fail, or None.
+    long on its way. ``lost_since`` is when calls began to fail, or None, and
+    ``regained_at`` when they last worked again.
     """
 
     def __init__(self, prefix, wait, rng):
@@ -34,7 +35,7 @@
         self.items = {}
         self.complete = False
         self.as_of = float("-inf")
-        self.failed_at = float("-inf")
+        self.regained_at = float("-inf")
         self.lost_since = None
         self._wait = wait
         self._rng = rng
@@ -67,7 +68,7 @@
         first = page.revision if first is None else first
         found.update((item.key, item) for item in page.items)
         self._listing = (first, found)
-        self._recover()
+        self._recover(now)
         if page.more and page.items:
             return []
         return self._replace(first, found, sent)
@@ -85,7 +86,7 @@
         return self._apply([*found.values(), *gone])
 
     def _receive_changes(self, changes, sent, now):
-        self._recover()
+        self._recover(now)
         self.revision = max(self.revision, changes.revision)
         self.as_of = sent
         return self._apply(changes.items)
@@ -111,14 +112,15 @@
         return []
 
     def _receive_nothing(self, reply, sent, now):
-        self.failed_at = now
         if self.lost_since is None:
             self.lost_since = now
         self._due = now + self._backoff * self._rng.uniform(0.5, 1.5)
         self._backoff = min(LONGEST_WAIT, self._backoff * 2)
         return []
 
-    def _recover(self):
+    def _recover(self, now):
+        if self.lost_since is not None:
+            self.regained_at = now
         self.lost_since = None
         self._backoff = FIRST_WAIT
 
--- a/src/chervilwing/registrations.py
+++ b/src/chervilwing/registrations.py
@@ -4,9 +4,10 @@
 
 from .models import Address
 
-# Entries that lapsed with the store are written anew within about two seconds of its
-# return (the platform's promise); what is missing then is gone.
-LAPSE_GRACE = 2.0
+# Seconds: entries that lapsed with the store are written anew within about two of its
+# return, as the platform promises; what is missing then is gone. A little less, since
+# nothing may be sent to one that left at the store's return two seconds later.
+LAPSE_GRACE = 1.8
 
 
 class Registration(NamedTuple):
@@ -38,30 +39,25 @@
         self._missing.pop(registration.name, None)
         self.members[registration.name] = registration
 
-    def remove(self, name, now, doubtful):
-        """Take note that an entry is gone.
+    def remove(self, name, now, regained_at):
+        """Take note that an entry is gone; tell whether its upstream is gone now.
 
         Guard: while the store is away, entries lapse although their upstreams live and
-        can't renew them. ``doubtful`` keeps such an upstream for LAPSE_GRACE; dropped
-        at once, a whole pool would vanish at the store's return and every caller be
-        refused.
+        can't renew them. Until LAPSE_GRACE after its return such an upstream is kept;
+        dropped at once, a whole pool would vanish and every caller be refused. Kept
+        longer, one that really left would still get work when it ends.
         """
         if name not in self.members:
-            return
-        if doubtful:
-            self._missing.setdefault(name, now + LAPSE_GRACE)
-            return
+            return False
+        if now < regained_at + LAPSE_GRACE:
+            self._missing[name] = regained_at + LAPSE_GRACE
+            return False
         self._missing.pop(name, None)
         del self.members[name]
+        return True
 
-    def expire(self, now, doubtful):
-        """Drop what stayed away and return the names.
-
-        While the store can't be asked nothing is dropped: its upstreams can't renew.
-        """
-        if doubtful:
-            self._missing = dict.fromkeys(self._missing, now + LAPSE_GRACE)
-            return []
+    def expire(self, now):
+        """Drop what stayed away and return the names."""
         gone = [name for name, due in self._missing.items() if now >= due]
         for name in gone:
             del self._missing[name]
