End connections whose path has gone silent after 2 s

Ruled out: a limit on an upstream's silence (a slow upstream is no reason to end an answer). Change: TCP_USER_TIMEOUT and keep-alive probes on every dialled connection.

--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -28,6 +28,11 @@
 # engine would write a whole answer to a caller that reads nothing. Callers are at most
 # three milliseconds away: 128 KB in flight still carry 40 MB a second.
 KERNEL_BUFFER = 131072
+# Until a silent path counts as dead: three lost packets in a row are sent again within
+# 1.4 s, and callers of quick requests leave after four seconds.
+PATH_TIMEOUT_MS = 2000
+PROBE_SECONDS = 1
+PROBES = 2
 WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINPROGRESS)
 
 
@@ -39,6 +44,21 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER)
 
 
+def watch_path(sock):
+    """Let the system end a connection whose path has gone silent.
+
+    Guard: behind a network partition nothing is answered and nothing is reset, so that
+    a call waits out its caller's whole deadline. Bytes that aren't acknowledged, or
+    probes of a quiet connection, end it within PATH_TIMEOUT; an upstream that is slow
+    still acknowledges.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, PATH_TIMEOUT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+
+
 class StreamHandlers(NamedTuple):
     """What the owner of the sockets does when one of them changes."""
 
@@ -136,6 +156,7 @@
         except OSError as exc:
             return self._fail_later(address, exc)
         prepare(sock)
+        watch_path(sock)
         conn = Conn(sock, address, connecting=True)
         self._conns[sock] = conn
         sock.connect_ex(address)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,11 +1,17 @@
-"""Tests of sockets when the process has no file descriptor left."""
+"""Tests of sockets: no file descriptor is left, a path has gone silent."""
 
 import errno
+import socket
 import unittest
 from unittest import mock
 
 from chervilwing.models import Address
-from chervilwing.sockets import StreamHandlers, Streams
+from chervilwing.sockets import (
+    PATH_TIMEOUT_MS,
+    StreamHandlers,
+    Streams,
+    watch_path,
+)
 
 NO_FILES = OSError(errno.EMFILE, "too many open files")
 
@@ -48,3 +54,15 @@
         self.assertEqual((self.closed, conn.sent), ([], 0))
         self.streams._on_tick()
         self.assertEqual(self.closed, [(conn, NO_FILES)])
+
+
+class TestPaths(unittest.TestCase):
+    def test_dialled_connections_end_when_their_path_is_silent(self):
+        # A partition swallows what is sent and resets nothing: without these options
+        # the call would wait for its caller's whole deadline.
+        with socket.socket() as sock:
+            watch_path(sock)
+            get = lambda name: sock.getsockopt(socket.IPPROTO_TCP, name)
+            self.assertEqual(get(socket.TCP_USER_TIMEOUT), PATH_TIMEOUT_MS)
+            self.assertEqual(get(socket.TCP_KEEPIDLE), 1)
+            self.assertTrue(sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
