Play real gateways against a stand-in of the platform

Change: tests/fakes/platform.py (items, leases, watches, reports, orders, faults) and tests/test_platform.py: keys taken away while the store turns a machine away, is silent or drops its history; a report decided by a holder that dies; a frozen holder; planned stops. Found: with windows shorter than the collecting lag nothing was ever reported (red first): the first window moved on with the clock; now it is the newest that may be collected.

--- a/src/chervilwing/beacons.py
+++ b/src/chervilwing/beacons.py
@@ -14,6 +14,7 @@
 from .balancing import InFlight
 from .clocks import read_boottime
 from .logs import log_event
+from .models import Address
 
 FORMAT = 1
 # Seconds between two datagrams to each other instance. At 7 instances that is 24
@@ -42,7 +43,7 @@
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setblocking(False)
         self._sock.bind(cfg.beacon_listen)
-        self.address = self._sock.getsockname()
+        self.address = Address(*self._sock.getsockname())
         poller.watch(self, self._sock, reading=True, writing=False)
 
     @handler("tick", channel="*")
--- a/src/chervilwing/duties.py
+++ b/src/chervilwing/duties.py
@@ -297,7 +297,7 @@
 
     def _next_window(self):
         length = self._parts.counter.length
-        newest = int(self._parts.read_time() // length) - 1
+        newest = int((self._parts.read_time() - COLLECT_LAG) // length) - 1
         if self._report is None:
             return newest
         return max(self._report.window + 1, newest - LATE_WINDOWS)
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -50,14 +50,14 @@
         self.gateway = Gateway(
             cfg, poller, upstreams, adapter.dialect, self._knows_keys
         ).register(self)
+        agreed = AgreedTime()
+        beacons = Beacons(cfg, poller, self.gateway, self._list_peers, agreed)
+        beacons.register(self)
+        cfg = self.cfg = cfg._replace(beacon_listen=beacons.address)
         self._store = adapter.make_store(cfg, platform)
         self._coordinator = Coordinator(
             cfg, self._store, adapter.sources, self.gateway
         ).register(self)
-        agreed = AgreedTime()
-        Beacons(
-            cfg, poller, self.gateway, self._coordinator.list_peers, agreed
-        ).register(self)
         self._parts = UsageParts(cfg, self._store, agreed).register(self)
         self.gateway.on_run = self._parts.count
         if cfg.cloud is not None:
@@ -73,18 +73,23 @@
         self._listen(poller)
         Timer(TICK, tick(), "*", persist=True).register(self)
 
+    def _list_peers(self):
+        return self._coordinator.list_peers()
+
     def _knows_keys(self):
         return self._coordinator.knows_keys()
 
     def _listen(self, poller):
         cfg = self.cfg
-        self.gateway.web.listen(cfg.listen)
+        self._ports = {"port": self.gateway.web.listen(cfg.listen).port}
         handlers = WebHandlers(self._answer, lambda exchange: None)
-        addresses = [cfg.ready_listen, cfg.metrics_listen]
-        for number, address in enumerate(filter(None, addresses)):
+        ready, metrics = cfg.ready_listen, cfg.metrics_listen
+        for name, address in (("ready", ready), ("metrics", metrics)):
+            if address is None:
+                continue
             limits = Limits(CallerLimits())
-            web = Web(limits, poller, handlers, f"operators-{number}").register(self)
-            web.listen(address)
+            web = Web(limits, poller, handlers, f"{name}-callers").register(self)
+            self._ports[f"{name}_port"] = web.listen(address).port
 
     def _answer(self, exchange):
         serve = OWN_PATHS.get(exchange.req.path)
@@ -106,7 +111,12 @@
         self._parts.counter.begin(time.time())
         # Left alone, this signal ends the process; circuits handles only two others.
         signal.signal(signal.SIGHUP, self._ask_reload)
-        log_event("started", name=self.cfg.name, data_centre=self.cfg.data_centre)
+        log_event(
+            "started",
+            name=self.cfg.name,
+            data_centre=self.cfg.data_centre,
+            **self._ports,
+        )
         self._coordinator.advance()
 
     @handler("signal", channel="*", priority=1)
--- a/tests/fakes/__main__.py
+++ b/tests/fakes/__main__.py
@@ -5,7 +5,7 @@
 import json
 import signal
 
-from tests.fakes import cloud, engine, relay, service, store
+from tests.fakes import cloud, engine, platform, relay, service, store
 from tests.fakes.control import listen
 
 ROLES = {
@@ -13,6 +13,7 @@
     "service": service,
     "store": store,
     "cloud": cloud,
+    "platform": platform,
     "relay": relay,
 }
 
--- /dev/null
+++ b/tests/fakes/platform.py
@@ -0,0 +1,263 @@
+"""A stand-in of the users' platform: its store of items, usage reports and orders.
+
+It speaks what the platform's pages say: items under one counter of revisions, watches,
+leases, conditional writes, and calls under a fencing number.
+"""
+
+import asyncio
+import base64
+import itertools
+import time
+
+from tests.fakes.control import (
+    Switches,
+    build_app,
+    drop,
+    read_json,
+    reply,
+    wait_until,
+)
+
+UNAVAILABLE = 503
+TICK = 0.05
+
+
+def add_options(parser):
+    """Add the flags of this role."""
+
+
+class Platform:
+    """Items, leases, and what the duties' calls said."""
+
+    def __init__(self, options):
+        # ``deaf`` watches wait and hear nothing; ``lose_writes`` carries that many
+        # writes out and never answers; ``turn_away`` refuses all but the operator.
+        self.switches = Switches(
+            turn_away=False,
+            silent=False,
+            lose_writes=0,
+            deaf=False,
+            refuse_orders=False,
+        )
+        self.switches.react = self.wake
+        self.items = {}
+        self.history = []
+        self.forgotten = 0
+        self.revision = 1
+        self.leases = {}
+        self.ttls = {}
+        self.lease_ids = itertools.count(100)
+        self.changed = asyncio.Event()
+        self.calls = []
+        self.fences = {}
+
+    async def wake(self):
+        """Let every watch look again."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def put(self, key, value, lease=0):
+        """Write an item at the store's present revision."""
+        item = {"key": key, "value": value, "revision": self.revision, "lease": lease}
+        created = self.items.get(key, item).get("createRev", self.revision)
+        self.items[key] = item | {"createRev": created}
+        self.history.append(self.items[key])
+
+    def delete(self, key):
+        """Delete an item at the store's present revision."""
+        if self.items.pop(key, None) is not None:
+            event = {"key": key, "revision": self.revision, "deleted": True}
+            self.history.append(event)
+
+    async def write(self, puts, deletes):
+        """Write and delete at one new revision."""
+        self.revision += 1
+        for put in puts:
+            self.put(put["key"], put["value"], put.get("lease", 0))
+        for key in deletes:
+            self.delete(key)
+        await self.wake()
+
+    async def end_leases(self):
+        """End what has run out, and the items that stand under it."""
+        now = time.monotonic()
+        for lease in [name for name, until in self.leases.items() if until <= now]:
+            await self.end_lease(lease)
+
+    async def end_lease(self, lease):
+        """End one lease."""
+        self.leases.pop(lease, None)
+        keys = [key for key, item in self.items.items() if item["lease"] == lease]
+        if keys:
+            await self.write([], keys)
+
+    def select(self, prefix, after):
+        """Return the events under a prefix that are later than a revision."""
+        return [
+            event
+            for event in self.history
+            if event["key"].startswith(prefix) and event["revision"] > after
+        ]
+
+
+def needs_store(handler):
+    """Strike the faults of the store's calls before they are carried out."""
+
+    async def served(state, request):
+        await state.end_leases()
+        if state.switches["silent"]:
+            await asyncio.Event().wait()
+        if state.switches["turn_away"]:
+            return reply({"error": "busy"}, UNAVAILABLE)
+        return await handler(state, request)
+
+    return served
+
+
+@needs_store
+async def list_items(state, request):
+    """List the items under a prefix."""
+    prefix, after = request.query["prefix"], request.query.get("after", "")
+    items = [state.items[key] for key in sorted(state.items) if key.startswith(prefix)]
+    items = [item for item in items if item["key"] > after]
+    value = {"items": items, "truncated": False, "storeRevision": state.revision}
+    return reply(value)
+
+
+@needs_store
+async def watch(state, request):
+    """Wait for events under a prefix."""
+    after, prefix = int(request.query["after"]), request.query["prefix"]
+    if after < state.forgotten:
+        return reply({"error": "compacted"}, 410)
+
+    def find():
+        return None if state.switches["deaf"] else state.select(prefix, after)
+
+    wait = int(request.query["waitMs"]) / 1000
+    events = await wait_until(find, lambda: state.changed, wait) or []
+    if state.switches["turn_away"] or after < state.forgotten:
+        await drop(request)
+    return reply({"events": events, "storeRevision": state.revision})
+
+
+@needs_store
+async def commit(state, request):
+    """Write under conditions."""
+    body = await read_json(request)
+    checks = {row["key"]: row["revision"] for row in body.get("ifRev", ())}
+    found = {key: state.items.get(key, {}).get("revision", 0) for key in checks}
+    if found != checks:
+        return reply({"items": []}, 412)
+    leases = {put.get("lease", 0) for put in body.get("puts", ())} - {0}
+    if leases - set(state.leases):
+        return reply({"error": "no such lease"}, 404)
+    await state.write(body.get("puts", ()), body.get("delete", ()))
+    if state.switches.take("lose_writes"):
+        await drop(request)
+    return reply({"revision": state.revision})
+
+
+@needs_store
+async def grant(state, request):
+    """Give a lease."""
+    ttl = (await read_json(request))["ttlMs"]
+    lease = next(state.lease_ids)
+    state.leases[lease] = time.monotonic() + ttl / 1000
+    state.ttls[lease] = ttl
+    return reply({"lease": lease, "ttlMs": ttl})
+
+
+@needs_store
+async def keep(state, request):
+    """Renew a lease."""
+    lease = int(request.match_info["lease"])
+    if lease not in state.leases:
+        return reply({"error": "ended"}, 404)
+    ttl = state.ttls[lease]
+    state.leases[lease] = time.monotonic() + ttl / 1000
+    return reply({"ttlMs": ttl})
+
+
+@needs_store
+async def end(state, request):
+    """End a lease."""
+    await state.end_lease(int(request.match_info["lease"]))
+    return reply({})
+
+
+async def operate(state, request):
+    """Write or delete as the operator and the upstreams do, whatever the faults."""
+    body = await read_json(request)
+    puts = [
+        {"key": key, "value": base64.b64encode(value.encode()).decode()}
+        for key, value in body.get("puts", {}).items()
+    ]
+    await state.write(puts, body.get("delete", ()))
+    return reply({"revision": state.revision})
+
+
+async def forget(state, request):
+    """Drop the history and cut the watches."""
+    state.forgotten = state.revision
+    state.history.clear()
+    await state.wake()
+    return reply({})
+
+
+async def call_duty(state, request):
+    """Take a usage report or an order, if its fencing number is new enough."""
+    body = await read_json(request)
+    fence = int(request.headers["X-Fence-Token"])
+    subject = (request.path, body.get("service"), body.get("zone"))
+    holder = request.headers["X-Duty-Holder"]
+    state.calls.append([request.path, holder, fence, body])
+    if fence < state.fences.get(subject, 0):
+        return reply({"error": "a higher fence was seen"}, 409)
+    state.fences[subject] = fence
+    if (
+        request.path == "/scale"
+        and state.switches["refuse_orders"]
+        and body.get("spot")
+    ):
+        return reply({"error": "none of that kind is to be had"}, 409)
+    return reply({})
+
+
+def make_record(state):
+    """Show what the stand-in saw."""
+    keys = {key: item["revision"] for key, item in state.items.items()}
+    return {"keys": keys, "calls": state.calls, "revision": state.revision}
+
+
+async def build(options):
+    """Make the application."""
+    state = Platform(options)
+    routes = (
+        ("GET", "/-/kv-range", list_items),
+        ("GET", "/-/kv-watch", watch),
+        ("POST", "/-/kv-txn", commit),
+        ("POST", "/-/kv-lease", grant),
+        ("POST", "/-/kv-keep/{lease}", keep),
+        ("DELETE", "/-/kv-lease-end/{lease}", end),
+        ("POST", "/-/operate", operate),
+        ("POST", "/-/forget", forget),
+        ("POST", "/usage", call_duty),
+        ("POST", "/scale", call_duty),
+    )
+    app = build_app(state, make_record, routes)
+    app.cleanup_ctx.append(lambda app: run_leases(state))
+    return app, None
+
+
+async def run_leases(state):
+    """End leases in time while the application runs."""
+
+    async def tick():
+        while True:
+            await asyncio.sleep(TICK)
+            await state.end_leases()
+
+    task = asyncio.create_task(tick())
+    yield
+    task.cancel()
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,263 @@
+"""Real gateways on a stand-in of the platform: outages, lost writes, frozen holders."""
+
+import json
+import signal
+import sys
+import unittest
+from contextlib import suppress
+
+from tests.fakes.control import HOST
+from tests.procs import Caller, Processes, call_json, poll
+from tests.upstreams import RawUpstream
+
+DOCUMENT = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "a.example",
+            "prefix": "/page/",
+            "kind": "safe",
+            "timeoutMs": 2000,
+            "sloMs": 200,
+            "priority": 1,
+            "service": "web",
+            "attempts": 2,
+            "noAuth": False,
+        }
+    ],
+    "services": [{"name": "web", "healthPath": "/health", "maxConns": 100}],
+    "limits": {
+        "headerBytes": 16384,
+        "bodyBytes": 65536,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+    "tenants": [{"name": "insurer", "apiKeys": ["k1", "k2"]}],
+}
+ENGINES = {
+    "name": "engines",
+    "healthPath": "/health",
+    "maxConns": 100,
+    "engine": {"slots": 64, "kvCapacity": 100000},
+    "scale": {"min": 1, "max": 3, "bootTimeS": 4, "zonePrices": {"a": 1.0, "b": 2.0}},
+}
+
+
+def answer(conn, method, path, body):
+    """Answer as the upstream itself."""
+    head = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\n"
+    conn.sendall(head + b"ok")
+
+
+class PlatformCase(unittest.TestCase):
+    def setUp(self):
+        self.procs = Processes()
+        self.addCleanup(self.procs.close)
+        self.platform = self.procs.start_fake("platform")
+        self.upstream = RawUpstream(answer)
+        self.addCleanup(self.upstream.close)
+        self.document = json.loads(json.dumps(DOCUMENT))
+        self.register("i-1")
+        self.publish()
+
+    def operate(self, puts=None, deletes=()):
+        """Write as the operator and the upstreams do."""
+        puts = {key: json.dumps(value) for key, value in (puts or {}).items()}
+        self.platform.post("/-/operate", {"puts": puts, "delete": list(deletes)})
+
+    def publish(self):
+        """Put the document in force."""
+        self.operate({"op/config": self.document})
+
+    def register(self, name, **changes):
+        """Register the upstream under a name."""
+        address = f"{HOST}:{self.upstream.port}"
+        value = {"service": "web", "address": address, "zone": "a", "slots": 4}
+        self.operate({f"servers/{name}": value | {"state": "ready"} | changes})
+
+    def start(self, name, **options):
+        """Start a gateway and wait until it is ready."""
+        flags = {
+            "listen": f"{HOST}:0",
+            "ready-listen": f"{HOST}:0",
+            "beacon-listen": f"{HOST}:0",
+            "store": f"{HOST}:{self.platform.port}",
+            "cloud": f"{HOST}:{self.platform.port}",
+            "name": name,
+            "data-centre": "a",
+            "lease": "1",
+            "usage-window": "1",
+            **{key.replace("_", "-"): value for key, value in options.items()},
+        }
+        argv = [f"--{key}={value}" for key, value in flags.items()]
+        program = [sys.executable, "-m", "chervilwing.platform", *argv]
+        gateway = self.procs.start(program)
+        poll(lambda: self.is_ready(gateway))
+        return gateway
+
+    def is_ready(self, gateway):
+        """Tell whether a gateway says that it is ready."""
+        with suppress(OSError):
+            status, _ = call_json(gateway.info["ready_port"], "GET", "/-/ready")
+            return status == 200
+
+    def call(self, gateway, path="/page/x", key="k1"):
+        """Make one call and return its status."""
+        head = (
+            f"GET {path} HTTP/1.1\r\nHost: a.example\r\n"
+            f"Authorization: Bearer {key}\r\n\r\n"
+        )
+        with Caller(gateway.port) as caller:
+            caller.send(head.encode())
+            return caller.read_answer().status
+
+    def list_calls(self, path):
+        """Return holder, fence and body of the duties' calls."""
+        calls = self.platform.record()["calls"]
+        return [tuple(rest) for found, *rest in calls if found == path]
+
+
+class TestConfiguration(PlatformCase):
+    def test_a_change_is_in_force_and_a_key_taken_away_is_dead(self):
+        gateway = self.start("one")
+        self.assertEqual(self.call(gateway), 200)
+        self.assertEqual(self.call(gateway, key="k9"), 401)
+        self.document["version"] = 7
+        self.document["tenants"][0]["apiKeys"] = ["k2"]
+        self.publish()
+        poll(lambda: self.call(gateway) == 401)
+        self.assertEqual(self.call(gateway, key="k2"), 200)
+
+    def test_a_key_is_not_honoured_longer_than_its_removal_may_stay_unknown(self):
+        # The store turns this machine away while an operator takes a key away: nobody
+        # tells the gateway, and it would honour the key until the store returns.
+        gateway = self.start("one", revoke_bound="2")
+        self.platform.fault(turn_away=True)
+        self.document["version"] = 7
+        self.document["tenants"][0]["apiKeys"] = ["k2"]
+        self.publish()
+        poll(lambda: self.call(gateway) == 503)
+        self.assertFalse(self.is_ready(gateway))
+        self.platform.fault(turn_away=False)
+        poll(lambda: self.call(gateway) == 401)
+
+    def test_a_change_in_a_dropped_history_is_found(self):
+        # The store's watches hear nothing while a key is taken away; then the history
+        # is gone and the watches are cut.
+        gateway = self.start("one")
+        self.platform.fault(deaf=True)
+        self.document["version"] = 7
+        self.document["tenants"][0]["apiKeys"] = ["k2"]
+        self.publish()
+        self.platform.fault(deaf=False)
+        self.platform.post("/-/forget", {})
+        poll(lambda: self.call(gateway) == 401)
+
+    def test_a_silent_store_is_left_and_found_again(self):
+        gateway = self.start("one", revoke_bound="2")
+        self.platform.fault(silent=True)
+        poll(lambda: self.call(gateway) == 503, 15)
+        self.platform.fault(silent=False)
+        poll(lambda: self.call(gateway) == 200, 15)
+
+
+class TestUpstreams(PlatformCase):
+    def test_a_leaving_upstream_gets_no_more_and_its_successor_does(self):
+        gateway = self.start("one")
+        self.register("i-1", state="draining")
+        poll(lambda: self.call(gateway) == 503)
+        self.register("i-2")
+        poll(lambda: self.call(gateway) == 200)
+        self.assertEqual(self.upstream.heads[-1][1]["x-expect-instance"], "i-2")
+        self.operate(deletes=["servers/i-2"])
+        poll(lambda: self.call(gateway) == 503)
+
+
+class TestDuties(PlatformCase):
+    def read_reports(self):
+        """Return the counts reported for each window, all of them."""
+        reports = {}
+        for _, _, body in self.list_calls("/usage"):
+            reports.setdefault(body["windowId"], []).append(body["counts"])
+        return reports
+
+    def count_reported(self):
+        """Return what all windows together were reported with."""
+        return sum(
+            counts[0].get("insurer", 0) for counts in self.read_reports().values()
+        )
+
+    def test_usage_of_all_instances_is_reported_once(self):
+        gateways = [self.start(name) for name in ("one", "two")]
+        for gateway in gateways * 5:
+            self.assertEqual(self.call(gateway), 200)
+        poll(lambda: self.count_reported() == 10, 20)
+        for counts in self.read_reports().values():
+            self.assertEqual(counts, counts[:1] * len(counts))
+
+    def test_a_window_is_reported_the_same_by_the_next_holder(self):
+        # The holder decides the counts, and is killed before or after it sends them:
+        # the next one counts anew, and the platform gets two reports that differ.
+        first = self.start("one")
+        holder = poll(lambda: self.list_calls("/usage"), 20)[0][0]
+        self.assertEqual(holder, "one")
+        second = self.start("two")
+        self.platform.fault(lose_writes=2)
+        for _ in range(5):
+            self.assertEqual(self.call(second), 200)
+        first.kill()
+        poll(lambda: "two" in {call[0] for call in self.list_calls("/usage")}, 20)
+        for counts in self.read_reports().values():
+            self.assertEqual(counts, counts[:1] * len(counts))
+        fences = [(fence, holder) for holder, fence, _ in self.list_calls("/usage")]
+        self.assertEqual(fences, sorted(fences))
+
+    def test_a_frozen_holder_wakes_and_is_refused_or_silent(self):
+        first = self.start("one")
+        poll(lambda: self.list_calls("/usage"), 20)
+        self.start("two")
+        first.freeze()
+        poll(lambda: "two" in {call[0] for call in self.list_calls("/usage")}, 20)
+        seen = len(self.list_calls("/usage"))
+        first.resume()
+        poll(lambda: len(self.list_calls("/usage")) > seen + 2, 20)
+        highest = 0
+        for _, fence, _ in self.list_calls("/usage")[seen:]:
+            highest = max(highest, fence)
+            self.assertGreaterEqual(fence, highest)
+
+    def test_instances_are_ordered_by_one_holder(self):
+        self.document["services"].append(ENGINES)
+        self.publish()
+        for name in ("one", "two"):
+            self.start(name, buys="true")
+        poll(lambda: len(self.list_calls("/scale")) >= 4, 20)
+        calls = self.list_calls("/scale")
+        self.assertEqual(len({(holder, fence) for holder, fence, _ in calls}), 1)
+        kinds = [(body["zone"], body.get("spot", False)) for _, _, body in calls]
+        self.assertEqual(len(set(kinds[:4])), 4)
+
+
+class TestStops(PlatformCase):
+    def test_a_planned_stop_is_not_ready_and_cuts_nothing(self):
+        gateway = self.start("one", drain_lag="0.5")
+        gateway.popen.terminate()
+        poll(lambda: not self.is_ready(gateway))
+        self.assertEqual(self.call(gateway), 200)
+        self.assertEqual(gateway.popen.wait(10), 0)
+        self.assertNotIn("chervilwing/instances/one", self.platform.record()["keys"])
+
+    def test_the_hang_up_signal_does_not_end_it(self):
+        gateway = self.start("one")
+        gateway.signal(signal.SIGHUP)
+        self.assertEqual(self.call(gateway), 200)
+        self.assertIsNone(gateway.popen.poll())
+
+    def test_a_bad_setting_ends_it_with_a_reason(self):
+        argv = [sys.executable, "-m", "chervilwing.platform"]
+        argv += ["--name=one", "--lease=soon"]
+        process = self.procs.run(argv)
+        self.assertEqual(process.popen.wait(10), 2)
+        process.stderr.seek(0)
+        self.assertIn("--lease", process.stderr.read())
