Say truly that what reached no upstream has not run, and try others for it

A route with one attempt gave up at the first address out of reach. Ruled out: retry budget (nothing arrived at the pool, so nothing is spent). Change: a send of which no byte left is no attempt; up to four upstreams are tried; the final answer is 503 with a time to come back.

--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -45,6 +45,11 @@
 # repeated take only connections that were used a moment ago.
 IDLE_FOR_REPEATABLE = 8.0
 IDLE_FOR_OTHERS = 1.0
+# Statuses that promise callers that the request has not run and never will.
+PROMISES = (429, 503)
+# Upstreams that are tried for one request at most, those that can't be reached
+# included. Load: a data centre is cut off. Harm: each costs CONNECT_TIMEOUT.
+MOST_TRIED = 4
 # An estimate errs by about a quarter; beyond this part of what is left it is hopeless.
 HOPELESS_PART = 0.9
 
@@ -258,11 +263,14 @@
         now = read_boottime()
         if relay.over or relay.attempts >= relay.route.attempts:
             return False
+        if len(relay.tried) >= MOST_TRIED:
+            return False
         if relay.ends_at - now < CONNECT_TIMEOUT / 2:
             return False
         if not relay.pool.list_open(relay.tried):
             return False
-        return self.retries.may_retry(relay.pool.traits.name)
+        # An upstream that nothing reached costs the pool nothing.
+        return not relay.attempts or self.retries.may_retry(relay.pool.traits.name)
 
     def _data(self, relay, data):
         self._note_run(relay)
@@ -337,9 +345,11 @@
 
     def _failed(self, relay, exc):
         """Decide after an attempt that broke off."""
-        ran = exc.outcome != NOT_RUN
-        relay.may_have_run = relay.may_have_run or ran
-        if ran:
+        if exc.outcome == NOT_RUN:
+            # No byte left: this was no attempt, and the route's bound isn't touched.
+            relay.attempts -= 1
+        else:
+            relay.may_have_run = True
             self._count_run(relay)
         self._end_attempt(relay, failed=True)
         if relay.over:
@@ -381,7 +391,9 @@
             exc = UpstreamFailed("An attempt broke off and may have run.")
         elif not relay.may_have_run:
             self.allowances.refund(relay.organisation, relay.charged)
-            if exc.outcome != NOT_RUN:
+            if exc.status not in PROMISES:
+                # Guard: after another status callers may not try again what may run
+                # only once, although here nothing ran.
                 exc = NoUpstream(exc.detail, retry_after=START_WAIT)
         self._refuse(relay.exchange, exc)
         self._close(relay, exc.outcome, exc.status, exc.type)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -199,6 +199,24 @@
         for _ in range(4):
             self.assertEqual(run.call("POST", "/note/x", b"n").status, 200)
 
+    def test_what_reached_nobody_is_called_not_run(self):
+        # A data centre is cut off and none of its upstreams can be reached. Told by a
+        # status that promises nothing, the caller of a note may not try again.
+        run = self.start()
+        run.gateway.put_upstream(run.register("gone", 1))
+        found = run.call("POST", "/note/x", b"n")
+        self.assertEqual(found.status, 503)
+        self.assertIn("retry-after", found.headers)
+
+    def test_upstreams_out_of_reach_are_no_attempts(self):
+        # The route allows one attempt; two upstreams can't be reached, the third can.
+        run = self.start(answer())
+        for name, port in (("gone1", 1), ("gone2", 2)):
+            run.gateway.put_upstream(run.register(name, port))
+        for _ in range(4):
+            self.assertEqual(run.call("GET", "/short/x").status, 200)
+        self.assertEqual(self.count_seen(), [4])
+
     def test_a_cut_answer_is_asked_for_again_and_no_part_is_shown(self):
         def cut(conn, method, path, body):
             conn.sendall(SIGNED + b"Content-Length: 9\r\n\r\nhalf")
