--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -67,8 +67,11 @@
 
     def knows_keys(self):
         """Tell whether what is known of keys is fresh enough to honour them."""
-        age = read_boottime() - self._documents.as_of
-        return age < self.cfg.revoke_bound * TRUSTED_PART
+        return self.keys_age() < self.cfg.revoke_bound * TRUSTED_PART
+
+    def keys_age(self):
+        """Return how old what is known of keys may be, in seconds."""
+        return read_boottime() - self._documents.as_of
 
     @property
     def ready(self):
--- a/src/chervilwing/dialects.py
+++ b/src/chervilwing/dialects.py
@@ -33,12 +33,11 @@
     """What the head of an upstream's answer says.
 
     ``not_run`` is a promise. ``sound`` is False for an answer that can't be the
-    upstream's own. ``load`` is running, waiting and slots, or None.
+    upstream's own.
     """
 
     not_run: bool = False
     sound: bool = True
-    load: tuple[int, int, int] | None = None
 
 
 class Errand(NamedTuple):
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -15,9 +15,9 @@
 from .exceptions import NotFound
 from .gateway import Gateway, Limits
 from .items import EndLease
-from .logs import log_event
+from .logs import count_dropped, log_event
 from .pollers import DirectPoller
-from .reports import render_metrics
+from .reports import CONTENT_TYPE, render_metrics
 from .routing import CallerLimits
 from .ticks import tick
 from .web import Web, WebHandlers
@@ -103,8 +103,22 @@
         exchange.answer_json(200 if ready else 503, {"ready": ready})
 
     def _answer_metrics(self, exchange):
-        text = render_metrics(self.gateway.stats)
-        exchange.answer(200, text.encode(), "text/plain")
+        text = "".join([*render_metrics(self.gateway.stats), self._render_own()])
+        exchange.answer(200, text.encode(), CONTENT_TYPE)
+
+    def _render_own(self):
+        gateway, now = self.gateway, read_boottime()
+        version = gateway.table.document.version if gateway.table else 0
+        figures = {
+            "gateway_in_flight": len(gateway.relays),
+            "gateway_callers": gateway.web.count(),
+            "gateway_upstreams": len(gateway.registry.members),
+            "gateway_configuration_version": version,
+            "gateway_keys_age_seconds": round(self._coordinator.keys_age(), 3),
+            "gateway_fence": self._coordinator.tenure.fence(now) or 0,
+            "gateway_log_lines_dropped": count_dropped(),
+        }
+        return "".join(f"chervilwing_{k} {v}\n" for k, v in figures.items())
 
     @handler("started", channel="*")
     def _on_started(self, *args):
--- a/src/chervilwing/logs.py
+++ b/src/chervilwing/logs.py
@@ -6,6 +6,8 @@
 """
 
 import json
+import os
+import time
 import traceback
 from typing import NamedTuple
 
@@ -13,6 +15,11 @@
 
 from .exceptions import ChervilwingError
 
+# Load: tens of thousands of refusals a second. Harm: a line costs 60 us of processor
+# time, and what is spent on lines is missing for answers. A node's usual requests are
+# 34 a second at the design size.
+LINES_PER_SECOND = 300.0
+LINES_AT_ONCE = 600.0
 FRAMES_MAX = 12
 VALUE_MAX = 256
 
@@ -55,8 +62,68 @@
     )
 
 
+class _Bound:
+    """How many request lines may still be written, and how many were left out."""
+
+    level = float(LINES_AT_ONCE)
+    at = 0.0
+    dropped = 0
+
+
+def count_dropped():
+    """Return how many lines were left out so far."""
+    return _Bound.dropped
+
+
+def _may_write(now):
+    gained = (now - _Bound.at) * LINES_PER_SECOND
+    _Bound.level = min(LINES_AT_ONCE, _Bound.level + gained)
+    _Bound.at = now
+    if _Bound.level < 1:
+        _Bound.dropped += 1
+        return False
+    _Bound.level -= 1
+    return True
+
+
+class NonBlockingSink:
+    """Write lines to a descriptor that may be full, and never wait for its reader.
+
+    Guard: whoever reads the log stalls; a pipe holds 64 KB, and the next line would
+    stop every request of the process.
+    """
+
+    def __init__(self, fileno):
+        self._fileno = fileno
+        self._rest = b""
+        os.set_blocking(fileno, False)
+
+    def write(self, message):
+        """Write one line whole, or leave it out."""
+        if not self._flush():
+            _Bound.dropped += 1
+            return
+        self._rest = message.encode()
+        self._flush()
+
+    def _flush(self):
+        while self._rest:
+            try:
+                written = os.write(self._fileno, self._rest)
+            except BlockingIOError:
+                return False
+            except OSError:
+                # The reader is gone for good; there is nobody to tell.
+                self._rest = b""
+                return True
+            self._rest = self._rest[written:]
+        return True
+
+
 def log_request(line):
-    """Write the one line of a finished request."""
+    """Write the one line of a finished request, unless there are too many."""
+    if not _may_write(time.monotonic()):
+        return
     logger.bind(**line._asdict()).info("request")
 
 
--- a/src/chervilwing/platform/__main__.py
+++ b/src/chervilwing/platform/__main__.py
@@ -9,7 +9,7 @@
 from ..exceptions import BadSetting
 from ..gateway_settings import FILE_VARIABLE, read_gateway_settings
 from ..gatewayd import read_file, run
-from ..logs import set_up_logs
+from ..logs import NonBlockingSink, set_up_logs
 from .cloud import PlatformCloud
 from .documents import SOURCES
 from .headers import DIALECT
@@ -41,7 +41,7 @@
         print(f"settings: {result.failure()}", file=sys.stderr)
         return 2
     cfg = result.unwrap()
-    set_up_logs(cfg, sys.stdout)
+    set_up_logs(cfg, NonBlockingSink(sys.stdout.fileno()))
     run(cfg, Adapter(), read_settings)
     return 0
 
--- a/src/chervilwing/platform/headers.py
+++ b/src/chervilwing/platform/headers.py
@@ -15,7 +15,6 @@
 NOT_RUN = "x-not-run"
 # Signs an answer as the upstream's own.
 SIGNATURE = "x-server-stamp"
-LOAD = "x-server-load"
 MISDIRECTED = 421
 LEAST_URGENT = 9
 # What only the gateway may say to an upstream; callers' own words are left out.
@@ -91,8 +90,7 @@
         return Verdict(not_run=True)
     success = 200 <= status < 300
     sound = "content-encoding" not in headers and (SIGNATURE in headers or not success)
-    numbers = read_numbers(headers.get(LOAD, ""), 3)
-    return Verdict(sound=sound, load=numbers if numbers[2] else None)
+    return Verdict(sound=sound)
 
 
 def is_for(head, request_id):
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -1,5 +1,7 @@
 """One request on its way: its attempts and what its caller has read already."""
 
+from typing import NamedTuple
+
 from .events import EventReader
 
 # Bytes of an answer that are held until it is whole, so that one that breaks off can
@@ -8,6 +10,29 @@
 HELD_BYTES = 262_144
 
 
+class RelayLine(NamedTuple):
+    """What is logged of one finished request; times in seconds.
+
+    ``version`` is that of the configuration it was handled by, ``expected`` and
+    ``prefill`` what decided where it went, ``first`` when its answer began.
+    """
+
+    request: str
+    customer: str
+    route: str
+    upstream: str
+    tries: int
+    outcome: str
+    cause: str
+    status: int
+    seconds: float
+    version: int
+    expected: float = 0.0
+    prefill: int = 0
+    first: float = 0.0
+    last_event: str = ""
+
+
 class Relay:
     """State of one request between its caller and its upstreams.
 
@@ -23,6 +48,7 @@
         "counted",
         "demand",
         "ends_at",
+        "estimate",
         "events",
         "exchange",
         "fallback",
@@ -54,6 +80,7 @@
         self.attempts = 0
         self.call = None
         self.station = None
+        self.estimate = None
         self.sent_at = now
         self.started_at = None
         self.answer = None
@@ -87,3 +114,40 @@
         """Return what is held and forget it."""
         data, self.held, self.held_size = b"".join(self.held), [], 0
         return data
+
+
+def describe_relay(relay, outcome, status, cause, version, now):
+    """Return the log line of a finished request."""
+    started = relay.started_at
+    return RelayLine(
+        request=relay.demand.request_id,
+        customer=relay.name,
+        route=relay.route.name,
+        upstream=relay.station.registration.name if relay.station else "",
+        tries=relay.attempts,
+        outcome=outcome,
+        cause=cause,
+        status=status,
+        seconds=round(now - relay.received_at, 4),
+        version=version,
+        expected=round(relay.estimate.seconds, 4) if relay.estimate else 0.0,
+        prefill=relay.estimate.prefill if relay.estimate else 0,
+        first=0.0 if started is None else round(started - relay.received_at, 4),
+        last_event=relay.events.last_id if relay.events else "",
+    )
+
+
+def describe_refusal(req, exc, version):
+    """Return the log line of a request that was refused at the door."""
+    return RelayLine(
+        request=req.headers.get("x-request-id", ""),
+        customer="",
+        route=f"{req.headers.get('host', '')}{req.path}",
+        upstream="",
+        tries=0,
+        outcome=exc.outcome,
+        cause=exc.type,
+        status=exc.status,
+        seconds=0.0,
+        version=version,
+    )
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -332,6 +332,20 @@
             numbers = [line for line in found.body.split(b"\n") if line[:3] == b"id:"]
             self.assertEqual(numbers, [b"id: %d" % n for n in range(1, 5)])
 
+    def test_a_failure_never_stands_in_the_middle_of_a_stream(self):
+        # A stream goes on elsewhere, and that upstream answers with a failure: passed
+        # on, its body would be read as an event.
+        def dying(conn, method, path, body):
+            conn.sendall(EVENTS + make_event(1))
+            reset(conn)
+
+        run = self.start(dying, answer(b"broken", b"500 Oops"))
+        for _ in range(4):
+            found = run.call("POST", "/quote/x")
+            if found.status == 200:
+                self.assertFalse(found.whole)
+            self.assertNotIn(b"id: 1\ndata: piece 1\n\nbroken", found.body)
+
 
 class TestUpstreamsThatLeave(GatewayCase):
     def test_a_leaving_upstream_gets_no_new_work(self):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,13 +2,16 @@
 
 import io
 import json
+import os
 import unittest
 
 from loguru import logger
 
 from chervilwing.exceptions import PoolFull
 from chervilwing.logs import (
+    NonBlockingSink,
     RequestLine,
+    count_dropped,
     log_event,
     log_failure,
     log_request,
@@ -82,3 +85,36 @@
 
         (text,) = self.collect("json", write)
         self.assertEqual(json.loads(text)["port"], 8080)
+
+
+class TestVolume(unittest.TestCase):
+    def test_a_reader_that_stalls_holds_nobody_up(self):
+        # The collector of the logs stops reading: the pipe is full, and the next line
+        # would stop every request of the process.
+        reading, writing = os.pipe()
+        self.addCleanup(os.close, reading)
+        self.addCleanup(os.close, writing)
+        sink, before = NonBlockingSink(writing), count_dropped()
+        for _ in range(200):
+            sink.write("x" * 1000 + "\n")
+        self.assertGreater(count_dropped(), before)
+        read = b""
+        while len(read) < 60000:
+            read += os.read(reading, 65536)
+        sink.write("whole again\n")
+        rest = os.read(reading, 65536)
+        lines = (read + rest).split(b"\n")
+        self.assertEqual({len(line) for line in lines[:-2]}, {1000})
+        self.assertEqual(lines[-2], b"whole again")
+
+    def test_refusals_beyond_the_bound_leave_no_line(self):
+        sink = io.StringIO()
+        cfg = read_settings(["--embedded"], {}).unwrap()
+        set_up_logs(cfg, sink)
+        self.addCleanup(logger.remove)
+        before = count_dropped()
+        for _ in range(2000):
+            log_request(LINE)
+        written = len(sink.getvalue().splitlines())
+        self.assertEqual(written + count_dropped() - before, 2000)
+        self.assertLess(written, 1500)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,7 +7,7 @@
 from contextlib import suppress
 
 from tests.fakes.control import HOST
-from tests.procs import Caller, Processes, call_json, poll
+from tests.procs import Caller, Processes, call, call_json, poll
 from tests.upstreams import RawUpstream
 
 DOCUMENT = {
@@ -239,6 +239,17 @@
         self.assertEqual(len(set(kinds[:4])), 4)
 
 
+class TestFigures(PlatformCase):
+    def test_figures_are_served_on_their_own_address(self):
+        gateway = self.start("one", metrics_listen=f"{HOST}:0")
+        self.call(gateway)
+        found = call(gateway.info["metrics_port"], "GET", "/-/metrics")
+        self.assertEqual(found.status, 200)
+        text = found.body.decode()
+        self.assertIn('chervilwing_requests_total{customer="insurer"', text)
+        self.assertIn("chervilwing_gateway_configuration_version 3", text)
+
+
 class TestStops(PlatformCase):
     def test_a_planned_stop_is_not_ready_and_cuts_nothing(self):
         gateway = self.start("one", drain_lag="0.5")
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -11,6 +11,7 @@
 
 # The modules that own sockets, files, processes' arguments or timers.
 EDGE = {
+    "attempts",
     "beacons",
     "buyer",
     "caches",
@@ -34,6 +35,7 @@
     "gatewayd",
     "generations",
     "loads",
+    "logs",
     "notices",
     "orderer",
     "parsers",
