--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -12,6 +12,7 @@
     ChervilwingError,
     DeadlinePassed,
     NoConfiguration,
+    NotReady,
     NoUpstream,
     PoolFull,
     Scope,
@@ -27,6 +28,8 @@
 
 # Spread of the times to come back: with one figure for all, everyone returns at once.
 RETURN_SPREAD = (0.5, 1.5)
+# Seconds until a caller that met a stopping instance may try another one.
+STOP_WAIT = 0.1
 # An estimate errs by about a quarter; beyond this part of what is left it is hopeless.
 HOPELESS_PART = 0.9
 # Name under which requests of open routes are counted; no organisation can have it.
@@ -131,7 +134,7 @@
         """Return the request with all that is known of it, or raise why not."""
         req = exchange.req
         if self.draining:
-            raise NoUpstream("This instance is stopping.", retry_after=0.1)
+            raise NotReady("This instance is stopping.", retry_after=STOP_WAIT)
         if self.table is None:
             raise NoConfiguration(retry_after=RETURN_WAIT)
         route = self.table.find_route(req.headers.get("host", ""), req.path)
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -10,6 +10,10 @@
 HELD_BYTES = 262_144
 
 
+# Kind of the scope of a refusal that is for one customer alone.
+CUSTOMER = "customer"
+
+
 class RelayLine(NamedTuple):
     """What is logged of one finished request; times in seconds.
 
@@ -141,7 +145,7 @@
     """Return the log line of a request that was refused at the door."""
     return RelayLine(
         request=req.headers.get("x-request-id", ""),
-        customer="",
+        customer=exc.scope.name if exc.scope.kind == CUSTOMER else "",
         route=f"{req.headers.get('host', '')}{req.path}",
         upstream="",
         tries=0,
