Let an instance's counts of usage survive it

Ruled out: writing more often (each write is priced and the last second is lost all the same). Change: datagrams carry the counts that aren't stored yet; the reporter adds those of processes that stored none; instances gone for less than 10 s are waited for; late items are deleted.

--- a/src/chervilwing/beacons.py
+++ b/src/chervilwing/beacons.py
@@ -32,6 +32,11 @@
 READS = 256
 
 
+def name_process(name, incarnation):
+    """Return the name of one process of an instance."""
+    return f"{name}.{incarnation}"
+
+
 def find_interval(peers):
     """Return the seconds between two datagrams to each of so many instances."""
     return max(INTERVAL, peers / DATAGRAMS_PER_SECOND)
@@ -44,11 +49,14 @@
 
     def __init__(self, cfg, poller, gateway, list_peers, agreed):
         super().__init__()
+        # What is sent and heard of usage; set once the usage is counted.
+        self.list_usage = lambda: {}
+        self.hear_usage = lambda process, windows: None
         self._cfg = cfg
         self._gateway = gateway
         self._list_peers = list_peers
         self._agreed = agreed
-        self._incarnation = time.time_ns()
+        self._incarnation = cfg.incarnation
         self._due = 0.0
         self._interval = INTERVAL
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -97,6 +105,7 @@
             spent,
             in_flight,
             work,
+            self.list_usage(),
         ]
 
     def handle_ready(self, sock, readable, writable):
@@ -111,14 +120,15 @@
 
     def _take(self, data):
         try:
-            kind, *fields = msgpack.unpackb(data)
+            kind, *fields = msgpack.unpackb(data, strict_map_key=False)
             if kind == FORMAT:
                 self._hear(*fields)
         except (ValueError, TypeError, msgpack.UnpackException) as exc:
             log_event("beacon ignored", error=type(exc).__name__)
 
-    def _hear(self, name, incarnation, time_of_day, spent, in_flight, work):
+    def _hear(self, name, incarnation, time_of_day, spent, in_flight, work, usage):
         now = read_boottime()
+        self.hear_usage(name_process(name, incarnation), usage)
         until = now + self._interval * KEPT_INTERVALS
         self._gateway.allowances.hear(name, incarnation, spent, until)
         self._agreed.hear(name, time_of_day, now)
--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -21,6 +21,9 @@
 CONFIGURATION_WAIT = 1.2
 REGISTRATIONS_WAIT = 2.0
 INSTANCES_WAIT = 4.0
+# Seconds for which an instance that is gone still counts as lately there: a window of
+# usage and the time until it is reported.
+RECENT = 10.0
 # Part of the bound on keys up to which an instance trusts what it knows. The age counts
 # from the sending of a watch, which is longer ago than the second for which the store's
 # watches may be late; the rest is for the drift of two clocks. Load: an outage of the
@@ -51,6 +54,7 @@
         self.cfg = cfg
         self._store = store
         self._sources = sources
+        self._seen = {}
         self._gateway = gateway
         rng = random.Random()
         value = format_address(cfg.beacon_listen).encode()
@@ -88,6 +92,14 @@
                 peers[name] = parse_address(item.value.decode())
         return peers
 
+    def list_recent(self):
+        """Return the names of all instances that were registered lately."""
+        now = read_boottime()
+        for name in (self.cfg.name, *self.list_peers()):
+            self._seen[name] = now
+        self._seen = {name: at for name, at in self._seen.items() if now - at < RECENT}
+        return set(self._seen)
+
     @property
     def lease(self):
         """Return the lease under which this instance's items stand, or None."""
@@ -184,6 +196,7 @@
             )
 
     def _take_instance(self, item, now):
+        self.list_recent()
         known = 1 + len(self.list_peers())
         self._gateway.allowances.set_known(known)
         self._gateway.retries.set_instances(known)
--- a/src/chervilwing/duties.py
+++ b/src/chervilwing/duties.py
@@ -5,11 +5,13 @@
 
 from circuits.core import BaseComponent, handler
 
+from .beacons import name_process
 from .clocks import read_boottime
 from .items import Commit, Committed, Conflict, ListItems, Page
 from .logs import log_event
 from .sizing import Sizing
 from .usage import (
+    HeardCounts,
     Report,
     UsageCounter,
     add_up,
@@ -28,6 +30,7 @@
 # that are still missing are given up: a report is due ten seconds after the end.
 COLLECT_LAG = 1.5
 PATIENCE = 6.5
+HEARD_PATIENCE = 3.5
 # Seconds between two tries of a call that failed.
 RETRY_WAIT = 0.5
 # Windows that are reported late at most, once nobody reported for long.
@@ -36,6 +39,11 @@
 DELETES = 29
 
 
+def read_names(processes):
+    """Return the instances whose processes these are."""
+    return {process.rpartition(".")[0] for process in processes}
+
+
 class ReportUsage(NamedTuple):
     """Report the counts of one window."""
 
@@ -178,7 +186,8 @@
         self._store = store
         self._agreed = agreed
         # One process's counts never replace those of the one before it.
-        self._name = f"{cfg.name}.{time.time_ns()}"
+        self._name = name_process(cfg.name, cfg.incarnation)
+        self.heard = HeardCounts()
         self._busy = False
         self._due = 0.0
 
@@ -294,6 +303,16 @@
         self._report = decode_report(found[0].value) if found else None
         self._sent = False
         self._known = True
+        self._submit(ListItems(PARTS), self._hear_litter)
+
+    def _hear_litter(self, reply):
+        """Take note of counts that came too late for their window."""
+        if not isinstance(reply, Page) or self._report is None:
+            return
+        for item in reply.items:
+            window = item.key.removeprefix(PARTS).partition("/")[0]
+            if int(window) <= self._report.window:
+                self._litter.append(item.key)
 
     def _next_window(self):
         length = self._parts.counter.length
@@ -317,12 +336,15 @@
         if not isinstance(reply, Page):
             self._wait()
             return
-        names = {item.key.rpartition("/")[2].rpartition(".")[0] for item in reply.items}
-        wanted = {self._cfg.name, *self._coordinator.list_peers()}
-        if wanted - names and waited < PATIENCE:
+        stored = {item.key.rpartition("/")[2]: item.value for item in reply.items}
+        heard = self._parts.heard.find(window, stored)
+        missing = self._coordinator.list_recent() - read_names(stored)
+        # Who is heard of lives and may store its last counts yet; who isn't may return.
+        patience = PATIENCE if missing - read_names(heard) else HEARD_PATIENCE
+        if missing and waited < patience:
             self._wait()
             return
-        counts = add_up(decode_counts(item.value) for item in reply.items)
+        counts = add_up([*map(decode_counts, stored.values()), *heard.values()])
         keys = [item.key for item in reply.items]
         report = Report(window, counts)
         commit = Commit(
@@ -331,7 +353,11 @@
             deletes=tuple(keys[:DELETES]),
         )
         log_event(
-            "usage decided", window=window, parts=len(keys), missing=len(wanted - names)
+            "usage decided",
+            window=window,
+            parts=len(stored),
+            heard=len(heard),
+            missing=len(missing),
         )
         self._submit(
             commit, lambda answer: self._decided(report, keys[DELETES:], answer)
--- a/src/chervilwing/gateway_settings.py
+++ b/src/chervilwing/gateway_settings.py
@@ -54,6 +54,8 @@
     log_format: str
     log_level: str
     stats_pairs: int
+    # Tells the processes of one instance apart.
+    incarnation: int = 0
     limits: CallerLimits = CallerLimits()
     plain_pool: PoolTraits = PoolTraits("")
 
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -40,7 +40,7 @@
 
     def __init__(self, cfg, adapter, read_settings):
         super().__init__()
-        self.cfg = cfg
+        cfg = self.cfg = cfg._replace(incarnation=time.time_ns())
         self._read_settings = read_settings
         self._reload_at = 0.0
         self._stopping_at = None
@@ -60,6 +60,8 @@
         ).register(self)
         self._parts = UsageParts(cfg, self._store, agreed).register(self)
         self.gateway.on_run = self._parts.count
+        beacons.list_usage = self._parts.counter.list_open
+        beacons.hear_usage = self._parts.heard.hear
         if cfg.cloud is not None:
             cloud = adapter.make_cloud(cfg, platform)
             UsageReporter(
@@ -116,6 +118,7 @@
             "gateway_configuration_version": version,
             "gateway_keys_age_seconds": round(self._coordinator.keys_age(), 3),
             "gateway_fence": self._coordinator.tenure.fence(now) or 0,
+            "gateway_usage_heard": self._parts.heard.count(),
             "gateway_log_lines_dropped": count_dropped(),
         }
         return "".join(f"chervilwing_{k} {v}\n" for k, v in figures.items())
--- a/src/chervilwing/usage.py
+++ b/src/chervilwing/usage.py
@@ -45,6 +45,10 @@
         """Return the counts of a window."""
         return dict(self._windows.get(window, {}))
 
+    def list_open(self):
+        """Return the counts that aren't stored yet, by window."""
+        return {window: dict(counts) for window, counts in self._windows.items()}
+
     def note_written(self, window):
         """Forget a window that is stored."""
         self._written = max(self._written, window)
@@ -52,6 +56,34 @@
             del self._windows[old]
 
 
+class HeardCounts:
+    """What other processes said of their counts, in case they can't store them.
+
+    Guard: an instance that dies, or is cut off from the store, takes its counts of up
+    to a window with it, and the report is off by its share of the requests.
+    """
+
+    def __init__(self):
+        self._counts = {}
+
+    def hear(self, process, windows):
+        """Take the counts that a process has not stored yet, by window."""
+        for window, counts in windows.items():
+            self._counts.setdefault(window, {})[process] = counts
+        for old in sorted(self._counts)[:-WINDOWS_KEPT]:
+            del self._counts[old]
+
+    def count(self):
+        """Return how many requests others have told of, in all windows kept."""
+        told = (counts for heard in self._counts.values() for counts in heard.values())
+        return sum(sum(counts.values()) for counts in told)
+
+    def find(self, window, stored):
+        """Return the counts of processes that aren't among the stored ones."""
+        heard = self._counts.get(window, {})
+        return {name: heard[name] for name in heard if name not in stored}
+
+
 def add_up(parts):
     """Return the sums of several instances' counts."""
     total = Counter()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -213,6 +213,22 @@
         fences = [(fence, holder) for holder, fence, _ in self.list_calls("/usage")]
         self.assertEqual(fences, sorted(fences))
 
+    def test_counts_survive_the_instance_that_counted(self):
+        # An instance is killed before the window ends in which it served: nobody else
+        # has its counts, and the report is off by all it did.
+        metrics = f"{HOST}:0"
+        first = self.start("one", usage_window="3", metrics_listen=metrics)
+        second = self.start("two", usage_window="3")
+        poll(lambda: self.list_calls("/usage"), 20)
+        for _ in range(10):
+            self.assertEqual(self.call(second), 200)
+        told = "chervilwing_gateway_usage_heard 10\n"
+        port = first.info["metrics_port"]
+        poll(lambda: told in call(port, "GET", "/-/metrics").body.decode())
+        second.kill()
+        poll(lambda: self.count_reported() == 10, 30)
+        self.assertIsNone(first.popen.poll())
+
     def test_a_frozen_holder_wakes_and_is_refused_or_silent(self):
         first = self.start("one")
         poll(lambda: self.list_calls("/usage"), 20)
