--- a/src/chervilwing/claimant.py
+++ b/src/chervilwing/claimant.py
@@ -9,9 +9,10 @@
 from .claim_keys import ClaimKey, ClaimSettings
 from .claims import ClaimGranted, ClaimRecorded, ClaimRefused, Ledger
 from .exceptions import NOT_RUN
+from .heads import encode_problem
 from .messages import Forward, StoreCall
 from .segments import Ask, Outcome, Verdict
-from .web import JSON_TYPE, PROBLEM_TYPE, encode_problem
+from .web import JSON_TYPE, PROBLEM_TYPE
 
 KEY_HEADER = "idempotency-key"
 
--- a/src/chervilwing/gateway_settings.py
+++ b/src/chervilwing/gateway_settings.py
@@ -1,6 +1,5 @@
 """Settings of the gateway daemon: flags, variables and a file of the same names."""
 
-import argparse
 from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
@@ -13,15 +12,19 @@
     LOG_LEVELS,
     PREFIX,
     Field,
+    Program,
+    build_parser,
     one_of,
     parse_count,
     parse_flag,
     parse_name,
     parse_optional_address,
     parse_seconds,
+    read_field,
 )
 
 MS_PER_SECOND = 1000
+UNIT = "ms"
 # Names the file whose lines are VARIABLE=value; a variable of the environment wins.
 FILE_VARIABLE = PREFIX + "SETTINGS"
 
@@ -62,8 +65,8 @@
 
 def parse_duration(text):
     """Return seconds from a number of seconds, or of milliseconds ending in ``ms``."""
-    if text.endswith("ms"):
-        return parse_seconds(text.removesuffix("ms")) / MS_PER_SECOND
+    if text.endswith(UNIT):
+        return parse_seconds(text.removesuffix(UNIT)) / MS_PER_SECOND
     return parse_seconds(text)
 
 
@@ -97,19 +100,22 @@
         "stats_pairs", parse_count, "64", "count", "customer and route pairs kept apart"
     ),
 )
+GATEWAY = Program(
+    "chervilwing-gateway", "Gateway before upstreams that register themselves.", FIELDS
+)
 NEEDED = ("listen", "ready_listen", "beacon_listen", "store")
 
 
-class _Parser(argparse.ArgumentParser):
-    def error(self, message):
-        raise BadSetting(message)
-
-
 def read_lines(text):
-    """Return variable to value for lines ``VARIABLE=value``; others are comments."""
+    """Return variable to value for lines ``VARIABLE=value``; others are comments.
+
+    A value that its platform doesn't have is left empty, but for its unit; such a line
+    counts as not there, and the default holds.
+    """
     lines = (line.strip() for line in text.splitlines())
     pairs = (line.partition("=") for line in lines if not line.startswith("#"))
-    return {name.strip(): value.strip() for name, equals, value in pairs if equals}
+    given = {name.strip(): value.strip() for name, equals, value in pairs if equals}
+    return {name: value for name, value in given.items() if value not in ("", UNIT)}
 
 
 def read_gateway_settings(argv, environ, text="") -> Result:
@@ -118,27 +124,13 @@
     ``text`` is what stands in the settings file; names it has that are not ours are
     passed over, so that a newer platform can tell more.
     """
-    parser = _Parser(prog="chervilwing-gateway", add_help=False, allow_abbrev=False)
-    for field in FIELDS:
-        parser.add_argument(field.flag)
     try:
-        flags = vars(parser.parse_args(list(argv)))
+        flags = vars(build_parser(GATEWAY).parse_args(list(argv)))
         given = {**read_lines(text), **environ}
-        values = {field.name: _read(field, flags, given) for field in FIELDS}
+        values = {field.name: read_field(field, flags, given) for field in FIELDS}
         for name in NEEDED:
             if values[name] is None:
                 raise BadSetting(f"--{name.replace('_', '-')}: needed")
         return Success(GatewaySettings(**values))
     except BadSetting as exc:
         return Failure(exc)
-
-
-def _read(field, flags, given):
-    text = flags[field.name]
-    source = field.flag if text is not None else field.variable
-    if text is None:
-        text = given.get(field.variable) or field.default
-    try:
-        return field.parse(text.strip())
-    except ValueError as exc:
-        raise BadSetting(f"{source}: {exc}") from None
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -11,15 +11,16 @@
 from .clocks import AgreedTime, read_boottime
 from .connections import Client
 from .coordination import Coordinator
-from .duties import Orders, UsageParts, UsageReporter
 from .exceptions import NotFound
 from .gateway import Gateway, Limits
+from .instance_orders import InstanceOrders
 from .items import EndLease
 from .logs import count_dropped, log_event
 from .pollers import DirectPoller
 from .reports import CONTENT_TYPE, render_metrics
 from .routing import CallerLimits
 from .ticks import tick
+from .usage_reports import UsageParts, UsageReporter
 from .web import Web, WebHandlers
 
 # Seconds between ticks: time limits, silent connections and calls that are due are this
@@ -68,7 +69,7 @@
                 cfg, self._store, cloud, self._coordinator, self._parts
             ).register(self)
         if cfg.cloud is not None and cfg.buys:
-            Orders(cfg, cloud, self._coordinator, self.gateway).register(self)
+            InstanceOrders(cfg, cloud, self._coordinator, self.gateway).register(self)
         self._owners = [self, self.gateway, self._store, self._coordinator]
         if cfg.cloud is not None:
             self._owners.append(cloud)
--- /dev/null
+++ b/src/chervilwing/instance_orders.py
@@ -0,0 +1,100 @@
+"""Order instances by measured work, while this instance holds the duties."""
+
+import time
+
+from circuits.core import BaseComponent, handler
+
+from .clocks import read_boottime
+from .duties import Accepted, Denied, OrderInstances, Outdated
+from .logs import log_event
+from .sizing import Sizing
+
+# Seconds between two tries of a call that failed.
+RETRY_WAIT = 0.5
+
+
+class InstanceOrders(BaseComponent):
+    """Order instances for the pools that may be sized, one order at a time."""
+
+    channel = "instance-orders"
+
+    def __init__(self, cfg, cloud, coordinator, gateway):
+        super().__init__()
+        self._cfg = cfg
+        self._cloud = cloud
+        self._coordinator = coordinator
+        self._gateway = gateway
+        self._sizings = {}
+        self._fence = None
+        self._busy = False
+        self._due = 0.0
+
+    @handler("tick", channel="*")
+    def _on_tick(self):
+        now = read_boottime()
+        for name, pool in self._gateway.pools.items():
+            if pool.traits.fleet is not None:
+                self._measure(name, pool, now)
+        fence = self._coordinator.tenure.fence(now)
+        if fence != self._fence:
+            self._fence = fence
+            for sizing in self._sizings.values():
+                sizing.forget_orders()
+        if fence is None or self._busy or now < self._due:
+            return
+        # What is registered isn't known before: all would be ordered a second time.
+        if self._coordinator.ready:
+            self._order_next(now)
+
+    def _measure(self, name, pool, now):
+        sizing = self._sizings.setdefault(name, Sizing())
+        totals = {**pool.peers_work, self._cfg.name: (0, pool.work)}
+        sizing.meter.measure(totals, now)
+
+    def _order_next(self, now):
+        for name, sizing in self._sizings.items():
+            pool = self._gateway.pools[name]
+            members = [item.registration for item in pool.stations.values()]
+            due = sizing.list_due(pool.traits.fleet, members, now)
+            if due:
+                self._order(name, sizing, *due[0])
+                return
+
+    def _order(self, pool, sizing, kind, count):
+        self._busy = True
+        self._coordinator.tenure.note_act(read_boottime())
+        log_event(
+            "order",
+            pool=pool,
+            count=count,
+            work=round(sizing.meter.rate, 3),
+            fence=self._fence,
+            **kind._asdict(),
+        )
+        call = OrderInstances(
+            pool,
+            kind.data_centre,
+            count,
+            kind.reclaimable,
+            self._cfg.name,
+            self._fence,
+            time.monotonic() + self._cfg.lease,
+        )
+        self._cloud.submit(
+            call, lambda reply: self._answered(sizing, kind, count, reply)
+        )
+
+    def _answered(self, sizing, kind, count, reply):
+        self._busy = False
+        now = read_boottime()
+        if isinstance(reply, Accepted):
+            sizing.note_ordered(kind, count, now)
+        elif isinstance(reply, Denied):
+            log_event("order denied", detail=reply.text, **kind._asdict())
+            sizing.note_denied(kind, now)
+        elif isinstance(reply, Outdated):
+            log_event("duty outdated", fence=self._fence or 0, detail=reply.text)
+            self._coordinator.tenure.drop()
+        else:
+            log_event("order not answered", status=reply.status)
+            self._due = now + RETRY_WAIT
--- a/src/chervilwing/platform/__main__.py
+++ b/src/chervilwing/platform/__main__.py
@@ -7,9 +7,10 @@
 from returns.result import Failure
 
 from ..exceptions import BadSetting
-from ..gateway_settings import FILE_VARIABLE, read_gateway_settings
+from ..gateway_settings import FILE_VARIABLE, GATEWAY, read_gateway_settings
 from ..gatewayd import read_file, run
 from ..logs import NonBlockingSink, set_up_logs
+from ..settings import HELP_FLAGS, render_help
 from .cloud import PlatformCloud
 from .documents import SOURCES
 from .headers import DIALECT
@@ -36,6 +37,9 @@
 
 def main():
     """Run the gateway on the platform: exit 2 on a bad setting."""
+    if HELP_FLAGS & set(sys.argv[1:]):
+        print(render_help(GATEWAY))
+        return 0
     result = read_settings()
     if isinstance(result, Failure):
         print(f"settings: {result.failure()}", file=sys.stderr)
--- a/src/chervilwing/settings.py
+++ b/src/chervilwing/settings.py
@@ -239,20 +239,34 @@
 FIELD_OF = {field.name: field for field in FIELDS}
 
 
+class Program(NamedTuple):
+    """A daemon, as its help names it, and its settings."""
+
+    name: str
+    purpose: str
+    fields: tuple[Field, ...]
+
+
+ENTRY = Program(
+    "chervilwingd", "Entry daemon before model engines and plain services.", FIELDS
+)
+
+
 class _Parser(argparse.ArgumentParser):
     def error(self, message):
         raise BadSetting(message)
 
 
-def _build_parser():
+def build_parser(program):
+    """Return the parser of a program's flags; a fault raises BadSetting."""
     parser = _Parser(
-        prog="chervilwingd",
-        description="Entry daemon before model engines and plain services.",
+        prog=program.name,
+        description=program.purpose,
         epilog=f"Each flag can be given as {PREFIX}NAME; the flag wins.",
         add_help=False,
         allow_abbrev=False,
     )
-    for field in FIELDS:
+    for field in program.fields:
         bare = {"nargs": "?", "const": "true"} if field.parse is parse_flag else {}
         parser.add_argument(
             field.flag,
@@ -272,9 +286,9 @@
     refused, so that a misspelt limit doesn't leave the default in force unseen.
     """
     try:
-        flags = vars(_build_parser().parse_args(list(argv)))
+        flags = vars(build_parser(ENTRY).parse_args(list(argv)))
         _refuse_unknown(environ)
-        values = {field.name: _read_field(field, flags, environ) for field in FIELDS}
+        values = {field.name: read_field(field, flags, environ) for field in FIELDS}
         cfg = Settings(**values)
         _check_together(cfg)
     except BadSetting as exc:
@@ -289,7 +303,8 @@
             raise BadSetting(f"{variable}: no such setting")
 
 
-def _read_field(field, flags, environ):
+def read_field(field, flags, environ):
+    """Return one setting, or raise a BadSetting that names where it was given."""
     text, source = flags[field.name], field.flag
     if text is None and field.variable in environ:
         text, source = environ[field.variable], field.variable
@@ -342,15 +357,15 @@
     return cfg._replace(name=f"{cfg.data_centre}-{host}-{cfg.listen.port}")
 
 
-def render_help():
+def render_help(program=ENTRY):
     """Return the text for ``--help``."""
-    return _build_parser().format_help()
+    return build_parser(program).format_help()
 
 
-def render_table():
+def render_table(program=ENTRY):
     """Return the settings as the Markdown table of docs/OPERATIONS.md."""
     lines = ["| flag | variable | form | default | meaning |", "|---|---|---|---|---|"]
-    for field in FIELDS:
+    for field in program.fields:
         form = field.form.replace("|", "\\|")
         default = f"`{field.default}`" if field.default else "none"
         cells = (f"`{field.flag}`", f"`{field.variable}`", form, default, field.help)
--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -3,12 +3,12 @@
 import json
 import time
 from collections.abc import Callable
-from http import HTTPStatus
 from typing import NamedTuple
 
 from circuits.core import BaseComponent, handler
 
 from .exceptions import ChervilwingError, SlowSender
+from .heads import encode_head, encode_problem
 from .parsers import RequestReader
 from .sockets import StreamHandlers, Streams
 
@@ -17,12 +17,10 @@
 EVENTS_TYPE = "text/event-stream"
 CHUNKED_END = b"0\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-PROBLEM_BASE = "https://chervilwing.example/problems/"
 BODILESS = (204, 304)
 # Seconds that a caller has to close its half after our last byte. Load: callers that
 # are refused while they send megabytes. Harm: each holds a socket until it is done.
 LINGER_TIMEOUT = 2.0
-REASONS = {status.value: status.phrase for status in HTTPStatus}
 
 
 class WebHandlers(NamedTuple):
@@ -43,31 +41,6 @@
     half_open: bool = True
 
 
-def encode_head(status, headers):
-    """Return the status line and header fields of an answer as bytes."""
-    # A service may answer a status that has no registered reason.
-    lines = [f"HTTP/1.1 {status} {REASONS.get(status, '')}"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
-
-
-def encode_problem(exc):
-    """Return the problem document of a failure (RFC 9457) and its extra headers."""
-    body = {
-        "type": PROBLEM_BASE + exc.type,
-        "title": exc.title,
-        "status": exc.status,
-        "detail": exc.detail,
-        "outcome": exc.outcome,
-        "scope": exc.scope._asdict(),
-    }
-    if exc.retry_after is None:
-        return body, {}
-    body["retry_after"] = exc.retry_after
-    # The header takes whole seconds only; rounding up keeps its promise.
-    return body, {"Retry-After": str(max(1, -int(-exc.retry_after // 1)))}
-
-
 class Exchange:
     """One request and the answer to it on the caller's connection."""
 
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -47,6 +47,13 @@
             with self.subTest(argv=argv):
                 self.assertEqual(self.read(*argv), detail)
 
+    def test_what_the_platform_does_not_have_keeps_its_default(self):
+        # A deployment without keys names no bound on them, and its template leaves the
+        # value empty: taken as it stands, no instance would start.
+        text = FILE + "CHERVILWING_LEASE=ms\nCHERVILWING_CLOUD=\n"
+        cfg = self.read(text=text)
+        self.assertEqual((cfg.lease, cfg.cloud), (3.0, None))
+
     def test_what_is_needed_is_asked_for(self):
         text = FILE.replace("CHERVILWING_STORE", "CHERVILWING_STALL")
         self.assertEqual(self.read(text=text), "--store: needed")
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -26,7 +26,6 @@
     "daemon",
     "dispatch",
     "drain",
-    "duties",
     "embedded",
     "fleet_commands",
     "follower",
@@ -34,6 +33,7 @@
     "gateway",
     "gatewayd",
     "generations",
+    "instance_orders",
     "loads",
     "logs",
     "notices",
@@ -46,6 +46,7 @@
     "sockets",
     "stores",
     "ticks",
+    "usage_reports",
     "web",
 }
 ALLOWED = {"__init__"}
