Keep few unused connections in a large fleet; keep the form of answers without a body

Cause: read through: eight unused connections an instance to each upstream are more than it takes of all callers at 68 instances; an answer to HEAD lost its length, 204 got one; requests without an id shared one place in the books. Change: a part of the pool's connections, by instances; framing by status and method; ids.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -3,7 +3,7 @@
 from functools import partial
 
 from .clocks import read_boottime
-from .connections import Call, CallHandlers
+from .connections import IDLE_LIMIT, Call, CallHandlers
 from .dialects import HOP_BY_HOP, Errand
 from .exceptions import NOT_RUN, NoUpstream, PoolFull, UpstreamFailed
 from .routing import STREAM
@@ -22,6 +22,8 @@
 # repeated take only connections that were used a moment ago.
 IDLE_FOR_REPEATABLE = 8.0
 IDLE_FOR_OTHERS = 1.0
+# Part of an upstream's connections that all instances together may leave unused.
+IDLE_PART = 0.4
 # Statuses that promise callers that the request has not run and never will.
 PROMISES = (429, 503)
 # Upstreams that are tried for one request at most, those that can't be reached
@@ -34,6 +36,15 @@
     return {name: value for name, value in headers.items() if name not in HOP_BY_HOP}
 
 
+def count_idle(traits, instances):
+    """Return how many unused connections to keep to one upstream.
+
+    Guard: an upstream takes so many connections of all callers together and resets the
+    rest; unused ones of a large fleet would take the places of those in use.
+    """
+    return min(IDLE_LIMIT, max(1, int(traits.connections * IDLE_PART / instances)))
+
+
 class Attempts:
     """Send requests to upstreams and decide after each outcome.
 
@@ -92,6 +103,7 @@
             probed=False,
             host=relay.headers.get("host", ""),
             idle_limit=idle_limit,
+            idle_most=count_idle(relay.pool.traits, self._retries.instances),
             expects=lambda head: self._dialect.is_for(head, relay.demand.request_id),
             until_close=True,
         )
@@ -201,7 +213,11 @@
         exchange = relay.exchange
         body = relay.take_held()
         if not exchange.started:
-            exchange.relay_head(status, pass_headers(headers), len(body))
+            length = len(body)
+            if exchange.req.method == "HEAD":
+                # Its answer tells the length of a body that doesn't come.
+                length = int(headers.get("content-length", 0))
+            exchange.relay_head(status, pass_headers(headers), length)
         exchange.finish(body)
         self._owner.close(
             relay, "ok" if status < SERVER_ERROR else "upstream_error", status
--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -52,8 +52,9 @@
     ``send_before`` is on the monotonic clock: nothing is sent from then on. ``probed``
     asks a silent address on a new connection before the call fails. ``host`` replaces
     the address in the Host field. A connection that has been idle for ``idle_limit`` is
-    not taken. ``expects`` tells the answer from one to an earlier call. ``until_close``
-    takes the orderly end of a connection for the end of an answer without a length.
+    not taken, and ``idle_most`` of them are kept for the address. ``expects`` tells the
+    answer from one to an earlier call. ``until_close`` takes the orderly end of a
+    connection for the end of an answer without a length.
     """
 
     address: Address
@@ -68,6 +69,7 @@
     probed: bool = True
     host: str = ""
     idle_limit: float = float("inf")
+    idle_most: int = IDLE_LIMIT
     expects: Callable[[HttpHead], bool] | None = None
     until_close: bool = False
 
@@ -336,7 +338,7 @@
         # Guard: an answer may come before the request has left whole; another call's
         # bytes would reach the upstream as the rest of this one's body.
         reusable = exchange.reader.reusable and not conn.pending
-        if reusable and len(idle) < IDLE_LIMIT:
+        if reusable and len(idle) < exchange.call.idle_most:
             conn.idle_limit = read_idle_limit(head.headers)
             idle.append(conn)
             return
--- a/src/chervilwing/dialects.py
+++ b/src/chervilwing/dialects.py
@@ -4,6 +4,7 @@
 a Demand, writes the upstream's, and judges what an upstream answered.
 """
 
+import uuid
 from collections.abc import Callable
 from math import ceil
 from typing import NamedTuple
@@ -78,7 +79,7 @@
 def _read_demand(req, now, longest):
     given = req.headers.get("chervilwing-timeout", "")
     seconds = float(given) if given.replace(".", "", 1).isdigit() else longest
-    request_id = req.headers.get("x-request-id", "")
+    request_id = req.headers.get("x-request-id") or uuid.uuid4().hex
     return Demand(request_id, now + min(seconds, longest))
 
 
--- a/src/chervilwing/platform/headers.py
+++ b/src/chervilwing/platform/headers.py
@@ -1,5 +1,7 @@
 """The platform's header fields, read into the gateway's types and written from them."""
 
+import uuid
+
 from ..demands import Demand, PromptPart
 from ..dialects import Dialect, Verdict, end_to_end
 
@@ -59,7 +61,8 @@
     prompt, output = read_numbers(headers.get(TOKEN_COUNT, ""), 2)
     hint = headers.get(LENGTH_HINT, "")
     return Demand(
-        headers.get(REQUEST_ID, ""),
+        # Without one, requests are still told apart here.
+        headers.get(REQUEST_ID) or uuid.uuid4().hex,
         now + min(seconds, longest),
         prompt,
         output,
--- a/src/chervilwing/retry_shares.py
+++ b/src/chervilwing/retry_shares.py
@@ -14,12 +14,12 @@
 
     def __init__(self, owner):
         self._owner = owner
-        self._instances = 1
+        self.instances = 1
         self._levels = {}
 
     def set_instances(self, count):
         """Set how many instances share the budget."""
-        self._instances = max(1, count)
+        self.instances = max(1, count)
 
     def note_first(self, pool):
         """Take note of a first attempt."""
@@ -38,4 +38,4 @@
         return self._levels.get(pool, self._capacity())
 
     def _capacity(self):
-        return max(1.0, self._owner.cfg.retry_burst * USED_PART / self._instances)
+        return max(1.0, self._owner.cfg.retry_burst * USED_PART / self.instances)
--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -123,15 +123,16 @@
         ``length`` is that of the body, or None for one that comes in pieces.
         """
         self.sized = length is not None
-        fields = dict(headers)
         if self.sized:
-            fields["Content-Length"] = str(length)
+            framing = {} if status in BODILESS else {"Content-Length": str(length)}
         elif self.req.chunks:
-            fields["Transfer-Encoding"] = "chunked"
+            framing = {"Transfer-Encoding": "chunked"}
         else:
+            framing = {}
             self.req = self.req._replace(keep_alive=False)
         self.started = True
-        self._write(encode_head(status, fields | self._persistence()))
+        fields = {**headers, **framing, **self._persistence()}
+        self._write(encode_head(status, fields))
 
     def write(self, data):
         """Send one piece."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,8 +5,9 @@
 import threading
 import unittest
 
+from chervilwing.attempts import count_idle
 from chervilwing.platform.headers import DIALECT
-from chervilwing.routing import Organisation
+from chervilwing.routing import Organisation, PoolTraits
 from tests.gateways import GatewayRun, make_document
 from tests.procs import Caller, poll
 
@@ -131,6 +132,30 @@
         found = self.start(script).call("GET", "/page/x")
         self.assertEqual((found.body, found.whole), (b"all of it", True))
 
+    def test_answers_without_a_body_keep_their_form(self):
+        def script(conn, method, path, body):
+            status = b"204 No Content" if method == "DELETE" else b"200 OK"
+            length = b"" if method == "DELETE" else b"Content-Length: 700\r\n"
+            conn.sendall(
+                b"HTTP/1.1 %b\r\nX-Server-Stamp: s\r\n%b\r\n" % (status, length)
+            )
+
+        run = self.start(script)
+        with Caller(run.port) as caller:
+            caller.send(
+                b"HEAD /page/x HTTP/1.1\r\nHost: a.example\r\n"
+                b"Authorization: Bearer k1\r\n\r\n"
+            )
+            self.assertEqual(caller.read_head()[1]["content-length"], "700")
+            found = run.send(caller, "DELETE", "/page/x")
+        self.assertEqual(found.status, 204)
+        self.assertNotIn("content-length", found.headers)
+
+    def test_unused_connections_leave_room_for_a_large_fleet(self):
+        traits = PoolTraits("web", connections=470)
+        for instances, most in ((7, 8), (68, 2), (320, 1)):
+            self.assertEqual(count_idle(traits, instances), most)
+
 
 class TestRefusals(GatewayCase):
     def test_without_a_configuration_the_caller_is_told_to_come_back(self):
