One choice a request, no connections to gone upstreams, fewer calls in a wave

Change: the choice of admission is used; forgotten addresses are closed; 0.25 s between a change of registrations and the next watch.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -57,12 +57,13 @@
         self._dialect = dialect
         self._retries = owner.retries
 
-    def send(self, relay):
+    def retire(self, address):
+        """Close the unused connections to an address that is given up."""
+        self._client.retire(address)
+
+    def send(self, relay, found):
+        """Send a request to the upstream that was found for it."""
         now = read_boottime()
-        found = relay.pool.choose(relay.demand, relay.tried, now)
-        if found is None:
-            self.give_up(relay, NoUpstream(retry_after=RETURN_WAIT))
-            return
         station, estimate = found
         relay.station, relay.estimate = station, estimate
         relay.attempts += 1
@@ -81,6 +82,13 @@
         )
         relay.call = self._client.submit(self._make_call(relay, now), handlers)
 
+    def _send_again(self, relay):
+        found = relay.pool.choose(relay.demand, relay.tried, read_boottime())
+        if found is None:
+            self.give_up(relay, NoUpstream(retry_after=RETURN_WAIT))
+            return
+        self.send(relay, found)
+
     def _make_call(self, relay, now):
         req = relay.exchange.req
         route = relay.route
@@ -132,7 +140,7 @@
         """Go elsewhere with a request that this upstream has not run."""
         self.end_attempt(relay, failed=True, cancel=True)
         if self._may_retry(relay):
-            self.send(relay)
+            self._send_again(relay)
             return
         self.give_up(relay, PoolFull(retry_after=RETURN_WAIT))
 
@@ -205,7 +213,7 @@
             relay.may_have_run = True
             if self._may_retry(relay):
                 relay.fallback = (status, headers, relay.take_held())
-                self.send(relay)
+                self._send_again(relay)
                 return
         self._finish(relay, status, headers)
 
@@ -243,7 +251,7 @@
         if relay.events is not None:
             relay.events.restart()
         if self._may_retry(relay):
-            self.send(relay)
+            self._send_again(relay)
             return
         self.give_up(relay, exc)
 
@@ -252,6 +260,7 @@
         self._failed(relay, UpstreamFailed(detail))
 
     def end_attempt(self, relay, failed, cancel=False):
+        """Take note that an attempt is over; ``failed`` None says nothing of it."""
         if relay.station is not None:
             now = read_boottime()
             relay.pool.end(relay.station, relay.demand, failed, now)
--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -153,9 +153,12 @@
         self._ring = Ring(self.stations)
 
     def remove(self, name):
-        """Forget an upstream."""
-        if self.stations.pop(name, None) is not None:
-            self._ring = Ring(self.stations)
+        """Forget an upstream and return its address, or None."""
+        station = self.stations.pop(name, None)
+        if station is None:
+            return None
+        self._ring = Ring(self.stations)
+        return station.registration.address
 
     def list_open(self, excluded=()):
         """Return the stations that may take new work."""
--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -21,6 +21,10 @@
 CONFIGURATION_WAIT = 1.2
 REGISTRATIONS_WAIT = 2.0
 INSTANCES_WAIT = 4.0
+# Seconds after a change of registrations until the next call. Load: a wave takes a data
+# centre's upstreams, each change wakes every instance. Harm: every call is paid for and
+# counted; a quarter second of the two in which a leaving one still serves is no loss.
+REGISTRATIONS_SPACING = 0.25
 # Seconds for which an instance that is gone still counts as lately there: a window of
 # usage and the time until it is reported.
 RECENT = 10.0
@@ -61,7 +65,9 @@
         record = Record(INSTANCES + cfg.name, value)
         self.tenure = Tenure(DUTIES, record, cfg.name, cfg.lease, rng)
         self._documents = Mirror(sources.documents, CONFIGURATION_WAIT, rng)
-        self._registrations = Mirror(sources.registrations, REGISTRATIONS_WAIT, rng)
+        self._registrations = Mirror(
+            sources.registrations, REGISTRATIONS_WAIT, rng, REGISTRATIONS_SPACING
+        )
         self._instances = Mirror(INSTANCES.rstrip("/"), INSTANCES_WAIT, rng)
         self._followers = (
             (self._documents, self._take_document),
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -110,7 +110,10 @@
 
     def _forget_upstream(self, name):
         for pool in self.pools.values():
-            pool.remove(name)
+            address = pool.remove(name)
+            if address is not None:
+                # The address may soon be another's; nothing of ours stays open.
+                self._attempts.retire(address)
 
     def _find_pool(self, name):
         pool = self.pools.get(name)
@@ -121,17 +124,17 @@
 
     def _requested(self, exchange):
         try:
-            relay = self._admit(exchange, read_boottime())
+            relay, found = self._admit(exchange, read_boottime())
         except ChervilwingError as exc:
             log_request(describe_refusal(exchange.req, exc, self._read_version()))
             self.refuse(exchange, exc)
             return
         exchange.tag = relay
         self.relays.add(relay)
-        self._attempts.send(relay)
+        self._attempts.send(relay, found)
 
     def _admit(self, exchange, now):
-        """Return the request with all that is known of it, or raise why not."""
+        """Return the request and where it may go, or raise why it may not."""
         req = exchange.req
         if self.draining:
             raise NotReady("This instance is stopping.", retry_after=STOP_WAIT)
@@ -142,11 +145,11 @@
         demand = self._dialect.read_demand(req, now, route.time_limit)
         pool = self._find_pool(pick_target(route, self._rng.random()))
         relay = Relay(exchange, route, organisation, pool, demand, now)
-        self._check_room(relay, now)
+        found = self._find_room(relay, now)
         relay.charged = self._dialect.cost(demand, organisation)
         self.allowances.charge(organisation, relay.charged, now)
         self.retries.note_first(pool.traits.name)
-        return relay
+        return relay, found
 
     def _read_version(self):
         return self.table.document.version if self.table else 0
@@ -162,8 +165,8 @@
             raise StaleKeys(retry_after=RETURN_WAIT)
         return self.table.find_organisation(route, req.headers.get("authorization", ""))
 
-    def _check_room(self, relay, now):
-        """Refuse at once what no upstream can do in time."""
+    def _find_room(self, relay, now):
+        """Return the best upstream; refuse at once what none can do in time."""
         found = relay.pool.choose(relay.demand, relay.tried, now)
         scope = Scope("pool", relay.pool.traits.name)
         if found is None:
@@ -171,6 +174,7 @@
         seconds = found[1].seconds
         if seconds > (relay.ends_at - now) * HOPELESS_PART:
             raise PoolFull(scope=scope, retry_after=min(seconds, RETURN_WAIT * 4))
+        return found
 
     def refuse(self, exchange, exc):
         """Answer with a failure and a time to come back, spread over callers."""
--- a/src/chervilwing/mirrors.py
+++ b/src/chervilwing/mirrors.py
@@ -27,10 +27,11 @@
     ``as_of`` is when the last answered call was sent: whatever was acknowledged before
     is known here. The time of the answer would claim too much, as it may have been
     long on its way. ``lost_since`` is when calls began to fail, or None, and
-    ``regained_at`` when they last worked again.
+    ``regained_at`` when they last worked again. After a change the next call waits for
+    ``spacing``: changes that come together cost one call in place of one each.
     """
 
-    def __init__(self, prefix, wait, rng):
+    def __init__(self, prefix, wait, rng, spacing=0.0):
         self.prefix = prefix
         self.items = {}
         self.complete = False
@@ -38,6 +39,7 @@
         self.regained_at = float("-inf")
         self.lost_since = None
         self._wait = wait
+        self._spacing = spacing
         self._rng = rng
         self.revision = None
         self._listing = None
@@ -89,6 +91,8 @@
         self._recover(now)
         self.revision = max(self.revision, changes.revision)
         self.as_of = sent
+        if changes.items:
+            self._due = now + self._spacing
         return self._apply(changes.items)
 
     def _apply(self, items):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -390,6 +390,14 @@
         for _ in range(4):
             self.assertEqual(run.call("POST", "/note/x", b"n").status, 200)
 
+    def test_connections_to_one_that_is_gone_are_closed(self):
+        # Its address is given to another service; a kept connection would lead there.
+        run = self.start(answer())
+        run.call("GET", "/page/x")
+        poll(lambda: run.client.count_idle() == 1)
+        run.gateway.remove_upstream("u0", float("-inf"))
+        self.assertEqual(run.client.count_idle(), 0)
+
     def test_an_older_document_never_replaces_a_newer_one(self):
         run = self.start(answer(), document=make_document(version=5))
         self.assertFalse(run.gateway.configure(make_document(4, routes=())))
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -90,6 +90,16 @@
         self.answer(Changes((), 6), now)
         self.assertIsNone(self.mirror.lost_since)
 
+    def test_changes_that_come_together_cost_one_call(self):
+        # A wave takes ten upstreams within a moment; each change would wake every
+        # instance, and each would ask the store ten times.
+        mirror = self.mirror = Mirror("a/", 1.0, random.Random(1), spacing=0.25)
+        self.answer(Page((), 5), 0.0)
+        self.answer(Changes((put("k1", 6),), 6), 0.1)
+        self.assertIsNone(mirror.next_call(0.2))
+        self.answer(Changes((put("k2", 7), put("k3", 8)), 8), 0.4)
+        self.assertEqual(len(mirror.items), 3)
+
     def test_a_deletion_is_told_once(self):
         self.answer(Page((put("k", 3),), 5), 0.0)
         gone = Item("a/k", None, 7)
