--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -200,7 +200,7 @@
     "/-/metrics": GatewayDaemon._answer_metrics,
 }
 # What may change while a gateway runs.
-RELOADED = ("store", "cloud", "revoke_bound", "retry_ratio", "retry_burst", "log_level")
+RELOADED = ("store", "cloud", "revoke_bound", "retry_ratio", "retry_burst")
 
 
 def read_file(path):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -76,8 +76,11 @@
         value = {"service": "web", "address": address, "zone": "a", "slots": 4}
         self.operate({f"servers/{name}": value | {"state": "ready"} | changes})
 
-    def start(self, name, **options):
-        """Start a gateway and wait until it is ready."""
+    def start(self, name, settings_file=None, **options):
+        """Start a gateway and wait until it is ready.
+
+        With a settings file, the store's address stands there.
+        """
         flags = {
             "listen": f"{HOST}:0",
             "ready-listen": f"{HOST}:0",
@@ -90,9 +93,13 @@
             "usage-window": "1",
             **{key.replace("_", "-"): value for key, value in options.items()},
         }
+        env = None
+        if settings_file is not None:
+            del flags["store"]
+            env = {"CHERVILWING_SETTINGS": settings_file}
         argv = [f"--{key}={value}" for key, value in flags.items()]
         program = [sys.executable, "-m", "chervilwing.platform", *argv]
-        gateway = self.procs.start(program)
+        gateway = self.procs.start(program, env)
         poll(lambda: self.is_ready(gateway))
         return gateway
 
