Show that sixteen guards of the gateway are needed

Cause: tests of streams that go on elsewhere passed with the guard taken out: the sick upstream was drawn by chance, a reset overtook what it had sent, and ids alone hid a glued event.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -44,6 +44,11 @@
     conn.close()
 
 
+def end(conn):
+    """Close the connection behind what was sent; a reset could overtake it."""
+    conn.shutdown(socket.SHUT_RDWR)
+
+
 def break_off(conn, method, path, body):
     """Reset before a byte of an answer."""
     reset(conn)
@@ -62,6 +67,34 @@
         self.addCleanup(self.run_.close)
         return self.run_
 
+    def start_first(self, *scripts):
+        """Start before two upstreams of which the second takes no work yet."""
+        run = self.start(*scripts)
+        second = run.register("u1", run.upstreams[1].port, leaving=True)
+        run.gateway.put_upstream(second)
+        return run
+
+    def open_second(self):
+        """Let the second upstream take work."""
+        second = self.run_.register("u1", self.run_.upstreams[1].port)
+        self.run_.gateway.put_upstream(second)
+
+    def call_until_seen(self, index, *args, check):
+        """Make calls until the upstream has seen one, and check every answer.
+
+        Which upstream gets a call is drawn; a test that never met the sick one would
+        pass without having shown anything.
+        """
+        for _ in range(60):
+            check(self.run_.call(*args))
+            if self.run_.upstreams[index].seen:
+                return
+        self.fail(f"upstream {index} got no call")
+
+    def check_served(self, found):
+        """Check that a call was answered well."""
+        self.assertEqual(found.status, 200)
+
     def count_seen(self):
         """Return how many requests reached each upstream."""
         return [len(upstream.seen) for upstream in self.run_.upstreams]
@@ -195,9 +228,8 @@
 
 class TestFailures(GatewayCase):
     def test_an_idempotent_request_goes_elsewhere(self):
-        run = self.start(break_off, answer())
-        for _ in range(4):
-            self.assertEqual(run.call("GET", "/page/x").status, 200)
+        self.start(break_off, answer())
+        self.call_until_seen(0, "GET", "/page/x", check=self.check_served)
 
     def test_what_may_have_run_is_never_sent_twice_nor_called_unrun(self):
         # The upstream books the note and its answer is lost: sent once more, the note
@@ -208,9 +240,8 @@
         self.assertEqual(sum(self.count_seen()), 1)
 
     def test_what_an_upstream_refused_unrun_goes_elsewhere(self):
-        run = self.start(shed, answer())
-        for _ in range(4):
-            self.assertEqual(run.call("POST", "/note/x", b"n").status, 200)
+        self.start(shed, answer())
+        self.call_until_seen(0, "POST", "/note/x", b"n", check=self.check_served)
 
     def test_refused_everywhere_is_called_not_run(self):
         run = self.start(shed, shed)
@@ -245,11 +276,13 @@
     def test_a_cut_answer_is_asked_for_again_and_no_part_is_shown(self):
         def cut(conn, method, path, body):
             conn.sendall(SIGNED + b"Content-Length: 9\r\n\r\nhalf")
-            reset(conn)
+            end(conn)
 
-        run = self.start(cut, answer(b"the whole"))
-        for _ in range(4):
-            self.assertEqual(run.call("GET", "/page/x").body, b"the whole")
+        def check(found):
+            self.assertEqual(found.body, b"the whole")
+
+        self.start(cut, answer(b"the whole"))
+        self.call_until_seen(0, "GET", "/page/x", check=check)
 
     def test_an_unsigned_success_is_not_the_upstreams_answer(self):
         def unsigned(conn, method, path, body):
@@ -331,7 +364,7 @@
     def test_a_stream_that_breaks_off_never_looks_whole(self):
         def script(conn, method, path, body):
             conn.sendall(EVENTS + make_event(1))
-            reset(conn)
+            end(conn)
 
         found = self.start(script, script).call("POST", "/chat/x")
         self.assertFalse(found.whole)
@@ -343,33 +376,34 @@
         def dying(conn, method, path, body):
             conn.sendall(EVENTS + make_event(1) + make_event(2))
             conn.sendall(encode_chunk(b"id: 3\ndata: pie"))
-            reset(conn)
+            self.open_second()
+            end(conn)
 
         def going_on(conn, method, path, body):
             first = int(run.upstreams[1].heads[-1][1].get("last-event-id", 0)) + 1
             pieces = b"".join(make_event(n) for n in range(first, 5))
             conn.sendall(EVENTS + pieces + b"0\r\n\r\n")
 
-        run = self.start(dying, going_on)
-        for _ in range(3):
-            found = run.call("POST", "/quote/x")
-            self.assertTrue(found.whole)
-            numbers = [line for line in found.body.split(b"\n") if line[:3] == b"id:"]
-            self.assertEqual(numbers, [b"id: %d" % n for n in range(1, 5)])
+        run = self.start_first(dying, going_on)
+        found = run.call("POST", "/quote/x")
+        self.assertTrue(found.whole)
+        pieces = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 5)]
+        self.assertEqual(found.body, b"".join(pieces))
+        self.assertEqual(self.count_seen(), [1, 1])
 
     def test_a_failure_never_stands_in_the_middle_of_a_stream(self):
         # A stream goes on elsewhere, and that upstream answers with a failure: passed
         # on, its body would be read as an event.
         def dying(conn, method, path, body):
             conn.sendall(EVENTS + make_event(1))
-            reset(conn)
+            self.open_second()
+            end(conn)
 
-        run = self.start(dying, answer(b"broken", b"500 Oops"))
-        for _ in range(4):
-            found = run.call("POST", "/quote/x")
-            if found.status == 200:
-                self.assertFalse(found.whole)
-            self.assertNotIn(b"id: 1\ndata: piece 1\n\nbroken", found.body)
+        run = self.start_first(dying, answer(b"broken", b"500 Oops"))
+        found = run.call("POST", "/quote/x")
+        self.assertEqual(found.body, b"id: 1\ndata: piece 1\n\n")
+        self.assertFalse(found.whole)
+        self.assertEqual(self.count_seen(), [1, 1])
 
 
 class TestUpstreamsThatLeave(GatewayCase):
@@ -386,9 +420,8 @@
         def other(conn, method, path, body):
             conn.sendall(b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n")
 
-        run = self.start(other, answer())
-        for _ in range(4):
-            self.assertEqual(run.call("POST", "/note/x", b"n").status, 200)
+        self.start(other, answer())
+        self.call_until_seen(0, "POST", "/note/x", b"n", check=self.check_served)
 
     def test_connections_to_one_that_is_gone_are_closed(self):
         # Its address is given to another service; a kept connection would lead there.
--- /dev/null
+++ b/tests/weakened_gateway.py
@@ -0,0 +1,155 @@
+"""The gateway's guards, each taken out in a scratch copy: its test must go red.
+
+``python -m tests.weakened_gateway`` prints what each test shows without its guard.
+"""
+
+from tests.weakened import Edit, Weakness, show
+
+FAILURES = "tests.test_gateway.TestFailures.test_"
+REFUSALS = "tests.test_gateway.TestRefusals.test_"
+STREAMS = "tests.test_gateway.TestStreams.test_"
+MIRROR = "tests.test_mirrors.TestMirror.test_"
+TENURE = "tests.test_tenures.TestTenure.test_"
+ALLOWANCES = "tests.test_allowances.TestAllowances.test_"
+SIZING = "tests.test_sizing.TestSizing.test_"
+
+CHANGED = "self.as_of = sent\n        if changes.items:"
+BACK = "if self._acted_fence != self._fence and now < self._acted + self._ttl:"
+STALE = "if not route.open and not self._knows_keys():"
+PIECE = "data = relay.events.feed(data)"
+
+GATEWAY_WEAKNESSES = (
+    Weakness(
+        "what may have run is sent again",
+        (
+            Edit(
+                "attempts",
+                "if not relay.route.repeatable and relay.may_have_run:",
+                "if False:",
+            ),
+        ),
+        (FAILURES + "what_may_have_run_is_never_sent_twice_nor_called_unrun",),
+    ),
+    Weakness(
+        "a failure without a send keeps its status",
+        (Edit("attempts", "if exc.status not in PROMISES:", "if False:"),),
+        (FAILURES + "what_reached_nobody_is_called_not_run",),
+    ),
+    Weakness(
+        "an answer to an earlier request is taken",
+        (
+            Edit(
+                "connections",
+                "return head is not None and expects is not None and not expects(head)",
+                "return False",
+            ),
+        ),
+        (FAILURES + "the_answer_to_an_earlier_request_is_passed_over",),
+    ),
+    Weakness(
+        "any success is the upstream's own",
+        (Edit("attempts", "if not verdict.sound:", "if False:"),),
+        (FAILURES + "an_unsigned_success_is_not_the_upstreams_answer",),
+    ),
+    Weakness(
+        "a failure goes on with a stream",
+        (Edit("attempts", "if relay.exchange.started and not streams:", "if False:"),),
+        (STREAMS + "a_failure_never_stands_in_the_middle_of_a_stream",),
+    ),
+    Weakness(
+        "half an event is passed on",
+        (
+            Edit(
+                "attempts", "data = relay.events.feed(data)", "relay.events.feed(data)"
+            ),
+        ),
+        (STREAMS + "a_stream_goes_on_elsewhere_at_the_next_whole_event",),
+    ),
+    Weakness(
+        "keys are honoured whatever is known of them",
+        (
+            Edit(
+                "gateway", "if not route.open and not self._knows_keys():", "if False:"
+            ),
+        ),
+        (
+            "tests.test_gateway.TestRefusals.test_keys_known_too_long_ago_are_not_honoured",
+        ),
+    ),
+    Weakness(
+        "a leaving upstream gets work",
+        (
+            Edit(
+                "balancing",
+                "if not station.registration.leaving and name not in excluded",
+                "if name not in excluded",
+            ),
+        ),
+        ("tests.test_balancing.TestLeaving.test_a_leaving_one_gets_nothing",),
+    ),
+    Weakness(
+        "an older change replaces a newer one",
+        (
+            Edit(
+                "mirrors",
+                "if known is not None and known.revision >= item.revision:",
+                "if False:",
+            ),
+        ),
+        (MIRROR + "an_older_change_never_replaces_a_newer_one",),
+    ),
+    Weakness(
+        "knowledge counts from the answer",
+        (Edit("mirrors", CHANGED, CHANGED.replace("sent", "now")),),
+        (MIRROR + "knowledge_is_as_old_as_the_sending_of_its_call",),
+    ),
+    Weakness(
+        "a holder trusts its lease to the end and beyond",
+        (Edit("tenures", "now >= self._until:", "False:"),),
+        (TENURE + "nobody_acts_on_a_lease_that_may_have_lapsed",),
+    ),
+    Weakness(
+        "a returning holder acts at once",
+        (Edit("tenures", BACK, "if False:"),),
+        (TENURE + "a_returning_holder_waits_out_its_own_last_act",),
+    ),
+    Weakness(
+        "a part of the system spends the whole rate",
+        (
+            Edit(
+                "allowances",
+                "return min(1.0, heard / max(self._known, heard))",
+                "return 1.0",
+            ),
+        ),
+        (ALLOWANCES + "an_instance_that_hears_nobody_keeps_to_its_part",),
+    ),
+    Weakness(
+        "vanished registrations are gone at once",
+        (Edit("registrations", "if now < regained_at + LAPSE_GRACE:", "if False:"),),
+        (
+            "tests.test_registrations.TestRegistry"
+            ".test_entries_that_lapsed_with_the_store_have_time_to_return",
+        ),
+    ),
+    Weakness(
+        "others are ordered only once too few are left",
+        (Edit("sizing", "if now >= self._scarce_until:", "if True:"),),
+        (SIZING + "a_notice_in_one_place_buys_what_suffices_alone",),
+    ),
+    Weakness(
+        "a log's reader is waited for",
+        (Edit("logs", "_Bound.dropped += 1\n            return\n", "pass\n"),),
+        ("tests.test_logs.TestVolume.test_a_reader_that_stalls_holds_nobody_up",),
+    ),
+)
+
+
+def main():
+    """Print the red figures."""
+    for weakness in GATEWAY_WEAKNESSES:
+        show(weakness, live=False)
+
+
+if __name__ == "__main__":
+    main()
