Run one gateway on a file of routes, without a platform

Cause: the gateway was tested without the platform, and could not be run without it: it had no configuration of its own and its plain dialect no test. Ruled out: a second wiring (the same daemon takes a store in the process and plain headers).

--- a/src/chervilwing/gateway_settings.py
+++ b/src/chervilwing/gateway_settings.py
@@ -43,7 +43,7 @@
     metrics_listen: Address | None
     name: str
     data_centre: str
-    store: Address
+    store: Address | None
     cloud: Address | None
     lease: float
     store_timeout: float
@@ -57,6 +57,8 @@
     log_format: str
     log_level: str
     stats_pairs: int
+    # A file of routes and upstreams in place of a store.
+    routes: str = ""
     # Tells the processes of one instance apart.
     incarnation: int = 0
     limits: CallerLimits = CallerLimits()
@@ -85,6 +87,7 @@
     Field("data_centre", parse_name, "local", "name", "where this instance runs"),
     Field("store", parse_optional_address, "", "HOST:PORT", "the platform's store"),
     Field("cloud", parse_optional_address, "", "HOST:PORT", "the platform's API"),
+    Field("routes", str, "", "path", "TOML file in place of a platform's store"),
     Field("lease", parse_duration, "3", "s", "after which a dead instance is gone"),
     Field("store_timeout", parse_duration, "1", "s", "for a call to the store"),
     Field("drain_timeout", parse_duration, "8", "s", "for a planned stop"),
@@ -103,7 +106,7 @@
 GATEWAY = Program(
     "chervilwing-gateway", "Gateway before upstreams that register themselves.", FIELDS
 )
-NEEDED = ("listen", "ready_listen", "beacon_listen", "store")
+NEEDED = ("listen", "ready_listen", "beacon_listen")
 
 
 def read_lines(text):
@@ -131,6 +134,8 @@
         for name in NEEDED:
             if values[name] is None:
                 raise BadSetting(f"--{name.replace('_', '-')}: needed")
+        if values["store"] is None and not values["routes"]:
+            raise BadSetting("--store: needed, or --routes without a platform")
         return Success(GatewaySettings(**values))
     except BadSetting as exc:
         return Failure(exc)
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -56,6 +56,8 @@
         beacons.register(self)
         cfg = self.cfg = cfg._replace(beacon_listen=beacons.address)
         self._store = adapter.make_store(cfg, platform)
+        if isinstance(self._store, BaseComponent):
+            self._store.register(self)
         self._coordinator = Coordinator(
             cfg, self._store, adapter.sources, self.gateway
         ).register(self)
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -35,6 +35,8 @@
     "generations",
     "instance_orders",
     "loads",
+    "local_gateway",
+    "local_stores",
     "logs",
     "notices",
     "orderer",
