--- a/tests/fakes/relay.py
+++ b/tests/fakes/relay.py
@@ -111,6 +111,9 @@
         await network.flowing.wait()
         there_reader, there_writer = await asyncio.open_connection(*network.target)
         link.writers.append(there_writer)
+        # Accepted just before the cut, it is joined only now: it would survive the cut.
+        if network.switches["cut"]:
+            raise ConnectionResetError
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(carry(network, link, reader, there_writer, 0))
             tasks.create_task(carry(network, link, there_reader, writer, 1))
