Give each group of instances a leader that watches the store and adds up figures

Cause: each instance watched the store for itself and told all others what it spends and has in flight. Ruled out: a push by the leader (it needs acknowledgements to prove how fresh knowledge is), a lease for the leader (there only where the store is), streams (a silent one shows after 2 s, a question after 0.25 s). Now it is asked on for figures, and only what depends on the store is asked for elsewhere. Change: fanout (who leads, whom to ask), tallies (sums), neighbours (questions and answers), datagrams (the socket); mirrors tell and learn news with their age, counted from the question; usage is stored by the leader, one item a group and window, by process; own figures of a station are kept up to date instead of added up.

--- a/src/chervilwing/allowances.py
+++ b/src/chervilwing/allowances.py
@@ -36,8 +36,9 @@
     def __init__(self):
         self.spent = {}
         self._buckets = {}
-        self._heard = {}
-        self._peers = {}
+        self._source = None
+        self._others = {}
+        self._heard_of = (0, float("-inf"))
         self._known = 1
 
     def configure(self, organisations, now):
@@ -55,21 +56,25 @@
         """Set how many instances there are, this one included."""
         self._known = max(1, count)
 
-    def hear(self, peer, incarnation, spent, until):
-        """Take another instance's totals since its start, by organisation.
+    def hear(self, source, spent, instances, until):
+        """Take the totals of all other instances together, as one of them adds them up.
 
-        ``until`` is when the instance no longer counts as heard.
+        ``source`` is the process that added them up and ``instances`` how many it heard
+        of; the sums of two processes differ by what either missed.
+
+        Guard: words overtake each other, and a sum falls for a moment; measured from
+        there, what was spent in between would be taken twice.
         """
-        self._heard[peer] = until
-        before = self._peers.get(peer, (None, {}))
-        old = before[1] if before[0] == incarnation else {}
-        # The first word of an instance tells of its whole past, which is no news.
-        fresh = peer in self._peers
-        self._peers[peer] = (incarnation, dict(spent))
+        if self._source != source:
+            self._source = source
+            self._others = dict(spent)
+        self._heard_of = (instances, until)
         for name, total in spent.items():
+            old = self._others.get(name, 0.0)
             bucket = self._buckets.get(name)
-            if bucket is not None and fresh:
-                bucket.level -= max(0.0, total - old.get(name, 0.0))
+            if bucket is not None:
+                bucket.level -= max(0.0, total - old)
+            self._others[name] = max(old, total)
 
     def charge(self, organisation, cost, now):
         """Spend the cost, or raise CustomerLimit with a time to come back."""
@@ -94,10 +99,8 @@
 
     def _part(self, now):
         """Return the part of the rate that the instances within hearing may spend."""
-        self._heard = {
-            peer: until for peer, until in self._heard.items() if now <= until
-        }
-        heard = 1 + len(self._heard)
+        instances, until = self._heard_of
+        heard = 1 + (instances if now <= until else 0)
         return min(1.0, heard / max(self._known, heard))
 
     def _refuse(self, organisation, bucket, cost, now):
--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -17,6 +17,8 @@
 PREFILL_RATE = 34_000.0
 SLOWEST_RATE = 4_000.0
 FASTEST_RATE = 200_000.0
+# Requests at an engine up to which an answer tells how fast the engine is itself.
+ALONE = 6
 # Prompts shorter than this say nothing about the rate: one step dominates.
 MEASURED_TOKENS = 1500
 # Seconds from the arrival at an idle engine to its first token, and for each request
@@ -59,6 +61,9 @@
     tokens: int = 0
 
 
+NOTHING = InFlight()
+
+
 class Estimate(NamedTuple):
     """Seconds until the first byte, and prompt tokens that must be read for it."""
 
@@ -73,32 +78,68 @@
     tokens: int
     ahead: int
     at: float
+    alone: bool = False
     started: bool = False
 
 
 class Station:
-    """What one instance knows of one upstream."""
+    """What one instance knows of one upstream.
+
+    ``own`` is what this instance has in flight here, kept up to date with each change:
+    a choice looks at every station of a pool.
+    """
 
     def __init__(self, registration):
         self.registration = registration
         self.sent = {}
-        # What each other instance has in flight here, and until when that counts.
-        self.peers = {}
+        self.own = NOTHING
+        # What all other instances have in flight here, and until when that counts.
+        self._others = NOTHING
+        self._others_until = float("-inf")
         self.parts = OrderedDict()
         self.failure_rate = 0.0
         self.failure_at = 0.0
 
+    def hear(self, others, until):
+        """Take what all other instances have in flight here."""
+        self._others, self._others_until = others, until
+
     def count(self, now):
         """Return what all instances have in flight here."""
-        own = self.own()
-        fresh = [load for load, until in self.peers.values() if now < until]
-        return InFlight(*(sum(column) for column in zip(own, *fresh, strict=True)))
-
-    def own(self):
-        """Return what this instance has in flight here."""
-        sent = self.sent.values()
-        prefill = sum(item.prefill for item in sent if not item.started)
-        return InFlight(len(self.sent), prefill, sum(item.tokens for item in sent))
+        if now >= self._others_until:
+            return self.own
+        own, others = self.own, self._others
+        return InFlight(
+            own.requests + others.requests,
+            own.prefill + others.prefill,
+            own.tokens + others.tokens,
+        )
+
+    def add(self, request_id, sent):
+        """Take note of a request that was sent here."""
+        self.sent[request_id] = sent
+        self._change(1, sent.prefill, sent.tokens)
+
+    def start(self, request_id):
+        """Take note that a request's prompt is read; return it the first time."""
+        sent = self.sent.get(request_id)
+        if sent is None or sent.started:
+            return None
+        self.sent[request_id] = sent._replace(started=True)
+        self._change(0, -sent.prefill, 0)
+        return sent
+
+    def remove(self, request_id):
+        """Take note that a request is over."""
+        sent = self.sent.pop(request_id, None)
+        if sent is not None:
+            self._change(-1, 0 if sent.started else -sent.prefill, -sent.tokens)
+
+    def _change(self, requests, prefill, tokens):
+        own = self.own
+        self.own = InFlight(
+            own.requests + requests, own.prefill + prefill, own.tokens + tokens
+        )
 
     def measure_failures(self, now):
         """Return the failure rate, which fades as time passes."""
@@ -135,8 +176,9 @@
         self.traits = traits
         self.stations = {}
         self.rate = PREFILL_RATE
+        self.own_rate = PREFILL_RATE
         self.service_time = SERVICE_TIME
-        # Engine seconds of all that was sent, here and by each other instance.
+        # Engine seconds of all that was asked for, here and at each other instance.
         self.work = 0.0
         self.peers_work = {}
         self._data_centre = data_centre
@@ -221,22 +263,30 @@
         names = {station.registration.name for station in able}
         return self._ring.find(demand.subject, OWNERS, names)
 
+    def ask(self, demand, estimate):
+        """Count the work that a caller asks for, once, whatever becomes of it.
+
+        Guard: engines that are overloaded seem slow, and those that refuse are asked
+        twice. Counted in their time of now, or at each attempt, the work would look
+        larger the fewer engines there are, and orders follow it up without an end.
+        """
+        self.work += estimate.prefill / self.own_rate
+        self.work += demand.expected_tokens * TOKEN_TIME
+
     def send(self, station, demand, estimate, now):
         """Take note that the request goes to the station."""
-        ahead = station.count(now).prefill
+        load = station.count(now)
         tokens = demand.prompt_tokens + demand.output_tokens
-        sent = Sent(estimate.prefill, tokens, ahead, now)
-        station.sent[demand.request_id] = sent
-        self.work += estimate.prefill / self.rate
-        self.work += demand.expected_tokens * TOKEN_TIME
+        alone = not load.prefill and load.requests < ALONE
+        sent = Sent(estimate.prefill, tokens, load.prefill, now, alone)
+        station.add(demand.request_id, sent)
         station.remember(demand.parts[:-1])
 
     def start(self, station, demand, now):
         """Take note of the first byte of the answer."""
-        sent = station.sent.get(demand.request_id)
-        if sent is None or sent.started:
+        sent = station.start(demand.request_id)
+        if sent is None:
             return
-        station.sent[demand.request_id] = sent._replace(started=True)
         took = now - sent.at
         tokens = sent.prefill + sent.ahead
         if self.traits.engine is None:
@@ -244,9 +294,11 @@
         elif tokens >= MEASURED_TOKENS and took > FIRST_STEP:
             rate = min(FASTEST_RATE, max(SLOWEST_RATE, tokens / (took - FIRST_STEP)))
             self.rate = blend(self.rate, rate)
+            if sent.alone:
+                self.own_rate = blend(self.own_rate, rate)
 
     def end(self, station, demand, failed, now):
         """Take note that the attempt is over."""
-        station.sent.pop(demand.request_id, None)
+        station.remove(demand.request_id)
         if failed is not None:
             station.record(failed, now)
--- a/src/chervilwing/clocks.py
+++ b/src/chervilwing/clocks.py
@@ -25,13 +25,21 @@
 
     def __init__(self):
         self._offsets = {}
+        self._adopted = (0.0, float("-inf"))
 
     def hear(self, peer, time_of_day, now):
         """Take another instance's time of day."""
         self._offsets[peer] = (time_of_day - now, now)
 
+    def adopt(self, time_of_day, now):
+        """Take the time on which those agree whom another instance hears."""
+        self._adopted = (time_of_day - now, now)
+
     def read(self, time_of_day, now):
         """Return Unix seconds, given this instance's own time of day."""
+        offset, at = self._adopted
+        if now - at < STALE_AFTER:
+            return now + offset
         fresh = [
             offset for offset, at in self._offsets.values() if now - at < STALE_AFTER
         ]
--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -11,15 +11,16 @@
 from .exceptions import BadConfiguration
 from .logs import log_event
 from .mirrors import Mirror
+from .models import Address
 from .tenures import Record, Tenure
 
 # The product's own keys: instances that run, and who holds the duties.
 INSTANCES = "chervilwing/instances/"
 DUTIES = "chervilwing/instances-duties"
-# Seconds that a watch waits. An answered one proves how fresh the configuration is, so
-# it is asked for again well within the bound on keys; a silent connection shows by it.
-CONFIGURATION_WAIT = 1.2
-REGISTRATIONS_WAIT = 2.0
+# Seconds that a watch waits. An answered one proves how fresh knowledge is, for all who
+# ask this instance too; see fanout.OLDEST.
+CONFIGURATION_WAIT = 0.4
+REGISTRATIONS_WAIT = 0.4
 INSTANCES_WAIT = 4.0
 # Seconds after a change of registrations until the next call. Load: a wave takes a data
 # centre's upstreams, each change wakes every instance. Harm: every call is paid for and
@@ -35,6 +36,28 @@
 TRUSTED_PART = 0.95
 
 
+# How many of the prefixes that are followed, the first ones, must be known as of late.
+BOUND = 2
+
+
+class Peer(NamedTuple):
+    """Another instance: where its datagrams go, and its data centre."""
+
+    address: Address
+    data_centre: str
+
+
+def encode_peer(peer):
+    """Return the value under which an instance is registered."""
+    return f"{format_address(peer.address)} {peer.data_centre}".encode()
+
+
+def decode_peer(value):
+    """Return the Peer of such a value."""
+    address, _, data_centre = value.decode().partition(" ")
+    return Peer(parse_address(address), data_centre)
+
+
 class Sources(NamedTuple):
     """Where the platform keeps what the product follows, and how it is read.
 
@@ -61,7 +84,7 @@
         self._seen = {}
         self._gateway = gateway
         rng = random.Random()
-        value = format_address(cfg.beacon_listen).encode()
+        value = encode_peer(Peer(cfg.beacon_listen, cfg.data_centre))
         record = Record(INSTANCES + cfg.name, value)
         self.tenure = Tenure(DUTIES, record, cfg.name, cfg.lease, rng)
         self._documents = Mirror(sources.documents, CONFIGURATION_WAIT, rng)
@@ -74,6 +97,9 @@
             (self._registrations, self._take_registration),
             (self._instances, self._take_instance),
         )
+        self.peers = {}
+        # Grows with each change of the peers.
+        self.peers_version = 0
 
     def knows_keys(self):
         """Tell whether what is known of keys is fresh enough to honour them."""
@@ -89,19 +115,47 @@
         known = self._gateway.table is not None and self._registrations.complete
         return known and self.knows_keys()
 
-    def list_peers(self):
-        """Return name and address of all other instances that are registered."""
-        peers = {}
-        for key, item in self._instances.items.items():
-            name = key.removeprefix(INSTANCES)
-            if key.startswith(INSTANCES) and name != self.cfg.name:
-                peers[name] = parse_address(item.value.decode())
-        return peers
+    @property
+    def resting(self):
+        """Tell whether another instance watches the store for this one."""
+        return self._documents.resting
+
+    @resting.setter
+    def resting(self, resting):
+        for mirror, _ in self._followers:
+            mirror.resting = resting
+
+    @property
+    def unreachable(self):
+        """Tell whether the last own call on the store had no answer."""
+        return any(mirror.unreachable for mirror, _ in self._followers)
+
+    def list_revisions(self):
+        """Return up to which revision each prefix is known, None where it isn't."""
+        return [mirror.revision for mirror, _ in self._followers]
+
+    def tell(self, revisions, now):
+        """Return the News of each prefix after the revisions that another one knows."""
+        mirrors = (mirror for mirror, _ in self._followers)
+        return [
+            mirror.tell(revision, now)
+            for mirror, revision in zip(mirrors, revisions, strict=True)
+        ]
+
+    def find_age(self, news):
+        """Return how old the oldest is of what has to be known as of late."""
+        return max(float("inf") if item is None else item.age for item in news[:BOUND])
+
+    def learn(self, news, asked_at, now):
+        """Take what another instance told of each prefix."""
+        for (mirror, take), item in zip(self._followers, news, strict=True):
+            if item is not None:
+                self._take_changes(mirror, take, mirror.learn(item, asked_at, now), now)
 
     def list_recent(self):
         """Return the names of all instances that were registered lately."""
         now = read_boottime()
-        for name in (self.cfg.name, *self.list_peers()):
+        for name in (self.cfg.name, *self.peers):
             self._seen[name] = now
         self._seen = {name: at for name, at in self._seen.items() if now - at < RECENT}
         return set(self._seen)
@@ -129,6 +183,12 @@
             self._store.submit(call, self._hear_tenure)
         self._gateway.expire_upstreams()
 
+    def _take_changes(self, mirror, take, changed, now):
+        for item in changed:
+            take(item, now)
+        if mirror is self._instances and mirror.complete:
+            self._observe_duty(mirror, now)
+
     def _hear_tenure(self, reply):
         now = read_boottime()
         held = self.tenure.fence(now)
@@ -145,10 +205,7 @@
         lost = mirror.lost_since
         changed = mirror.receive(reply, now)
         self._log_dependency(mirror, lost, reply)
-        for item in changed:
-            take(item, now)
-        if mirror is self._instances and mirror.complete:
-            self._observe_duty(mirror, now)
+        self._take_changes(mirror, take, changed, now)
         self.advance()
 
     def _log_dependency(self, mirror, lost, reply):
@@ -202,7 +259,18 @@
             )
 
     def _take_instance(self, item, now):
+        self._note_peer(item)
         self.list_recent()
-        known = 1 + len(self.list_peers())
+        known = 1 + len(self.peers)
         self._gateway.allowances.set_known(known)
         self._gateway.retries.set_instances(known)
+
+    def _note_peer(self, item):
+        name = item.key.removeprefix(INSTANCES)
+        if not item.key.startswith(INSTANCES) or name == self.cfg.name:
+            return
+        self.peers_version += 1
+        if item.value is None:
+            self.peers.pop(name, None)
+        else:
+            self.peers[name] = decode_peer(item.value)
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -7,15 +7,16 @@
 from circuits.core import BaseComponent, handler
 from returns.result import Failure
 
-from .beacons import Beacons
 from .clocks import AgreedTime, read_boottime
 from .connections import Client
 from .coordination import Coordinator
+from .datagrams import Datagrams
 from .exceptions import NotFound
 from .gateway import Gateway, Limits
 from .instance_orders import InstanceOrders
 from .items import EndLease
 from .logs import count_dropped, log_event
+from .neighbours import Neighbours
 from .pollers import DirectPoller
 from .reports import CONTENT_TYPE, render_metrics
 from .routing import CallerLimits
@@ -52,9 +53,8 @@
             cfg, poller, upstreams, adapter.dialect, self._knows_keys
         ).register(self)
         agreed = AgreedTime()
-        beacons = Beacons(cfg, poller, self.gateway, self._list_peers, agreed)
-        beacons.register(self)
-        cfg = self.cfg = cfg._replace(beacon_listen=beacons.address)
+        datagrams = Datagrams(cfg.beacon_listen, poller).register(self)
+        cfg = self.cfg = cfg._replace(beacon_listen=datagrams.address)
         self._store = adapter.make_store(cfg, platform)
         if isinstance(self._store, BaseComponent):
             self._store.register(self)
@@ -63,8 +63,10 @@
         ).register(self)
         self._parts = UsageParts(cfg, self._store, agreed).register(self)
         self.gateway.on_run = self._parts.count
-        beacons.list_usage = self._parts.counter.list_open
-        beacons.hear_usage = self._parts.heard.hear
+        neighbours = Neighbours(
+            cfg, datagrams, self._coordinator, self.gateway, self._parts, agreed
+        ).register(self)
+        self._parts.stores = lambda: neighbours.leads
         if cfg.cloud is not None:
             cloud = adapter.make_cloud(cfg, platform)
             UsageReporter(
@@ -78,9 +80,6 @@
         self._listen(poller)
         Timer(TICK, tick(), "*", persist=True).register(self)
 
-    def _list_peers(self):
-        return self._coordinator.list_peers()
-
     def _knows_keys(self):
         return self._coordinator.knows_keys()
 
@@ -121,7 +120,7 @@
             "gateway_configuration_version": version,
             "gateway_keys_age_seconds": round(self._coordinator.keys_age(), 3),
             "gateway_fence": self._coordinator.tenure.fence(now) or 0,
-            "gateway_usage_heard": self._parts.heard.count(),
+            "gateway_usage_heard": self._parts.count_heard(),
             "gateway_log_lines_dropped": count_dropped(),
         }
         return "".join(f"chervilwing_{k} {v}\n" for k, v in figures.items())
@@ -188,7 +187,7 @@
             return
         if not self.gateway.draining:
             self.gateway.draining = True
-            self._parts.write_open_window()
+            self._parts.write_open_windows()
             if self._coordinator.lease is not None:
                 call = EndLease(self._coordinator.lease)
                 self._store.submit(call, lambda reply: None)
--- a/src/chervilwing/mirrors.py
+++ b/src/chervilwing/mirrors.py
@@ -4,6 +4,9 @@
 answer can't cross a newer one, and it knows how old its knowledge may be.
 """
 
+from collections import deque
+from typing import NamedTuple
+
 from .items import (
     Changes,
     HistoryGone,
@@ -19,6 +22,28 @@
 # store's rates are used up by questions.
 FIRST_WAIT = 0.1
 LONGEST_WAIT = 1.0
+# Changes kept to tell other instances: a wave takes some hundred upstreams at once, and
+# the others ask several times a second.
+CHANGES_KEPT = 1024
+# Bytes of keys and values told at once, so that three prefixes fit into a datagram of
+# some frames. An item that is larger is read from the store.
+NEWS_BYTES = 1200
+
+
+class News(NamedTuple):
+    """What one instance tells another of a prefix; ages are in seconds.
+
+    ``items`` are all changes after the revision that was asked for and up to
+    ``revision``, or None where they aren't known or too large. ``more`` tells that
+    later ones were left out. ``regained`` is how long ago the store was regained, None
+    where it never was lost.
+    """
+
+    age: float
+    regained: float | None
+    revision: int
+    items: tuple[Item, ...] | None
+    more: bool
 
 
 class Mirror:
@@ -28,7 +53,9 @@
     is known here. The time of the answer would claim too much, as it may have been
     long on its way. ``lost_since`` is when calls began to fail, or None, and
     ``regained_at`` when they last worked again. After a change the next call waits for
-    ``spacing``: changes that come together cost one call in place of one each.
+    ``spacing``: changes that come together cost one call in place of one each. A
+    ``resting`` mirror makes no calls but to list: another instance tells its news.
+    ``unreachable`` tells that the last call of its own had no answer.
     """
 
     def __init__(self, prefix, wait, rng, spacing=0.0):
@@ -38,6 +65,8 @@
         self.as_of = float("-inf")
         self.regained_at = float("-inf")
         self.lost_since = None
+        self.resting = False
+        self.unreachable = False
         self._wait = wait
         self._spacing = spacing
         self._rng = rng
@@ -46,11 +75,16 @@
         self._sent = None
         self._due = 0.0
         self._backoff = FIRST_WAIT
+        self._changes = deque()
+        # All changes after this revision are kept.
+        self._floor = None
 
     def next_call(self, now):
         """Return the call to make now, or None while one runs or is not due."""
         if self._sent is not None or now < self._due:
             return None
+        if self.resting and self.revision is not None:
+            return None
         self._sent = now
         if self.revision is not None:
             return WatchItems(self.prefix, self.revision, self._wait)
@@ -83,17 +117,90 @@
         ]
         self._listing = None
         self.revision = revision
-        self.complete = True
         self.as_of = sent
-        return self._apply([*found.values(), *gone])
+        changed = self._apply([*found.values(), *gone])
+        if self.complete:
+            self._keep(changed)
+        else:
+            self.complete = True
+            self._floor = revision
+        return changed
 
     def _receive_changes(self, changes, sent, now):
         self._recover(now)
-        self.revision = max(self.revision, changes.revision)
-        self.as_of = sent
+        if self.revision is None:
+            # Listed anew meanwhile; the list will have these too.
+            return []
         if changes.items:
             self._due = now + self._spacing
-        return self._apply(changes.items)
+        changed = self._advance(changes.items, changes.revision)
+        self.as_of = max(self.as_of, sent)
+        return changed
+
+    def _advance(self, items, revision):
+        """Apply changes up to a revision and return what is new.
+
+        Guard: the answer to a watch and another instance's news cross. A change that is
+        older than what is known would bring back an item that was deleted since.
+        """
+        changed = self._apply([item for item in items if item.revision > self.revision])
+        self.revision = max(self.revision, revision)
+        self._keep(changed)
+        return changed
+
+    def tell(self, revision, now):
+        """Return the News after a revision for an instance that asks."""
+        if self.revision is None:
+            return None
+        items, more = self._select(revision)
+        told = items[-1].revision if more else self.revision
+        return News(
+            now - self.as_of,
+            None if self.regained_at == float("-inf") else now - self.regained_at,
+            told,
+            items,
+            more,
+        )
+
+    def _select(self, revision):
+        """Return the changes after a revision that fit, and whether more follow.
+
+        None in their place tells that they can't be told.
+        """
+        if revision is None or revision < self._floor:
+            return None, False
+        later = [item for item in self._changes if item.revision > revision]
+        later.sort(key=lambda item: item.revision)
+        fitting, size = [], 0
+        for item in later:
+            size += len(item.key) + len(item.value or b"")
+            if size > NEWS_BYTES:
+                break
+            fitting.append(item)
+        if len(fitting) == len(later):
+            return tuple(fitting), False
+        # What was written together is told together.
+        cut = later[len(fitting)].revision
+        fitting = [item for item in fitting if item.revision < cut]
+        return (tuple(fitting), True) if fitting else (None, False)
+
+    def learn(self, news, asked_at, now):
+        """Take another instance's News and return the items that changed.
+
+        Guard: the age counts from the question, which its answer can't precede; how
+        long the answer was on its way, or this instance stood still, doesn't matter.
+        """
+        if self.revision is None:
+            return []
+        if news.items is None:
+            self._receive_gone(news, asked_at, now)
+            return []
+        if news.regained is not None:
+            self.regained_at = max(self.regained_at, asked_at - news.regained)
+        changed = self._advance(news.items, news.revision)
+        if not news.more:
+            self.as_of = max(self.as_of, asked_at - news.age)
+        return changed
 
     def _apply(self, items):
         changed = []
@@ -110,12 +217,19 @@
             changed.append(item)
         return changed
 
+    def _keep(self, changed):
+        self._changes.extend(changed)
+        while len(self._changes) > CHANGES_KEPT:
+            dropped = self._changes.popleft()
+            self._floor = max(self._floor, dropped.revision)
+
     def _receive_gone(self, reply, sent, now):
         self.revision = None
         self._listing = None
         return []
 
     def _receive_nothing(self, reply, sent, now):
+        self.unreachable = True
         if self.lost_since is None:
             self.lost_since = now
         self._due = now + self._backoff * self._rng.uniform(0.5, 1.5)
@@ -126,6 +240,7 @@
         if self.lost_since is not None:
             self.regained_at = now
         self.lost_since = None
+        self.unreachable = False
         self._backoff = FIRST_WAIT
 
 
--- /dev/null
+++ b/src/chervilwing/neighbours.py
@@ -0,0 +1,243 @@
+"""Questions and answers between instances: what the store said, loads, allowances.
+
+The first of a group that is alive leads it: it watches the store and adds up figures.
+"""
+
+import time
+
+from circuits.core import BaseComponent, handler
+
+from .balancing import NOTHING
+from .clocks import read_boottime
+from .fanout import Fanout, arrange, find_interval
+from .items import Item
+from .logs import log_event
+from .mirrors import News
+from .tallies import (
+    ADD_EVERY,
+    Counts,
+    Tally,
+    Word,
+    add_counts,
+    leave_out,
+    read_counts,
+)
+
+# Kinds of datagrams.
+QUESTION = 1
+ANSWER = 2
+# Stands in a question for the group, where another one than its leader is asked.
+HELPER = ""
+# Seconds for which a word counts: three questions in a row are not lost by chance.
+KEPT = 1.5
+
+
+def read_news(age, regained, revision, items, more):
+    """Return the News that came in a datagram."""
+    if items is not None:
+        items = tuple(Item(*item) for item in items)
+    return News(age, regained, revision, items, more)
+
+
+def read_word(name, incarnation, group, time_of_day, counts, usage):
+    """Return the Word that came in a datagram."""
+    counts = read_counts(*counts)
+    return Word(name, incarnation, group, time_of_day, counts, usage)
+
+
+class Neighbours(BaseComponent):
+    """Ask the instance that watches the store, and answer those that ask this one."""
+
+    channel = "neighbours"
+
+    def __init__(self, cfg, datagrams, coordinator, gateway, parts, agreed):
+        super().__init__()
+        self._cfg = cfg
+        self._datagrams = datagrams
+        self._coordinator = coordinator
+        self._gateway = gateway
+        self._parts = parts
+        self._agreed = agreed
+        self._groups = {}
+        self._group = ""
+        self._arranged = None
+        # The instance that leads this one's group.
+        self._leader = Fanout()
+        # Another one that may know what the store said, where the leader doesn't.
+        self._helper = Fanout()
+        # One for each other group, asked by those who lead.
+        self._others = {}
+        self._near, self._far = Tally(), Tally()
+        self._used_at = float("-inf")
+        # The word of the last question to each group.
+        self._told = {}
+        datagrams.subscribe(QUESTION, self._answer)
+        datagrams.subscribe(ANSWER, self._hear)
+
+    @handler("tick", channel="*")
+    def _on_tick(self):
+        now = read_boottime()
+        self._arrange()
+        self._choose(now)
+        if not self.leads:
+            self._ask(self._group, self._leader, now)
+            return
+        self._ask_others(now)
+        self._hear_own(now)
+
+    @property
+    def leads(self):
+        """Tell whether this instance leads its group."""
+        return self._leader.leader is None
+
+    def _arrange(self):
+        """Form the groups anew when instances have come or gone."""
+        peers = self._coordinator.peers
+        if self._arranged == self._coordinator.peers_version:
+            return
+        self._arranged = self._coordinator.peers_version
+        centres = {self._cfg.data_centre: [self._cfg.name]}
+        for name, peer in peers.items():
+            centres.setdefault(peer.data_centre, []).append(name)
+        self._groups = arrange(centres)
+        self._group = next(
+            group for group, names in self._groups.items() if self._cfg.name in names
+        )
+
+    def _choose(self, now):
+        """Find whom to ask, and whether own calls on the store may rest meanwhile.
+
+        Whom the leader can't tell anything new, since it is cut off from the store,
+        calls the store itself, and asks a third one as soon as that fails too.
+        """
+        names = self._groups[self._group]
+        place = names.index(self._cfg.name)
+        before = self._leader.leader
+        leader = self._leader.choose(names[:place], now)
+        if leader != before:
+            log_event("leader followed", leader=leader or "", was=before or "")
+        self._coordinator.resting = leader is not None and self._leader.fresh
+        if self._coordinator.resting or not self._coordinator.unreachable:
+            return
+        others = [name for name in names if name not in (leader, self._cfg.name)]
+        if self._helper.choose(others, now) is not None:
+            self._ask(HELPER, self._helper, now)
+
+    def _ask_others(self, now):
+        for group in self._groups.keys() - {self._group}:
+            fanout = self._others.setdefault(group, Fanout())
+            if fanout.choose(self._groups[group], now) is not None:
+                self._ask(group, fanout, now)
+
+    def _ask(self, group, fanout, now):
+        count = len(self._groups[self._group])
+        if fanout is not self._leader:
+            # Each of the other leaders asks back.
+            count = 2 * len(self._groups)
+        interval = find_interval(count)
+        number = fanout.next_question(now, interval)
+        if number is None:
+            return
+        word = self._told[group] = self._describe()
+        near = group in (self._group, HELPER)
+        revisions = self._coordinator.list_revisions() if near else None
+        address = self._coordinator.peers[fanout.leader].address
+        self._datagrams.send(QUESTION, (number, group, revisions, word), address)
+
+    def _describe(self):
+        """Return this instance's Word."""
+        pools = self._gateway.pools
+        in_flight = {
+            name: station.own
+            for pool in pools.values()
+            for name, station in pool.stations.items()
+            if station.sent
+        }
+        work = {name: pool.work for name, pool in pools.items() if pool.work}
+        counts = Counts(1, dict(self._gateway.allowances.spent), in_flight, work)
+        return Word(
+            self._cfg.name,
+            self._cfg.incarnation,
+            self._group,
+            time.time(),
+            counts,
+            self._parts.list_open(),
+        )
+
+    def _answer(self, address, number, group, revisions, word):
+        """Answer a question, and take the word that came with it."""
+        now = read_boottime()
+        word = read_word(*word)
+        near = word.group == self._group
+        self._agreed.hear(word.name, word.time_of_day, now)
+        self._parts.hear(word, near)
+        if near:
+            until = now + KEPT
+            self._near.hear(word.name, word.incarnation, word.counts, until)
+        news = sums = None
+        if revisions is not None:
+            news = self._coordinator.tell(revisions, now)
+        if self.leads:
+            sums = self._add_up(now) if near else self._near.measure(now)
+        at = self._parts.read_time()
+        stored = self._parts.list_stored(word)
+        said = (self._cfg.name, self._cfg.incarnation, at, sums, stored)
+        fields = (number, group, self._leader.leader or "", news, said)
+        self._datagrams.send(ANSWER, fields, address)
+
+    def _add_up(self, now):
+        """Return the figures of all instances."""
+        return add_counts(self._near.measure(now), self._far.measure(now))
+
+    def _hear(self, address, number, group, leader, news, said):
+        """Take an answer."""
+        now = read_boottime()
+        fanout = self._find_fanout(group)
+        if fanout is None:
+            return
+        news = [None if item is None else read_news(*item) for item in news or ()]
+        age = self._coordinator.find_age(news) if news else 0.0
+        more = any(item is not None and item.more for item in news)
+        asked = fanout.receive(number, age, more, now)
+        if asked is None:
+            return
+        if news:
+            self._coordinator.learn(news, asked.at, now)
+        name, incarnation, time_of_day, sums, stored = said
+        self._parts.note_stored(self._told[group], stored)
+        if sums is None:
+            fanout.prefer(leader, now)
+        elif fanout is self._leader:
+            self._agreed.adopt(time_of_day, now)
+            others = leave_out(read_counts(*sums), self._told[group].counts)
+            self._use((name, incarnation), others, now)
+        elif fanout is not self._helper:
+            self._agreed.hear(name, time_of_day, now)
+            speaker = (group, name)
+            self._far.hear(speaker, incarnation, read_counts(*sums), now + KEPT)
+
+    def _find_fanout(self, group):
+        if group == HELPER:
+            return self._helper
+        return self._leader if group == self._group else self._others.get(group)
+
+    def _hear_own(self, now):
+        """Take the figures of all instances as they were told to this one."""
+        if now - self._used_at < ADD_EVERY:
+            return
+        self._used_at = now
+        word = self._describe()
+        self._parts.hear(word, near=True)
+        self._near.hear(word.name, word.incarnation, word.counts, now + KEPT)
+        source = (self._cfg.name, self._cfg.incarnation)
+        self._use(source, leave_out(self._add_up(now), word.counts), now)
+
+    def _use(self, source, others, now):
+        """Let decisions count with what the others spend and have in flight."""
+        until = now + KEPT
+        self._gateway.allowances.hear(source, others.spent, others.instances, until)
+        for name, pool in self._gateway.pools.items():
+            pool.peers_work = {source: (source[1], others.work.get(name, 0.0))}
+            for upstream, station in pool.stations.items():
+                load = others.in_flight.get(upstream, NOTHING)
+                station.hear(load, until)
--- /dev/null
+++ b/src/chervilwing/tallies.py
@@ -0,0 +1,140 @@
+"""What instances spend and have in flight, added up by the one that the others ask.
+
+Each instance tells totals since its start, so that a word that is lost or comes twice
+changes nothing. Added up on the way, they reach everyone in as many messages as there
+are instances; told by each to each, they would be the square of it.
+"""
+
+from typing import NamedTuple
+
+from .balancing import NOTHING, InFlight
+
+# Seconds between two sums of all loads. Load: dozens of questions a second to one
+# instance. Harm: each would add up the same anew.
+ADD_EVERY = 0.1
+
+
+class Counts(NamedTuple):
+    """Figures of one or more instances.
+
+    ``spent`` is cost by organisation and ``work`` engine seconds by pool, both since
+    the start of who tells them; ``in_flight`` is by upstream, at this moment.
+    """
+
+    instances: int
+    spent: dict[str, float]
+    in_flight: dict[str, InFlight]
+    work: dict[str, float]
+
+
+class Word(NamedTuple):
+    """What one process says of itself.
+
+    ``group`` are the instances that ask the same one. ``usage`` has the counts of
+    requests that aren't stored yet, by window and organisation.
+    """
+
+    name: str
+    incarnation: int
+    group: str
+    time_of_day: float
+    counts: Counts
+    usage: dict[int, dict[str, int]]
+
+
+def read_counts(instances, spent, in_flight, work):
+    """Return the Counts that came in a datagram."""
+    in_flight = {name: InFlight(*load) for name, load in in_flight.items()}
+    return Counts(instances, spent, in_flight, work)
+
+
+def add_loads(one, other):
+    """Return the sum of two loads."""
+    return InFlight(*(a + b for a, b in zip(one, other, strict=True)))
+
+
+def add_counts(one, other):
+    """Return the figures of both together."""
+    in_flight = dict(one.in_flight)
+    for name, load in other.in_flight.items():
+        in_flight[name] = add_loads(in_flight.get(name, NOTHING), load)
+    return Counts(
+        one.instances + other.instances,
+        add_totals(one.spent, other.spent),
+        in_flight,
+        add_totals(one.work, other.work),
+    )
+
+
+def add_totals(one, other):
+    """Return the sums by name."""
+    total = dict(one)
+    for name, value in other.items():
+        total[name] = total.get(name, 0.0) + value
+    return total
+
+
+def leave_out(counts, own):
+    """Return the figures of all others than the one whose figures ``own`` are."""
+    in_flight = {}
+    for name, load in counts.in_flight.items():
+        mine = own.in_flight.get(name, NOTHING)
+        rest = InFlight(*(max(0, a - b) for a, b in zip(load, mine, strict=True)))
+        if rest != NOTHING:
+            in_flight[name] = rest
+    spent = {name: v - own.spent.get(name, 0.0) for name, v in counts.spent.items()}
+    work = {name: v - own.work.get(name, 0.0) for name, v in counts.work.items()}
+    return Counts(counts.instances - own.instances, spent, in_flight, work)
+
+
+EMPTY = Counts(0, {}, {}, {})
+
+
+class Tally:
+    """Sums over those who tell their figures; times are seconds on one clock.
+
+    What was spent grows by the differences between two words of one speaker: the first
+    word of an unknown one tells of a past that is no news.
+    """
+
+    def __init__(self):
+        self._last = {}
+        self._until = {}
+        self._spent = {}
+        self._work = {}
+        self._loads = EMPTY
+        self._added_at = float("-inf")
+
+    def hear(self, speaker, incarnation, counts, until):
+        """Take a speaker's figures; its load counts up to ``until``."""
+        if speaker in self._last:
+            known, before = self._last[speaker]
+            # A restarted process counts from nothing.
+            before = before if known == incarnation else EMPTY
+            grow(self._spent, before.spent, counts.spent)
+            grow(self._work, before.work, counts.work)
+        self._last[speaker] = (incarnation, counts)
+        self._until[speaker] = until
+
+    def measure(self, now):
+        """Return the sums over all that were heard of late.
+
+        The loads are those of ADD_EVERY ago at most, all else is of now.
+        """
+        if now - self._added_at >= ADD_EVERY:
+            self._added_at = now
+            self._loads = EMPTY
+            for speaker, (_, counts) in self._last.items():
+                if now < self._until[speaker]:
+                    loads = counts._replace(spent={}, work={})
+                    self._loads = add_counts(self._loads, loads)
+        return self._loads._replace(spent=dict(self._spent), work=dict(self._work))
+
+
+def grow(total, before, now):
+    """Add to ``total`` the difference between two words.
+
+    An older word that comes late takes away what the next one adds again.
+    """
+    for name, value in now.items():
+        total[name] = total.get(name, 0.0) + value - before.get(name, 0.0)
--- a/src/chervilwing/usage.py
+++ b/src/chervilwing/usage.py
@@ -9,6 +9,11 @@
 WINDOWS_KEPT = 12
 
 
+def name_process(name, incarnation):
+    """Return the name of one process of an instance."""
+    return f"{name}.{incarnation}"
+
+
 class Report(NamedTuple):
     """The counts of one window, as they were decided once and for all."""
 
@@ -17,50 +22,55 @@
 
 
 class UsageCounter:
-    """Counts of this instance that aren't stored yet; times are Unix seconds."""
+    """Counts of this process; times are Unix seconds."""
 
     def __init__(self, length):
         self.length = length
         self._windows = {}
-        self._written = None
+        self._first = None
+        self._stored = set()
 
     def count(self, organisation, at):
         """Count one request that began to run."""
         window = int(at // self.length)
         self._windows.setdefault(window, Counter())[organisation] += 1
+        # One that was counted late: what is stored of the window is no longer true.
+        self._stored.discard(window)
 
     def begin(self, now):
         """Start with the window that is open now."""
-        self._written = int(now // self.length) - 1
-
-    def list_due(self, now, lag):
-        """Return the windows that closed ``lag`` seconds ago and aren't stored."""
-        if self._written is None:
-            return []
-        last = int((now - lag) // self.length) - 1
-        first = max(self._written + 1, last - WINDOWS_KEPT)
-        return list(range(first, last + 1))
-
-    def read(self, window):
-        """Return the counts of a window."""
-        return dict(self._windows.get(window, {}))
-
-    def list_open(self):
-        """Return the counts that aren't stored yet, by window."""
-        return {window: dict(counts) for window, counts in self._windows.items()}
-
-    def note_written(self, window):
-        """Forget a window that is stored."""
-        self._written = max(self._written, window)
-        for old in [item for item in self._windows if item <= window]:
-            del self._windows[old]
+        self._first = int(now // self.length)
+
+    def list_open(self, now):
+        """Return the counts that aren't stored yet, by window, this moment's last.
+
+        A window in which nothing ran has counts too: they tell that nothing is missing.
+        """
+        if self._first is None:
+            return {}
+        last = int(now // self.length)
+        self._first = max(self._first, last - WINDOWS_KEPT)
+        for window in [item for item in self._windows if item < self._first]:
+            del self._windows[window]
+        self._stored = {window for window in self._stored if window >= self._first}
+        windows = range(self._first, last + 1)
+        return {
+            window: dict(self._windows.get(window, {}))
+            for window in windows
+            if window not in self._stored
+        }
+
+    def note_stored(self, window, counts):
+        """Take note that these counts of a window that has ended are stored."""
+        if self._windows.get(window, {}) == counts:
+            self._stored.add(window)
 
 
 class HeardCounts:
-    """What other processes said of their counts, in case they can't store them.
+    """The counts of several processes, by window and process.
 
-    Guard: an instance that dies, or is cut off from the store, takes its counts of up
-    to a window with it, and the report is off by its share of the requests.
+    Guard: an instance that dies, or is cut off from the store, would take its counts of
+    up to a window with it, and the report be off by its share of the requests.
     """
 
     def __init__(self):
@@ -69,7 +79,9 @@
     def hear(self, process, windows):
         """Take the counts that a process has not stored yet, by window."""
         for window, counts in windows.items():
-            self._counts.setdefault(window, {})[process] = counts
+            heard = self._counts.setdefault(window, {})
+            # Datagrams overtake each other, and counts never fall.
+            heard[process] = larger(heard.get(process, {}), counts)
         for old in sorted(self._counts)[:-WINDOWS_KEPT]:
             del self._counts[old]
 
@@ -78,10 +90,31 @@
         told = (counts for heard in self._counts.values() for counts in heard.values())
         return sum(sum(counts.values()) for counts in told)
 
-    def find(self, window, stored):
-        """Return the counts of processes that aren't among the stored ones."""
-        heard = self._counts.get(window, {})
-        return {name: heard[name] for name in heard if name not in stored}
+    def list_windows(self):
+        """Return the windows of which anything was heard, the oldest first."""
+        return sorted(self._counts)
+
+    def find(self, window):
+        """Return the counts of a window by process."""
+        return self._counts.get(window, {})
+
+
+def larger(one, other):
+    """Return the counts that have more of the same process and window."""
+    return one if sum(one.values()) > sum(other.values()) else other
+
+
+def merge(parts):
+    """Return counts by process; of those that stand twice, the larger ones.
+
+    Guard: an instance's counts may be stored by two that it told, one after the other;
+    added up they would count twice.
+    """
+    merged = {}
+    for part in parts:
+        for process, counts in part.items():
+            merged[process] = larger(merged.get(process, {}), counts)
+    return merged
 
 
 def add_up(parts):
@@ -93,12 +126,12 @@
 
 
 def encode_counts(counts):
-    """Return counts as bytes for the store."""
+    """Return counts by process as bytes for the store."""
     return json.dumps(counts, sort_keys=True).encode()
 
 
 def decode_counts(value):
-    """Return counts from the store's bytes."""
+    """Return counts by process from the store's bytes."""
     return json.loads(value)
 
 
--- a/src/chervilwing/usage_reports.py
+++ b/src/chervilwing/usage_reports.py
@@ -4,12 +4,12 @@
 
 from circuits.core import BaseComponent, handler
 
-from .beacons import name_process
 from .clocks import read_boottime
 from .duties import Accepted, Outdated, ReportUsage
 from .items import Commit, Committed, Conflict, ListItems, Page
 from .logs import log_event
 from .usage import (
+    WINDOWS_KEPT,
     HeardCounts,
     Report,
     UsageCounter,
@@ -18,13 +18,15 @@
     decode_report,
     encode_counts,
     encode_report,
+    merge,
+    name_process,
 )
 
 PARTS = "chervilwing/usage-parts/"
 REPORT = "chervilwing/usage-report"
-# Seconds after a window's end at which an instance writes its counts: the clocks of
-# instances are less than this apart, and work that just began is counted by then.
-WRITE_LAG = 0.4
+# Seconds after a window's end at which the counts of a group are written: the last ones
+# that it was told are of this moment at least, and clocks are less than this apart.
+WRITE_LAG = 0.9
 # Seconds after a window's end from which the counts are added up, and after which those
 # that are still missing are given up: a report is due ten seconds after the end.
 COLLECT_LAG = 1.5
@@ -32,6 +34,8 @@
 HEARD_PATIENCE = 3.5
 # Seconds between two tries of a call that failed.
 RETRY_WAIT = 0.5
+# Seconds after a window's end for which counts that changed are written once more.
+REWRITE_FOR = 10.0
 # Windows that are reported late at most, once nobody reported for long.
 LATE_WINDOWS = 4
 # Entries that one commit may have, less those that aren't deletions.
@@ -44,19 +48,27 @@
 
 
 class UsageParts(BaseComponent):
-    """Write this instance's own counts, one item a window."""
+    """Count what runs here, and store it with what other instances told.
+
+    ``stores`` tells whether this instance stores; another one does for those that only
+    tell their counts.
+    """
 
     channel = "usage-parts"
 
     def __init__(self, cfg, store, agreed):
         super().__init__()
         self.counter = UsageCounter(cfg.usage_window)
+        self.stores = lambda: True
         self._store = store
         self._agreed = agreed
         # One process's counts never replace those of the one before it.
         self._name = name_process(cfg.name, cfg.incarnation)
-        self.heard = HeardCounts()
-        self._busy = False
+        # Of those for whom this one stores, itself among them, and of others.
+        self._near = HeardCounts()
+        self._far = HeardCounts()
+        self._stored = {}
+        self._writing = 0
         self._due = 0.0
 
     def read_time(self):
@@ -67,38 +79,86 @@
         """Count a request that began to run so many seconds ago."""
         self.counter.count(organisation, self.read_time() - seconds_ago)
 
+    def list_open(self):
+        """Return this instance's counts that aren't stored yet."""
+        return self.counter.list_open(self.read_time())
+
+    def hear(self, word, near):
+        """Take another instance's counts; ``near`` tells to store them."""
+        heard = self._near if near else self._far
+        heard.hear(name_process(word.name, word.incarnation), word.usage)
+
+    def list_stored(self, word):
+        """Return the windows of which these very counts are stored."""
+        process = name_process(word.name, word.incarnation)
+        return [
+            window
+            for window, counts in word.usage.items()
+            if self._stored.get(window, {}).get(process) == counts
+        ]
+
+    def note_stored(self, word, windows):
+        """Take note that what was told in a word is stored, for these windows."""
+        for window in windows:
+            self.counter.note_stored(window, word.usage[window])
+
+    def find(self, window):
+        """Return all counts of a window that were heard, by process."""
+        return merge((self._near.find(window), self._far.find(window)))
+
+    def count_heard(self):
+        """Return how many requests were counted here or told of."""
+        return self._near.count()
+
     def is_idle(self):
-        """Tell whether every count of the past is stored."""
-        return not self._busy
+        """Tell whether no count is being stored."""
+        return not self._writing
+
+    def write_open_windows(self):
+        """Write all that isn't stored, the open window too, before the process ends."""
+        self._hear_own()
+        for window in self.list_open():
+            self._write(window)
 
-    def write_open_window(self):
-        """Write the open window too, before the process ends."""
-        window = int(self.read_time() // self.counter.length)
-        self._write(window)
+    def _hear_own(self):
+        self._near.hear(self._name, self.list_open())
 
     @handler("tick", channel="*")
     def _on_tick(self):
         now = read_boottime()
-        if self._busy or now < self._due:
+        if self._writing or now < self._due or not self.stores():
             return
-        due = self.counter.list_due(self.read_time(), WRITE_LAG)
-        if due:
-            self._write(due[0])
+        self._hear_own()
+        window = self._find_due(self.read_time())
+        if window is not None:
+            self._write(window)
+
+    def _find_due(self, now):
+        for window in self._near.list_windows():
+            ended = (window + 1) * self.counter.length
+            if not WRITE_LAG <= now - ended < REWRITE_FOR:
+                continue
+            if self._near.find(window) != self._stored.get(window):
+                return window
+        return None
 
     def _write(self, window):
-        self._busy = True
-        value = encode_counts(self.counter.read(window))
-        put = (f"{PARTS}{window}/{self._name}", value, 0)
+        self._writing += 1
+        counts = dict(self._near.find(window))
+        put = (f"{PARTS}{window}/{self._name}", encode_counts(counts), 0)
         self._store.submit(
-            Commit(puts=(put,)), lambda reply: self._written(window, reply)
+            Commit(puts=(put,)), lambda reply: self._written(window, counts, reply)
         )
 
-    def _written(self, window, reply):
-        self._busy = False
-        if isinstance(reply, Committed):
-            self.counter.note_written(window)
+    def _written(self, window, counts, reply):
+        self._writing -= 1
+        if not isinstance(reply, Committed):
+            self._due = read_boottime() + RETRY_WAIT
             return
-        self._due = read_boottime() + RETRY_WAIT
+        self._stored[window] = counts
+        for old in sorted(self._stored)[:-WINDOWS_KEPT]:
+            del self._stored[old]
+        self.counter.note_stored(window, counts.get(self._name, {}))
 
 
 class UsageReporter(BaseComponent):
@@ -204,15 +264,16 @@
         if not isinstance(reply, Page):
             self._wait()
             return
-        stored = {item.key.rpartition("/")[2]: item.value for item in reply.items}
-        heard = self._parts.heard.find(window, stored)
+        stored = merge(decode_counts(item.value) for item in reply.items)
+        told = self._parts.find(window)
+        heard = {name: told[name] for name in told if name not in stored}
         missing = self._coordinator.list_recent() - read_names(stored)
         # Who is heard of lives and may store its last counts yet; who isn't may return.
         patience = PATIENCE if missing - read_names(heard) else HEARD_PATIENCE
         if missing and waited < patience:
             self._wait()
             return
-        counts = add_up([*map(decode_counts, stored.values()), *heard.values()])
+        counts = add_up(merge((stored, told)).values())
         keys = [item.key for item in reply.items]
         report = Report(window, counts)
         commit = Commit(
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -105,3 +105,106 @@
         gone = Item("a/k", None, 7)
         self.assertEqual(self.answer(Changes((gone,), 7), 0.1), [gone])
         self.assertEqual(self.answer(Changes((gone,), 7), 0.2), [])
+
+
+class TestNews(unittest.TestCase):
+    """One mirror watches, the other learns from it."""
+
+    def setUp(self):
+        self.watching, self.learning = make_mirror(), make_mirror()
+        for mirror in (self.watching, self.learning):
+            mirror.next_call(0.0)
+            mirror.receive(Page((put("k", 3),), 5), 0.0)
+        self.learning.resting = True
+
+    def watch(self, items, revision, now):
+        """Let the watching mirror hear of changes."""
+        self.watching.next_call(now)
+        return self.watching.receive(Changes(tuple(items), revision), now)
+
+    def learn(self, asked_at, now, told_at=None):
+        """Ask the watching mirror; return what changed."""
+        told_at = asked_at if told_at is None else told_at
+        news = self.watching.tell(self.learning.revision, told_at)
+        self.news = news
+        return self.learning.learn(news, asked_at, now)
+
+    def test_a_resting_mirror_makes_no_calls_and_hears_of_changes(self):
+        self.assertIsNone(self.learning.next_call(1.0))
+        self.watch([put("k2", 7), Item("a/k", None, 8)], 9, 1.0)
+        changed = self.learn(1.5, 1.6)
+        self.assertEqual(changed, [put("k2", 7), Item("a/k", None, 8)])
+        self.assertEqual(set(self.learning.items), {"a/k2"})
+        self.assertEqual(self.learning.revision, 9)
+
+    def test_knowledge_is_as_old_as_the_call_that_proved_it(self):
+        # The watcher's call went out at 1.0; asked at 1.5 and answered after a freeze,
+        # the answer is no proof for any later moment.
+        self.watch([], 6, 1.0)
+        self.learn(1.5, 9.0, told_at=1.6)
+        self.assertAlmostEqual(self.learning.as_of, 0.9)
+        self.assertLess(self.learning.as_of, self.watching.as_of)
+
+    def test_older_news_never_bring_back_what_was_deleted(self):
+        # The answer to an own watch was on its way when the news came.
+        call = self.learning
+        call.resting = False
+        call.next_call(1.0)
+        self.watch([put("k2", 7), Item("a/k2", None, 8)], 8, 1.0)
+        self.learn(1.1, 1.1)
+        self.assertEqual(call.receive(Changes((put("k2", 7),), 7), 1.2), [])
+        self.assertEqual(set(call.items), {"a/k"})
+        self.assertEqual(call.revision, 8)
+
+    def test_what_is_too_large_is_listed_from_the_store(self):
+        # A configuration of some hundred routes doesn't fit into a datagram.
+        self.watch([put("k", 7, b"x" * 90_000)], 7, 1.0)
+        self.assertEqual(self.learn(1.1, 1.1), [])
+        self.assertIsNone(self.news.items)
+        self.assertEqual(self.learning.next_call(1.2), ListItems("a/"))
+        # What a question that was on its way still brings is no use before the list.
+        self.assertEqual(self.learning.learn(self.news, 1.1, 1.3), [])
+        changed = self.learning.receive(Page((put("k", 7, b"y"),), 7), 1.4)
+        self.assertEqual(len(changed), 1)
+
+    def test_a_wave_comes_in_several_pieces(self):
+        # A data centre's upstreams leave at once; cut short, the rest would be kept.
+        self.watch([put(f"k{n}", 10 + n, b"x" * 200) for n in range(40)], 60, 1.0)
+        count, rounds = 0, 0
+        while self.learning.revision < 60:
+            count += len(self.learn(1.1, 1.1))
+            rounds += 1
+            self.assertEqual(self.news.more, self.learning.revision < 60)
+        self.assertEqual(count, 40)
+        self.assertGreater(rounds, 3)
+
+    def test_what_was_written_together_is_told_together(self):
+        items = [put("k1", 7, b"x" * 700), put("k2", 8, b"x"), put("k3", 8, b"x" * 700)]
+        self.watch(items, 8, 1.0)
+        self.assertEqual(self.learn(1.1, 1.1), items[:1])
+        self.assertEqual(self.learn(1.2, 1.2), items[1:])
+
+    def test_a_dropped_history_is_told_from_the_list(self):
+        # The watcher listed anew and found that an upstream is gone.
+        self.watching.next_call(1.0)
+        self.watching.receive(HistoryGone(), 1.0)
+        self.assertIsNone(self.watching.tell(5, 1.0))
+        self.watching.next_call(1.1)
+        self.watching.receive(Page((put("k2", 7),), 9), 1.1)
+        changed = self.learn(1.2, 1.2)
+        self.assertEqual(set(changed), {put("k2", 7), Item("a/k", None, 9)})
+
+    def test_one_that_was_away_for_long_lists_anew(self):
+        for number in range(3000):
+            self.watch([put("k", 10 + number)], 10 + number, 1.0)
+        self.learn(1.1, 1.1)
+        self.assertIsNone(self.news.items)
+
+    def test_the_return_of_the_store_is_told_with_its_time(self):
+        # Upstreams whose entries lapsed with the store are kept until shortly after
+        # its return, counted from there also where it was only told of.
+        self.watching.next_call(1.0)
+        self.watching.receive(Unavailable("status 503"), 1.0)
+        self.watch([], 6, 5.0)
+        self.learn(6.0, 6.1)
+        self.assertAlmostEqual(self.learning.regained_at, 5.0)
