Size a pool before its work is known, and count the work in the engine's own time

Work was counted at each attempt and in the engine's time of that moment: overloaded engines seemed slow, the work looked like 79 engines' and sixty were ordered. Change: until work was measured for 5 s, a quarter of what may be ordered is taken for needed, in reclaimable engines; the first measurements count alike; the highest work of 8 s decides on reclaimable engines, that of now on others; work counts once a request, in the pace of engines that have little else to do; a refused kind is asked for less often each time.

--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -148,6 +148,7 @@
         found = self._find_room(relay, now)
         relay.charged = self._dialect.cost(demand, organisation)
         self.allowances.charge(organisation, relay.charged, now)
+        pool.ask(demand, found[1])
         self.retries.note_first(pool.traits.name)
         return relay, found
 
@@ -173,6 +174,7 @@
             raise NoUpstream(scope=scope, retry_after=RETURN_WAIT)
         seconds = found[1].seconds
         if seconds > (relay.ends_at - now) * HOPELESS_PART:
+            relay.pool.ask(relay.demand, found[1])
             raise PoolFull(scope=scope, retry_after=min(seconds, RETURN_WAIT * 4))
         return found
 
--- a/src/chervilwing/sizing.py
+++ b/src/chervilwing/sizing.py
@@ -6,6 +6,7 @@
 others stand beside them, and more are ordered for as long as reclaimable ones lack.
 """
 
+from collections import deque
 from math import ceil
 from typing import NamedTuple
 
@@ -28,11 +29,25 @@
 MEASURE_WEIGHT = 0.12
 # Seconds after a refused order until the same is asked for again.
 DENIED_FOR = 3.0
+# Most seconds of it: doubled with each refusal, as each order is paid for.
+LONGEST_DENIED = 6.0
 # Seconds that extra engines are kept once reclaimable ones are back: each change moves
 # work, and their caches are warm.
 KEPT_FOR = 8.0
 # Seconds after boot time until an order that shows no effect is repeated.
 REPEAT_AFTER = 3.0
+# Seconds of measured work until the work is known. Load: all instances start at once,
+# or all were killed, while callers come as before. Harm: the work looks like none, and
+# the engines that serve it would be given back; they are back a boot time too late.
+SETTLE = 5.0
+# Part of what may be ordered at most that is taken for needed until then: operators
+# bound a pool at several times of its usual size. Too many reclaimable engines for some
+# seconds cost a fifth of as many others; too few served one caller in five.
+GUESSED_PART = 0.25
+# Seconds for which the highest work of late decides on reclaimable engines. Load: waves
+# and bursts of some seconds. Harm: engines that are given back after each one boot
+# again for the next, and each order is paid for.
+HOLD = 8.0
 
 
 class Kind(NamedTuple):
@@ -49,6 +64,9 @@
         self.rate = 0.0
         self._totals = {}
         self._at = None
+        self._since = None
+        self._count = 0
+        self._peaks = deque()
 
     def measure(self, totals, now):
         """Take start and total since then of all instances, by name."""
@@ -60,8 +78,28 @@
             if name in self._totals and self._totals[name][0] == start
         )
         if self._at is not None:
-            self.rate = blend(self.rate, gained / (now - self._at), MEASURE_WEIGHT)
+            self._blend(gained / (now - self._at), now)
         self._totals, self._at = dict(totals), now
+        self._peaks.append((now, self.rate))
+        while now - self._peaks[0][0] > HOLD:
+            self._peaks.popleft()
+
+    def _blend(self, rate, now):
+        if rate and self._since is None:
+            self._since = now
+        if self._since is not None:
+            # The first ones count alike: there is no older figure that is right.
+            self._count += 1
+            weight = max(MEASURE_WEIGHT, 1.0 / self._count)
+            self.rate = blend(self.rate, rate, weight)
+
+    def is_settled(self, now):
+        """Tell whether work was measured for long enough."""
+        return self._since is not None and now - self._since >= SETTLE
+
+    def measure_peak(self):
+        """Return the highest rate of late."""
+        return max([self.rate, *(rate for _, rate in self._peaks)])
 
 
 class Sizing:
@@ -74,6 +112,7 @@
         self._scarce_until = float("-inf")
         self._extra = 0
         self._ordered = {}
+        self._refusals = {}
 
     def forget_orders(self):
         """Order all anew: another instance may have ordered meanwhile."""
@@ -81,7 +120,9 @@
 
     def note_denied(self, kind, now):
         """Take note that no such instances are to be had."""
-        self._denied[kind] = now + DENIED_FOR
+        self._refusals[kind] = self._refusals.get(kind, 0) + 1
+        wait = DENIED_FOR * 2 ** (self._refusals[kind] - 1)
+        self._denied[kind] = now + min(LONGEST_DENIED, wait)
         if kind.reclaimable:
             self._scarce_until = now + KEPT_FOR
         self._ordered.pop(kind, None)
@@ -89,24 +130,29 @@
     def note_ordered(self, kind, count, now):
         """Take note of an order that was taken."""
         self._ordered[kind] = (count, now)
+        self._refusals.pop(kind, None)
 
     def plan(self, fleet, registrations, now):
         """Return how many instances each Kind should have."""
         present = count_present(registrations)
         self._note_notices(registrations, now)
         centres = sorted(fleet.prices, key=fleet.prices.get)
-        want = max(PER_CENTRE * len(centres), ceil(self.meter.rate * HEADROOM))
-        anchors = max(1, ceil(self.meter.rate * ANCHORED))
+        rate = self.meter.rate
+        want = ceil(self.meter.measure_peak() * HEADROOM)
+        want = max(PER_CENTRE * len(centres), want)
+        if not self.meter.is_settled(now):
+            want = max(want, ceil(fleet.maximum * len(centres) * GUESSED_PART))
+        anchors = max(1, ceil(rate * ANCHORED))
         plan = {Kind(centre, kind): 0 for kind in (False, True) for centre in centres}
         place(plan, centres, anchors, False, fleet.maximum)
         place(plan, centres, want, True, fleet.maximum)
-        extra = self._count_extra(present, anchors, now)
+        extra = self._count_extra(present, anchors, rate, now)
         place(plan, centres, extra, False, fleet.maximum)
         for centre in centres:
             bound(plan, centre, fleet)
         return plan
 
-    def _count_extra(self, present, anchors, now):
+    def _count_extra(self, present, anchors, rate, now):
         """Return how many to order in place of reclaimable ones that lack.
 
         Load: waves that take one data centre's reclaimable instances after the other
@@ -117,7 +163,7 @@
         standing = anchors
         if now >= self._scarce_until:
             standing += sum(n for kind, n in present.items() if kind.reclaimable)
-        needed = max(FEWEST, ceil(self.meter.rate * SHORT))
+        needed = max(FEWEST, ceil(rate * SHORT))
         if standing < needed:
             self._short_until = now + KEPT_FOR
             self._extra = needed - standing
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -5,7 +5,16 @@
 from chervilwing.models import Address
 from chervilwing.registrations import Registration
 from chervilwing.routing import FleetTraits
-from chervilwing.sizing import DENIED_FOR, KEPT_FOR, Kind, Sizing, WorkMeter
+from chervilwing.sizing import (
+    DENIED_FOR,
+    HOLD,
+    KEPT_FOR,
+    LONGEST_DENIED,
+    SETTLE,
+    Kind,
+    Sizing,
+    WorkMeter,
+)
 
 FLEET = FleetTraits(1, 3, 4.0, 0.22, {"a": 0.85, "b": 1.2, "c": 1.0})
 CENTRES = tuple("abc")
@@ -36,6 +45,9 @@
 class TestSizing(unittest.TestCase):
     def setUp(self):
         self.sizing = Sizing()
+        # Long ago work began and was measured.
+        self.sizing.meter.measure({"one": (1, 0.0)}, -2 * SETTLE)
+        self.sizing.meter.measure({"one": (1, 0.1)}, -2 * SETTLE + 1)
         self.sizing.meter.rate = 1.3
 
     def plan(self, members, now=0.0):
@@ -74,6 +86,16 @@
         due = dict(self.sizing.list_due(FLEET, make_members(), DENIED_FOR * 1.1))
         self.assertIn(kind, due)
 
+    def test_who_is_refused_again_asks_less_often(self):
+        # For twenty seconds none are to be had anywhere, and each order is paid for.
+        kind, asked, now = Kind("b", True), 0, 0.0
+        while now < 30.0:
+            if kind in dict(self.sizing.list_due(FLEET, make_members(), now)):
+                self.sizing.note_denied(kind, now)
+                asked += 1
+            now += 0.05
+        self.assertLessEqual(asked, 1 + 30.0 / LONGEST_DENIED + 1)
+
     def order_all(self, members, now):
         """Give every order that is due and return them."""
         due = self.sizing.list_due(FLEET, members, now)
@@ -107,6 +129,50 @@
                     self.assertIn(total, range(FLEET.minimum, FLEET.maximum + 1))
 
 
+class TestStart(unittest.TestCase):
+    """All instances start at once, and nobody knows the work."""
+
+    def setUp(self):
+        self.sizing = Sizing()
+        self.fleet = FLEET._replace(maximum=40)
+
+    def work(self, second, rate):
+        """Measure work up to a second."""
+        self.sizing.meter.measure({"one": (1, second * rate)}, second)
+
+    def ordered(self, now):
+        """Return how many reclaimable engines the orders that are due ask for."""
+        due = self.sizing.list_due(self.fleet, [], now)
+        return sum(count for kind, count in due if kind.reclaimable)
+
+    def test_a_part_of_the_bound_is_ordered_before_the_work_is_known(self):
+        # Two a data centre, as for no work, served one caller in five for as long as it
+        # took to see the work and to boot.
+        self.assertGreaterEqual(self.ordered(0.0), 30)
+        for second in range(40):
+            self.work(second, 1.0)
+            if 1 < second < SETTLE:
+                self.assertGreaterEqual(self.ordered(second), 30)
+        self.assertLess(self.ordered(39.0), 12)
+        self.assertGreaterEqual(SETTLE, 4.0)
+
+    def test_work_that_is_seen_counts_at_once(self):
+        # All were killed in the middle of the day: what is measured counts at once.
+        for second in range(4):
+            self.work(second, 14.0)
+        self.assertGreaterEqual(self.ordered(3.0), 35)
+
+    def test_a_lull_between_two_waves_gives_nothing_back(self):
+        for second in range(30):
+            self.work(second, 8.0)
+        high = self.ordered(29.0)
+        for second in range(30, 34):
+            self.sizing.meter.measure({"one": (1, 240.0)}, second)
+        self.assertLess(self.sizing.meter.rate, 7.0)
+        self.assertEqual(self.ordered(33.0), high)
+        self.assertGreater(HOLD, 4)
+
+
 class TestWorkMeter(unittest.TestCase):
     def test_it_adds_up_all_instances_and_passes_over_a_restart(self):
         meter = WorkMeter()
