--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -5,6 +5,6 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from chervilwing.platform.__main__ import main
+from chervilwing.platform.__main__ import run
 
-sys.exit(main())
+sys.exit(run())
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -1,6 +1,7 @@
 """The gateway daemon: the wiring of callers, upstreams, store and other instances."""
 
 import signal
+import sys
 import time
 
 from circuits import Timer
@@ -13,13 +14,15 @@
 from .datagrams import Datagrams
 from .exceptions import NotFound
 from .gateway import Gateway, Limits
+from .gateway_settings import GATEWAY
 from .instance_orders import InstanceOrders
 from .items import EndLease
-from .logs import count_dropped, log_event
+from .logs import NonBlockingSink, count_dropped, log_event, set_up_logs
 from .neighbours import Neighbours
 from .pollers import DirectPoller
 from .reports import CONTENT_TYPE, render_metrics
 from .routing import CallerLimits
+from .settings import HELP_FLAGS, render_help
 from .ticks import tick
 from .usage_reports import UsageParts, UsageReporter
 from .web import Web, WebHandlers
@@ -212,6 +215,16 @@
         return file.read()
 
 
-def run(cfg, adapter, read_settings):
-    """Run a gateway until it is stopped."""
+def main(adapter, read_settings):
+    """Run a gateway until it is stopped: exit 2 on a bad setting."""
+    if HELP_FLAGS & set(sys.argv[1:]):
+        print(render_help(GATEWAY))
+        return 0
+    result = read_settings()
+    if isinstance(result, Failure):
+        print(f"settings: {result.failure()}", file=sys.stderr)
+        return 2
+    cfg = result.unwrap()
+    set_up_logs(cfg, NonBlockingSink(sys.stdout.fileno()))
     GatewayDaemon(cfg, adapter, read_settings).run()
+    return 0
--- a/src/chervilwing/platform/__main__.py
+++ b/src/chervilwing/platform/__main__.py
@@ -7,10 +7,8 @@
 from returns.result import Failure
 
 from ..exceptions import BadSetting
-from ..gateway_settings import FILE_VARIABLE, GATEWAY, read_gateway_settings
-from ..gatewayd import read_file, run
-from ..logs import NonBlockingSink, set_up_logs
-from ..settings import HELP_FLAGS, render_help
+from ..gateway_settings import FILE_VARIABLE, read_gateway_settings
+from ..gatewayd import main, read_file
 from .cloud import PlatformCloud
 from .documents import SOURCES
 from .headers import DIALECT
@@ -35,20 +33,10 @@
     return read_gateway_settings(sys.argv[1:], os.environ, text)
 
 
-def main():
-    """Run the gateway on the platform: exit 2 on a bad setting."""
-    if HELP_FLAGS & set(sys.argv[1:]):
-        print(render_help(GATEWAY))
-        return 0
-    result = read_settings()
-    if isinstance(result, Failure):
-        print(f"settings: {result.failure()}", file=sys.stderr)
-        return 2
-    cfg = result.unwrap()
-    set_up_logs(cfg, NonBlockingSink(sys.stdout.fileno()))
-    run(cfg, Adapter(), read_settings)
-    return 0
+def run():
+    """Run the gateway on the platform and return its exit code."""
+    return main(Adapter(), read_settings)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run())
