Leave a vacant duty to the first of a group for a while

Cause: when a holder ends, all instances see it at once and each writes, all but one in vain. Change: each place in a group waits 0.15 s longer, up to 1.5 s.

--- a/src/chervilwing/neighbours.py
+++ b/src/chervilwing/neighbours.py
@@ -26,6 +26,10 @@
 # Kinds of datagrams.
 QUESTION = 1
 ANSWER = 2
+# Seconds by which each place in a group is more patient to take a vacant duty, and the
+# most of it: a claim is known to the others after two questions.
+PATIENCE_STEP = 0.15
+LONGEST_PATIENCE = 1.5
 # Stands in a question for the group, where another one than its leader is asked.
 HELPER = ""
 # Seconds for which a word counts: three questions in a row are not lost by chance.
@@ -112,6 +116,8 @@
         """
         names = self._groups[self._group]
         place = names.index(self._cfg.name)
+        patience = min(LONGEST_PATIENCE, place * PATIENCE_STEP)
+        self._coordinator.tenure.patience = patience
         before = self._leader.leader
         leader = self._leader.choose(names[:place], now)
         if leader != before:
--- a/src/chervilwing/tenures.py
+++ b/src/chervilwing/tenures.py
@@ -35,7 +35,9 @@
 class Tenure:
     """State of one instance's part in a duty; times are seconds on one clock.
 
-    The same lease carries the instance's own record.
+    The same lease carries the instance's own record. ``patience`` is for how many
+    seconds a vacant duty is left to others. Load: hundreds of instances see the end of
+    a holder at once. Harm: each writes, and all but one in vain.
 
     The clock must go on while the machine is suspended: on one that stands still, a
     holder would wake and act under a lease that lapsed while it slept.
@@ -47,6 +49,8 @@
         self._record = record
         self._enlisted = False
         self._vacant = False
+        self._vacant_since = None
+        self.patience = 0.0
         self._name = name
         self._ttl = ttl
         self._rng = rng
@@ -114,12 +118,20 @@
         if not self._enlisted:
             put = (self._record.key, self._record.value, self.lease)
             return Commit(puts=(put,))
-        if self._vacant and not self._fence and now < self._until:
+        if self._may_claim(now):
             value = f"{self._name}/{self.lease}".encode()
             put = (self.key, value, self.lease)
             return Commit(expect=((self.key, 0),), puts=(put,))
         return None
 
+    def _may_claim(self, now):
+        if not self._vacant or self._fence:
+            self._vacant_since = None
+            return False
+        if self._vacant_since is None:
+            self._vacant_since = now
+        return now < self._until and now - self._vacant_since >= self.patience
+
     def receive(self, reply, now):
         """Take the answer to the last call."""
         sent, self._sent = self._sent, None
--- a/tests/test_tenures.py
+++ b/tests/test_tenures.py
@@ -44,6 +44,23 @@
         self.hold(9)
         self.assertEqual(self.tenure.fence(0.2), 9)
 
+    def test_a_patient_instance_leaves_a_vacant_duty_to_others_for_a_while(self):
+        # The holder dies and hundreds see it at once: all would write, and all but one
+        # in vain, just as the store has other things to do.
+        self.tenure.patience = 0.5
+        self.answer(Leased(7, TTL), 0.0)
+        self.answer(Committed(5), 0.0)
+        self.tenure.observe(None, 5)
+        self.assertIsNone(self.tenure.next_call(0.1))
+        self.assertIsNone(self.tenure.next_call(0.4))
+        self.tenure.observe(Item("duty", b"two/8", 6), 6)
+        self.assertIsNone(self.tenure.next_call(0.7))
+        self.tenure.observe(None, 8)
+        self.assertIsNone(self.tenure.next_call(0.8))
+        self.assertIsInstance(self.tenure.next_call(1.0), KeepLease)
+        self.tenure.receive(Leased(7, TTL), 1.0)
+        self.assertIsInstance(self.tenure.next_call(1.35), Commit)
+
     def test_nobody_acts_on_a_lease_that_may_have_lapsed(self):
         # The holder is frozen or cut off for longer than its lease: another one holds
         # the duty by the time it wakes, and both would act.
