Tidy what the groups left: one hearing of own usage, no dead send, plainer names

Cause: reading the whole change once more. A leader took its own usage from two places, ten and twenty times a second; `send_all` had one caller left since the beacons went; `Mirror.learn` called a receiver of replies with what is no reply; `self._leader.leader`, `BOUND` and `own_rate` needed explaining. Change: the leader's own usage is taken with its own word alone, `send` sends, `_list_anew` serves both, `Fanout.target`, `TIMELY_PREFIXES`, `lone_rate`. No behaviour, bound or test changed.

--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -183,7 +183,8 @@
         self.traits = traits
         self.stations = {}
         self.rate = PREFILL_RATE
-        self.own_rate = PREFILL_RATE
+        # The same, of engines that have little else to do.
+        self.lone_rate = PREFILL_RATE
         self.service_time = SERVICE_TIME
         # Engine seconds of all that was asked for, here and at each other instance.
         self.work = 0.0
@@ -285,7 +286,7 @@
         twice. Counted in their time of now, or at each attempt, the work would look
         larger the fewer engines there are, and orders follow it up without an end.
         """
-        self.work += estimate.prefill / self.own_rate
+        self.work += estimate.prefill / self.lone_rate
         self.work += demand.expected_tokens * TOKEN_TIME
 
     def send(self, station, demand, estimate, now):
@@ -310,7 +311,7 @@
             rate = min(FASTEST_RATE, max(SLOWEST_RATE, tokens / (took - FIRST_STEP)))
             self.rate = blend(self.rate, rate)
             if sent.alone:
-                self.own_rate = blend(self.own_rate, rate)
+                self.lone_rate = blend(self.lone_rate, rate)
 
     def end(self, station, demand, failed, now):
         """Take note that the attempt is over."""
--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -34,10 +34,9 @@
 # watches may be late; the rest is for the drift of two clocks. Load: an outage of the
 # store. Harm: each second less refuses every caller with a key a second sooner.
 TRUSTED_PART = 0.95
-
-
-# How many of the prefixes that are followed, the first ones, must be known as of late.
-BOUND = 2
+# How many of the followed prefixes, the first ones, have to be known as of late: the
+# configuration and the registrations. Who else runs may be older.
+TIMELY_PREFIXES = 2
 
 
 class Peer(NamedTuple):
@@ -144,7 +143,8 @@
 
     def find_age(self, news):
         """Return how old the oldest is of what has to be known as of late."""
-        return max(float("inf") if item is None else item.age for item in news[:BOUND])
+        timely = news[:TIMELY_PREFIXES]
+        return max(float("inf") if item is None else item.age for item in timely)
 
     def learn(self, news, asked_at, now):
         """Take what another instance told of each prefix."""
--- a/src/chervilwing/datagrams.py
+++ b/src/chervilwing/datagrams.py
@@ -37,19 +37,11 @@
 
     def send(self, kind, fields, address):
         """Send one datagram; nothing tells whether it arrives."""
-        self.send_all(kind, fields, (address,))
-
-    def send_all(self, kind, fields, addresses):
-        """Send the same to several addresses."""
-        if not addresses:
-            return
-        data = msgpack.packb([kind, *fields])
-        for address in addresses:
-            try:
-                self._sock.sendto(data, address)
-            except OSError as exc:
-                # The next datagram says the same and more; a full buffer is no failure.
-                log_event("datagram not sent", code=exc.errno or 0)
+        try:
+            self._sock.sendto(msgpack.packb([kind, *fields]), address)
+        except OSError as exc:
+            # The next datagram says the same and more; a full buffer is no failure.
+            log_event("datagram not sent", code=exc.errno or 0)
 
     def handle_ready(self, sock, readable, writable):
         """Take all datagrams that have come."""
--- a/src/chervilwing/fanout.py
+++ b/src/chervilwing/fanout.py
@@ -71,7 +71,8 @@
     """State of the questions to one group; times are seconds on one clock."""
 
     def __init__(self):
-        self.leader = None
+        # Whom to ask, None where none answers.
+        self.target = None
         # Whether the last answer brought knowledge that is of late.
         self.fresh = False
         self._preferred = None
@@ -84,23 +85,23 @@
     def choose(self, names, now):
         """Return which of the ranked names to ask, or None where none answers."""
         able = [name for name in names if now >= self._avoided.get(name, 0.0)]
-        leader = next(iter(able), None)
+        target = next(iter(able), None)
         if self._preferred in able:
-            leader = self._preferred
-        if leader != self.leader:
-            self.leader, self._asked, self._misses = leader, None, 0
+            target = self._preferred
+        if target != self.target:
+            self.target, self._asked, self._misses = target, None, 0
             self.fresh = False
             self._due = now
-        return leader
+        return target
 
     def next_question(self, now, interval=ASK_EVERY):
-        """Return the number of the question to ask the leader now, or None."""
+        """Return the number of the question to ask the target now, or None."""
         if self._asked is not None and now - self._asked.at >= ANSWER_WAIT:
             self._miss(now)
-        if self.leader is None or self._asked is not None or now < self._due:
+        if self.target is None or self._asked is not None or now < self._due:
             return None
         self._number += 1
-        self._asked = Asked(self._number, self.leader, now)
+        self._asked = Asked(self._number, self.target, now)
         self._due = now + interval
         return self._number
 
--- a/src/chervilwing/mirrors.py
+++ b/src/chervilwing/mirrors.py
@@ -193,7 +193,7 @@
         if self.revision is None:
             return []
         if news.items is None:
-            self._receive_gone(news, asked_at, now)
+            self._list_anew()
             return []
         if news.regained is not None:
             self.regained_at = max(self.regained_at, asked_at - news.regained)
@@ -224,9 +224,12 @@
             self._floor = max(self._floor, dropped.revision)
 
     def _receive_gone(self, reply, sent, now):
+        self._list_anew()
+        return []
+
+    def _list_anew(self):
         self.revision = None
         self._listing = None
-        return []
 
     def _receive_nothing(self, reply, sent, now):
         self.unreachable = True
--- a/src/chervilwing/neighbours.py
+++ b/src/chervilwing/neighbours.py
@@ -91,7 +91,7 @@
     @property
     def leads(self):
         """Tell whether this instance leads its group."""
-        return self._leader.leader is None
+        return self._leader.target is None
 
     def _arrange(self):
         """Form the groups anew when instances have come or gone."""
@@ -117,7 +117,7 @@
         place = names.index(self._cfg.name)
         patience = min(LONGEST_PATIENCE, place * PATIENCE_STEP)
         self._coordinator.tenure.patience = patience
-        before = self._leader.leader
+        before = self._leader.target
         leader = self._leader.choose(names[:place], now)
         if leader != before:
             log_event("leader followed", leader=leader or "", was=before or "")
@@ -146,7 +146,7 @@
         word = self._told[group] = self._describe()
         near = group in (self._group, HELPER)
         revisions = self._coordinator.list_revisions() if near else None
-        address = self._coordinator.peers[fanout.leader].address
+        address = self._coordinator.peers[fanout.target].address
         self._datagrams.send(QUESTION, (number, group, revisions, word), address)
 
     def _describe(self):
@@ -187,7 +187,7 @@
         at = self._parts.read_time()
         stored = self._parts.list_stored(word)
         said = (self._cfg.name, self._cfg.incarnation, at, sums, stored)
-        fields = (number, group, self._leader.leader or "", news, said)
+        fields = (number, group, self._leader.target or "", news, said)
         self._datagrams.send(ANSWER, fields, address)
 
     def _add_up(self, now):
--- a/src/chervilwing/usage_reports.py
+++ b/src/chervilwing/usage_reports.py
@@ -84,7 +84,7 @@
         return self.counter.list_open(self.read_time())
 
     def hear(self, word, near):
-        """Take another instance's counts; ``near`` tells to store them."""
+        """Take an instance's counts, this one's too; ``near`` tells to store them."""
         heard = self._near if near else self._far
         heard.hear(name_process(word.name, word.incarnation), word.usage)
 
@@ -116,19 +116,16 @@
 
     def write_open_windows(self):
         """Write all that isn't stored, the open window too, before the process ends."""
-        self._hear_own()
-        for window in self.list_open():
+        windows = self.list_open()
+        self._near.hear(self._name, windows)
+        for window in windows:
             self._write(window)
 
-    def _hear_own(self):
-        self._near.hear(self._name, self.list_open())
-
     @handler("tick", channel="*")
     def _on_tick(self):
         now = read_boottime()
         if self._writing or now < self._due or not self.stores():
             return
-        self._hear_own()
         window = self._find_due(self.read_time())
         if window is not None:
             self._write(window)
