Count no old spending when a leader of a group leads again

Cause: a tally grows by the difference between two words of one speaker, however old the first one is. A leader that was cut off for some seconds and leads again had last heard its speakers before; what they spent meanwhile, known to everybody through its successor, was added a second time at once. Ruled out: limits that are lower than the demand (the same customers are served before and after at the same rate), restarted processes (the incarnation tells them). Change: a speaker that was not heard for KEPT counts as unknown, in instances and in groups. Before and after: tests.test_allowances, red first (0 tokens were left of 50).

--- a/src/chervilwing/neighbours.py
+++ b/src/chervilwing/neighbours.py
@@ -14,6 +14,7 @@
 from .mirrors import News
 from .tallies import (
     ADD_EVERY,
+    KEPT,
     Counts,
     Tally,
     Word,
@@ -31,8 +32,6 @@
 LONGEST_PATIENCE = 1.5
 # Stands in a question for the group, where another one than its leader is asked.
 HELPER = ""
-# Seconds for which a word counts: three questions in a row are not lost by chance.
-KEPT = 1.5
 
 
 def read_news(age, regained, revision, items, more):
@@ -177,8 +176,7 @@
         self._agreed.hear(word.name, word.time_of_day, now)
         self._parts.hear(word, near)
         if near:
-            until = now + KEPT
-            self._near.hear(word.name, word.incarnation, word.counts, until)
+            self._near.hear(word.name, word.incarnation, word.counts, now)
         news = sums = None
         if revisions is not None:
             news = self._coordinator.tell(revisions, now)
@@ -219,7 +217,7 @@
         elif fanout is not self._helper:
             self._agreed.hear(name, time_of_day, now)
             speaker = (group, name)
-            self._far.hear(speaker, incarnation, read_counts(*sums), now + KEPT)
+            self._far.hear(speaker, incarnation, read_counts(*sums), now)
 
     def _find_fanout(self, group):
         if group == HELPER:
@@ -233,7 +231,7 @@
         self._used_at = now
         word = self._describe()
         self._parts.hear(word, near=True)
-        self._near.hear(word.name, word.incarnation, word.counts, now + KEPT)
+        self._near.hear(word.name, word.incarnation, word.counts, now)
         source = (self._cfg.name, self._cfg.incarnation)
         self._use(source, leave_out(self._add_up(now), word.counts), now)
 
--- a/src/chervilwing/tallies.py
+++ b/src/chervilwing/tallies.py
@@ -12,6 +12,8 @@
 # Seconds between two sums of all loads. Load: dozens of questions a second to one
 # instance. Harm: each would add up the same anew.
 ADD_EVERY = 0.1
+# Seconds for which a word counts: three questions in a row are not lost by chance.
+KEPT = 1.5
 
 
 class Counts(NamedTuple):
@@ -94,7 +96,14 @@
     """Sums over those who tell their figures; times are seconds on one clock.
 
     What was spent grows by the differences between two words of one speaker: the first
-    word of an unknown one tells of a past that is no news.
+    word of an unknown one tells of a past that is no news. So does the first word of
+    one that wasn't heard for KEPT.
+
+    Guard: a leader that was cut off leads again. What its speakers spent meanwhile they
+    told another one, who told everybody; grown by it, the sums would jump by half a
+    minute of all spending and work. Customers far below their limits were refused for
+    ten seconds, and eleven times the instances were ordered that the work needed. Who
+    isn't heard by anybody keeps to its part of the rate, which the others leave to it.
     """
 
     def __init__(self):
@@ -105,16 +114,16 @@
         self._loads = EMPTY
         self._added_at = float("-inf")
 
-    def hear(self, speaker, incarnation, counts, until):
-        """Take a speaker's figures; its load counts up to ``until``."""
-        if speaker in self._last:
+    def hear(self, speaker, incarnation, counts, now):
+        """Take a speaker's figures; its load counts for KEPT."""
+        if now <= self._until.get(speaker, float("-inf")):
             known, before = self._last[speaker]
             # A restarted process counts from nothing.
             before = before if known == incarnation else EMPTY
             grow(self._spent, before.spent, counts.spent)
             grow(self._work, before.work, counts.work)
         self._last[speaker] = (incarnation, counts)
-        self._until[speaker] = until
+        self._until[speaker] = now + KEPT
 
     def measure(self, now):
         """Return the sums over all that were heard of late.
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -25,8 +25,8 @@
     def __init__(self, allowances):
         self._allowances = allowances
         self._tally = Tally()
-        # The one that adds them up has known the others for long.
-        self.hear("two", 1, 0.0, -9.0)
+        # The one that adds them up hears the others all the time.
+        self.hear("two", 1, 0.0, 0.0)
 
     def hear(self, name, incarnation, spent, now):
         """Take one instance's total and hand the sum on."""
@@ -97,6 +97,21 @@
         allowances.hear(("next", 1), {"insurer": 4010.0}, 1, 0.0)
         self.assertEqual(spend_all(allowances, 0.0)[0], 40.0)
 
+    def test_one_that_leads_again_brings_no_old_spending(self):
+        # A leader is cut off, the next one takes its place for half a minute and tells
+        # what all spend; then the first leads again. Measured from the words it had
+        # heard last, all of that would be spent a second time at once: customers far
+        # below their limits were refused for ten seconds, and eleven times the
+        # instances were ordered that the work needed.
+        allowances = make_allowances(known=2)
+        others = Others(allowances)
+        others.hear("two", 1, 10.0, 0.0)
+        self.assertEqual(spend_all(allowances, 0.0)[0], 40.0)
+        others.hear("two", 1, 3010.0, 30.2)
+        self.assertEqual(spend_all(allowances, 30.2)[0], BURST)
+        others.hear("two", 1, 3030.0, 30.4)
+        self.assertEqual(spend_all(allowances, 30.4)[0], 0.0)
+
     def test_a_restarted_instance_counts_from_nothing(self):
         # Its total falls back; taken as it stands the difference would be negative.
         allowances = make_allowances(known=2)
