Know an upstream that started again, and entries that somebody else wrote

Cause: an upstream may start again under its name, holding nothing, and anybody may write an entry. A restarted one was taken for the one before: its memory was believed warm and kept connections led to a dead process. An entry that is no object ended the reading with an AttributeError, one with fields of other types was taken for an upstream, and one that was written over stayed an upstream as it had been before. Ruled out: comparing addresses (a restart may keep it) and revisions (they change with each heartbeat). Change: the entry is decoded into a typed struct, any other one is ignored and what it replaces is dropped; the time of the start ends what was known of the upstream before, with its connections. Other instances' records under our own prefix are read as carefully.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 serve: venv
 	$(PY) -m chervilwing.daemon --embedded --listen 127.0.0.1:8080
 
-test:
+test: venv
 	$(PY) -m ruff format --check .
 	$(PY) -m ruff check .
 	$(PY) -m tests
--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -51,10 +51,13 @@
     return f"{format_address(peer.address)} {peer.data_centre}".encode()
 
 
-def decode_peer(value):
-    """Return the Peer of such a value."""
-    address, _, data_centre = value.decode().partition(" ")
-    return Peer(parse_address(address), data_centre)
+def decode_peer(key, value):
+    """Return the Peer of such a value, or raise BadConfiguration."""
+    try:
+        address, _, data_centre = value.decode().partition(" ")
+        return Peer(parse_address(address), data_centre)
+    except ValueError as exc:
+        raise BadConfiguration(f"{key}: {exc}") from exc
 
 
 class Sources(NamedTuple):
@@ -247,16 +250,19 @@
             log_event("upstream unregistered", upstream=name, revision=item.revision)
             return
         found = self._read(self._sources.read_registration, item)
-        if found is not None:
-            self._gateway.put_upstream(found)
-            log_event(
-                "upstream registered",
-                upstream=name,
-                pool=found.pool,
-                leaving=found.leaving,
-                reclaimable=found.reclaimable,
-                revision=item.revision,
-            )
+        if found is None:
+            # Written over by somebody else: it names no upstream any more.
+            self._gateway.drop_upstream(name)
+            return
+        self._gateway.put_upstream(found)
+        log_event(
+            "upstream registered",
+            upstream=name,
+            pool=found.pool,
+            leaving=found.leaving,
+            reclaimable=found.reclaimable,
+            revision=item.revision,
+        )
 
     def _take_instance(self, item, now):
         self._note_peer(item)
@@ -270,7 +276,8 @@
         if not item.key.startswith(INSTANCES) or name == self.cfg.name:
             return
         self.peers_version += 1
-        if item.value is None:
+        peer = None if item.value is None else self._read(decode_peer, item)
+        if peer is None:
             self.peers.pop(name, None)
         else:
-            self.peers[name] = decode_peer(item.value)
+            self.peers[name] = peer
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -92,7 +92,8 @@
 
     def put_upstream(self, registration):
         """Take a new or changed upstream."""
-        self.registry.put(registration)
+        if self.registry.put(registration) is not None:
+            self._forget_upstream(registration.name)
         self._find_pool(registration.pool).put(registration)
 
     def remove_upstream(self, name, regained_at):
@@ -103,6 +104,11 @@
         if self.registry.remove(name, read_boottime(), regained_at):
             self._forget_upstream(name)
 
+    def drop_upstream(self, name):
+        """Forget an upstream at once."""
+        self.registry.drop(name)
+        self._forget_upstream(name)
+
     def expire_upstreams(self):
         """Forget upstreams whose registrations didn't come back."""
         for name in self.registry.expire(read_boottime()):
--- a/src/chervilwing/platform/documents.py
+++ b/src/chervilwing/platform/documents.py
@@ -1,5 +1,7 @@
 """The platform's documents, read into the gateway's own."""
 
+from typing import Annotated, Literal
+
 import msgspec
 
 from ..addresses import parse_address
@@ -112,23 +114,51 @@
         raise BadConfiguration(f"{key}: {type(exc).__name__} {exc}") from exc
 
 
+class Entry(msgspec.Struct):
+    """What an upstream says of itself; an entry of other types is not an upstream's.
+
+    ``coldLeftMs`` is how much longer it stays slow after its start, ``seq`` counts the
+    orders that it took, ``leaves_ms`` is the time until a reclaimed one ends, and
+    ``born`` the time of this start in Unix milliseconds.
+    """
+
+    service: str
+    address: str
+    zone: str
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=0)]
+    state: Literal["ready", "draining"]
+    coldLeftMs: float
+    seq: int
+    spot: bool = False
+    leaves_ms: float | None = None
+    born: int = 0
+
+
+ENTRY_DECODER = msgspec.json.Decoder(Entry)
+
+
 def read_registration(key, data):
-    """Return the Registration, or raise BadConfiguration."""
+    """Return the Registration, or raise BadConfiguration.
+
+    Guard: anybody may write an entry. One with fields that are missing or of another
+    type, an unknown state or unreadable bytes names no upstream; taken for one, it
+    would get work that nobody answers, or end the reading of all that follow.
+    """
     try:
-        value = msgspec.json.decode(data)
-        leaves = value.get("leaves_ms")
+        entry = ENTRY_DECODER.decode(data)
         return Registration(
-            # The id of one start; the address may be another's later.
             name=key.removeprefix(REGISTRATIONS),
-            pool=value["service"],
-            address=parse_address(value["address"]),
-            data_centre=value["zone"],
-            slots=value.get("slots") or 1,
-            leaving=value.get("state") == "draining",
-            reclaimable=value.get("spot", False),
-            leaves_in=None if leaves is None else leaves / MS,
+            pool=entry.service,
+            address=parse_address(entry.address),
+            data_centre=entry.zone,
+            slots=entry.slots or 1,
+            leaving=entry.state == "draining",
+            reclaimable=entry.spot,
+            leaves_in=None if entry.leaves_ms is None else entry.leaves_ms / MS,
+            started_at=entry.born / MS,
         )
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as exc:
+    except (msgspec.DecodeError, ValueError) as exc:
         raise BadConfiguration(f"{key}: {type(exc).__name__} {exc}") from exc
 
 
--- a/src/chervilwing/registrations.py
+++ b/src/chervilwing/registrations.py
@@ -14,7 +14,8 @@
     """One incarnation of an upstream, as it registered itself.
 
     ``leaves_in`` are the seconds until a reclaimed instance ends, None where nobody
-    has said it.
+    has said it. ``started_at`` is the Unix time of its start by its own clock, 0 where
+    it doesn't say; with another one the same name holds and knows nothing of before.
     """
 
     name: str
@@ -25,6 +26,7 @@
     leaving: bool = False
     reclaimable: bool = False
     leaves_in: float | None = None
+    started_at: float = 0.0
 
 
 class Registry:
@@ -35,9 +37,18 @@
         self._missing = {}
 
     def put(self, registration):
-        """Take a new or changed registration."""
+        """Take a new or changed registration; return one that it ends, or None.
+
+        Guard: an upstream may start again under its name. What was known of it and the
+        connections to it are those of the process before: memory of prompts that is
+        gone, and kept connections whose next request would be lost.
+        """
         self._missing.pop(registration.name, None)
+        known = self.members.get(registration.name)
         self.members[registration.name] = registration
+        if known is None or known.started_at == registration.started_at:
+            return None
+        return known
 
     def remove(self, name, now, regained_at):
         """Take note that an entry is gone; tell whether its upstream is gone now.
@@ -52,14 +63,17 @@
         if now < regained_at + LAPSE_GRACE:
             self._missing[name] = regained_at + LAPSE_GRACE
             return False
-        self._missing.pop(name, None)
-        del self.members[name]
+        self.drop(name)
         return True
 
+    def drop(self, name):
+        """Forget an entry at once."""
+        self._missing.pop(name, None)
+        self.members.pop(name, None)
+
     def expire(self, now):
         """Drop what stayed away and return the names."""
         gone = [name for name, due in self._missing.items() if now >= due]
         for name in gone:
-            del self._missing[name]
-            self.members.pop(name, None)
+            self.drop(name)
         return gone
--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,105 @@
+"""Entries of the registrations that somebody else wrote: none names an upstream."""
+
+import json
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chervilwing.coordination import decode_peer
+from chervilwing.exceptions import BadConfiguration
+from chervilwing.models import Address
+from chervilwing.platform.documents import read_registration
+from chervilwing.registrations import Registration
+
+KEY = "servers/i-1"
+ENTRY = {
+    "service": "web",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "phase": "both",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "seq": 4,
+}
+NEEDED = (
+    "service",
+    "address",
+    "zone",
+    "version",
+    "slots",
+    "state",
+    "coldLeftMs",
+    "seq",
+)
+# A fixed number of examples from a fixed seed: the verdict is the same each time.
+FUZZ = settings(max_examples=300, derandomize=True, deadline=None, database=None)
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+def read(**changes):
+    """Return what an entry with other fields names; None leaves a field out."""
+    entry = {k: v for k, v in (ENTRY | changes).items() if v is not None}
+    return read_registration(KEY, json.dumps(entry).encode())
+
+
+class TestEntries(unittest.TestCase):
+    def test_an_upstreams_own_entry_is_read(self):
+        expected = Registration("i-1", "web", Address("10.0.0.1", 80), "a", 64)
+        self.assertEqual(read(), expected)
+        found = read(state="draining", spot=True, leaves_ms=1500, born=1780000000250)
+        self.assertEqual(found.leaves_in, 1.5)
+        self.assertEqual(found.started_at, 1780000000.25)
+        self.assertTrue(found.leaving and found.reclaimable)
+
+    def test_an_entry_without_a_field_names_no_upstream(self):
+        for name in NEEDED:
+            with self.subTest(name), self.assertRaises(BadConfiguration):
+                read(**{name: None})
+
+    def test_an_entry_with_another_type_names_no_upstream(self):
+        for name in (*NEEDED, "spot", "leaves_ms", "born"):
+            with self.subTest(name), self.assertRaises(BadConfiguration):
+                read(**{name: ["x"]})
+        with self.assertRaises(BadConfiguration):
+            read(born=17.5)
+
+    def test_an_unknown_state_names_no_upstream(self):
+        with self.assertRaises(BadConfiguration):
+            read(state="resting")
+
+    @FUZZ
+    @given(st.binary())
+    def test_bytes_that_cannot_be_read_name_no_upstream(self, data):
+        with self.assertRaises(BadConfiguration):
+            read_registration(KEY, data)
+
+    @FUZZ
+    @given(st.dictionaries(st.sampled_from(sorted(ENTRY)), VALUES))
+    def test_whatever_the_fields_hold_nothing_but_a_typed_failure_comes(self, changes):
+        # A reader that ends with another failure would end the reading of all that
+        # follow, and the instance would go on with upstreams of long ago.
+        try:
+            found = read_registration(KEY, json.dumps(ENTRY | changes).encode())
+        except BadConfiguration:
+            return
+        self.assertIsInstance(found.address, Address)
+        self.assertIsInstance(found.data_centre, str)
+        self.assertIsInstance(found.slots, int)
+        self.assertGreaterEqual(found.slots, 1)
+
+    @FUZZ
+    @given(st.binary())
+    def test_a_foreign_instance_is_no_neighbour(self, data):
+        try:
+            peer = decode_peer("instances/x", data)
+        except BadConfiguration:
+            return
+        self.assertIsInstance(peer.address, Address)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -431,6 +431,20 @@
         run.gateway.remove_upstream("u0", float("-inf"))
         self.assertEqual(run.client.count_idle(), 0)
 
+    def test_one_that_started_again_gets_new_connections_and_no_old_credit(self):
+        # An upstream restarts under its name. A kept connection to the process before
+        # looks open until something is sent on it, and that may have run for all that
+        # anybody can tell; its caller could not even be told to come back.
+        run = self.start(answer())
+        self.assertEqual(run.call("GET", "/page/x").status, 200)
+        port = run.upstreams[0].port
+        pool = run.gateway.pools["web"]
+        before = pool.stations["u0"]
+        run.gateway.put_upstream(run.register("u0", port, started_at=9.0))
+        self.assertIsNot(pool.stations["u0"], before)
+        self.assertEqual(run.call("POST", "/note/x").status, 200)
+        self.assertEqual(len(run.upstreams[0].conns), 2)
+
     def test_an_older_document_never_replaces_a_newer_one(self):
         run = self.start(answer(), document=make_document(version=5))
         self.assertFalse(run.gateway.configure(make_document(4, routes=())))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -50,6 +50,18 @@
     conn.sendall(head + b"ok")
 
 
+# What an upstream says of itself.
+ENTRY = {
+    "service": "web",
+    "zone": "a",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "seq": 1,
+}
+
+
 class PlatformCase(unittest.TestCase):
     def setUp(self):
         self.procs = Processes()
@@ -73,8 +85,7 @@
     def register(self, name, **changes):
         """Register the upstream under a name."""
         address = f"{HOST}:{self.upstream.port}"
-        value = {"service": "web", "address": address, "zone": "a", "slots": 4}
-        self.operate({f"servers/{name}": value | {"state": "ready"} | changes})
+        self.operate({f"servers/{name}": ENTRY | {"address": address} | changes})
 
     def start(self, name, settings_file=None, **options):
         """Start a gateway and wait until it is ready.
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -39,5 +39,19 @@
         self.assertEqual(self.registry.expire(10.0 + LAPSE_GRACE), ["one"])
         self.assertEqual(set(self.registry.members), {"two"})
 
+    def test_one_that_starts_again_under_its_name_ends_the_one_before(self):
+        # An engine crashes and is back under its name two seconds later, with nothing
+        # in its memory. Taken for the one before it would be sent, over connections
+        # that are dead, what it is believed to have read.
+        before, after = (
+            make_registration("one")._replace(started_at=at) for at in (5.0, 7.0)
+        )
+        self.registry.put(before)
+        leaving = before._replace(leaving=True)
+        self.assertIsNone(self.registry.put(leaving))
+        self.assertEqual(self.registry.put(after), leaving)
+        self.assertIsNone(self.registry.put(after))
+        self.assertIsNone(self.registry.put(make_registration("three")))
+
     def test_later_ones_are_not_doubted(self):
         self.assertTrue(self.registry.remove("one", 10.0 + LAPSE_GRACE, 10.0))
