Order others when one more lost place would not be borne; draw deployments

Change: in scarcity what stands must suffice without the place whose loss costs most; none that can't be reclaimed stands in calm. bench.experiment plays the real sizing and balancing against drawn deployments (engines in steps, a market with waves and dry spells) and compares paired draws.

--- /dev/null
+++ b/bench/experiment.py
@@ -0,0 +1,333 @@
+"""Play drawn deployments with the gateways' own decisions; compare two policies.
+
+``python -m bench.experiment play out.json`` plays them with the sources as they are,
+``--set sizing.HEADROOM=2`` with another figure. ``compare one.json two.json`` tells by
+how much they differ on the same draws. Sockets, the store and the way of a request
+through a gateway aren't modelled, so that absolute figures are not a deployment's.
+"""
+
+import importlib
+import json
+import random
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import Annotated, NamedTuple
+
+import numpy as np
+import typer
+
+from chervilwing.balancing import NOTHING, PoolBalance
+from chervilwing.demands import Demand
+from chervilwing.gateway import HOPELESS_PART
+from chervilwing.routing import EngineTraits, PoolTraits
+from chervilwing.sizing import Kind, Sizing
+from chervilwing.tallies import add_loads
+
+from .draws import CENTRES, draw, draw_arrivals, read_ranges
+from .market import Market
+from .pages import format_table
+from .stepping import SLOTS, Clock, Run
+
+# Seconds between two words of what others have in flight, and how old they are.
+WORD_EVERY, WORD_AGE = 0.2, 0.25
+ORDER_EVERY = 0.1
+ATTEMPTS = 3
+# What the users say that counts: the whole day, the worst seconds, data centre, kind.
+DAY, WORST_SECONDS, WORST_CENTRE, WORST_KIND = 0.4, 0.28, 0.2, 0.12
+LATE_PART = 0.1
+WINDOW = 2.0
+# Half-width of a 95 % interval in standard errors.
+INTERVAL = 1.96
+FIGURES = ("worth", "day", "window", "centre", "kind", "price", "kept", "late")
+app = typer.Typer(add_completion=False)
+
+
+class Outcome(NamedTuple):
+    """What became of one deployment; see FIGURES."""
+
+    worth: float
+    day: float
+    window: float
+    centre: float
+    kind: float
+    price: float
+    kept: float
+    late: float
+
+
+class Caller:
+    """One request on its way."""
+
+    __slots__ = (
+        "arrival",
+        "attempts",
+        "demand",
+        "ends_at",
+        "first",
+        "station",
+        "tried",
+    )
+
+    def __init__(self, arrival, name):
+        tokens = sum(part.tokens for part in arrival.parts)
+        self.arrival = arrival
+        self.ends_at = arrival.at + arrival.kind.deadline
+        self.demand = Demand(
+            name, self.ends_at, tokens, arrival.output, arrival.output, arrival.parts
+        )
+        self.tried = set()
+        self.attempts = 0
+        self.station = None
+        self.first = None
+
+
+class Play:
+    """One drawn deployment from the start of its instances to the last request."""
+
+    def __init__(self, deployment, arrivals, seed):
+        self.deployment = deployment
+        self.clock = Clock()
+        self.clock.now = -deployment.lead
+        self.market = Market(self.clock, deployment, self._register)
+        traits = PoolTraits(
+            "engines",
+            engine=EngineTraits(SLOTS, deployment.engine.memory_tokens),
+            fleet=deployment.fleet,
+        )
+        self.pools = [
+            PoolBalance(traits, CENTRES[n % len(CENTRES)], random.Random(seed + n))
+            for n in range(deployment.gateways)
+        ]
+        self.sizing = Sizing()
+        self.registered = {}
+        self.callers = [Caller(item, f"r{n}") for n, item in enumerate(arrivals)]
+        self._rng = random.Random(seed)
+        self._began = {}
+
+    def run(self):
+        """Play and return the Outcome."""
+        others = int(np.ceil(1.5 * self.deployment.work)) + 2
+        centres = [Kind(CENTRES[n % len(CENTRES)], False) for n in range(others)]
+        self.market.start({kind: centres.count(kind) for kind in set(centres)})
+        self._order()
+        self._tell_loads(None)
+        for caller in self.callers:
+            self.clock.call(caller.arrival.at, self._ask, caller)
+        for wave in self.deployment.waves:
+            self.clock.call(wave.at, self.market.reclaim, wave)
+        for at in self.deployment.crashes:
+            self.clock.call(at, self.market.crash)
+        self.clock.run(self.deployment.seconds + 20.0)
+        return self._sum_up()
+
+    def _register(self, registration, gone):
+        name = registration.name
+        if gone:
+            self.registered.pop(name, None)
+        else:
+            self.registered[name] = registration
+        for pool in self.pools:
+            pool.remove(name) if gone else pool.put(registration)
+
+    def _order(self):
+        now = self.clock.now
+        if now >= self.deployment.seconds:
+            self.market.count_paid()
+            return
+        totals = {str(n): (0, pool.work) for n, pool in enumerate(self.pools)}
+        self.sizing.meter.measure(totals, now)
+        due = self.sizing.list_due(
+            self.deployment.fleet, list(self.registered.values()), now
+        )
+        for kind, number in due[:1]:
+            if self.market.order(kind, number):
+                self.sizing.note_ordered(kind, number, now)
+            else:
+                self.sizing.note_denied(kind, now)
+        self.clock.call(now + ORDER_EVERY, self._order)
+
+    def _tell_loads(self, before):
+        """Tell each gateway what the others had in flight a moment ago."""
+        now = self.clock.now
+        if before is not None:
+            for pool, others in zip(self.pools, before, strict=True):
+                pool.hear(others, now + 9.0)
+        loads = [
+            {name: station.own for name, station in pool.stations.items()}
+            for pool in self.pools
+        ]
+        self.clock.call(now + WORD_AGE, self._tell_loads, list(leave_one_out(loads)))
+
+    def _ask(self, caller):
+        """Let a caller ask a gateway of its data centre."""
+        near = [p for n, p in enumerate(self.pools) if self._is_near(n, caller)]
+        pool = self._rng.choice(near or self.pools)
+        now = self.clock.now
+        found = pool.choose(caller.demand, caller.tried, now)
+        if found is not None:
+            pool.ask(caller.demand, found[1])
+            if found[1].seconds <= (caller.ends_at - now) * HOPELESS_PART:
+                self._send(pool, caller, found)
+                return
+        # Refused once, a caller comes back.
+        back = now + self._rng.uniform(0.25, 1.0)
+        if caller.attempts == 0 and back < caller.ends_at:
+            caller.attempts = 1
+            self.clock.call(back, self._ask, caller)
+
+    def _is_near(self, number, caller):
+        return CENTRES[number % len(CENTRES)] == caller.arrival.centre
+
+    def _send(self, pool, caller, found):
+        station, estimate = found
+        name = station.registration.name
+        caller.tried.add(name)
+        pool.send(station, caller.demand, estimate, self.clock.now)
+        arrival = caller.arrival
+        run = Run(
+            arrival.parts,
+            arrival.output,
+            0,
+            lambda event: self._hear(event, pool, caller, station),
+        )
+        self.market.engines[name].arrive(run)
+
+    def _hear(self, event, pool, caller, station):
+        now = self.clock.now
+        if event == "first":
+            pool.start(station, caller.demand, now)
+            caller.first = caller.first or now
+            return
+        pool.end(station, caller.demand, event == "failed", now)
+        if event == "done":
+            self._began[caller] = caller.first
+            return
+        found = pool.choose(caller.demand, caller.tried, now)
+        if len(caller.tried) < ATTEMPTS and now < caller.ends_at and found:
+            self._send(pool, caller, found)
+
+    def _earn(self, caller):
+        """Return what a caller's answer is worth."""
+        first = self._began.get(caller)
+        if first is None or first > caller.ends_at:
+            return 0.0
+        arrival = caller.arrival
+        late = first - arrival.at > arrival.kind.latency_target
+        return arrival.worth * (LATE_PART if late else 1.0)
+
+    def _sum_up(self):
+        earned = {caller: self._earn(caller) for caller in self.callers}
+        day = measure_part(self.callers, earned)
+        windows = sorted(self._split(earned, lambda item: int(item.at / WINDOW)))
+        window = float(np.mean(windows[:2]))
+        centre = min(self._split(earned, lambda item: item.centre))
+        kind = min(self._split(earned, lambda item: item.kind.name))
+        deployment = self.deployment
+        per_second = self.market.seconds_paid / deployment.seconds
+        price = deployment.instance_cost * per_second
+        worth = DAY * day + WORST_SECONDS * window + WORST_CENTRE * centre
+        worth += WORST_KIND * kind - price
+        asked = sum(caller.demand.prompt_tokens for caller in self.callers)
+        read = sum(engine.read_tokens for engine in self.market.engines.values())
+        late = sum(earned[c] < 0.5 * c.arrival.worth for c in self.callers)
+        return Outcome(
+            worth,
+            day,
+            window,
+            centre,
+            kind,
+            price,
+            1 - read / asked,
+            late / len(self.callers),
+        )
+
+    def _split(self, earned, key):
+        """Return what each group earned; the smallest tenth says too little."""
+        groups = {}
+        for caller in self.callers:
+            groups.setdefault(key(caller.arrival), []).append(caller)
+        usual = np.median([len(group) for group in groups.values()])
+        return [
+            measure_part(group, earned)
+            for group in groups.values()
+            if len(group) >= usual / 4
+        ]
+
+
+def measure_part(callers, earned):
+    """Return the part of their worth that callers were served."""
+    owed = sum(caller.arrival.worth for caller in callers)
+    return sum(earned[caller] for caller in callers) / owed
+
+
+def leave_one_out(loads):
+    """Yield for each of several loads by name the sum of all others."""
+    for own in range(len(loads)):
+        sums = {}
+        for number, load in enumerate(loads):
+            if number != own:
+                for name, one in load.items():
+                    sums[name] = add_loads(sums.get(name, NOTHING), one)
+        yield sums
+
+
+def play_seed(seed, changes, ranges):
+    """Return the Outcome of one draw, with other figures in force."""
+    for change in changes:
+        set_figure(change)
+    rng = np.random.default_rng(seed)
+    deployment = draw(ranges, rng)
+    return Play(deployment, draw_arrivals(deployment, rng), seed).run()
+
+
+def set_figure(change):
+    """Put ``module.NAME=number`` in force."""
+    name, _, value = change.partition("=")
+    module, _, figure = name.rpartition(".")
+    number = float(value) if "." in value else int(value)
+    setattr(importlib.import_module(f"chervilwing.{module}"), figure, number)
+
+
+@app.command()
+def play(
+    out: Path,
+    seeds: int = 40,
+    first: int = 1,
+    jobs: int = 4,
+    ranges: Path | None = None,
+    change: Annotated[list[str] | None, typer.Option("--set")] = None,
+):
+    """Play as many draws and write their figures."""
+    drawn = read_ranges(*([ranges] if ranges else []))
+    chosen = range(first, first + seeds)
+    with ProcessPoolExecutor(jobs) as pool:
+        found = pool.map(
+            play_seed, chosen, [change or []] * seeds, [drawn] * seeds, chunksize=2
+        )
+        outcomes = {str(s): o._asdict() for s, o in zip(chosen, found, strict=True)}
+    out.write_text(json.dumps(outcomes, indent=1))
+    means = [np.mean([o[name] for o in outcomes.values()]) for name in FIGURES]
+    print(format_table(FIGURES, [[f"{mean:.4f}" for mean in means]]))
+
+
+@app.command()
+def compare(before: Path, after: Path):
+    """Tell by how much two files of figures differ, on the draws that both have."""
+    one, two = (json.loads(path.read_text()) for path in (before, after))
+    seeds = sorted(one.keys() & two.keys(), key=int)
+    rows = []
+    for name in FIGURES:
+        gained = np.array([two[seed][name] - one[seed][name] for seed in seeds])
+        half = INTERVAL * gained.std(ddof=1) / np.sqrt(len(seeds))
+        old = np.mean([one[seed][name] for seed in seeds])
+        better = int((gained > 0).sum())
+        rows.append(
+            [name, f"{old:.4f}", f"{gained.mean():+.4f}", f"{half:.4f}", better]
+        )
+    print(f"{len(seeds)} draws")
+    head = ["figure", "before", "gained", "95 % +-", "draws with more"]
+    print(format_table(head, rows))
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/bench/stepping.py
@@ -0,0 +1,155 @@
+"""A model of an engine that works in steps: a batch decodes beside one chunk of prompt.
+
+Simpler than an engine: memory never overflows, and what runs is never put back.
+"""
+
+import heapq
+from collections import OrderedDict
+from itertools import count
+
+CHUNK = 2048
+SLOTS = 64
+# Tokens that are decoded in one go while no prompt is read.
+STRIDE = 6
+# Seconds from arrival to the first step, and back.
+FIRST_SECONDS = 0.014
+
+
+class Clock:
+    """Simulated time and what is due."""
+
+    def __init__(self):
+        self.now = 0.0
+        self._due = []
+        self._order = count()
+
+    def call(self, at, act, *args):
+        """Run ``act`` at a time."""
+        heapq.heappush(self._due, (at, next(self._order), act, args))
+
+    def run(self, until):
+        """Run all that is due up to a time."""
+        while self._due and self._due[0][0] <= until:
+            self.now, _, act, args = heapq.heappop(self._due)
+            act(*args)
+
+
+class Run:
+    """One request in an engine; ``heard`` takes "first", "done" or "failed"."""
+
+    __slots__ = ("heard", "left", "output", "parts", "urgency")
+
+    def __init__(self, parts, output, urgency, heard):
+        self.parts = parts
+        self.left = 0
+        self.output = output
+        self.urgency = urgency
+        self.heard = heard
+
+
+class SteppingEngine:
+    """State of one engine."""
+
+    def __init__(self, clock, figures):
+        self._clock = clock
+        self._figures = figures
+        self._waiting = []
+        self._order = count()
+        self._reading = []
+        self._decoding = []
+        self._cache = OrderedDict()
+        self._kept = 0
+        self._stepping = False
+        self.alive = True
+        self.busy = 0.0
+        self.read_tokens = 0
+
+    def arrive(self, run):
+        """Take a request in."""
+        at = self._clock.now + FIRST_SECONDS
+        self._clock.call(at, self._enter, run)
+
+    def _enter(self, run):
+        if not self.alive:
+            run.heard("failed")
+            return
+        heapq.heappush(self._waiting, (run.urgency, next(self._order), run))
+        self._begin_step()
+
+    def kill(self):
+        """End the engine; what it has fails."""
+        self.alive = False
+        runs = [item[2] for item in self._waiting] + self._reading + self._decoding
+        self._waiting, self._reading, self._decoding = [], [], []
+        for run in runs:
+            run.heard("failed")
+
+    def is_idle(self):
+        """Tell whether nothing runs or waits."""
+        return not (self._waiting or self._reading or self._decoding)
+
+    def _begin_step(self):
+        if self._stepping or self.is_idle() or not self.alive:
+            return
+        self._admit()
+        chunk = self._read_chunk()
+        tokens = 1 if chunk else STRIDE
+        pace = self._figures.step
+        pace += self._figures.step_per_request * len(self._decoding)
+        seconds = tokens * pace + chunk / self._figures.prefill_rate
+        self._stepping = True
+        self.busy += seconds
+        self._clock.call(self._clock.now + seconds, self._end_step, tokens)
+
+    def _admit(self):
+        while self._waiting and len(self._reading) + len(self._decoding) < SLOTS:
+            _, _, run = heapq.heappop(self._waiting)
+            run.left = self._count_unread(run.parts)
+            self._reading.append(run)
+        self._reading.sort(key=lambda run: run.urgency)
+
+    def _count_unread(self, parts):
+        unread, known = 0, True
+        for part in parts[:-1]:
+            known = known and part.name in self._cache
+            unread += 0 if known else part.tokens
+            self._keep(part)
+        return max(1, unread + parts[-1].tokens)
+
+    def _keep(self, part):
+        if part.name not in self._cache:
+            self._kept += part.tokens
+        self._cache[part.name] = part.tokens
+        self._cache.move_to_end(part.name)
+        while self._kept > self._figures.memory_tokens:
+            self._kept -= self._cache.popitem(last=False)[1]
+
+    def _read_chunk(self):
+        room = CHUNK
+        for run in self._reading:
+            taken = min(room, run.left)
+            run.left -= taken
+            room -= taken
+            if not room:
+                break
+        self.read_tokens += CHUNK - room
+        return CHUNK - room
+
+    def _end_step(self, tokens):
+        self._stepping = False
+        if not self.alive:
+            return
+        ended = []
+        for run in self._decoding:
+            run.output -= tokens
+            if run.output <= 0:
+                ended.append(run)
+        self._decoding = [run for run in self._decoding if run.output > 0]
+        started = [run for run in self._reading if not run.left]
+        self._reading = [run for run in self._reading if run.left]
+        self._decoding += started
+        for run in started:
+            run.heard("first")
+        for run in ended:
+            run.heard("done")
+        self._begin_step()
--- a/src/chervilwing/sizing.py
+++ b/src/chervilwing/sizing.py
@@ -1,9 +1,9 @@
 """How many instances of which kind a pool should have in each data centre.
 
 Reclaimable instances cost a fraction of the others, but all of a data centre's leave
-within seconds, and for a while none may be had anywhere. So most of the work is carried
-by reclaimable ones, spread over the data centres, with room for the loss of one; a few
-others stand beside them, and more are ordered for as long as reclaimable ones lack.
+within seconds, and for a while none may be had anywhere. So reclaimable ones carry the
+work, spread over the data centres, with room for the loss of one; others are ordered
+from the moment when they would not bear the loss of one more, until they do again.
 """
 
 from collections import deque
@@ -17,8 +17,6 @@
 HEADROOM = 2.5
 # Below this many engines for the work, callers wait; others are ordered at once.
 SHORT = 1.6
-# Part of the work that the engines which can't be reclaimed carry alone.
-ANCHORED = 0.3
 # Fewest engines in a data centre: one alone is lost with each crash or release.
 PER_CENTRE = 2
 # Fewest engines that may remain while others boot.
@@ -31,9 +29,11 @@
 DENIED_FOR = 3.0
 # Most seconds of it: doubled with each refusal, as each order is paid for.
 LONGEST_DENIED = 6.0
-# Seconds that extra engines are kept once reclaimable ones are back: each change moves
-# work, and their caches are warm.
+# Seconds that others are kept once reclaimable ones are back: each change moves work,
+# and their caches are warm.
 KEPT_FOR = 8.0
+# Seconds after a notice or a refusal for which the next wave is to be expected.
+SCARCE_FOR = 8.0
 # Seconds after boot time until an order that shows no effect is repeated.
 REPEAT_AFTER = 3.0
 # Seconds of measured work until the work is known. Load: all instances start at once,
@@ -112,7 +112,7 @@
         self._denied = {}
         self._short_until = float("-inf")
         self._scarce_until = float("-inf")
-        self._extra = 0
+        self._others = 0
         self._ordered = {}
         self._refusals = {}
 
@@ -126,7 +126,7 @@
         wait = DENIED_FOR * 2 ** (self._refusals[kind] - 1)
         self._denied[kind] = now + min(LONGEST_DENIED, wait)
         if kind.reclaimable:
-            self._scarce_until = now + KEPT_FOR
+            self._scarce_until = now + SCARCE_FOR
         self._ordered.pop(kind, None)
 
     def note_ordered(self, kind, count, now):
@@ -144,36 +144,36 @@
         want = max(PER_CENTRE * len(centres), want)
         if not self.meter.is_settled(now):
             want = max(want, ceil(fleet.maximum * len(centres) * GUESSED_PART))
-        anchors = max(1, ceil(rate * ANCHORED))
         plan = {Kind(centre, kind): 0 for kind in (False, True) for centre in centres}
-        place(plan, centres, anchors, False, fleet.maximum)
         place(plan, centres, want, True, fleet.maximum)
-        extra = self._count_extra(present, anchors, rate, now)
-        place(plan, centres, extra, False, fleet.maximum)
+        others = self._count_others(present, rate, now)
+        place(plan, centres, others, False, fleet.maximum)
         for centre in centres:
             bound(plan, centre, fleet)
         return plan
 
-    def _count_extra(self, present, anchors, rate, now):
-        """Return how many to order in place of reclaimable ones that lack.
+    def _count_others(self, present, rate, now):
+        """Return how many that can't be reclaimed to order in place of those that lack.
 
         Load: waves that take one data centre's reclaimable instances after the other
         while no more are to be had. Harm: ordered only once too few are left, others
-        would start when the last are gone. So from the first notice or refusal on, the
-        ones that can't be reclaimed are to suffice alone.
+        would start when the last are gone. So in scarcity what stands has to suffice
+        also without the data centre whose loss would cost most; the next wave comes
+        later than others boot.
         """
-        standing = anchors
-        if now >= self._scarce_until:
-            standing += sum(n for kind, n in present.items() if kind.reclaimable)
+        centres = {kind: n for kind, n in present.items() if kind.reclaimable}
+        standing = sum(centres.values())
+        if now < self._scarce_until:
+            standing -= max(centres.values(), default=0)
         needed = max(FEWEST, ceil(rate * SHORT))
         if standing < needed:
             self._short_until = now + KEPT_FOR
-            self._extra = needed - standing
-        return self._extra if now < self._short_until else 0
+            self._others = needed - standing
+        return self._others if now < self._short_until else 0
 
     def _note_notices(self, registrations, now):
         if any(item.leaving and item.reclaimable for item in registrations):
-            self._scarce_until = now + KEPT_FOR
+            self._scarce_until = now + SCARCE_FOR
 
     def list_due(self, fleet, registrations, now):
         """Return the orders to give now, as pairs of Kind and count."""
