Tell each other where long prompts went, and fetch what an engine lacks

Cause: an instance knew engines' memory only from its own sends and from a ring: of eight instances each sees an eighth of a subject's requests. Change: instances tell each other the long prompts of the last 1.5 s and where they went, with the questions and answers that they exchange anyway; the engine that takes a request is told where to fetch what it lacks; the ring stands in only where nobody is known to have a subject. Memory that is believed is bounded by half of an engine's.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -32,6 +32,10 @@
 WORD_EVERY, WORD_AGE = 0.2, 0.25
 ORDER_EVERY = 0.1
 ATTEMPTS = 3
+# Bytes of a token on the link between two engines, and bits a second.
+TOKEN_BYTES, LINK_RATE = 18_000.0, 3e11
+# Seconds of a usual instance that a token costs which is fetched.
+FETCHED_COST = 1e-5
 # What the users say that counts: the whole day, the worst seconds, data centre, kind.
 DAY, WORST_SECONDS, WORST_CENTRE, WORST_KIND = 0.4, 0.28, 0.2, 0.12
 LATE_PART = 0.1
@@ -89,9 +93,10 @@
         self.clock = Clock()
         self.clock.now = -deployment.lead
         self.market = Market(self.clock, deployment, self._register)
+        memory = deployment.engine.memory_tokens
         traits = PoolTraits(
             "engines",
-            engine=EngineTraits(SLOTS, deployment.engine.memory_tokens),
+            engine=EngineTraits(SLOTS, memory, TOKEN_BYTES, LINK_RATE),
             fleet=deployment.fleet,
         )
         self.pools = [
@@ -150,13 +155,16 @@
         """Tell each gateway what the others had in flight a moment ago."""
         now = self.clock.now
         if before is not None:
-            for pool, others in zip(self.pools, before, strict=True):
+            for pool, others in zip(self.pools, before[0], strict=True):
                 pool.hear(others, now + 9.0)
+                pool.learn(before[1])
         loads = [
             {name: station.own for name, station in pool.stations.items()}
             for pool in self.pools
         ]
-        self.clock.call(now + WORD_AGE, self._tell_loads, list(leave_one_out(loads)))
+        placed = [item for pool in self.pools for item in pool.caches.list_recent(now)]
+        words = list(leave_one_out(loads)), placed
+        self.clock.call(now + WORD_AGE, self._tell_loads, words)
 
     def _ask(self, caller):
         """Let a caller ask a gateway of its data centre."""
@@ -189,6 +197,7 @@
             arrival.output,
             0,
             lambda event: self._hear(event, pool, caller, station),
+            estimate.source and self.market.engines[estimate.source.registration.name],
         )
         self.market.engines[name].arrive(run)
 
@@ -223,12 +232,15 @@
         centre = min(self._split(earned, lambda item: item.centre))
         kind = min(self._split(earned, lambda item: item.kind.name))
         deployment = self.deployment
-        per_second = self.market.seconds_paid / deployment.seconds
+        engines = self.market.engines.values()
+        fetched = sum(engine.fetched_tokens for engine in engines)
+        paid = self.market.seconds_paid + fetched * FETCHED_COST
+        per_second = paid / deployment.seconds
         price = deployment.instance_cost * per_second
         worth = DAY * day + WORST_SECONDS * window + WORST_CENTRE * centre
         worth += WORST_KIND * kind - price
         asked = sum(caller.demand.prompt_tokens for caller in self.callers)
-        read = sum(engine.read_tokens for engine in self.market.engines.values())
+        read = sum(engine.read_tokens for engine in engines)
         late = sum(earned[c] < 0.5 * c.arrival.worth for c in self.callers)
         return Outcome(
             worth,
--- a/bench/stepping.py
+++ b/bench/stepping.py
@@ -13,6 +13,8 @@
 STRIDE = 6
 # Seconds from arrival to the first step, and back.
 FIRST_SECONDS = 0.014
+# Seconds of a fetch from another engine: to set up, and 5,000 tokens on the link.
+FETCH_SECONDS = 0.007
 
 
 class Clock:
@@ -35,12 +37,16 @@
 
 
 class Run:
-    """One request in an engine; ``heard`` takes "first", "done" or "failed"."""
+    """One request in an engine; ``heard`` takes "first", "done" or "failed".
 
-    __slots__ = ("heard", "left", "output", "parts", "urgency")
+    ``source`` is an engine from which it fetches what the other one lacks, or None.
+    """
 
-    def __init__(self, parts, output, urgency, heard):
+    __slots__ = ("heard", "left", "output", "parts", "source", "urgency")
+
+    def __init__(self, parts, output, urgency, heard, source=None):
         self.parts = parts
+        self.source = source
         self.left = 0
         self.output = output
         self.urgency = urgency
@@ -57,25 +63,39 @@
         self._order = count()
         self._reading = []
         self._decoding = []
-        self._cache = OrderedDict()
+        self.cache = OrderedDict()
         self._kept = 0
         self._stepping = False
         self.alive = True
         self.busy = 0.0
         self.read_tokens = 0
+        self.fetched_tokens = 0
 
     def arrive(self, run):
         """Take a request in."""
         at = self._clock.now + FIRST_SECONDS
+        if run.source is not None and run.source.alive:
+            at += FETCH_SECONDS
         self._clock.call(at, self._enter, run)
 
     def _enter(self, run):
         if not self.alive:
             run.heard("failed")
             return
+        if run.source is not None and run.source.alive:
+            self._fetch(run)
         heapq.heappush(self._waiting, (run.urgency, next(self._order), run))
         self._begin_step()
 
+    def _fetch(self, run):
+        """Take what the source keeps of the prompt beyond what is kept here."""
+        for part in run.parts[:-1]:
+            if part.name not in run.source.cache:
+                return
+            if part.name not in self.cache:
+                self.fetched_tokens += part.tokens
+                self._keep(part)
+
     def kill(self):
         """End the engine; what it has fails."""
         self.alive = False
@@ -111,18 +131,18 @@
     def _count_unread(self, parts):
         unread, known = 0, True
         for part in parts[:-1]:
-            known = known and part.name in self._cache
+            known = known and part.name in self.cache
             unread += 0 if known else part.tokens
             self._keep(part)
         return max(1, unread + parts[-1].tokens)
 
     def _keep(self, part):
-        if part.name not in self._cache:
+        if part.name not in self.cache:
             self._kept += part.tokens
-        self._cache[part.name] = part.tokens
-        self._cache.move_to_end(part.name)
+        self.cache[part.name] = part.tokens
+        self.cache.move_to_end(part.name)
         while self._kept > self._figures.memory_tokens:
-            self._kept -= self._cache.popitem(last=False)[1]
+            self._kept -= self.cache.popitem(last=False)[1]
 
     def _read_chunk(self):
         room = CHUNK
--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -98,6 +98,7 @@
             relay.ends_at - now,
             relay.priority,
             relay.events.last_id if relay.events else "",
+            relay.estimate.source and relay.estimate.source.registration.address,
         )
         idle_limit = IDLE_FOR_REPEATABLE if route.repeatable else IDLE_FOR_OTHERS
         return Call(
--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -5,11 +5,11 @@
 what the others said a moment ago that they have in flight.
 """
 
-from collections import OrderedDict
 from typing import NamedTuple
 
 from .costs import blend
 from .hashing import Ring
+from .prompt_caches import PromptCaches
 
 # Tokens a second that an engine reads of prompts beside the tokens it generates, before
 # anything was measured: chunks of 1,024 in steps of about 30 ms. What is measured
@@ -49,12 +49,13 @@
 OTHERS_WEIGHT = 0.25
 # Spread of the estimate, so that instances that know the same choose differently.
 SPREAD = 0.15
-# Parts remembered for an engine: some hundred subjects and shared parts, with room.
-PARTS_KEPT = 512
 # An engine is full at this part of its memory: what is generated needs room too.
 MEMORY_PART = 0.9
-# Where a subject's first request goes is kept within this many upstreams of the ring.
-OWNERS = 1
+# Fewest tokens that are fetched from another engine: 512 are read in 11 to 20 ms, and a
+# fetch takes some 6 ms and its place on the links.
+FETCHED_TOKENS = 512
+# Seconds until a fetch begins: 4 ms at the engines, and a round trip.
+FETCH_SETUP = 0.006
 
 
 class InFlight(NamedTuple):
@@ -72,10 +73,21 @@
 
 
 class Estimate(NamedTuple):
-    """Seconds until the first byte, and prompt tokens that must be read for it."""
+    """Seconds until the first byte, and prompt tokens that must be read for it.
+
+    ``source`` is the upstream from which it fetches what it lacks, None for none.
+    """
 
     seconds: float
     prefill: int
+    source: "Station | None" = None
+
+
+class Copy(NamedTuple):
+    """The leading tokens of a prompt that one upstream is believed to have."""
+
+    station: "Station"
+    tokens: int
 
 
 class Sent(NamedTuple):
@@ -103,7 +115,6 @@
         # What all other instances have in flight here, and until when that counts.
         self._others = NOTHING
         self._others_until = float("-inf")
-        self.parts = OrderedDict()
         self.failure_rate = 0.0
         self.failure_at = 0.0
 
@@ -158,23 +169,6 @@
         self.failure_rate = blend(rate, 1.0 if failed else 0.0, FAILURE_WEIGHT)
         self.failure_at = now
 
-    def remember(self, parts):
-        """Take note that the upstream now has these parts of prompts."""
-        for part in parts:
-            self.parts[part.name] = part.tokens
-            self.parts.move_to_end(part.name)
-        while len(self.parts) > PARTS_KEPT:
-            self.parts.popitem(last=False)
-
-    def count_cached(self, parts):
-        """Return the tokens of the leading parts that the upstream has."""
-        cached = 0
-        for part in parts:
-            if part.name not in self.parts:
-                break
-            cached += part.tokens
-        return cached
-
 
 class PoolBalance:
     """State of one pool: its stations and what its upstreams were measured to do."""
@@ -182,6 +176,7 @@
     def __init__(self, traits, data_centre, rng):
         self.traits = traits
         self.stations = {}
+        self.caches = PromptCaches()
         self.rate = PREFILL_RATE
         # The same, of engines that have little else to do.
         self.lone_rate = PREFILL_RATE
@@ -210,12 +205,19 @@
             prefill = mean + OTHERS_WEIGHT * (load.prefill - mean)
             self.stations[name].hear(load._replace(prefill=round(prefill)), until)
 
+    def learn(self, placements):
+        """Take where other instances have sent long prompts of late."""
+        if self.traits.engine is not None:
+            known = [item for item in placements if item.upstream in self.stations]
+            self.caches.learn(known, self.traits.engine.memory_tokens)
+
     def remove(self, name):
         """Forget an upstream and return its address, or None."""
         station = self.stations.pop(name, None)
         if station is None:
             return None
         self._ring = Ring(self.stations)
+        self.caches.forget(name)
         return station.registration.address
 
     def list_open(self, excluded=()):
@@ -231,32 +233,51 @@
         able = self.list_open(excluded)
         if not able:
             return None
-        owners = self._find_owners(demand, able)
+        copies = self._find_copies(demand, able)
         ranked = []
         for station in able:
-            owned = station.registration.name in owners
-            estimate = self.estimate(station, demand, now, owned)
+            estimate = self.estimate(station, demand, now, copies)
             ranked.append((self._weigh(station, estimate, now), len(ranked), estimate))
         _, index, estimate = min(ranked)
         return able[index], estimate
 
-    def estimate(self, station, demand, now, owned=False):
-        """Return when the station is expected to answer, failures left aside."""
+    def estimate(self, station, demand, now, copies=()):
+        """Return when the station is expected to answer, failures left aside.
+
+        ``copies`` are what the upstreams are believed to have of the prompt.
+        """
         load = station.count(now)
         if self.traits.engine is None:
             slots = max(1, station.registration.slots)
             turns = (load.requests + 1) / slots
             return Estimate(self.service_time * max(1.0, turns), 0)
-        cached = station.count_cached(demand.parts)
-        if owned and demand.parts:
-            # Its subject's requests all go there, whichever instance they come by.
-            cached = max(cached, demand.prompt_tokens - demand.parts[-1].tokens)
-        prefill = max(0, demand.prompt_tokens - cached)
+        cached, fetched, source = self._plan_fetch(station, demand, copies)
+        prefill = max(0, demand.prompt_tokens - cached - fetched)
         seconds = (load.prefill + prefill) / self.rate
         seconds += FIRST_STEP + STEP_PER_REQUEST * load.requests
+        if source is not None:
+            seconds += self._measure_fetch(fetched)
         if self._is_full(load, demand):
             seconds += self._wait_for_room(load)
-        return Estimate(seconds, prefill)
+        return Estimate(seconds, prefill, source)
+
+    def _plan_fetch(self, station, demand, copies):
+        """Return the tokens that a station has, those it may fetch, and from where."""
+        cached, best = 0, None
+        for copy in copies:
+            if copy.station is station:
+                cached = copy.tokens
+            elif best is None or copy.tokens > best.tokens:
+                best = copy
+        if not self.traits.engine.link_rate or best is None:
+            return cached, 0, None
+        if best.tokens - cached < FETCHED_TOKENS:
+            return cached, 0, None
+        return cached, best.tokens - cached, best.station
+
+    def _measure_fetch(self, tokens):
+        engine = self.traits.engine
+        return FETCH_SETUP + tokens * engine.token_bytes * 8 / engine.link_rate
 
     def _is_full(self, load, demand):
         room = self.traits.engine.memory_tokens * MEMORY_PART
@@ -273,11 +294,33 @@
         seconds += station.measure_failures(now) * FAILURE_COST
         return seconds + (FAR_COST if far else 0.0)
 
-    def _find_owners(self, demand, able):
-        if not demand.subject:
+    def _find_copies(self, demand, able):
+        """Return a Copy for each station that is believed to have some of the prompt.
+
+        Where nobody is known to have a subject, its own upstream on the ring is taken
+        to: other instances may have sent it there a moment ago, and do so too.
+        """
+        if self.traits.engine is None or len(demand.parts) < 2:
             return ()
+        shared = demand.parts[:-1]
+        copies = [
+            Copy(station, self.caches.count(name, shared))
+            for name, station in self.stations.items()
+        ]
+        total = sum(part.tokens for part in shared)
+        if all(copy.tokens < total for copy in copies):
+            owner = self._find_owner(demand, able)
+            copies = [
+                copy._replace(tokens=total) if copy.station is owner else copy
+                for copy in copies
+            ]
+        return [copy for copy in copies if copy.tokens]
+
+    def _find_owner(self, demand, able):
+        """Return the station of the subject's own upstream on the ring, or None."""
         names = {station.registration.name for station in able}
-        return self._ring.find(demand.subject, OWNERS, names)
+        found = self._ring.find(demand.subject, 1, names)
+        return self.stations[found[0]] if found else None
 
     def ask(self, demand, estimate):
         """Count the work that a caller asks for, once, whatever becomes of it.
@@ -296,7 +339,13 @@
         alone = not load.prefill and load.requests < ALONE
         sent = Sent(estimate.prefill, tokens, load.prefill, now, alone)
         station.add(demand.request_id, sent)
-        station.remember(demand.parts[:-1])
+        if self.traits.engine is not None:
+            self.caches.note(
+                station.registration.name,
+                demand.parts[:-1],
+                self.traits.engine.memory_tokens,
+                now,
+            )
 
     def start(self, station, demand, now):
         """Take note of the first byte of the answer."""
--- a/src/chervilwing/dialects.py
+++ b/src/chervilwing/dialects.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from .demands import Demand
+from .models import Address
 
 # RFC 9110, section 7.6.1: fields that concern one connection only.
 HOP_BY_HOP = frozenset(
@@ -42,13 +43,17 @@
 
 
 class Errand(NamedTuple):
-    """One attempt: to which upstream, for whom, with how many seconds left."""
+    """One attempt: to which upstream, for whom, with how many seconds left.
+
+    ``source`` is the Address of an upstream that may have what this one lacks.
+    """
 
     upstream: str
     organisation: str
     seconds_left: float
     urgency: int | None = None
     last_event: str = ""
+    source: Address | None = None
 
 
 class Dialect(NamedTuple):
--- a/src/chervilwing/neighbours.py
+++ b/src/chervilwing/neighbours.py
@@ -12,10 +12,12 @@
 from .items import Item
 from .logs import log_event
 from .mirrors import News
+from .prompt_caches import Placement
 from .tallies import (
     ADD_EVERY,
     KEPT,
     Counts,
+    Placements,
     Tally,
     Word,
     add_counts,
@@ -41,10 +43,16 @@
     return News(age, regained, revision, items, more)
 
 
-def read_word(name, incarnation, group, time_of_day, counts, usage):
+def read_word(name, incarnation, group, time_of_day, counts, usage, placements):
     """Return the Word that came in a datagram."""
     counts = read_counts(*counts)
-    return Word(name, incarnation, group, time_of_day, counts, usage)
+    placements = read_placements(placements)
+    return Word(name, incarnation, group, time_of_day, counts, usage, placements)
+
+
+def read_placements(values):
+    """Return the Placements that came in a datagram."""
+    return [Placement(*value) for value in values]
 
 
 class Neighbours(BaseComponent):
@@ -70,6 +78,7 @@
         # One for each other group, asked by those who lead.
         self._others = {}
         self._near, self._far = Tally(), Tally()
+        self._near_placed, self._far_placed = Placements(), Placements()
         self._used_at = float("-inf")
         # The word of the last question to each group.
         self._told = {}
@@ -166,8 +175,15 @@
             time.time(),
             counts,
             self._parts.list_open(),
+            self._list_placed(),
         )
 
+    def _list_placed(self):
+        """Return where this instance has sent long prompts of late."""
+        now = read_boottime()
+        pools = self._gateway.pools.values()
+        return [item for pool in pools for item in pool.caches.list_recent(now)]
+
     def _answer(self, address, number, group, revisions, word):
         """Answer a question, and take the word that came with it."""
         now = read_boottime()
@@ -177,6 +193,7 @@
         self._parts.hear(word, near)
         if near:
             self._near.hear(word.name, word.incarnation, word.counts, now)
+            self._near_placed.hear(word.placements, now)
         news = sums = None
         if revisions is not None:
             news = self._coordinator.tell(revisions, now)
@@ -184,7 +201,10 @@
             sums = self._add_up(now) if near else self._near.measure(now)
         at = self._parts.read_time()
         stored = self._parts.list_stored(word)
-        said = (self._cfg.name, self._cfg.incarnation, at, sums, stored)
+        placed = self._near_placed.list(now)
+        if near:
+            placed += self._far_placed.list(now)
+        said = (self._cfg.name, self._cfg.incarnation, at, sums, stored, placed)
         fields = (number, group, self._leader.target or "", news, said)
         self._datagrams.send(ANSWER, fields, address)
 
@@ -206,7 +226,9 @@
             return
         if news:
             self._coordinator.learn(news, asked.at, now)
-        name, incarnation, time_of_day, sums, stored = said
+        name, incarnation, time_of_day, sums, stored, placed = said
+        placed = read_placements(placed)
+        self._learn_placed(placed)
         self._parts.note_stored(self._told[group], stored)
         if sums is None:
             fanout.prefer(leader, now)
@@ -216,9 +238,14 @@
             self._use((name, incarnation), others, now)
         elif fanout is not self._helper:
             self._agreed.hear(name, time_of_day, now)
+            self._far_placed.hear(placed, now)
             speaker = (group, name)
             self._far.hear(speaker, incarnation, read_counts(*sums), now)
 
+    def _learn_placed(self, placements):
+        for pool in self._gateway.pools.values():
+            pool.learn(placements)
+
     def _find_fanout(self, group):
         if group == HELPER:
             return self._helper
@@ -230,6 +257,8 @@
             return
         self._used_at = now
         word = self._describe()
+        self._near_placed.hear(word.placements, now)
+        self._learn_placed(self._near_placed.list(now))
         self._parts.hear(word, near=True)
         self._near.hear(word.name, word.incarnation, word.counts, now)
         source = (self._cfg.name, self._cfg.incarnation)
--- a/src/chervilwing/platform/documents.py
+++ b/src/chervilwing/platform/documents.py
@@ -26,6 +26,7 @@
 REGISTRATIONS = "servers/"
 KINDS = {"safe": IDEMPOTENT, "unsafe": NON_IDEMPOTENT, "streaming": STREAM}
 MS = 1000.0
+MEGA = 1e6
 # Where the document names none: the longest deadline of the platform's callers.
 DEFAULT_TIME_LIMIT = 30.0
 
@@ -57,11 +58,21 @@
     return PoolTraits(
         value["name"],
         value.get("maxConns", 64),
-        EngineTraits(engine["slots"], engine["kvCapacity"]) if engine else None,
+        read_engine(engine) if engine else None,
         read_fleet(scale) if scale else None,
     )
 
 
+def read_engine(value):
+    """Return EngineTraits from ``engine``."""
+    return EngineTraits(
+        value["slots"],
+        value["kvCapacity"],
+        value.get("kvTokenBytes", 0.0),
+        value.get("linkMbps", 0.0) * MEGA,
+    )
+
+
 def read_fleet(value):
     """Return FleetTraits from ``scale``; its bounds hold in each data centre."""
     return FleetTraits(
--- a/src/chervilwing/platform/headers.py
+++ b/src/chervilwing/platform/headers.py
@@ -2,6 +2,7 @@
 
 import uuid
 
+from ..addresses import format_address
 from ..demands import Demand, PromptPart
 from ..dialects import Dialect, Verdict, end_to_end
 
@@ -14,6 +15,8 @@
 EXPECTED_UPSTREAM = "x-expect-instance"
 ORGANISATION = "x-tenant"
 URGENCY = "x-request-urgency"
+# The address from which an upstream fetches what it lacks of the prompt.
+FETCH = "kv-fetch"
 NOT_RUN = "x-not-run"
 # Signs an answer as the upstream's own.
 SIGNATURE = "x-server-stamp"
@@ -31,7 +34,7 @@
         "x-pin-ms",
         "x-kv-backup",
         "kv-from",
-        "kv-fetch",
+        FETCH,
         NOT_RUN,
     }
 )
@@ -82,6 +85,8 @@
         kept[ORGANISATION] = errand.organisation
     if errand.urgency is not None:
         kept[URGENCY] = str(min(LEAST_URGENT, max(0, errand.urgency)))
+    if errand.source is not None:
+        kept[FETCH] = format_address(errand.source)
     if errand.last_event:
         kept[LAST_EVENT] = errand.last_event
     return kept
--- a/src/chervilwing/routing.py
+++ b/src/chervilwing/routing.py
@@ -67,10 +67,16 @@
 
 
 class EngineTraits(NamedTuple):
-    """What the engines of a pool have: requests at once and tokens of KV cache."""
+    """What the engines of a pool have: requests at once and tokens of KV cache.
+
+    A token takes ``token_bytes`` on the link between two engines, which carries
+    ``link_rate`` bits a second; 0 where engines can't fetch from each other.
+    """
 
     slots: int
     memory_tokens: int
+    token_bytes: float = 0.0
+    link_rate: float = 0.0
 
 
 class FleetTraits(NamedTuple):
--- a/src/chervilwing/tallies.py
+++ b/src/chervilwing/tallies.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from .balancing import NOTHING, InFlight
+from .prompt_caches import TOLD_FOR, Placement
 
 # Seconds between two sums of all loads. Load: dozens of questions a second to one
 # instance. Harm: each would add up the same anew.
@@ -33,7 +34,8 @@
     """What one process says of itself.
 
     ``group`` are the instances that ask the same one. ``usage`` has the counts of
-    requests that aren't stored yet, by window and organisation.
+    requests that aren't stored yet, by window and organisation. ``placements`` are the
+    long prompts that it sent of late, and where.
     """
 
     name: str
@@ -42,6 +44,7 @@
     time_of_day: float
     counts: Counts
     usage: dict[int, dict[str, int]]
+    placements: list[Placement]
 
 
 def read_counts(instances, spent, in_flight, work):
@@ -147,3 +150,20 @@
     """
     for name, value in now.items():
         total[name] = total.get(name, 0.0) + value - before.get(name, 0.0)
+
+
+class Placements:
+    """Where others have sent long prompts of late; times are seconds on one clock."""
+
+    def __init__(self):
+        self._until = {}
+
+    def hear(self, placements, now):
+        """Take what somebody told; told again it stays no longer."""
+        for placement in placements:
+            self._until.setdefault(placement, now + TOLD_FOR)
+
+    def list(self, now):
+        """Return those of late."""
+        self._until = {item: at for item, at in self._until.items() if now < at}
+        return list(self._until)
--- a/tests/old_loads.py
+++ b/tests/old_loads.py
@@ -113,7 +113,8 @@
             )
             for name in self.engines
         }
-        self._snapshots.append((now, loads, sums))
+        placed = [item for pool in self.pools for item in pool.caches.list_recent(now)]
+        self._snapshots.append((now, loads, sums, placed))
         while now - self._snapshots[0][0] > self._age[1]:
             self._snapshots.popleft()
         for number, pool in enumerate(self.pools):
@@ -123,7 +124,8 @@
             found = [item for item in self._snapshots if now - item[0] >= age]
             if not found:
                 continue
-            _, loads, sums = found[-1]
+            _, loads, sums, placed = found[-1]
+            pool.learn(placed)
             others = {
                 name: InFlight(*(a - b for a, b in zip(total, own, strict=True)))
                 for name, total in sums.items()
