--- a/bench/stepping.py
+++ b/bench/stepping.py
@@ -34,6 +34,7 @@
         while self._due and self._due[0][0] <= until:
             self.now, _, act, args = heapq.heappop(self._due)
             act(*args)
+        self.now = max(self.now, until)
 
 
 class Run:
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -18,7 +18,8 @@
     """What is logged of one finished request; times in seconds.
 
     ``version`` is that of the configuration it was handled by, ``expected`` and
-    ``prefill`` what decided where it went, ``first`` when its answer began.
+    ``prefill`` what decided where it went, ``source`` the upstream that it was to fetch
+    prompt parts from, ``first`` when its answer began.
     """
 
     request: str
@@ -33,6 +34,7 @@
     version: int
     expected: float = 0.0
     prefill: int = 0
+    source: str = ""
     first: float = 0.0
     last_event: str = ""
 
@@ -122,7 +124,8 @@
 
 def describe_relay(relay, outcome, status, cause, version, now):
     """Return the log line of a finished request."""
-    started = relay.started_at
+    started, estimate = relay.started_at, relay.estimate
+    source = estimate.source if estimate else None
     return RelayLine(
         request=relay.demand.request_id,
         customer=relay.name,
@@ -134,8 +137,9 @@
         status=status,
         seconds=round(now - relay.received_at, 4),
         version=version,
-        expected=round(relay.estimate.seconds, 4) if relay.estimate else 0.0,
-        prefill=relay.estimate.prefill if relay.estimate else 0,
+        expected=round(estimate.seconds, 4) if estimate else 0.0,
+        prefill=estimate.prefill if estimate else 0,
+        source=source.registration.name if source else "",
         first=0.0 if started is None else round(started - relay.received_at, 4),
         last_event=relay.events.last_id if relay.events else "",
     )
