Give others only free places; count late words for the time they stood for

Cause, first: sizing kept both kinds within what may be ordered by giving reclaimable ones back for others that had yet to boot. Cause, second: a speaker that was not heard for 1.5 s counted as new, and all that it spent in between was passed over. Ruled out: no-configuration and stale-keys (not among the refusals of the seconds 62 to 65). Change: others take only places that no reclaimable one stands in; of what was spent since a word that came late, the part counts for which its speaker was still taken to be heard.

--- a/src/chervilwing/sizing.py
+++ b/src/chervilwing/sizing.py
@@ -152,7 +152,7 @@
         others = self._count_others(present, rate, now)
         place(plan, centres, others, False, fleet.maximum)
         for centre in centres:
-            bound(plan, centre, fleet)
+            bound(plan, centre, fleet, present.get(Kind(centre, True), 0))
         return plan
 
     def _count_others(self, present, rate, now):
@@ -210,9 +210,15 @@
             plan[kind] += 1
 
 
-def bound(plan, centre, fleet):
-    """Keep both kinds together within what may be ordered in a data centre."""
+def bound(plan, centre, fleet, standing):
+    """Keep both kinds together within what may be ordered in a data centre.
+
+    ``standing`` are the reclaimable ones that stay there. Guard: others boot for
+    seconds. Ordered up to the bound, they would take the places of reclaimable ones
+    that serve; all of them were given back, and for four seconds there were none.
+    """
     others, reclaimable = Kind(centre, False), Kind(centre, True)
+    plan[others] = min(plan[others], max(0, fleet.maximum - standing))
     plan[reclaimable] = min(plan[reclaimable], fleet.maximum - plan[others])
     lacking = fleet.minimum - plan[others] - plan[reclaimable]
     plan[others] += max(0, lacking)
--- a/src/chervilwing/tallies.py
+++ b/src/chervilwing/tallies.py
@@ -99,14 +99,16 @@
     """Sums over those who tell their figures; times are seconds on one clock.
 
     What was spent grows by the differences between two words of one speaker: the first
-    word of an unknown one tells of a past that is no news. So does the first word of
-    one that wasn't heard for KEPT.
+    word of an unknown one tells of a past that is no news. Of what one spent that
+    wasn't heard for longer than KEPT, the part of that time counts in which it was
+    still taken to be heard; for the rest it kept to its own part of the rate.
 
     Guard: a leader that was cut off leads again. What its speakers spent meanwhile they
     told another one, who told everybody; grown by it, the sums would jump by half a
     minute of all spending and work. Customers far below their limits were refused for
-    ten seconds, and eleven times the instances were ordered that the work needed. Who
-    isn't heard by anybody keeps to its part of the rate, which the others leave to it.
+    ten seconds, and eleven times the instances were ordered that the work needed.
+    Guard: in a burst a small instance asks two seconds late. Passed over whole, what it
+    spent would be spent again by the others, beyond what a customer may.
     """
 
     def __init__(self):
@@ -119,12 +121,14 @@
 
     def hear(self, speaker, incarnation, counts, now):
         """Take a speaker's figures; its load counts for KEPT."""
-        if now <= self._until.get(speaker, float("-inf")):
+        if speaker in self._last:
             known, before = self._last[speaker]
             # A restarted process counts from nothing.
             before = before if known == incarnation else EMPTY
-            grow(self._spent, before.spent, counts.spent)
-            grow(self._work, before.work, counts.work)
+            gap = now - (self._until[speaker] - KEPT)
+            part = KEPT / max(KEPT, gap)
+            grow(self._spent, before.spent, counts.spent, part)
+            grow(self._work, before.work, counts.work, part)
         self._last[speaker] = (incarnation, counts)
         self._until[speaker] = now + KEPT
 
@@ -143,13 +147,14 @@
         return self._loads._replace(spent=dict(self._spent), work=dict(self._work))
 
 
-def grow(total, before, now):
-    """Add to ``total`` the difference between two words.
+def grow(total, before, now, part):
+    """Add to ``total`` a part of the difference between two words.
 
     An older word that comes late takes away what the next one adds again.
     """
     for name, value in now.items():
-        total[name] = total.get(name, 0.0) + value - before.get(name, 0.0)
+        gained = value - before.get(name, 0.0)
+        total[name] = total.get(name, 0.0) + gained * part
 
 
 class Placements:
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -135,6 +135,18 @@
         self.sizing.forget_orders()
         self.assertEqual(len(self.order_all(members, 1.0)), 6)
 
+    def test_others_never_take_the_places_of_those_that_serve(self):
+        # All processes start again, and the first figures of the work are far too high.
+        # More is needed than may be ordered; others that fill the bound would have the
+        # reclaimable ones given back that serve, seconds before they have booted.
+        self.sizing.meter.rate = 6.0
+        self.sizing.note_denied(Kind("a", True), 0.0)
+        plan = self.plan(make_members(reclaimable=2), 1.0)
+        for centre in CENTRES:
+            self.assertGreaterEqual(plan[Kind(centre, True)], 2)
+        # Places that are free are taken.
+        self.assertEqual(count(plan, False), 3)
+
     def test_no_data_centre_leaves_its_bounds(self):
         for rate in (0.0, 1.0, 3.0, 9.0, 99.0):
             self.sizing.meter.rate = rate
