Leave one that is out of hearing its part of the burst too

Cause: each instance holds the whole bucket of a customer, and one that is cut off from the others kept to its part of the rate but not of the burst. Change: level and room are bounded by the same part as the rate. Tests: twenty of sixty that are cut off together, a large request at one that is (both red before: 998 spent of 50; not refused); the guard among the weakened ones. The test of the leader that leads again now says by whom the others were heard meanwhile, as an unheard half minute leaves half the burst; its figures are the same.

--- a/src/chervilwing/allowances.py
+++ b/src/chervilwing/allowances.py
@@ -24,9 +24,14 @@
         self.burst = burst
 
     def refill(self, part, now):
-        """Add what has come since the last time, for a part of the rate."""
+        """Add what has come since the last time, for a part of the rate and the burst.
+
+        Guard: a third of many instances is cut off while a customer sends many times
+        its usual. Each holds the whole bucket, full; left with it, twenty of them spend
+        twenty bursts at once.
+        """
         gained = max(0.0, now - self.at) * self.rate * part
-        self.level = min(self.burst, self.level + gained)
+        self.level = min(self.burst * part, self.level + gained)
         self.at = now
 
 
@@ -82,8 +87,9 @@
             return
         bucket = self._buckets.get(organisation.name)
         if bucket is not None:
-            bucket.refill(self._part(now), now)
-            if bucket.level < min(cost, bucket.burst):
+            part = self._part(now)
+            bucket.refill(part, now)
+            if bucket.level < min(cost, bucket.burst * part):
                 raise self._refuse(organisation, bucket, cost, now)
             bucket.level -= cost
         spent = self.spent.get(organisation.name, 0.0)
@@ -104,8 +110,9 @@
         return min(1.0, heard / max(self._known, heard))
 
     def _refuse(self, organisation, bucket, cost, now):
-        rate = max(1e-9, bucket.rate * self._part(now))
-        wait = (min(cost, bucket.burst) - bucket.level) / rate
+        part = self._part(now)
+        rate = max(1e-9, bucket.rate * part)
+        wait = (min(cost, bucket.burst * part) - bucket.level) / rate
         wait = min(LONGEST_RETRY, max(SHORTEST_RETRY, wait))
         return CustomerLimit(
             "The allowance is used up.",
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -112,6 +112,8 @@
         others = Others(allowances)
         others.hear("two", 1, 10.0, 0.0)
         self.assertEqual(spend_all(allowances, 0.0)[0], 40.0)
+        # Meanwhile the others were heard through somebody else.
+        allowances.hear(("hub", 1), {"insurer": 10.0}, 1, 30.2)
         refill(allowances, 30.2)
         others.hear("two", 1, 310.0, 30.2)
         self.assertGreaterEqual(spend_all(allowances, 30.2)[0], 30.0)
@@ -146,6 +148,22 @@
         spent = sum(spend_all(allowances, tenth / 10)[0] for tenth in range(1, 101))
         self.assertAlmostEqual(spent, 10 * RATE / 5, delta=10.0)
 
+    def test_many_that_are_cut_off_together_spend_no_burst_each(self):
+        # Twenty of sixty instances are cut off from each other, and a customer sends
+        # many times its usual. Each has the whole bucket and finds it full: a tenth
+        # more than all sixty may spend in eight seconds went through the twenty alone.
+        cut_off = [make_allowances(known=60) for _ in range(20)]
+        spent = sum(spend_all(item, 0.0, cost=0.1)[0] for item in cut_off)
+        self.assertLessEqual(spent, BURST)
+
+    def test_one_that_is_cut_off_still_serves_a_large_request(self):
+        # Its part of the burst is smaller than the request; it waits for that part.
+        allowances = make_allowances(known=10)
+        allowances.charge(INSURER, 20.0, 0.0)
+        with self.assertRaises(CustomerLimit):
+            allowances.charge(INSURER, 20.0, 0.5)
+        allowances.charge(INSURER, 20.0, 3.0)
+
     def test_a_lowered_limit_binds_at_once(self):
         allowances = make_allowances()
         allowances.configure([INSURER._replace(rate=10.0, burst=5.0)], 0.0)
--- a/tests/weakened_gateway.py
+++ b/tests/weakened_gateway.py
@@ -132,6 +132,11 @@
         (Edit("tallies", "part = KEPT / max(KEPT, gap)", "part = 1.0"),),
         (ALLOWANCES + "one_that_leads_again_brings_no_old_spending",),
     ),
+    Weakness(
+        "one that is cut off keeps the whole burst",
+        (Edit("allowances", "min(self.burst * part, self", "min(self.burst, self"),),
+        (ALLOWANCES + "many_that_are_cut_off_together_spend_no_burst_each",),
+    ),
     Weakness(
         "a word that comes late is passed over",
         (Edit("tallies", "part = KEPT / max(KEPT, gap)", "part = float(gap <= KEPT)"),),
