Find the best copy once a choice, one refusal, one simulated clock, typed answers

Read again as a whole; behaviour stays as it is. - A choice looked for the best other copy of a prompt anew for each engine, the square of the pool; the two that have most are found once. - The part of the rate and the cost that is lacking were worked out twice for each refusal. - What instances answer each other was a bare tuple of six, and is a Told; its readers stand beside the types. - bench/stepping had a clock of its own beside that of bench/engines; dead state of the experiment tool is out: urgency, busy seconds, a station, a constant, a flag.

--- a/bench/engines.py
+++ b/bench/engines.py
@@ -31,6 +31,7 @@
         while self._due and self._due[0][0] <= until:
             self.now, _, action, args = heappop(self._due)
             action(*args)
+        self.now = max(self.now, until)
 
 
 class Sequence:
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -25,12 +25,13 @@
 from chervilwing.tallies import add_loads
 
 from .draws import CENTRES, draw, draw_arrivals, read_ranges
+from .engines import Clock
 from .market import Market
 from .pages import format_table
-from .stepping import SLOTS, Clock, Run
+from .stepping import SLOTS, Run
 
-# Seconds between two words of what others have in flight, and how old they are.
-WORD_EVERY, WORD_AGE = 0.2, 0.25
+# Seconds between two words of what others have in flight, and how old they are then.
+WORD_AGE = 0.25
 ORDER_EVERY = 0.1
 ATTEMPTS = 3
 # Bytes of a token on the link between two engines, and bits a second.
@@ -65,11 +66,10 @@
 
     __slots__ = (
         "arrival",
-        "attempts",
         "demand",
         "ends_at",
         "first",
-        "station",
+        "refused",
         "tried",
     )
 
@@ -81,8 +81,7 @@
             name, self.ends_at, tokens, arrival.output, arrival.output, arrival.parts
         )
         self.tried = set()
-        self.attempts = 0
-        self.station = None
+        self.refused = False
         self.first = None
 
 
@@ -117,12 +116,13 @@
         self.market.start(Counter(centres))
         self._order()
         self._tell_loads(None)
+        lead = self.deployment.lead
         for caller in self.callers:
-            self.clock.call(caller.arrival.at, self._ask, caller)
+            self.clock.call(lead + caller.arrival.at, self._ask, caller)
         for wave in self.deployment.waves:
-            self.clock.call(wave.at, self.market.reclaim, wave)
+            self.clock.call(lead + wave.at, self.market.reclaim, wave)
         for at in self.deployment.crashes:
-            self.clock.call(at, self.market.crash)
+            self.clock.call(lead + at, self.market.crash)
         self.clock.run(self.deployment.seconds + 20.0)
         return self._sum_up()
 
@@ -150,7 +150,7 @@
                 self.sizing.note_ordered(kind, number, now)
             else:
                 self.sizing.note_denied(kind, now)
-        self.clock.call(now + ORDER_EVERY, self._order)
+        self.clock.call(ORDER_EVERY, self._order)
 
     def _tell_loads(self, before):
         """Tell each gateway what the others had in flight a moment ago."""
@@ -165,7 +165,7 @@
         ]
         placed = [item for pool in self.pools for item in pool.caches.list_recent(now)]
         words = list(leave_one_out(loads)), placed
-        self.clock.call(now + WORD_AGE, self._tell_loads, words)
+        self.clock.call(WORD_AGE, self._tell_loads, words)
 
     def _ask(self, caller):
         """Let a caller ask a gateway of its data centre."""
@@ -179,10 +179,10 @@
                 self._send(pool, caller, found)
                 return
         # Refused once, a caller comes back.
-        back = now + self._rng.uniform(0.25, 1.0)
-        if caller.attempts == 0 and back < caller.ends_at:
-            caller.attempts = 1
-            self.clock.call(back, self._ask, caller)
+        wait = self._rng.uniform(0.25, 1.0)
+        if not caller.refused and now + wait < caller.ends_at:
+            caller.refused = True
+            self.clock.call(wait, self._ask, caller)
 
     def _is_near(self, number, caller):
         return CENTRES[number % len(CENTRES)] == caller.arrival.centre
@@ -196,7 +196,6 @@
         run = Run(
             arrival.parts,
             arrival.output,
-            0,
             lambda event: self._hear(event, pool, caller, station),
             estimate.source and self.market.engines[estimate.source.registration.name],
         )
--- a/bench/market.py
+++ b/bench/market.py
@@ -57,9 +57,7 @@
         for _ in range(lacking):
             name = f"i{next(self._numbers)}"
             self.members[name] = Member(kind, None)
-            self._clock.call(
-                self._clock.now + self._deployment.fleet.boot, self._boot, name
-            )
+            self._clock.call(self._deployment.fleet.boot, self._boot, name)
         return True
 
     def reclaim(self, wave):
@@ -68,7 +66,7 @@
         self._dry_until = self._clock.now + wave.dry
         for name, member in list(self.members.items()):
             if member.kind == Kind(wave.centre, True):
-                self._leave(name, member, wave.notice, paid=True)
+                self._leave(name, member, wave.notice)
 
     def crash(self):
         """End the longest running instance without a word."""
@@ -78,7 +76,7 @@
             member = self.members.pop(running[0])
             member.engine.kill()
             gone = (self._register(running[0], member.kind, False), True)
-            self._clock.call(self._clock.now + SILENCE, self._tell, *gone)
+            self._clock.call(SILENCE, self._tell, *gone)
 
     def count_paid(self):
         """Add up what is paid for, up to now."""
@@ -106,21 +104,21 @@
         if member.engine is None:
             del self.members[name]
             return
-        self._leave(name, member, LINGER, paid=False)
+        self._leave(name, member, LINGER)
 
-    def _leave(self, name, member, seconds, paid):
+    def _leave(self, name, member, seconds):
         self.members.pop(name)
         if member.engine is None:
             return
         self._later(self._register(name, member.kind, True), False)
-        self._clock.call(self._clock.now + seconds, self._end, name, member)
+        self._clock.call(seconds, self._end, name, member)
 
     def _end(self, name, member):
         member.engine.kill()
         self._later(self._register(name, member.kind, True), True)
 
     def _later(self, registration, gone):
-        self._clock.call(self._clock.now + LAG, self._tell, registration, gone)
+        self._clock.call(LAG, self._tell, registration, gone)
 
     def _register(self, name, kind, leaving):
         address = Address("10.0.0.1", 80)
--- a/bench/stepping.py
+++ b/bench/stepping.py
@@ -3,9 +3,7 @@
 Simpler than an engine: memory never overflows, and what runs is never put back.
 """
 
-import heapq
-from collections import OrderedDict
-from itertools import count
+from collections import OrderedDict, deque
 
 CHUNK = 2048
 SLOTS = 64
@@ -17,40 +15,19 @@
 FETCH_SECONDS = 0.007
 
 
-class Clock:
-    """Simulated time and what is due."""
-
-    def __init__(self):
-        self.now = 0.0
-        self._due = []
-        self._order = count()
-
-    def call(self, at, act, *args):
-        """Run ``act`` at a time."""
-        heapq.heappush(self._due, (at, next(self._order), act, args))
-
-    def run(self, until):
-        """Run all that is due up to a time."""
-        while self._due and self._due[0][0] <= until:
-            self.now, _, act, args = heapq.heappop(self._due)
-            act(*args)
-        self.now = max(self.now, until)
-
-
 class Run:
     """One request in an engine; ``heard`` takes "first", "done" or "failed".
 
     ``source`` is an engine from which it fetches what the other one lacks, or None.
     """
 
-    __slots__ = ("heard", "left", "output", "parts", "source", "urgency")
+    __slots__ = ("heard", "left", "output", "parts", "source")
 
-    def __init__(self, parts, output, urgency, heard, source=None):
+    def __init__(self, parts, output, heard, source=None):
         self.parts = parts
         self.source = source
         self.left = 0
         self.output = output
-        self.urgency = urgency
         self.heard = heard
 
 
@@ -60,24 +37,22 @@
     def __init__(self, clock, figures):
         self._clock = clock
         self._figures = figures
-        self._waiting = []
-        self._order = count()
+        self._waiting = deque()
         self._reading = []
         self._decoding = []
         self.cache = OrderedDict()
         self._kept = 0
         self._stepping = False
         self.alive = True
-        self.busy = 0.0
         self.read_tokens = 0
         self.fetched_tokens = 0
 
     def arrive(self, run):
         """Take a request in."""
-        at = self._clock.now + FIRST_SECONDS
+        delay = FIRST_SECONDS
         if run.source is not None and run.source.alive:
-            at += FETCH_SECONDS
-        self._clock.call(at, self._enter, run)
+            delay += FETCH_SECONDS
+        self._clock.call(delay, self._enter, run)
 
     def _enter(self, run):
         if not self.alive:
@@ -85,7 +60,7 @@
             return
         if run.source is not None and run.source.alive:
             self._fetch(run)
-        heapq.heappush(self._waiting, (run.urgency, next(self._order), run))
+        self._waiting.append(run)
         self._begin_step()
 
     def _fetch(self, run):
@@ -100,8 +75,8 @@
     def kill(self):
         """End the engine; what it has fails."""
         self.alive = False
-        runs = [item[2] for item in self._waiting] + self._reading + self._decoding
-        self._waiting, self._reading, self._decoding = [], [], []
+        runs = [*self._waiting, *self._reading, *self._decoding]
+        self._waiting, self._reading, self._decoding = deque(), [], []
         for run in runs:
             run.heard("failed")
 
@@ -119,15 +94,13 @@
         pace += self._figures.step_per_request * len(self._decoding)
         seconds = tokens * pace + chunk / self._figures.prefill_rate
         self._stepping = True
-        self.busy += seconds
-        self._clock.call(self._clock.now + seconds, self._end_step, tokens)
+        self._clock.call(seconds, self._end_step, tokens)
 
     def _admit(self):
         while self._waiting and len(self._reading) + len(self._decoding) < SLOTS:
-            _, _, run = heapq.heappop(self._waiting)
+            run = self._waiting.popleft()
             run.left = self._count_unread(run.parts)
             self._reading.append(run)
-        self._reading.sort(key=lambda run: run.urgency)
 
     def _count_unread(self, parts):
         unread, known = 0, True
--- a/src/chervilwing/allowances.py
+++ b/src/chervilwing/allowances.py
@@ -89,8 +89,9 @@
         if bucket is not None:
             part = self._part(now)
             bucket.refill(part, now)
-            if bucket.level < min(cost, bucket.burst * part):
-                raise self._refuse(organisation, bucket, cost, now)
+            lacking = min(cost, bucket.burst * part) - bucket.level
+            if lacking > 0:
+                raise refuse(organisation, lacking, bucket.rate * part)
             bucket.level -= cost
         spent = self.spent.get(organisation.name, 0.0)
         self.spent[organisation.name] = spent + cost
@@ -109,13 +110,13 @@
         heard = 1 + (instances if now <= until else 0)
         return min(1.0, heard / max(self._known, heard))
 
-    def _refuse(self, organisation, bucket, cost, now):
-        part = self._part(now)
-        rate = max(1e-9, bucket.rate * part)
-        wait = (min(cost, bucket.burst * part) - bucket.level) / rate
-        wait = min(LONGEST_RETRY, max(SHORTEST_RETRY, wait))
-        return CustomerLimit(
-            "The allowance is used up.",
-            scope=Scope("customer", organisation.name),
-            retry_after=round(wait, 2),
-        )
+
+def refuse(organisation, lacking, rate):
+    """Return the refusal of a request for which so much cost is lacking."""
+    wait = lacking / max(1e-9, rate)
+    wait = min(LONGEST_RETRY, max(SHORTEST_RETRY, wait))
+    return CustomerLimit(
+        "The allowance is used up.",
+        scope=Scope("customer", organisation.name),
+        retry_after=round(wait, 2),
+    )
--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -5,6 +5,7 @@
 what the others said a moment ago that they have in flight.
 """
 
+from heapq import nlargest
 from typing import NamedTuple
 
 from .costs import blend
@@ -83,11 +84,18 @@
     source: "Station | None" = None
 
 
-class Copy(NamedTuple):
-    """The leading tokens of a prompt that one upstream is believed to have."""
+class Copies(NamedTuple):
+    """The leading tokens of a prompt that upstreams are believed to have, by name.
+
+    ``most`` are the two that have most, the first one first: whichever upstream lacks
+    some of the prompt, one of them is the best other one to fetch it from.
+    """
+
+    tokens: dict[str, int]
+    most: tuple[str, ...]
 
-    station: "Station"
-    tokens: int
+
+NO_COPIES = Copies({}, ())
 
 
 class Sent(NamedTuple):
@@ -241,7 +249,7 @@
         _, index, estimate = min(ranked)
         return able[index], estimate
 
-    def estimate(self, station, demand, now, copies=()):
+    def estimate(self, station, demand, now, copies=NO_COPIES):
         """Return when the station is expected to answer, failures left aside.
 
         ``copies`` are what the upstreams are believed to have of the prompt.
@@ -251,7 +259,7 @@
             slots = max(1, station.registration.slots)
             turns = (load.requests + 1) / slots
             return Estimate(self.service_time * max(1.0, turns), 0)
-        cached, fetched, source = self._plan_fetch(station, demand, copies)
+        cached, fetched, source = self._plan_fetch(station, copies)
         prefill = max(0, demand.prompt_tokens - cached - fetched)
         seconds = (load.prefill + prefill) / self.rate
         seconds += FIRST_STEP + STEP_PER_REQUEST * load.requests
@@ -261,19 +269,17 @@
             seconds += self._wait_for_room(load)
         return Estimate(seconds, prefill, source)
 
-    def _plan_fetch(self, station, demand, copies):
+    def _plan_fetch(self, station, copies):
         """Return the tokens that a station has, those it may fetch, and from where."""
-        cached, best = 0, None
-        for copy in copies:
-            if copy.station is station:
-                cached = copy.tokens
-            elif best is None or copy.tokens > best.tokens:
-                best = copy
+        name = station.registration.name
+        cached = copies.tokens.get(name, 0)
+        best = next((other for other in copies.most if other != name), None)
         if not self.traits.engine.link_rate or best is None:
             return cached, 0, None
-        if best.tokens - cached < FETCHED_TOKENS:
+        lacking = copies.tokens[best] - cached
+        if lacking < FETCHED_TOKENS:
             return cached, 0, None
-        return cached, best.tokens - cached, best.station
+        return cached, lacking, self.stations[best]
 
     def _measure_fetch(self, tokens):
         engine = self.traits.engine
@@ -295,32 +301,26 @@
         return seconds + (FAR_COST if far else 0.0)
 
     def _find_copies(self, demand, able):
-        """Return a Copy for each station that is believed to have some of the prompt.
+        """Return the Copies of a prompt's shared parts.
 
         Where nobody is known to have a subject, its own upstream on the ring is taken
         to: other instances may have sent it there a moment ago, and do so too.
         """
         if self.traits.engine is None or len(demand.parts) < 2:
-            return ()
+            return NO_COPIES
         shared = demand.parts[:-1]
-        copies = [
-            Copy(station, self.caches.count(name, shared))
-            for name, station in self.stations.items()
-        ]
+        counted = ((name, self.caches.count(name, shared)) for name in self.stations)
+        tokens = {name: count for name, count in counted if count}
         total = sum(part.tokens for part in shared)
-        if all(copy.tokens < total for copy in copies):
-            owner = self._find_owner(demand, able)
-            copies = [
-                copy._replace(tokens=total) if copy.station is owner else copy
-                for copy in copies
-            ]
-        return [copy for copy in copies if copy.tokens]
+        if total not in tokens.values():
+            for owner in self._find_owner(demand, able):
+                tokens[owner] = total
+        return Copies(tokens, tuple(nlargest(2, tokens, key=tokens.get)))
 
     def _find_owner(self, demand, able):
-        """Return the station of the subject's own upstream on the ring, or None."""
+        """Return the name of the subject's own upstream on the ring, one at most."""
         names = {station.registration.name for station in able}
-        found = self._ring.find(demand.subject, 1, names)
-        return self.stations[found[0]] if found else None
+        return self._ring.find(demand.subject, 1, names)
 
     def ask(self, demand, estimate):
         """Count the work that a caller asks for, once, whatever becomes of it.
--- a/src/chervilwing/neighbours.py
+++ b/src/chervilwing/neighbours.py
@@ -12,17 +12,18 @@
 from .items import Item
 from .logs import log_event
 from .mirrors import News
-from .prompt_caches import Placement
 from .tallies import (
     ADD_EVERY,
     KEPT,
     Counts,
     Placements,
     Tally,
+    Told,
     Word,
     add_counts,
     leave_out,
-    read_counts,
+    read_told,
+    read_word,
 )
 
 # Kinds of datagrams.
@@ -43,18 +44,6 @@
     return News(age, regained, revision, items, more)
 
 
-def read_word(name, incarnation, group, time_of_day, counts, usage, placements):
-    """Return the Word that came in a datagram."""
-    counts = read_counts(*counts)
-    placements = read_placements(placements)
-    return Word(name, incarnation, group, time_of_day, counts, usage, placements)
-
-
-def read_placements(values):
-    """Return the Placements that came in a datagram."""
-    return [Placement(*value) for value in values]
-
-
 class Neighbours(BaseComponent):
     """Ask the instance that watches the store, and answer those that ask this one."""
 
@@ -81,7 +70,7 @@
         self._near_placed, self._far_placed = Placements(), Placements()
         self._used_at = float("-inf")
         # The word of the last question to each group.
-        self._told = {}
+        self._words = {}
         datagrams.subscribe(QUESTION, self._answer)
         datagrams.subscribe(ANSWER, self._hear)
 
@@ -151,7 +140,7 @@
         number = fanout.next_question(now, interval)
         if number is None:
             return
-        word = self._told[group] = self._describe()
+        word = self._words[group] = self._describe()
         near = group in (self._group, HELPER)
         revisions = self._coordinator.list_revisions() if near else None
         address = self._coordinator.peers[fanout.target].address
@@ -204,15 +193,15 @@
         placed = self._near_placed.list(now)
         if near:
             placed += self._far_placed.list(now)
-        said = (self._cfg.name, self._cfg.incarnation, at, sums, stored, placed)
-        fields = (number, group, self._leader.target or "", news, said)
+        told = Told(self._cfg.name, self._cfg.incarnation, at, sums, stored, placed)
+        fields = (number, group, self._leader.target or "", news, told)
         self._datagrams.send(ANSWER, fields, address)
 
     def _add_up(self, now):
         """Return the figures of all instances."""
         return add_counts(self._near.measure(now), self._far.measure(now))
 
-    def _hear(self, address, number, group, leader, news, said):
+    def _hear(self, address, number, group, leader, news, told):
         """Take an answer."""
         now = read_boottime()
         fanout = self._find_fanout(group)
@@ -226,21 +215,20 @@
             return
         if news:
             self._coordinator.learn(news, asked.at, now)
-        name, incarnation, time_of_day, sums, stored, placed = said
-        placed = read_placements(placed)
-        self._learn_placed(placed)
-        self._parts.note_stored(self._told[group], stored)
-        if sums is None:
+        told = read_told(*told)
+        word = self._words[group]
+        self._learn_placed(told.placements)
+        self._parts.note_stored(word, told.stored)
+        if told.sums is None:
             fanout.prefer(leader, now)
         elif fanout is self._leader:
-            self._agreed.adopt(time_of_day, now)
-            others = leave_out(read_counts(*sums), self._told[group].counts)
-            self._use((name, incarnation), others, now)
+            self._agreed.adopt(told.time_of_day, now)
+            others = leave_out(told.sums, word.counts)
+            self._use((told.name, told.incarnation), others, now)
         elif fanout is not self._helper:
-            self._agreed.hear(name, time_of_day, now)
-            self._far_placed.hear(placed, now)
-            speaker = (group, name)
-            self._far.hear(speaker, incarnation, read_counts(*sums), now)
+            self._agreed.hear(told.name, told.time_of_day, now)
+            self._far_placed.hear(told.placements, now)
+            self._far.hear((group, told.name), told.incarnation, told.sums, now)
 
     def _learn_placed(self, placements):
         for pool in self._gateway.pools.values():
--- a/src/chervilwing/prompt_caches.py
+++ b/src/chervilwing/prompt_caches.py
@@ -28,7 +28,7 @@
 
 
 class PromptCaches:
-    """State of one pool; ``memory_tokens`` are those of one engine."""
+    """State of one pool; its methods take ``memory_tokens``, those of one engine."""
 
     def __init__(self):
         self._kept = {}
--- a/src/chervilwing/tallies.py
+++ b/src/chervilwing/tallies.py
@@ -47,6 +47,40 @@
     placements: list[Placement]
 
 
+class Told(NamedTuple):
+    """What one process tells those that asked it.
+
+    ``sums`` are None where it leads nobody, ``stored`` the windows of usage of which it
+    stored what the asker said, ``placements`` where others have sent long prompts.
+    """
+
+    name: str
+    incarnation: int
+    time_of_day: float
+    sums: Counts | None
+    stored: list[int]
+    placements: list[Placement]
+
+
+def read_told(name, incarnation, time_of_day, sums, stored, placements):
+    """Return the Told that came in a datagram."""
+    sums = None if sums is None else read_counts(*sums)
+    placements = read_placements(placements)
+    return Told(name, incarnation, time_of_day, sums, stored, placements)
+
+
+def read_word(name, incarnation, group, time_of_day, counts, usage, placements):
+    """Return the Word that came in a datagram."""
+    counts = read_counts(*counts)
+    placements = read_placements(placements)
+    return Word(name, incarnation, group, time_of_day, counts, usage, placements)
+
+
+def read_placements(values):
+    """Return the Placements that came in a datagram."""
+    return [Placement(*value) for value in values]
+
+
 def read_counts(instances, spent, in_flight, work):
     """Return the Counts that came in a datagram."""
     in_flight = {name: InFlight(*load) for name, load in in_flight.items()}
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -9,9 +9,10 @@
 import numpy as np
 
 from bench.draws import Wave, draw, draw_arrivals, read_ranges
+from bench.engines import Clock
 from bench.experiment import Play, play_seed
 from bench.market import Market
-from bench.stepping import Clock, Run, SteppingEngine
+from bench.stepping import Run, SteppingEngine
 from chervilwing.demands import PromptPart
 from chervilwing.sizing import Kind
 
@@ -92,7 +93,7 @@
         """Return the seconds until the first token."""
         began, at = self.clock.now, {}
         heard = lambda event: at.setdefault(event, self.clock.now)
-        engine.arrive(Run(HISTORY, 4, 0, heard, source))
+        engine.arrive(Run(HISTORY, 4, heard, source))
         self.clock.run(began + 5.0)
         return at["first"] - began
 
