Let two leaders watch the store for all, and the next in rank stand in for one

Cause: every group's leader held two watches, renewed every 0.4 s: 65 calls a second in ten groups. A leader that the store turns away kept its followers, and all two dozen of them watched for themselves. Each instance that started woke every watch of the instances. One that lost the store made three failing calls in place of one.

Ruled out: longer waits of the watches. They prove how fresh keys are; each second longer is a second of an outage in which every caller with a key is refused.

Change: where the platform's bounds are 3 s or more, two leaders watch and the others ask them, with the age of what they tell; followers of a leader without the store ask the next in rank; a pause after a change of the instances; one call probes a lost store.

--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -24,6 +24,10 @@
 CONFIGURATION_WAIT = 0.4
 REGISTRATIONS_WAIT = 0.4
 INSTANCES_WAIT = 4.0
+# Seconds after a change of the instances until the next call. Load: dozens of instances
+# start within a second. Harm: each wakes every watch. Others go on to ask an instance
+# that is gone for a second anyway.
+INSTANCES_SPACING = 0.5
 # Seconds after a change of registrations until the next call. Load: a wave takes a data
 # centre's upstreams, each change wakes every instance. Harm: every call is paid for and
 # counted; a quarter second of the two in which a leaving one still serves is no loss.
@@ -95,7 +99,9 @@
         self._registrations = Mirror(
             sources.registrations, REGISTRATIONS_WAIT, rng, REGISTRATIONS_SPACING
         )
-        self._instances = Mirror(INSTANCES.rstrip("/"), INSTANCES_WAIT, rng)
+        self._instances = Mirror(
+            INSTANCES.rstrip("/"), INSTANCES_WAIT, rng, INSTANCES_SPACING
+        )
         self._followers = (
             (self._documents, self._take_document),
             (self._registrations, self._take_registration),
@@ -178,8 +184,10 @@
     def advance(self):
         """Make the calls that are due."""
         now = read_boottime()
+        lost = [mirror for mirror, _ in self._followers if mirror.lost_since]
         for mirror, take in self._followers:
-            call = mirror.next_call(now)
+            # One call tells whether the store is back; three would be paid for.
+            call = None if mirror in lost[1:] else mirror.next_call(now)
             if call is not None:
                 self._store.submit(
                     call, lambda r, m=mirror, t=take: self._hear(m, t, r)
--- a/src/chervilwing/fanout.py
+++ b/src/chervilwing/fanout.py
@@ -28,11 +28,20 @@
 MISSES = 2
 # Seconds for which an instance that failed isn't asked again.
 AVOIDED_FOR = 3.0
-# Oldest knowledge, in seconds, that an answer may bring. A watch of 0.4 s proves what
-# is up to 0.8 s old; whoever asks a follower adds ASK_EVERY. With the next question a
-# leader that is cut off is left within 1.7 s, sooner than the 2 s in which a change of
-# the configuration or a leaving upstream has to be heeded.
-OLDEST = 1.3
+# Seconds by which the oldest knowledge that an answer may bring is younger than the
+# bound within which a change must be heeded. With the next question one that is cut off
+# from the store is left, and 0.3 s remain to ask the store and to take what it says.
+HEED_TIME = ASK_EVERY + 0.3
+# The same for the shortest bound, 2 s. A watch of 0.4 s proves what is up to 0.8 s old;
+# whoever asks a follower adds ASK_EVERY.
+OLDEST = 2.0 - HEED_TIME
+# Leaders that watch the store, where the bounds leave time for the others to ask them.
+# Load: hundreds of instances in ten groups. Harm: ten that watch are 65 calls a second,
+# all paid for; two are 13, however many groups there are, and one of them may be lost.
+WATCHERS = 2
+# Oldest knowledge up to which every leader watches for itself: two watches, and a
+# question each of a leader and of its follower.
+ALL_WATCH = 2 * ASK_EVERY + 2 * ASK_EVERY
 
 
 class Asked(NamedTuple):
@@ -68,9 +77,13 @@
 
 
 class Fanout:
-    """State of the questions to one group; times are seconds on one clock."""
+    """State of the questions to one group; times are seconds on one clock.
 
-    def __init__(self):
+    ``oldest`` is how old what an answer brings may be to count as of late.
+    """
+
+    def __init__(self, oldest=OLDEST):
+        self._oldest = oldest
         # Whom to ask, None where none answers.
         self.target = None
         # Whether the last answer brought knowledge that is of late.
@@ -117,11 +130,15 @@
         if self._asked is None or self._asked.number != number:
             return None
         asked, self._asked, self._misses = self._asked, None, 0
-        self.fresh = age <= OLDEST
+        self.fresh = age <= self._oldest
         if more:
             self._due = now
         return asked
 
+    def pass_over(self, now):
+        """Ask another one for a while, as this one knows nothing of late."""
+        self._avoid(self.target, now)
+
     def prefer(self, name, now):
         """Ask this one from now on, as somebody said that it watches."""
         self._preferred = name
--- a/src/chervilwing/gateway_settings.py
+++ b/src/chervilwing/gateway_settings.py
@@ -32,7 +32,9 @@
 class GatewaySettings(NamedTuple):
     """All settings of one gateway; times are in seconds.
 
-    ``revoke_bound`` is how soon after its removal a key must be dead everywhere.
+    ``revoke_bound`` is how soon after its removal a key must be dead everywhere,
+    ``apply_bound`` how soon a configuration must be in force, and ``leave_bound`` how
+    soon a leaving upstream must get nothing more.
     ``retry_ratio`` and ``retry_burst`` bound the attempts beyond the first of all
     instances together.
     """
@@ -57,6 +59,8 @@
     log_format: str
     log_level: str
     stats_pairs: int
+    apply_bound: float = 2.0
+    leave_bound: float = 2.0
     # A file of routes and upstreams in place of a store.
     routes: str = ""
     # Tells the processes of one instance apart.
@@ -93,6 +97,8 @@
     Field("drain_timeout", parse_duration, "8", "s", "for a planned stop"),
     Field("drain_lag", parse_duration, "2.5", "s", "that the balancer may lag"),
     Field("revoke_bound", parse_duration, "5", "s", "until a removed key is dead"),
+    Field("apply_bound", parse_duration, "2", "s", "until a change is in force"),
+    Field("leave_bound", parse_duration, "2", "s", "until a leaving one is left"),
     Field("retry_ratio", parse_seconds, "0.2", "part", "retries to first attempts"),
     Field("retry_burst", parse_seconds, "50", "count", "retries at once, of all"),
     Field("usage_window", parse_duration, "5", "s", "length of a window of usage"),
--- a/src/chervilwing/neighbours.py
+++ b/src/chervilwing/neighbours.py
@@ -8,7 +8,15 @@
 from circuits.core import BaseComponent, handler
 
 from .clocks import read_boottime
-from .fanout import Fanout, arrange, find_interval
+from .fanout import (
+    ALL_WATCH,
+    HEED_TIME,
+    WATCHERS,
+    Fanout,
+    arrange,
+    find_interval,
+    rank,
+)
 from .items import Item
 from .logs import log_event
 from .mirrors import News
@@ -60,10 +68,11 @@
         self._groups = {}
         self._group = ""
         self._arranged = None
+        self._oldest = min(cfg.apply_bound, cfg.leave_bound) - HEED_TIME
         # The instance that leads this one's group.
-        self._leader = Fanout()
+        self._leader = Fanout(self._oldest)
         # Another one that may know what the store said, where the leader doesn't.
-        self._helper = Fanout()
+        self._helper = Fanout(self._oldest)
         # One for each other group, asked by those who lead.
         self._others = {}
         self._near, self._far = Tally(), Tally()
@@ -113,7 +122,8 @@
         """Find whom to ask, and whether own calls on the store may rest meanwhile.
 
         Whom the leader can't tell anything new, since it is cut off from the store,
-        calls the store itself, and asks a third one as soon as that fails too.
+        asks those before it in rank; the first of these calls the store itself. Who
+        can't reach the store either asks whoever is in its group.
         """
         names = self._groups[self._group]
         place = names.index(self._cfg.name)
@@ -123,16 +133,39 @@
         leader = self._leader.choose(names[:place], now)
         if leader != before:
             log_event("leader followed", leader=leader or "", was=before or "")
-        self._coordinator.resting = leader is not None and self._leader.fresh
-        if self._coordinator.resting or not self._coordinator.unreachable:
-            return
-        others = [name for name in names if name not in (leader, self._cfg.name)]
-        if self._helper.choose(others, now) is not None:
-            self._ask(HELPER, self._helper, now)
+        if leader is None:
+            told = any(self._others[group].fresh for group in self._list_watched())
+        else:
+            told = self._leader.fresh
+        self._coordinator.resting = told or self._ask_helper(names, place, leader, now)
+
+    def _ask_helper(self, names, place, leader, now):
+        """Ask for the store's news and tell whether they come.
+
+        Load: the store turns a leader away and serves its followers. Harm: all two
+        dozen of them would watch for themselves, 150 calls a second.
+        """
+        if self._coordinator.unreachable:
+            able = [name for name in names if name not in (leader, self._cfg.name)]
+        else:
+            able = [name for name in names[:place] if leader and name != leader]
+        if self._helper.choose(able, now) is None:
+            return False
+        self._ask(HELPER, self._helper, now)
+        return self._helper.fresh
+
+    def _list_watched(self):
+        """Return the groups whose leaders tell this one, a leader, the store's news."""
+        if self._oldest <= ALL_WATCH:
+            return []
+        asked = {g: self._others[g] for g in self._groups if g in self._others}
+        targets = {item.target: group for group, item in asked.items() if item.target}
+        first = rank([self._cfg.name, *targets])[:WATCHERS]
+        return [] if self._cfg.name in first else [targets[name] for name in first]
 
     def _ask_others(self, now):
         for group in self._groups.keys() - {self._group}:
-            fanout = self._others.setdefault(group, Fanout())
+            fanout = self._others.setdefault(group, Fanout(self._oldest))
             if fanout.choose(self._groups[group], now) is not None:
                 self._ask(group, fanout, now)
 
@@ -146,8 +179,8 @@
         if number is None:
             return
         word = self._words[group] = self._describe()
-        near = group in (self._group, HELPER)
-        revisions = self._coordinator.list_revisions() if near else None
+        wanted = group in (self._group, HELPER, *self._list_watched())
+        revisions = self._coordinator.list_revisions() if wanted else None
         address = self._coordinator.peers[fanout.target].address
         self._datagrams.send(QUESTION, (number, group, revisions, word), address)
 
@@ -213,7 +246,7 @@
         if fanout is None:
             return
         news = [None if item is None else read_news(*item) for item in news or ()]
-        age = self._coordinator.find_age(news) if news else 0.0
+        age = self._coordinator.find_age(news) if news else float("inf")
         more = any(item is not None and item.more for item in news)
         asked = fanout.receive(number, age, more, now)
         if asked is None:
@@ -224,13 +257,16 @@
         word = self._words[group]
         self._learn_placed(told.placements)
         self._parts.note_stored(word, told.stored)
-        if told.sums is None:
+        if fanout is self._helper:
+            if not fanout.fresh:
+                fanout.pass_over(now)
+        elif told.sums is None:
             fanout.prefer(leader, now)
         elif fanout is self._leader:
             self._agreed.adopt(told.time_of_day, now)
             others = leave_out(told.sums, word.counts)
             self._use((told.name, told.incarnation), others, now)
-        elif fanout is not self._helper:
+        else:
             self._agreed.hear(told.name, told.time_of_day, now)
             self._far_placed.hear(told.placements, now)
             self._far.hear((group, told.name), told.incarnation, told.sums, now)
--- a/tests/weakened_gateway.py
+++ b/tests/weakened_gateway.py
@@ -15,6 +15,7 @@
 CREDIT = "tests.test_allowances.TestCredit.test_"
 PARTITIONS = "tests.test_allowances.TestPartitions.test_"
 MODEL = "tests.test_allowances_model.TestBound.test_"
+WATCHERS = "tests.test_store_watchers.TestWatchers.test_"
 TALLY = "tests.test_tallies.TestTally.test_"
 SIZING = "tests.test_sizing.TestSizing.test_"
 
@@ -117,9 +118,25 @@
     ),
     Weakness(
         "an instance that is cut off from the store is proof enough",
-        (Edit("fanout", "self.fresh = age <= OLDEST", "self.fresh = True"),),
+        (Edit("fanout", "self.fresh = age <= self._oldest", "self.fresh = True"),),
         (FANOUT + "one_that_is_cut_off_from_the_store_is_no_proof",),
     ),
+    Weakness(
+        "all followers of a leader without the store watch it",
+        (
+            Edit(
+                "neighbours",
+                "= told or self._ask_helper(names, place, leader, now)",
+                "= told",
+            ),
+        ),
+        (WATCHERS + "a_leader_that_lost_the_store_sends_nobody_to_it_but_the_next",),
+    ),
+    Weakness(
+        "every leader watches, however many there are",
+        (Edit("neighbours", "if self._oldest <= ALL_WATCH:", "if True:"),),
+        (WATCHERS + "two_watch_for_all_where_there_is_time_to_ask",),
+    ),
     Weakness(
         "an answer to any question is taken for the last one's",
         (Edit("fanout", "or self._asked.number != number", ""),),
