Log which answers name a limit for their upstream

A request's line has the limit that its answer named; one line says when an upstream names another or none; a figure counts those that have one. No decision reads it yet.

An answer without a limit ends one only if it is signed by the upstream and its request was sent after the limit was known: answers overtake each other, and a failure may come from something before the upstream.

Ruled out: reading it at each log line only (a request that is placed elsewhere would still not tell who knew).

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -1,6 +1,7 @@
 """The attempts of a request at upstreams, and what each outcome leads to."""
 
 from functools import partial
+from math import inf
 
 from .clocks import read_boottime
 from .connections import IDLE_LIMIT, Call, CallHandlers
@@ -138,6 +139,7 @@
     def _head(self, relay, status, headers):
         relay.answer = (status, headers)
         verdict = self._dialect.judge(status, headers)
+        self._note_limit(relay, verdict)
         if verdict.not_run:
             self._retry_unrun(relay)
             return
@@ -156,6 +158,13 @@
             relay.exchange.on_drain = partial(self._drained, relay)
             relay.exchange.relay_head(status, pass_headers(headers), None)
 
+    def _note_limit(self, relay, verdict):
+        """Take the limit that an answer names for its upstream."""
+        if verdict.limit is not None and verdict.limit < inf:
+            relay.limit = verdict.limit
+        name, now = relay.station.registration.name, read_boottime()
+        self._owner.upstream_limits.note_answer(name, verdict.limit, relay.sent_at, now)
+
     def _retry_unrun(self, relay):
         """Go elsewhere with a request that this upstream has not run."""
         self.end_attempt(relay, failed=True, cancel=True)
--- a/src/chervilwing/dialects.py
+++ b/src/chervilwing/dialects.py
@@ -35,11 +35,13 @@
     """What the head of an upstream's answer says.
 
     ``not_run`` is a promise. ``sound`` is False for an answer that can't be the
-    upstream's own.
+    upstream's own. ``limit`` are the requests a second that the upstream takes from all
+    instances together: infinity where it names none, None where that isn't known.
     """
 
     not_run: bool = False
     sound: bool = True
+    limit: float | None = None
 
 
 class Errand(NamedTuple):
@@ -98,8 +100,18 @@
     return kept
 
 
+def read_limit(text):
+    """Return the requests a second that a header field names, or None."""
+    try:
+        limit = float(text)
+    except ValueError:
+        return None
+    return limit if limit >= 0.0 else None
+
+
 def _judge(status, headers):
-    return Verdict(not_run=headers.get("chervilwing-outcome") == "not_run")
+    not_run = headers.get("chervilwing-outcome") == "not_run"
+    return Verdict(not_run, limit=read_limit(headers.get("chervilwing-limit", "inf")))
 
 
 def _is_for(head, request_id):
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -20,7 +20,7 @@
     Scope,
     StaleKeys,
 )
-from .logs import log_request
+from .logs import log_event, log_request
 from .placers import PlacingHooks
 from .registrations import Registry
 from .relays import Relay, describe_refusal, describe_relay
@@ -28,6 +28,7 @@
 from .rollouts import Rollouts
 from .routing import RoutingTable, pick_target
 from .stats import Stats
+from .upstream_limits import UpstreamLimits
 from .web import Web, WebHandlers, WebOptions
 
 # Spread of the times to come back: with one figure for all, everyone returns at once.
@@ -48,6 +49,11 @@
 OPEN = "(open)"
 
 
+def note_limit(upstream, rate, was):
+    """Log that an upstream names another limit, or none any more."""
+    log_event("upstream limit", upstream=upstream, rate=rate, was=was)
+
+
 class Limits:
     """The limits on callers in force, read by the web side at each use."""
 
@@ -82,6 +88,7 @@
         self.placing = PlacingHooks()
         self.rollouts = Rollouts()
         self.crashes = CrashRecords(cfg.name)
+        self.upstream_limits = UpstreamLimits(note_limit)
         self.retries = RetryShares(self)
         self.relays = set()
         self.pools = {}
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -146,6 +146,7 @@
             "gateway_usage_heard": self._parts.count_heard(),
             "gateway_requests_suspected": suspected,
             "gateway_requests_barred": barred,
+            "gateway_upstreams_limited": gateway.upstream_limits.count(),
             "gateway_log_lines_dropped": count_dropped(),
         }
         return "".join(f"chervilwing_{k} {v}\n" for k, v in figures.items())
--- a/src/chervilwing/platform/headers.py
+++ b/src/chervilwing/platform/headers.py
@@ -4,7 +4,7 @@
 
 from ..addresses import format_address
 from ..demands import Demand, PromptPart
-from ..dialects import Dialect, Verdict, end_to_end
+from ..dialects import Dialect, Verdict, end_to_end, read_limit
 
 REQUEST_ID = "x-request-id"
 DEADLINE = "x-deadline-ms"
@@ -20,6 +20,8 @@
 NOT_RUN = "x-not-run"
 # Signs an answer as the upstream's own.
 SIGNATURE = "x-server-stamp"
+# The requests a second that the upstream takes from all instances together.
+LIMIT = "server-limit"
 MISDIRECTED = 421
 LEAST_URGENT = 9
 # What only the gateway may say to an upstream; callers' own words are left out.
@@ -94,11 +96,25 @@
 
 def judge(status, headers):
     """Return what an answer's head says of the request."""
-    if NOT_RUN in headers or status == MISDIRECTED:
+    if status == MISDIRECTED:
+        # Another upstream answered, which says nothing of this one.
         return Verdict(not_run=True)
+    if NOT_RUN in headers:
+        return Verdict(not_run=True, limit=judge_limit(headers))
     success = 200 <= status < 300
     sound = "content-encoding" not in headers and (SIGNATURE in headers or not success)
-    return Verdict(sound=sound)
+    return Verdict(sound=sound, limit=judge_limit(headers) if sound else None)
+
+
+def judge_limit(headers):
+    """Return the limit that an answer names; see Verdict.
+
+    Guard: a failure may come from something before the upstream. That none is named
+    counts only in an answer that the upstream has signed; taken from another one, it
+    would lift a limit that holds.
+    """
+    unnamed = "inf" if SIGNATURE in headers else ""
+    return read_limit(headers.get(LIMIT, unnamed))
 
 
 def is_for(head, request_id):
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -21,7 +21,8 @@
     ``version`` is that of the configuration it was handled by, ``expected`` and
     ``prefill`` what decided where it went, ``source`` the upstream that it was to fetch
     prompt parts from, ``first`` when its answer began. ``fingerprint`` is the same for
-    all tries of one request.
+    all tries of one request. ``limit`` are the requests a second that an answer to it
+    named for its upstream, None where none did.
     """
 
     request: str
@@ -40,6 +41,7 @@
     first: float = 0.0
     last_event: str = ""
     fingerprint: str = ""
+    limit: float | None = None
 
 
 class Relay:
@@ -67,6 +69,7 @@
         "headers",
         "held",
         "held_size",
+        "limit",
         "may_have_run",
         "organisation",
         "over",
@@ -105,6 +108,7 @@
         self.held = []
         self.held_size = 0
         self.fallback = None
+        self.limit = None
         self.events = EventReader() if route.resumable else None
         self.may_have_run = False
         self.counted = False
@@ -157,6 +161,7 @@
         first=0.0 if started is None else round(started - relay.received_at, 4),
         last_event=relay.events.last_id if relay.events else "",
         fingerprint=relay.fingerprint,
+        limit=relay.limit,
     )
 
 
