Tell one that knows little what is there, and never as all that changed

Ruled out: nobody to ask (it had both), no answers, addresses.

Change: one that knows less than the changes that are kept is told what is there now, with the keys of all items, and drops what isn't among them. Bounded in bytes; beyond that the list comes from the store as before. Found beside it: a mirror that listed anew, or is told a list, passed its changes off as all; what came and went meanwhile would be kept for good by whoever asked. Its changes begin anew then.

Tests: five red on the old code.

--- a/src/chervilwing/mirrors.py
+++ b/src/chervilwing/mirrors.py
@@ -28,6 +28,12 @@
 # Bytes of keys and values told at once, so that three prefixes fit into a datagram of
 # some frames. An item that is larger is read from the store.
 NEWS_BYTES = 1200
+# Bytes of keys told to one that knows less than the changes that are kept: of a thousand
+# upstreams with the last piece, and of two hundred with each. Load: hundreds of
+# instances start at once. Harm: told again with each piece, more would fill their links;
+# one list from the store is cheaper.
+KEYS_BYTES = 24_000
+REPEATED_KEYS_BYTES = 4800
 
 
 class News(NamedTuple):
@@ -36,7 +42,8 @@
     ``items`` are all changes after the revision that was asked for and up to
     ``revision``, or None where they aren't known or too large. ``more`` tells that
     later ones were left out. ``regained`` is how long ago the store was regained, None
-    where it never was lost.
+    where it never was lost. ``keys`` are those of all items, where the changes alone
+    don't tell which are gone.
     """
 
     age: float
@@ -44,6 +51,7 @@
     revision: int
     items: tuple[Item, ...] | None
     more: bool
+    keys: tuple[str, ...] | None = None
 
 
 class Mirror:
@@ -79,7 +87,9 @@
         self._due = 0.0
         self._backoff = FIRST_WAIT
         self._changes = deque()
-        # All changes after this revision are kept.
+        # All changes after this revision are kept. Guard: what came and went between
+        # two lists, or before another one told its list, was never seen here; passed
+        # off as all changes, those kept here would let others keep it for good.
         self._floor = None
 
     def next_call(self, now):
@@ -127,13 +137,9 @@
         self._lacking = False
         self.revision = revision
         self.as_of = sent
-        changed = self._apply([*found.values(), *gone])
-        if self.complete:
-            self._keep(changed)
-        else:
-            self.complete = True
-            self._floor = revision
-        return changed
+        self.complete = True
+        self._begin_changes(revision)
+        return self._apply([*found.values(), *gone])
 
     def _receive_changes(self, changes, sent, now):
         self._recover(now)
@@ -161,7 +167,10 @@
         """Return the News after a revision for an instance that asks."""
         if self.revision is None:
             return None
-        items, more = self._select(revision)
+        keys = None
+        if revision is not None and revision < self._floor:
+            keys = tuple(self.items)
+        items, more = self._select(revision, keys)
         told = items[-1].revision if more else self.revision
         return News(
             now - self.as_of,
@@ -169,16 +178,20 @@
             told,
             items,
             more,
+            keys if items is not None else None,
         )
 
-    def _select(self, revision):
+    def _select(self, revision, keys):
         """Return the changes after a revision that fit, and whether more follow.
 
-        None in their place tells that they can't be told.
+        None in their place tells that they can't be told. With ``keys`` they are what
+        is there now.
         """
-        if revision is None or revision < self._floor:
+        keys_size = sum(map(len, keys or ()))
+        if revision is None or keys_size > KEYS_BYTES:
             return None, False
-        later = [item for item in self._changes if item.revision > revision]
+        changes = self._changes if keys is None else self.items.values()
+        later = [item for item in changes if item.revision > revision]
         later.sort(key=lambda item: item.revision)
         fitting, size = [], 0
         for item in later:
@@ -188,6 +201,8 @@
             fitting.append(item)
         if len(fitting) == len(later):
             return tuple(fitting), False
+        if keys_size > REPEATED_KEYS_BYTES:
+            return None, False
         # What was written together is told together.
         cut = later[len(fitting)].revision
         fitting = [item for item in fitting if item.revision < cut]
@@ -210,11 +225,25 @@
         self._listing = None
         if news.regained is not None:
             self.regained_at = max(self.regained_at, asked_at - news.regained)
-        changed = self._advance(news.items, news.revision)
+        items = news.items
+        if news.keys is not None:
+            items = [*items, *self._list_gone(news)]
+        changed = self._advance(items, news.revision)
+        if news.keys is not None:
+            self._begin_changes(self.revision)
         if not news.more:
             self.as_of = max(self.as_of, asked_at - news.age)
         return changed
 
+    def _list_gone(self, news):
+        """Return as deleted what another instance doesn't have any more."""
+        keys = set(news.keys)
+        return [
+            Item(key, None, news.revision)
+            for key, item in self.items.items()
+            if key not in keys and item.revision < news.revision
+        ]
+
     def _apply(self, items):
         changed = []
         for item in items:
@@ -230,6 +259,11 @@
             changed.append(item)
         return changed
 
+    def _begin_changes(self, revision):
+        """Keep only changes that come after a revision."""
+        self._changes.clear()
+        self._floor = revision
+
     def _keep(self, changed):
         self._changes.extend(changed)
         while len(self._changes) > CHANGES_KEPT:
--- a/src/chervilwing/neighbours.py
+++ b/src/chervilwing/neighbours.py
@@ -50,11 +50,11 @@
 HELPER = ""
 
 
-def read_news(age, regained, revision, items, more):
+def read_news(age, regained, revision, items, more, keys):
     """Return the News that came in a datagram."""
     if items is not None:
         items = tuple(Item(*item) for item in items)
-    return News(age, regained, revision, items, more)
+    return News(age, regained, revision, items, more, keys)
 
 
 class Neighbours(BaseComponent):
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -188,7 +188,7 @@
         self.learning.resting = False
         late = make_mirror()
         late.next_call(1.0)
-        late.receive(Page((put("k", 3), put("k2", 7)), 9), 1.0)
+        late.receive(Page((put("k", 3), put("k2", 7, b"x" * 90_000)), 9), 1.0)
         self.learning.learn(late.tell(self.learning.revision, 1.0), 1.0, 1.0)
         self.assertEqual(self.learning.next_call(1.1), ListItems("a/"))
         self.watch([Item("a/k", None, 8), put("k2", 7)], 9, 1.2)
@@ -209,6 +209,7 @@
         started_last = make_mirror()
         started_last.next_call(1.0)
         started_last.receive(Page((put("k", 3), put("k2", 7)), 9), 1.0)
+        started_last.items["a/k2"] = put("k2", 7, b"x" * 90_000)
         news = started_last.tell(self.learning.revision, 1.2)
         self.assertIsNone(news.items)
         self.assertEqual(self.learning.learn(news, 1.2, 1.3), [])
@@ -242,11 +243,73 @@
         changed = self.learn(1.2, 1.2)
         self.assertEqual(set(changed), {put("k2", 7), Item("a/k", None, 9)})
 
-    def test_one_that_was_away_for_long_lists_anew(self):
+    def test_one_that_was_away_for_long_is_told_what_is_there(self):
+        self.watch([put("gone", 8)], 8, 1.0)
+        self.learn(1.0, 1.0)
+        self.watch([Item("a/gone", None, 9)], 9, 1.0)
         for number in range(3000):
             self.watch([put("k", 10 + number)], 10 + number, 1.0)
-        self.learn(1.1, 1.1)
+        changed = self.learn(1.1, 1.1)
+        gone = Item("a/gone", None, 3009)
+        self.assertEqual(set(changed), {put("k", 3009), gone})
+        self.assertEqual(self.learning.items, self.watching.items)
+
+    def test_one_that_started_later_tells_an_older_one_what_is_there(self):
+        # A leader starts first and loses the store a moment later. The others have
+        # started after the last change that it knows; what was deleted before they
+        # did, none of them has ever seen. It refused all callers until it reached the
+        # store again, beside a whole group that knew better.
+        self.watching, late = make_mirror(), self.learning
+        late.items["a/gone"] = put("gone", 4)
+        self.watching.next_call(1.0)
+        self.watching.receive(Page((put("k", 3), put("k2", 7)), 9), 1.0)
+        changed = self.learn(1.2, 1.3)
+        self.assertEqual(changed, [put("k2", 7), Item("a/gone", None, 9)])
+        self.assertEqual(late.items, self.watching.items)
+        self.assertEqual(late.revision, 9)
+
+    def test_it_is_told_in_pieces_what_does_not_fit(self):
+        items = [put("k", 3)] + [put(f"n{n}", 10 + n, b"x" * 200) for n in range(40)]
+        self.watching = make_mirror()
+        self.watching.next_call(1.0)
+        self.watching.receive(Page(tuple(items), 60), 1.0)
+        self.learning.items["a/gone"] = put("gone", 4)
+        for _ in items:
+            self.learn(1.1, 1.1)
+        self.assertEqual(self.learning.items, self.watching.items)
+
+    def test_one_that_listed_anew_tells_of_what_it_never_saw(self):
+        # An upstream came and went while its history was gone. One that knew it from
+        # the store is told by another one that never did; it would keep it for good.
+        self.watching.next_call(1.0)
+        self.watching.receive(HistoryGone(), 1.0)
+        self.watching.next_call(1.1)
+        self.watching.receive(Page((put("k", 3),), 50), 1.1)
+        self.learning.resting = False
+        self.learning.next_call(1.0)
+        self.learning.receive(Changes((put("short", 25),), 30), 1.0)
+        self.assertEqual(self.learn(1.2, 1.2), [Item("a/short", None, 50)])
+
+    def test_one_that_was_told_the_list_does_not_pass_off_its_changes_as_all(self):
+        # A third one knows of an item that came and went in between.
+        self.watching = make_mirror()
+        self.watching.next_call(1.0)
+        self.watching.receive(Page((put("k", 3),), 50), 1.0)
+        self.learn(1.2, 1.2)
+        third = make_mirror()
+        third.next_call(0.5)
+        third.receive(Page((put("k", 3), put("short", 25)), 30), 0.5)
+        third.learn(self.learning.tell(third.revision, 1.3), 1.3, 1.3)
+        self.assertEqual(set(third.items), {"a/k"})
+
+    def test_more_keys_than_fit_are_listed_from_the_store(self):
+        keys = [put(f"{n:0190}", 6) for n in range(1000)]
+        self.watching = make_mirror()
+        self.watching.next_call(1.0)
+        self.watching.receive(Page(tuple(keys), 60), 1.0)
+        self.assertEqual(self.learn(1.2, 1.2), [])
         self.assertIsNone(self.news.items)
+        self.assertEqual(self.learning.next_call(1.3), ListItems("a/"))
 
     def test_the_return_of_the_store_is_told_with_its_time(self):
         # Upstreams whose entries lapsed with the store are kept until shortly after
