--- a/src/chervilwing/mirrors.py
+++ b/src/chervilwing/mirrors.py
@@ -28,10 +28,10 @@
 # Bytes of keys and values told at once, so that three prefixes fit into a datagram of
 # some frames. An item that is larger is read from the store.
 NEWS_BYTES = 1200
-# Bytes of keys told to one that knows less than the changes that are kept: of a thousand
-# upstreams with the last piece, and of two hundred with each. Load: hundreds of
-# instances start at once. Harm: told again with each piece, more would fill their links;
-# one list from the store is cheaper.
+# Bytes of keys told to one that knows less than the changes that are kept: those of a
+# thousand upstreams, or of two hundred where it takes several pieces. Load: hundreds of
+# instances start at once. Harm: told again with each piece, more would fill their
+# links; one list from the store is cheaper.
 KEYS_BYTES = 24_000
 REPEATED_KEYS_BYTES = 4800
 
