Let no suspended instance refuse a service for its own absence

Cause, traced in a trial with trace lines: the instance that places for all was suspended for 7.7 s. On waking it blended that time into its estimate of how long the plain service takes: 0.05 to 0.77 s, beyond the deadline of every call. So all instances refused all of them at once as hopeless, no answer came that could correct it, and the bar held until some call with more time went through, or for good.

Change: one call counts for four times the estimate at most, and half of the estimate is forgotten after each second without a measurement. Looked for elsewhere: the engines' rate is bounded below, so that it locks nobody out.

Test: an estimate of 2.7 s after eight late answers in the old code, under 0.3 s now.

--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -12,6 +12,7 @@
 from .costs import blend
 from .hashing import Ring
 from .prompt_caches import PromptCaches
+from .service_times import ServiceTime
 from .stations import NOTHING, READ_WAIT, Sent, Station
 
 # Tokens a second that an engine reads of prompts beside the tokens it generates, before
@@ -29,8 +30,6 @@
 STEP_PER_REQUEST = 0.0006
 # Engine seconds of one generated token in a full batch.
 TOKEN_TIME = 0.000115
-# Seconds that a plain service takes for a call before anything was measured.
-SERVICE_TIME = 0.05
 # Seconds of expected wait that a failure rate of 1 counts for: about as long as a
 # caller loses by an attempt that fails and is made once more.
 FAILURE_COST = 3.0
@@ -113,7 +112,7 @@
         self.rate = PREFILL_RATE
         # The same, of engines that have little else to do.
         self.lone_rate = PREFILL_RATE
-        self.service_time = SERVICE_TIME
+        self.service_time = ServiceTime()
         # Engine seconds of all that was asked for, here and at each other instance.
         self.work = 0.0
         self.peers_work = {}
@@ -202,7 +201,8 @@
         if self.traits.engine is None:
             slots = max(1, station.registration.slots)
             turns = (load.requests + 1) / slots
-            return Estimate(self.service_time * max(1.0, turns), 0)
+            seconds = self.service_time.measure(now) * max(1.0, turns)
+            return Estimate(seconds, 0)
         cached, fetched, source = self._plan_fetch(station, copies)
         prefill = max(0, demand.prompt_tokens - cached - fetched)
         seconds = (load.prefill + prefill) / self.rate
@@ -335,7 +335,7 @@
         took = now - sent.at
         tokens = sent.prefill + sent.ahead
         if self.traits.engine is None:
-            self.service_time = blend(self.service_time, took)
+            self.service_time.record(took, now)
         elif tokens >= MEASURED_TOKENS and took > FIRST_STEP:
             rate = min(FASTEST_RATE, max(SLOWEST_RATE, tokens / (took - FIRST_STEP)))
             self.rate = blend(self.rate, rate)
