Name what permits a send, and use the troubles of the other model

From reading the change: two functions of the gateway were named admit; what a placer has charged was called admitted; what is sought lapsed by a clock that may be unset. The model of limits takes its troubles from that of customers' allowances.

--- a/src/chervilwing/allowances.py
+++ b/src/chervilwing/allowances.py
@@ -214,6 +214,7 @@
     def claim(self, parent, now):
         """Return the Claim to send to a parent."""
         self.advance(now)
+        self._sought = {n: item for n, item in self._sought.items() if now < item.until}
         if self._session is None or self._session.parent != parent:
             self._sessions += 1
             self._session = CreditSession(parent, self._sessions)
@@ -352,7 +353,7 @@
     def _list_sought(self, name):
         """Return the cost that is sought of an allowance, if any is."""
         sought = self._sought.get(name)
-        return [sought.cost] if sought is not None and self._at < sought.until else []
+        return [] if sought is None else [sought.cost]
 
     def _list_wanted(self, name):
         """Return what each child wants and the least of use, where it wants any."""
--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -70,7 +70,7 @@
         self._client.retire(address)
 
     def send(self, relay, found):
-        """Send a request to the upstream that it was admitted to."""
+        """Send a request to the upstream that was found for it, if permitted."""
         now = read_boottime()
         station, estimate = found
         relay.station, relay.estimate = station, estimate
@@ -98,7 +98,7 @@
     def send_again(self, relay, found):
         """Send a request once more, or give it up where that can't be done."""
         try:
-            found = self._owner.admit(relay, found, read_boottime())
+            self._owner.permit_send(relay, found, read_boottime())
         except ChervilwingError as exc:
             self._owner.placing.note_ended(relay, None)
             self.give_up(relay, exc)
--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -62,7 +62,7 @@
 
     ``source`` is the upstream from which it fetches what it lacks, None for none.
     ``ahead`` are the prompt tokens that are read before, and ``alone`` tells that the
-    upstream has little else to do. ``placer`` is as in Sent. ``admitted`` tells that
+    upstream has little else to do. ``placer`` is as in Sent. ``charged`` tells that
     whoever chose the upstream has spent the credit for its limit.
     """
 
@@ -72,7 +72,7 @@
     ahead: int = 0
     alone: bool = False
     placer: str = ""
-    admitted: bool = False
+    charged: bool = False
 
 
 class Copies(NamedTuple):
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -224,8 +224,8 @@
         excluded = exhausted | self.list_excluded(relay, now)
         return relay.pool.choose(relay.demand, excluded, now, origin)
 
-    def admit(self, relay, found, now):
-        """Return what was found, or raise why a request may not be sent there.
+    def permit_send(self, relay, found, now):
+        """Raise unless a request may be sent to what was found for it.
 
         Each send of a request comes through here. The upstream's own limit is looked at
         last, as its credit is spent with that.
@@ -236,10 +236,10 @@
         station, estimate = found
         if relay.station is None:
             self._check_room(relay, estimate, now)
-        if not estimate.admitted:
-            if not self.upstream_limits.charge(station.registration.name, now):
-                raise self._explain_none(relay.pool)
-        return found
+        if estimate.charged:
+            return
+        if not self.upstream_limits.charge(station.registration.name, now):
+            raise self._explain_none(relay.pool)
 
     def _explain_none(self, pool):
         """Return the refusal where no upstream takes a request."""
@@ -289,7 +289,7 @@
             self._attempts.send_again(relay, found)
             return
         try:
-            found = self.admit(relay, found, now)
+            self.permit_send(relay, found, now)
         except ChervilwingError:
             self.placing.note_ended(relay, None)
             self.refund(relay, now)
--- a/src/chervilwing/placers.py
+++ b/src/chervilwing/placers.py
@@ -54,7 +54,7 @@
     source: str = ""
     ahead: int = 0
     alone: bool = False
-    admitted: bool = False
+    charged: bool = False
 
 
 class Ticket(NamedTuple):
--- a/src/chervilwing/placing.py
+++ b/src/chervilwing/placing.py
@@ -158,10 +158,10 @@
         if found is not None:
             station, estimate = found
             name = station.registration.name
-            admitted = limits.is_limited(name) and limits.charge(name, now)
+            charged = limits.is_limited(name) and limits.charge(name, now)
             pool.place(key, demand, found, now)
             self._known[key] = PlacedRequest(pool, station, demand.deadline)
-            answer = describe(answer, station, estimate._replace(admitted=admitted))
+            answer = describe(answer, station, estimate._replace(charged=charged))
         self._datagrams.send(PLACED, answer, address)
 
     def _hear(self, address, *fields):
@@ -194,7 +194,7 @@
             return None
         limits = self._gateway.upstream_limits
         stations = {answer.upstream: station}
-        if not answer.admitted and limits.list_exhausted(stations, now):
+        if not answer.charged and limits.list_exhausted(stations, now):
             return None
         source = relay.pool.stations.get(answer.source)
         return station, Estimate(
@@ -204,7 +204,7 @@
             answer.ahead,
             answer.alone,
             answer.placer,
-            answer.admitted,
+            answer.charged,
         )
 
     def _tell_ended(self, ticket, failed=None):
@@ -265,5 +265,5 @@
         source=source.registration.name if source else "",
         ahead=estimate.ahead,
         alone=estimate.alone,
-        admitted=estimate.admitted,
+        charged=estimate.charged,
     )
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -54,7 +54,7 @@
         self.arrivals = []
         self.refused_at = []
         self._told_at = {}
-        self._disturbed = {}
+        self._started_at = {}
         self._later = []
         self._serial = count()
         super().__init__(size, [], seed, **network)
@@ -62,11 +62,7 @@
     def start(self, index, known):
         """Start an instance, or start it again with nothing kept."""
         super().start(index, known)
-        self._disturbed[index] = self.now
-
-    def disturb(self, names):
-        """Take note that instances are cut off, frozen or reached again."""
-        self._disturbed.update((name, self.now) for name in names)
+        self._started_at[index] = self.now
 
     def name_limit(self, upstream, limit):
         """Let an upstream name a limit from now on, or none any more."""
@@ -162,7 +158,8 @@
             self.refused_at.append(self.now)
             return
         told = self.now - self._told_at.get((name, upstream), inf) >= TOLD_AFTER
-        in_touch = self.now - self._disturbed[name] >= IN_TOUCH_AFTER
+        since = max(self._started_at[name], self.nodes[name].frozen_until)
+        in_touch = self.now - since >= IN_TOUCH_AFTER
         arrival = Arrival(self.now, upstream, name, told and in_touch)
         self.arrivals.append(arrival)
         self.in_flight[upstream] += 1
--- a/tests/test_limited_upstreams_model.py
+++ b/tests/test_limited_upstreams_model.py
@@ -11,7 +11,15 @@
 from chervilwing.allowances import HEARD_FOR, UNDER_WAY
 from chervilwing.upstream_limits import SAVED_FOR
 from tests.limited_fleet import LimitedFleet
-from tests.test_allowances_model import cut_all, cut_centre, cut_some, heal
+from tests.test_allowances_model import (
+    add_some,
+    cut_all,
+    cut_centre,
+    cut_some,
+    freeze_some,
+    heal,
+    restart_some,
+)
 
 WINDOW = 4.0
 SETTLE = 3.0
@@ -108,33 +116,6 @@
                 self.assertEqual(sum(known), 0)
 
 
-def restart_some(fleet, rng):
-    """Start some instances again with nothing kept."""
-    names = sorted(fleet.nodes)
-    for name in rng.sample(names, max(1, len(names) // 4)):
-        fleet.start(name, len(names))
-
-
-def freeze_some(fleet, rng):
-    """Suspend some for up to three seconds."""
-    names = sorted(fleet.nodes)
-    some = rng.sample(names, max(1, len(names) // 5))
-    for name in some:
-        fleet.nodes[name].frozen_until = fleet.now + rng.uniform(0.2, 3.0)
-    fleet.disturb(some)
-
-
-def add_some(fleet, rng):
-    """Add half as many instances; those that are cut off don't learn of them."""
-    count = max(1, len(fleet.nodes) // 2)
-    known = len(fleet.nodes) + count
-    for _ in range(count):
-        fleet.start(max(fleet.nodes) + 1, known)
-    for name, node in fleet.nodes.items():
-        if not fleet.side[name]:
-            node.allowances.set_known(known, fleet.now)
-
-
 TROUBLES = (cut_some, cut_all, cut_centre, heal, restart_some, freeze_some, add_some)
 # Most instances that are added stand beside ones that don't know of them, which keep
 # the larger part that was theirs: half as many more, unknown to all the others.
