Log what answers state of their upstream, and who chose it

Each answer with such a statement now writes a line 'upstream notice' with the request, the upstream and the statement, and a request's line has its placer. Nothing is decided by them yet. Values that make no sense (negative, no number, endless) state nothing or are bounded, a date counts from the answer's own, the longest of several counts, and an answer of another upstream at the address (421) states nothing of the expected one.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -14,6 +14,7 @@
     PoolFull,
     UpstreamFailed,
 )
+from .logs import log_event
 from .routing import STREAM
 
 EVENT_STREAM = "text/event-stream"
@@ -143,6 +144,7 @@
         relay.answer = (status, headers)
         answer_status = self._dialect.read_answer_head(status, headers)
         self._record_limit(relay, answer_status)
+        self._record_notice(relay, answer_status)
         if answer_status.not_run:
             self._retry_not_run(relay)
             return
@@ -172,6 +174,18 @@
             name, answer_status.limit, relay.sent_at, now
         )
 
+    def _record_notice(self, relay, answer_status):
+        """Log that an answer states that its upstream leaves or wants a pause."""
+        if not answer_status.leaving and answer_status.retry_after is None:
+            return
+        log_event(
+            "upstream notice",
+            request=relay.demand.request_id,
+            upstream=relay.upstream_state.registration.name,
+            leaving=answer_status.leaving,
+            retry_after=answer_status.retry_after,
+        )
+
     def _retry_not_run(self, relay):
         """Send a request that this upstream has not run to another one, or give up."""
         self.end_attempt(relay, failed=True, cancel=True)
--- a/src/chervilwing/dialects.py
+++ b/src/chervilwing/dialects.py
@@ -5,8 +5,10 @@
 those of the upstream's answer.
 """
 
+import re
 import uuid
 from collections.abc import Callable
+from email.utils import parsedate_to_datetime
 from math import ceil
 from typing import NamedTuple
 
@@ -31,6 +33,12 @@
     }
 )
 
+UNAVAILABLE = 503
+DELAY_SECONDS = re.compile(r"[0-9]+(?:\.[0-9]*)?\Z")
+# Longest time in seconds that an upstream may ask to be left alone; a larger value in a
+# faulty answer would take it out of service for good.
+MAX_RETRY_AFTER = 600.0
+
 
 class AnswerStatus(NamedTuple):
     """What the status and header fields of an upstream's answer state.
@@ -39,11 +47,15 @@
     ``authentic`` is False for an answer that the upstream itself can't have sent.
     ``limit`` is the rate, in requests per second, that the upstream accepts from all
     instances together: infinity if it states no limit, None if that is unknown.
+    ``leaving`` means that the upstream is about to end. ``retry_after`` is the time in
+    seconds for which it wants no requests from this instance, None if it states none.
     """
 
     not_run: bool = False
     authentic: bool = True
     limit: float | None = None
+    leaving: bool = False
+    retry_after: float | None = None
 
 
 class AttemptContext(NamedTuple):
@@ -116,10 +128,42 @@
     return limit if limit >= 0.0 else None
 
 
+def read_flag(text):
+    """Return whether a header field, which may be repeated, is set to 1."""
+    return "1" in [part.strip() for part in text.split(",")]
+
+
+def read_retry_after(status, headers):
+    """Return the seconds that the Retry-After of a 503 states, or None.
+
+    RFC 9110, section 10.2.3, allows whole seconds or a date; fractions are read as
+    well. A date is compared with the answer's own, as the upstream's clock may differ
+    from this machine's. Of repeated values the longest counts.
+    """
+    if status != UNAVAILABLE:
+        return None
+    text = headers.get("retry-after", "")
+    parts = [part.strip() for part in text.split(",")]
+    delays = [float(part) for part in parts if DELAY_SECONDS.match(part)]
+    if not delays:
+        delays = _read_retry_date(text, headers.get("date", ""))
+    return min(MAX_RETRY_AFTER, max(0.0, *delays)) if delays else None
+
+
+def _read_retry_date(text, sent_at):
+    try:
+        delay = parsedate_to_datetime(text) - parsedate_to_datetime(sent_at)
+    except (TypeError, ValueError, OverflowError):
+        return []
+    return [delay.total_seconds()]
+
+
 def _read_answer_head(status, headers):
-    not_run = headers.get("chervilwing-outcome") == "not_run"
     return AnswerStatus(
-        not_run, limit=read_limit(headers.get("chervilwing-limit", "inf"))
+        not_run=headers.get("chervilwing-outcome") == "not_run",
+        limit=read_limit(headers.get("chervilwing-limit", "inf")),
+        leaving=read_flag(headers.get("chervilwing-leaving", "")),
+        retry_after=read_retry_after(status, headers),
     )
 
 
--- a/src/chervilwing/platform/headers.py
+++ b/src/chervilwing/platform/headers.py
@@ -4,7 +4,14 @@
 
 from ..addresses import format_address
 from ..demands import Demand, PromptPart
-from ..dialects import AnswerStatus, Dialect, read_limit, select_end_to_end
+from ..dialects import (
+    AnswerStatus,
+    Dialect,
+    read_flag,
+    read_limit,
+    read_retry_after,
+    select_end_to_end,
+)
 
 REQUEST_ID = "x-request-id"
 DEADLINE = "x-deadline-ms"
@@ -22,6 +29,8 @@
 SIGNATURE = "x-server-stamp"
 # The requests per second that the upstream accepts from all instances together.
 LIMIT = "server-limit"
+# Set to 1 in all answers of an upstream that is about to end.
+LEAVING = "server-leaving"
 MISDIRECTED = 421
 LEAST_URGENT = 9
 # Fields that only the gateway may send to an upstream; a caller's are dropped.
@@ -97,17 +106,21 @@
 def read_answer_head(status, headers):
     """Return the AnswerStatus of an answer's status and header fields."""
     if status == MISDIRECTED:
-        # Another upstream answered at this address, so its limit is not that of the
-        # expected one.
+        # Another upstream answered at this address; what it states does not apply to
+        # the expected one.
         return AnswerStatus(not_run=True)
-    if NOT_RUN in headers:
-        return AnswerStatus(not_run=True, limit=read_stated_limit(headers))
     success = 200 <= status < 300
-    authentic = "content-encoding" not in headers and (
-        SIGNATURE in headers or not success
+    not_run = NOT_RUN in headers
+    authentic = not_run or (
+        "content-encoding" not in headers and (SIGNATURE in headers or not success)
     )
+    if not authentic:
+        return AnswerStatus(authentic=False)
     return AnswerStatus(
-        authentic=authentic, limit=read_stated_limit(headers) if authentic else None
+        not_run,
+        limit=read_stated_limit(headers),
+        leaving=read_flag(headers.get(LEAVING, "")),
+        retry_after=read_retry_after(status, headers),
     )
 
 
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -23,7 +23,8 @@
     which prompt parts were to be fetched; ``first`` is the time until the answer's
     first byte. ``fingerprint`` is the same for all retries of one request. ``limit`` is
     the limit, in requests per second, that an answer stated for its upstream, None if
-    none did.
+    none did. ``placer`` is the process that chose the upstream for other instances,
+    empty if this instance chose for itself.
     """
 
     request: str
@@ -43,6 +44,7 @@
     last_event: str = ""
     fingerprint: str = ""
     limit: float | None = None
+    placer: str = ""
 
 
 class Relay:
@@ -170,6 +172,7 @@
         last_event=relay.events.last_id if relay.events else "",
         fingerprint=relay.fingerprint,
         limit=relay.limit,
+        placer=estimate.placer if estimate else "",
     )
 
 
