Send an upstream nothing for the time that its 503 asks for

Cause: no part of the gateway read Retry-After. After a refusal an upstream was weighed by its failure rate only, which the instance that places for all keeps for all, and which knows no time. Class of fault: a statement in an answer that binds its receiver, and isn't part of what upstreams are chosen by.

Change: a pause belongs to the process of the upstream (name and start) and to the instance that was asked for it. It ends with its time; a shorter one, a lapsed registration or a later success doesn't end it, a restart does. It is one of the reasons for which an upstream is excluded: where this instance chooses, in its question to the instance that places for all, and when that answer arrives, so that first attempts, retries, resumed streams and requests that waited for credit are covered. Requests that still wait for a connection are placed again, and no engine fetches a prompt from a paused one. A refusal with a pause no longer counts for the failure rate, which kept the share away for many seconds longer. Where all upstreams of a pool want a pause, callers are refused at once and told when the first one ends, never earlier.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -15,6 +15,7 @@
     UpstreamFailed,
 )
 from .logs import log_event
+from .registrations import get_process
 from .routing import STREAM
 
 EVENT_STREAM = "text/event-stream"
@@ -115,7 +116,7 @@
             relay.deadline - now,
             relay.priority,
             relay.events.last_id if relay.events else "",
-            relay.estimate.source and relay.estimate.source.registration.address,
+            self._find_source_address(relay, now),
         )
         max_idle_time = (
             MAX_IDLE_REPEATABLE if route.repeatable else MAX_IDLE_NON_REPEATABLE
@@ -140,13 +141,46 @@
             body_until_close=True,
         )
 
+    def _find_source_address(self, relay, now):
+        """Return the address from which the upstream may fetch prompt parts, or None.
+
+        A fetch is work for its source, which may have asked this instance for a pause.
+        """
+        source = relay.estimate.source
+        if source is None:
+            return None
+        process = get_process(source.registration)
+        if self._gateway.pauses.is_paused(process, now):
+            return None
+        return source.registration.address
+
+    def withdraw_unsent(self, process):
+        """Place the requests again that still wait for a connection to a ProcessId."""
+        for relay in list(self._gateway.relays):
+            call = relay.call
+            if call is None or not call.conn.connecting:
+                continue
+            if get_process(relay.upstream_state.registration) == process:
+                self._place_unsent(relay)
+
+    def _place_unsent(self, relay):
+        """Place a request again of which no byte was sent."""
+        relay.attempts -= 1
+        relay.tried_upstreams.discard(relay.upstream_state.registration.name)
+        self.end_attempt(relay, failed=None, cancel=True)
+        if self._may_retry(relay):
+            self._place_again(relay)
+            return
+        error = self._gateway.make_unavailable_error(relay.pool, read_boottime())
+        self.give_up(relay, error)
+
     def _on_head(self, relay, status, headers):
         relay.answer = (status, headers)
         answer_status = self._dialect.read_answer_head(status, headers)
         self._record_limit(relay, answer_status)
         self._record_notice(relay, answer_status)
         if answer_status.not_run:
-            self._retry_not_run(relay)
+            self._retry_not_run(relay, answer_status)
             return
         self._gateway.crash_detection.handle_answered(relay)
         if not answer_status.authentic:
@@ -175,24 +209,36 @@
         )
 
     def _record_notice(self, relay, answer_status):
-        """Log that an answer states that its upstream leaves or wants a pause."""
+        """Record that an answer states that its upstream leaves or wants a pause."""
         if not answer_status.leaving and answer_status.retry_after is None:
             return
+        registration = relay.upstream_state.registration
         log_event(
             "upstream notice",
             request=relay.demand.request_id,
-            upstream=relay.upstream_state.registration.name,
+            upstream=registration.name,
             leaving=answer_status.leaving,
             retry_after=answer_status.retry_after,
         )
+        if answer_status.retry_after:
+            self._gateway.record_pause(
+                registration, answer_status.retry_after, read_boottime()
+            )
 
-    def _retry_not_run(self, relay):
+    def _retry_not_run(self, relay, answer_status):
         """Send a request that this upstream has not run to another one, or give up."""
-        self.end_attempt(relay, failed=True, cancel=True)
+        failed = True
+        if answer_status.retry_after:
+            # The failure rate would keep requests away for longer than the upstream
+            # asked for.
+            self._gateway.record_answer(relay, failed=True)
+            failed = None
+        self.end_attempt(relay, failed, cancel=True)
         if self._may_retry(relay):
             self._place_again(relay)
             return
-        self.give_up(relay, PoolFull(retry_after=RETRY_AFTER))
+        error = self._gateway.make_paused_error(relay.pool, read_boottime())
+        self.give_up(relay, error or PoolFull(retry_after=RETRY_AFTER))
 
     def _may_retry(self, relay):
         now = read_boottime()
@@ -204,7 +250,8 @@
             return False
         if relay.deadline - now < CONNECT_TIMEOUT / 2:
             return False
-        if not relay.pool.list_accepting(relay.tried_upstreams):
+        unavailable = self._gateway.list_unavailable_upstreams(relay, now)
+        if not relay.pool.list_accepting(unavailable):
             return False
         # An attempt that never reached an upstream added no load to the pool.
         return not relay.attempts or self._retries.may_retry(relay.pool.spec.name)
--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -25,13 +25,16 @@
     """Base of all failures; subclasses set the HTTP status, type, title and outcome.
 
     ``outcome`` says whether the request ran: work that must not be repeated may be
-    retried only after ``not_run``. ``retry_after`` is in seconds.
+    retried only after ``not_run``. ``retry_after`` is in seconds; ``retry_jitter`` are
+    the least and greatest random factor on it, so that refused callers do not all
+    return at the same moment.
     """
 
     status = 500
     type = "internal"
     title = "Internal failure"
     outcome = UNKNOWN
+    retry_jitter = (0.5, 1.5)
 
     def __init__(self, detail="", *, scope=SYSTEM, retry_after=None, outcome=None):
         super().__init__(detail or self.title)
@@ -132,6 +135,14 @@
     status, type, title, outcome = 503, "pool-limited", "Pool limited", NOT_RUN
 
 
+class PoolPaused(ChervilwingError):
+    """All upstreams of the pool asked this instance to send nothing for a time."""
+
+    status, type, title, outcome = 503, "pool-paused", "Pool paused", NOT_RUN
+    # A caller that returned any earlier would be refused again.
+    retry_jitter = (1.0, 1.25)
+
+
 class NoUpstream(ChervilwingError):
     """No upstream of the pool is reachable and accepts new work."""
 
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -18,23 +18,22 @@
     NoUpstream,
     PoolFull,
     PoolLimited,
+    PoolPaused,
     Scope,
     StaleKeys,
 )
 from .logs import log_event, log_request
 from .placer_selection import PlacementHooks
-from .registrations import Registry
+from .registrations import Registry, get_process
 from .relays import Relay, describe_refusal, describe_relay
 from .retry_shares import RetryShares
 from .rollouts import Rollouts
 from .routing import RoutingTable, pick_target
 from .stats import Stats
 from .upstream_limits import UpstreamLimits
+from .upstream_pauses import UpstreamPauses
 from .web import Web, WebHandlers, WebOptions
 
-# Least and greatest random factor on Retry-After, so that refused callers do not all
-# return at the same moment.
-RETRY_AFTER_JITTER = (0.5, 1.5)
 # Seconds after which a caller that reached a stopping instance may try another one.
 STOPPING_RETRY_AFTER = 0.1
 # A request is refused if its estimated time exceeds this part of the time left until
@@ -89,6 +88,7 @@
         self.rollouts = Rollouts()
         self.crashes = CrashRecords(cfg.name)
         self.upstream_limits = UpstreamLimits(self.allowances, self._report_limit)
+        self.pauses = UpstreamPauses()
         self.retries = RetryShares(self)
         self.relays = set()
         self.pools = {}
@@ -171,6 +171,14 @@
         log_event("upstream limit", upstream=upstream, rate=rate, was=was)
         self.on_credit_needed()
 
+    def record_pause(self, registration, seconds, now):
+        """Send nothing to an upstream for the time that it asked for."""
+        process = get_process(registration)
+        if not self.pauses.is_paused(process, now):
+            log_event("upstream paused", upstream=process.name, seconds=seconds)
+        self.pauses.add(process, seconds, now)
+        self._attempts.withdraw_unsent(process)
+
     def _get_or_create_pool(self, name):
         pool = self.pools.get(name)
         if pool is None:
@@ -242,19 +250,32 @@
         """
         self.crashes.raise_if_barred(relay.fingerprint, now)
         if choice is None:
-            raise self._make_unavailable_error(relay.pool)
+            raise self.make_unavailable_error(relay.pool, now)
         upstream_state, estimate = choice
         if relay.upstream_state is None:
             self._check_capacity(relay, estimate, now)
         if estimate.charged:
             return
         if not self.upstream_limits.charge(upstream_state.registration.name, now):
-            raise self._make_unavailable_error(relay.pool)
+            raise self.make_unavailable_error(relay.pool, now)
+
+    def make_paused_error(self, pool, now):
+        """Return the error for a pool whose upstreams all want no requests, or None."""
+        wait = self.pauses.get_wait(pool.list_accepting(), now)
+        if wait is None:
+            return None
+        return PoolPaused(scope=Scope("pool", pool.spec.name), retry_after=wait)
 
-    def _make_unavailable_error(self, pool):
+    def make_unavailable_error(self, pool, now):
         """Return the error for a request that no upstream of the pool can accept."""
+        error = self.make_paused_error(pool, now)
+        if error is not None:
+            return error
         scope = Scope("pool", pool.spec.name)
-        wait = self.upstream_limits.get_retry_after(pool.upstream_states)
+        paused = self.pauses.list_paused(pool.upstream_states, now)
+        wait = self.upstream_limits.get_retry_after(
+            pool.upstream_states.keys() - paused
+        )
         if wait is None:
             return NoUpstream(scope=scope, retry_after=RETRY_AFTER)
         return PoolLimited(scope=scope, retry_after=wait)
@@ -265,7 +286,12 @@
         pool = relay.pool
         name = pool.spec.name
         excluded = self.rollouts.list_excluded(name, pool.upstream_states, draw, now)
-        return excluded | relay.tried_upstreams if excluded else relay.tried_upstreams
+        return excluded | self.list_unavailable_upstreams(relay, now)
+
+    def list_unavailable_upstreams(self, relay, now):
+        """Return the names of the upstreams that were tried or want no requests."""
+        paused = self.pauses.list_paused(relay.pool.upstream_states, now)
+        return paused | relay.tried_upstreams if paused else relay.tried_upstreams
 
     def record_answer(self, relay, failed):
         """Record the first byte or failure of an answer for the version's roll-out."""
@@ -370,7 +396,7 @@
         """Answer with an error and a Retry-After that is randomised per caller."""
         headers = {}
         if exc.retry_after is not None:
-            seconds = exc.retry_after * self._rng.uniform(*RETRY_AFTER_JITTER)
+            seconds = exc.retry_after * self._rng.uniform(*exc.retry_jitter)
             headers["Retry-After"] = self._dialect.format_retry_after(seconds)
         exchange.answer_problem(exc, headers)
 
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -154,6 +154,7 @@
             "gateway_requests_suspected": suspected,
             "gateway_requests_barred": barred,
             "gateway_upstreams_limited": gateway.upstream_limits.count(),
+            "gateway_upstreams_paused": gateway.pauses.count(now),
             "gateway_log_lines_dropped": count_dropped_lines(),
         }
         return "".join(f"chervilwing_{k} {v}\n" for k, v in gauges.items())
--- a/src/chervilwing/registrations.py
+++ b/src/chervilwing/registrations.py
@@ -32,6 +32,18 @@
     version: str = ""
 
 
+class ProcessId(NamedTuple):
+    """Identifies one process of an upstream; a restart may keep the name."""
+
+    name: str
+    started_at: float
+
+
+def get_process(registration):
+    """Return the ProcessId of a registration."""
+    return ProcessId(registration.name, registration.started_at)
+
+
 class Registry:
     """All known upstreams by name; times are seconds on one clock."""
 
@@ -48,7 +60,7 @@
         self._missing.pop(registration.name, None)
         known = self.upstreams.get(registration.name)
         self.upstreams[registration.name] = registration
-        if known is None or known.started_at == registration.started_at:
+        if known is None or get_process(known) == get_process(registration):
             return None
         return known
 
--- a/src/chervilwing/upstream_limits.py
+++ b/src/chervilwing/upstream_limits.py
@@ -142,12 +142,12 @@
         account = self._accounts.get(upstream)
         return account is None or self._allowances.charge(account, REQUEST_COST, now)
 
-    def get_retry_after(self, upstream_states):
+    def get_retry_after(self, names):
         """Return the seconds until one of the upstreams has credit for a request.
 
         Return None if none of them has a limit.
         """
-        limited = upstream_states.keys() & self._accounts.keys()
+        limited = names & self._accounts.keys()
         if not limited:
             return None
         rate = sum(self._accounts[upstream].rate for upstream in limited)
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -16,6 +16,7 @@
 
 SIGNED = {"x-server-stamp": "s"}
 UPSTREAM_STATES = {"u0": None, "u1": None}
+NAMES = UPSTREAM_STATES.keys()
 
 
 def make_limits():
@@ -120,11 +121,11 @@
 
     def test_the_wait_is_the_time_until_the_next_request_is_allowed(self):
         limits = make_limits()
-        self.assertIsNone(limits.get_retry_after(UPSTREAM_STATES))
+        self.assertIsNone(limits.get_retry_after(NAMES))
         limits.record_answer("u0", 1.0, 9.9, 10.0)
-        self.assertEqual(limits.get_retry_after(UPSTREAM_STATES), 1.0)
+        self.assertEqual(limits.get_retry_after(NAMES), 1.0)
         limits.record_answer("u1", 1.0, 9.9, 10.0)
-        self.assertEqual(limits.get_retry_after(UPSTREAM_STATES), 0.5)
+        self.assertEqual(limits.get_retry_after(NAMES), 0.5)
 
     def test_new_customer_limits_do_not_lift_upstream_limits(self):
         # A new configuration replaces the customers' limits only.
