Send nothing new to an upstream whose answer says that it leaves

What callers saw: while the store was away, their requests went on to an upstream that had announced its end in its answers, up to 12 s after one was passed on (DRAIN); one that reached it in its last moments could be cut off.

Cause: the gateway learnt that an upstream leaves from registrations only, and nothing read the same statement in answers. Class of fault: a statement in an answer that binds its receiver, and isn't part of what upstreams are chosen by; here it also is knowledge with a single way in, which an outage closes.

Change: an announcement belongs to one process of the upstream (name and start) and holds for the rest of it. It marks the registration, at once and whenever the registration comes again (later, older, twice, or after it lapsed), so that everything that follows a planned leave follows here: the choice of upstreams, the check of another instance's choice, crash detection, sizing. A restart is another process. Requests that still wait for a connection are placed again. The instance that was told passes it on to all others by datagrams, three copies, since in a large deployment most instances ask an upstream rarely and would learn of it too late. Engines fetch prompts from it for the leave bound only. In a file of routes a name outlives processes, so that an announcement there is a pause of 10 s.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -142,15 +142,9 @@
         )
 
     def _find_source_address(self, relay, now):
-        """Return the address from which the upstream may fetch prompt parts, or None.
-
-        A fetch is work for its source, which may have asked this instance for a pause.
-        """
+        """Return the address of the upstream to fetch prompt parts from, or None."""
         source = relay.estimate.source
-        if source is None:
-            return None
-        process = get_process(source.registration)
-        if self._gateway.pauses.is_paused(process, now):
+        if source is None or not self._gateway.may_fetch_from(source.registration, now):
             return None
         return source.registration.address
 
@@ -220,10 +214,11 @@
             leaving=answer_status.leaving,
             retry_after=answer_status.retry_after,
         )
+        now = read_boottime()
+        if answer_status.leaving:
+            self._gateway.record_announcement(registration, now)
         if answer_status.retry_after:
-            self._gateway.record_pause(
-                registration, answer_status.retry_after, read_boottime()
-            )
+            self._gateway.record_pause(registration, answer_status.retry_after, now)
 
     def _retry_not_run(self, relay, answer_status):
         """Send a request that this upstream has not run to another one, or give up."""
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -22,6 +22,7 @@
     Scope,
     StaleKeys,
 )
+from .leaving_upstreams import LeavingUpstreams
 from .logs import log_event, log_request
 from .placer_selection import PlacementHooks
 from .registrations import Registry, get_process
@@ -48,6 +49,9 @@
 # estimate, plus this many seconds. A faulty version may be several times slower.
 SLOW_FACTOR = 3.0
 SLOW_MARGIN = 0.1
+# Seconds for which an upstream that announced its end gets no requests if its name may
+# be that of its successor. Then one request shows whether the successor has started.
+REUSED_NAME_PAUSE = 10.0
 # Metric label of requests to open routes; no organisation can have this name.
 OPEN_LABEL = "(open)"
 
@@ -89,6 +93,9 @@
         self.crashes = CrashRecords(cfg.name)
         self.upstream_limits = UpstreamLimits(self.allowances, self._report_limit)
         self.pauses = UpstreamPauses()
+        self.leaving_upstreams = LeavingUpstreams()
+        # Called with the ProcessId of an upstream that announced its end in an answer.
+        self.on_upstream_leaving = lambda process: None
         self.retries = RetryShares(self)
         self.relays = set()
         self.pools = {}
@@ -121,6 +128,7 @@
 
     def put_upstream(self, registration):
         """Add or update a registered upstream."""
+        registration = self.leaving_upstreams.apply(registration)
         previous = self.registry.add(registration)
         if previous is not None:
             self.crash_detection.handle_restarted(previous, read_boottime())
@@ -171,6 +179,30 @@
         log_event("upstream limit", upstream=upstream, rate=rate, was=was)
         self.on_credit_needed()
 
+    def record_announcement(self, registration, now):
+        """Handle an upstream's answer that announces the upstream's end."""
+        if self.cfg.routes:
+            # Upstreams from a routes file keep their names over restarts.
+            self.record_pause(registration, REUSED_NAME_PAUSE, now)
+            return
+        process = get_process(registration)
+        if self.record_leaving(process, now) and not registration.leaving:
+            self.on_upstream_leaving(process)
+
+    def record_leaving(self, process, now, reported_by=""):
+        """Send no new requests to a ProcessId; return whether that is new.
+
+        ``reported_by`` names the instance that passed the announcement on.
+        """
+        if not self.leaving_upstreams.add(process, now):
+            return False
+        log_event("upstream leaving", upstream=process.name, reported_by=reported_by)
+        registration = self.registry.mark_leaving(process)
+        if registration is not None:
+            self._get_or_create_pool(registration.pool).put_upstream(registration)
+        self._attempts.withdraw_unsent(process)
+        return True
+
     def record_pause(self, registration, seconds, now):
         """Send nothing to an upstream for the time that it asked for."""
         process = get_process(registration)
@@ -179,6 +211,17 @@
         self.pauses.add(process, seconds, now)
         self._attempts.withdraw_unsent(process)
 
+    def may_fetch_from(self, registration, now):
+        """Return whether engines may fetch prompt parts from this upstream.
+
+        A fetch is work for its source, which may have asked this instance for a pause.
+        One that announced its end may be gone, and its address in use by another.
+        """
+        process = get_process(registration)
+        if self.pauses.is_paused(process, now):
+            return False
+        return not self.leaving_upstreams.is_overdue(process, self.cfg.leave_bound, now)
+
     def _get_or_create_pool(self, name):
         pool = self.pools.get(name)
         if pool is None:
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -18,6 +18,7 @@
 from .gateway import CurrentLimits, Gateway
 from .gateway_settings import GATEWAY
 from .instance_orders import InstanceOrders
+from .leaving_exchange import LeavingExchange
 from .logs import NonBlockingSink, count_dropped_lines, log_event, set_up_logs
 from .placement_exchange import Placing
 from .pollers import DirectPoller
@@ -86,6 +87,7 @@
             cfg, datagrams, self._coordinator, report_exchange, self.gateway
         ).register(self)
         Placing(cfg, datagrams, self._coordinator, self.gateway).register(self)
+        LeavingExchange(cfg, datagrams, self._coordinator, self.gateway).register(self)
         if not cfg.routes:
             is_leader = lambda: report_exchange.is_leader
             CrashSaver(self._store, self.gateway, is_leader).register(self)
@@ -154,6 +156,7 @@
             "gateway_requests_suspected": suspected,
             "gateway_requests_barred": barred,
             "gateway_upstreams_limited": gateway.upstream_limits.count(),
+            "gateway_upstreams_leaving": gateway.registry.count_leaving(),
             "gateway_upstreams_paused": gateway.pauses.count(now),
             "gateway_log_lines_dropped": count_dropped_lines(),
         }
--- a/src/chervilwing/registrations.py
+++ b/src/chervilwing/registrations.py
@@ -64,6 +64,14 @@
             return None
         return known
 
+    def mark_leaving(self, process):
+        """Mark a ProcessId as leaving; return its registration, or None if unknown."""
+        known = self.upstreams.get(process.name)
+        if known is None or get_process(known) != process:
+            return None
+        self.upstreams[process.name] = known._replace(leaving=True)
+        return self.upstreams[process.name]
+
     def remove(self, name, now, regained_at):
         """Apply the removal of an entry; return whether its upstream is gone now.
 
@@ -86,6 +94,10 @@
         self._missing.pop(name, None)
         self.upstreams.pop(name, None)
 
+    def count_leaving(self):
+        """Return how many of the known upstreams are leaving."""
+        return sum(item.leaving for item in self.upstreams.values())
+
     def expire(self, now):
         """Drop the entries that did not return in time; return their names."""
         gone = [name for name, due in self._missing.items() if now >= due]
--- a/tests/stating_upstreams.py
+++ b/tests/stating_upstreams.py
@@ -1,5 +1,6 @@
 """Upstreams whose answers state that they leave, or for how long they want a pause."""
 
+import threading
 import time
 
 from tests.limiting_upstreams import BODY, CHUNK_OF_EVENT, EVENTS, FAILURE
@@ -16,6 +17,7 @@
     which it refuses its next requests. With ``fails`` it answers 500, with
     ``breaks_off`` it ends each stream after the first event. ``arrivals`` holds the
     time and path of each request, ``stated`` the time of each answer with a statement.
+    Streams end once ``release`` is set.
     """
 
     def __init__(self, fails=False, breaks_off=False):
@@ -23,6 +25,8 @@
         self.pauses = []
         self.arrivals = []
         self.stated = []
+        self.release = threading.Event()
+        self.release.set()
         self._fails = fails
         self._breaks_off = breaks_off
         super().__init__(self._answer)
@@ -42,6 +46,7 @@
         if self._breaks_off:
             conn.close()
             return
+        self.release.wait()
         conn.sendall(b"0\r\n\r\n")
 
     def count_since(self, began, until=float("inf")):
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -36,6 +36,7 @@
     "gatewayd",
     "generations",
     "instance_orders",
+    "leaving_exchange",
     "credit_exchange",
     "loads",
     "local_gateway",
