Honour Retry-After of engines and plain services in chervilwingd

A service that asked for 2 s got 591 calls in 1.5 s; one that asked for 300 s served the next call 0.1 s later.

The scheduler now holds the pause that was asked for, beside the short one after each busy answer: a shorter one doesn't end it, a busy answer neither, and an upstream that the instance list leaves out for a while comes back paused (by name and address). Work that can't wait until the first pause ends is refused at once, new or queued, with 503 pool-paused and the time until then; other work waits in the queue as before. The load isn't polled and no KV cache is stored on the upstream during the pause.

Both new process tests and both new scheduler tests failed before.

--- a/src/chervilwing/admission.py
+++ b/src/chervilwing/admission.py
@@ -3,7 +3,7 @@
 from math import sqrt
 from typing import NamedTuple
 
-from .exceptions import CustomerLimit, NoUpstream, PoolFull, Scope
+from .exceptions import CustomerLimit, NoUpstream, PoolFull, PoolPaused, Scope
 
 # Predictions err by about a quarter. Work admitted without this margin would often wait
 # and then miss its deadline.
@@ -86,6 +86,12 @@
     return PoolFull(detail, scope=Scope("pool", pool), retry_after=retry_after)
 
 
+def make_pool_paused_error(pool, retry_after):
+    """Return the error for work whose deadline passes while all upstreams pause."""
+    detail = f"all upstreams of pool {pool} asked for a pause"
+    return PoolPaused(detail, scope=Scope("pool", pool), retry_after=retry_after)
+
+
 def misses_deadline(prediction, work, now):
     """Return whether the answer would be complete only after the deadline."""
     wait = prediction.wait * WAIT_MARGIN
--- a/src/chervilwing/dispatch.py
+++ b/src/chervilwing/dispatch.py
@@ -24,7 +24,7 @@
 from .forwards import Forward
 from .generations import Generation
 from .handoffs import Key
-from .logs import RequestLine, log_request
+from .logs import RequestLine, log_event, log_request
 from .ranking import rank
 from .requests import estimate_size, has_caller_id, read_request_id
 from .scheduling import Scheduler, SchedulingSettings, Work
@@ -184,6 +184,13 @@
         self.leaving[name] = until if deadline else float("inf")
         self.scheduler.mark_leaving(name, time.monotonic())
 
+    def pause_upstream(self, name, seconds):
+        """Send nothing to an upstream for the time that it asked for."""
+        now = time.monotonic()
+        if not self.scheduler.is_paused(name, now):
+            log_event("upstream paused", upstream=name, seconds=seconds)
+        self.scheduler.pause(name, seconds, now)
+
     def get_upstream_state(self, name):
         """Return an upstream's state as the status page shows it."""
         return LEAVING if name in self.leaving else "live"
@@ -323,10 +330,16 @@
     def choose_cache_engine(self, session):
         """Return the engine that is to store a request's KV cache, or None.
 
-        This is the engine that already has the cache, unless it is leaving.
+        This is the engine that already has the cache, unless it is leaving or wants a
+        pause.
         """
         names = rank(str(session.key), self.directory.list_pool(session.target.pool))
-        staying = [name for name in names if name not in self.leaving]
+        now = time.monotonic()
+        staying = [
+            name
+            for name in names
+            if name not in self.leaving and not self.scheduler.is_paused(name, now)
+        ]
         current = session.upstream
         if current is not None and current.name in staying:
             return current
--- a/src/chervilwing/forwards.py
+++ b/src/chervilwing/forwards.py
@@ -98,6 +98,7 @@
         self._fail_attempt(outcome, UpstreamFailed("The service is leaving."))
 
     def _handle_headers(self, status, headers):
+        self.session.record_answer_head(status, headers)
         self._status = status
         self._headers = headers
 
--- a/src/chervilwing/generations.py
+++ b/src/chervilwing/generations.py
@@ -226,6 +226,7 @@
         )
 
     def _handle_headers(self, status, headers):
+        self.session.record_answer_head(status, headers)
         if status == HTTP_OK:
             self.session.caches.drop(self.session.serial)
             return
--- a/src/chervilwing/loads.py
+++ b/src/chervilwing/loads.py
@@ -47,7 +47,9 @@
         self._next_poll = now + 1.0 / CALLS_PER_SECOND
         names = sorted(directory.upstreams)
         self._position = (self._position + 1) % len(names)
-        self._poll(directory.upstreams[names[self._position]])
+        name = names[self._position]
+        if not self._dispatch.scheduler.is_paused(name, now):
+            self._poll(directory.upstreams[name])
 
     def _poll(self, upstream):
         path = LOAD_PATHS.get(upstream.kind, SERVICE_LOAD_PATH)
--- a/src/chervilwing/placement.py
+++ b/src/chervilwing/placement.py
@@ -210,6 +210,16 @@
         )
         return len(self._live) > excluded_live
 
+    def get_pause_end(self):
+        """Return when the first live upstream takes new work again, 0 if one has room.
+
+        The time may have passed already.
+        """
+        if len(self._with_room[False]):
+            return 0.0
+        ends = (self.upstream_states[n].paused_until for n in self._contributions)
+        return min(ends, default=0.0)
+
     def count_with_room(self, keep_reserve):
         """Return how many upstreams have room for another request."""
         return len(self._with_room[keep_reserve])
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -29,6 +29,9 @@
 # Maximum number of leaving upstreams to remember. They are remembered because the
 # instance list may still show them as live.
 MAX_LEAVING_NAMES = 4096
+# Maximum number of pauses to remember that upstreams asked for. They are remembered
+# because the instance list may leave an upstream out for a while.
+MAX_STATED_PAUSES = 4096
 # In the last seconds before a leaving upstream ends, all its remaining work is moved.
 FINAL_MOVE_SECONDS = 1.5
 
@@ -58,6 +61,8 @@
         self._pause_ends = []
         self._refusals = []
         self._leaving_since = OrderedDict()
+        # Ends of the pauses that upstreams asked for, by name and address.
+        self._stated_pauses = OrderedDict()
 
     def configure(self, configuration):
         """Apply a configuration; queued and running requests stay."""
@@ -95,6 +100,33 @@
         pool.state.upstream_states[name].leaving = True
         self._handle_lost_upstream(pool, name, now)
 
+    def pause(self, name, seconds, now):
+        """Send nothing to an upstream for the time that it asked for.
+
+        Queued work that can't wait for so long is refused if no other upstream takes
+        new work.
+        """
+        pool = self._find_pool_of(name)
+        if pool is None:
+            return
+        upstream_state = pool.state.upstream_states[name]
+        key = name, upstream_state.upstream.address
+        end = max(now + seconds, self._stated_pauses.pop(key, now))
+        self._stated_pauses[key] = end
+        keep_latest(self._stated_pauses, MAX_STATED_PAUSES)
+        heappush(self._pause_ends, (upstream_state.pause_until(end), name))
+        pool.state.refresh(name)
+        if pool.state.get_pause_end() > now:
+            self._refuse_hopeless(pool, now)
+
+    def is_paused(self, name, now):
+        """Return whether an upstream asked for a pause that has not ended."""
+        pool = self._find_pool_of(name)
+        if pool is None:
+            return False
+        key = name, pool.state.upstream_states[name].upstream.address
+        return now < self._stated_pauses.get(key, now)
+
     def mark_down(self, name, now):
         """Send no new work to an upstream until it reports or is marked up."""
         pool = self._find_pool_of(name)
@@ -336,12 +368,23 @@
             ]
             pool.state.update(members, self._leaving_since)
             pool.needs_dispatch = True
+            self._restore_pauses(pool)
         self._pools_by_upstream = {
             name: self._pools[upstream.pool]
             for name, upstream in all_upstreams.items()
             if upstream.pool in self._pools
         }
 
+    def _restore_pauses(self, pool):
+        """Pause upstreams again that were removed and added during their pauses."""
+        for (name, address), end in self._stated_pauses.items():
+            state = pool.state.upstream_states.get(name)
+            if state is None or state.upstream.address != address:
+                continue
+            if state.paused_until < end:
+                heappush(self._pause_ends, (state.pause_until(end), name))
+                pool.state.refresh(name)
+
     def _handle_lost_upstream(self, pool, name, now):
         pool.state.refresh(name)
         pool.recovering_until = now + RECOVERY_SECONDS
@@ -355,10 +398,11 @@
         was already attempted is never refused here.
         """
         total_rate = pool.state.estimate_concurrency() / pool.state.pace.mean
+        earliest_start = max(now, pool.state.get_pause_end())
         cost_ahead = 0.0
         items = pool.queue.list_waiting()
         for item in sorted(items, key=lambda item: (item.band, item.latest_start)):
-            start = now + cost_ahead * admission.WAIT_MARGIN / total_rate
+            start = earliest_start + cost_ahead * admission.WAIT_MARGIN / total_rate
             if start > item.latest_start and not item.work.attempts:
                 self._refuse_late(item.work.request_id, now)
             else:
@@ -376,6 +420,9 @@
         if not pool.state.count_live():
             retry_after = admission.compute_retry_after(2.0, 1.0, self._rng)
             return admission.make_no_upstream_error(pool.name, retry_after)
+        exc = self._check_pause(pool, work, cost, now)
+        if exc is not None:
+            return exc
         prediction = self._predict(pool, work, cost, customer, work_class, now)
         excess = pool.excess.measure(now)
         retry_after = admission.compute_retry_after(prediction.wait, excess, self._rng)
@@ -389,6 +436,13 @@
             return admission.make_pool_full_error(pool.name, retry_after)
         return None
 
+    def _check_pause(self, pool, work, cost, now):
+        """Return the error for work that can't wait until a pause ends, or None."""
+        wait = pool.state.get_pause_end() - now
+        if wait <= 0 or now + wait + pool.state.pace.estimate(cost) <= work.deadline:
+            return None
+        return admission.make_pool_paused_error(pool.name, wait)
+
     def _is_overloaded(self, pool, work, prediction, work_class, now):
         # Refusing work that can start now gains nothing, and only running work can
         # correct an estimate that is too high.
@@ -440,6 +494,9 @@
         if not pool.state.has_other(work.excluded):
             return retries.make_not_retried_error(rule, work, upstream, retry_after)
         cost = self._costs.estimate(work)
+        exc = self._check_pause(pool, work, cost, now) if rule.not_run else None
+        if exc is not None:
+            return exc
         if now + pool.state.pace.estimate(cost) > work.deadline:
             return retries.make_too_late_error(rule, work, retry_after)
         if rule.budgeted and not self._budgets.spend(work):
@@ -519,6 +576,10 @@
         item = pool.queue.remove(request_id) if pool else None
         if item is None:
             return
+        exc = self._check_pause(pool, item.work, item.cost, now)
+        if exc is not None and not item.work.attempts:
+            self._refusals.append(Refusal(request_id, exc))
+            return
         excess = pool.excess.measure(now)
         retry_after = admission.compute_retry_after(1.0, excess, self._rng)
         detail = f"pool {pool.name} can't meet the deadline any more"
--- a/src/chervilwing/sessions.py
+++ b/src/chervilwing/sessions.py
@@ -2,6 +2,7 @@
 
 import time
 
+from .dialects import read_retry_after
 from .exceptions import NOT_RUN, RAN, UNKNOWN, HandedOver
 from .logs import RequestLine, log_request
 from .work import LEAVING
@@ -76,6 +77,12 @@
         self.last_token = now
         self.tokens += count
 
+    def record_answer_head(self, status, headers):
+        """Pause the upstream for the time that its answer asks for."""
+        seconds = read_retry_after(status, headers)
+        if seconds:
+            self._dispatcher.pause_upstream(self.upstream.name, seconds)
+
     def report(self, outcome, first_token, tokens):
         """Report the outcome of the current attempt to the scheduler."""
         now = time.monotonic()
--- a/src/chervilwing/upstreams.py
+++ b/src/chervilwing/upstreams.py
@@ -107,8 +107,16 @@
 
     def pause(self, now):
         """Pause new work after a busy answer; return the end of the pause."""
-        self.paused_until = now + self._pause
+        end = self.pause_until(now + self._pause)
         self._pause = min(MAX_PAUSE, self._pause * 2)
+        return end
+
+    def pause_until(self, end):
+        """Pause new work until ``end`` unless a longer pause has begun; return its end.
+
+        Answers may overtake each other, and a later one may state less.
+        """
+        self.paused_until = max(self.paused_until, end)
         return self.paused_until
 
     def reset_pause(self):
--- a/tests/test_paused_upstreams.py
+++ b/tests/test_paused_upstreams.py
@@ -9,11 +9,13 @@
 from chervilwing.registrations import ProcessId, Registration
 from chervilwing.upstream_pauses import UpstreamPauses
 from chervilwing.upstream_states import UpstreamState
+from tests.deployments import AUTHORISED, Deployment, Upstreams, make_configuration
 from tests.limiting_upstreams import send_steadily
-from tests.procs import HOST, poll
+from tests.procs import HOST, call, poll
 from tests.stating_upstreams import REFUSAL, StatingUpstream
 from tests.test_leaving_upstreams import StatingCase
 from tests.test_platform import PlatformCase
+from tests.upstreams import RawUpstream, send_load
 
 PAUSE = 1.0
 # Seconds after the end of a pause within which an upstream must have its share again.
@@ -127,6 +129,62 @@
         self.assertEqual(len(set(sent)), 2)
 
 
+class TestEntryInstance(unittest.TestCase):
+    """The same for plain services behind an entry instance."""
+
+    def start(self, *retry_afters):
+        """Start an entry instance and services that first refuse with these values."""
+        deployment = Deployment()
+        self.addCleanup(deployment.close)
+        self.services = [self.start_service(value) for value in retry_afters]
+        deployment.upstreams = Upstreams((), tuple(self.services))
+        deployment.put_configuration(make_configuration(deployment.upstreams))
+        self.entry = deployment.start_entry("one")
+
+    def start_service(self, retry_after):
+        """Start a service that refuses its first call if it has a Retry-After."""
+        values = [retry_after] if retry_after else []
+
+        def answer(conn, method, path, body):
+            if path == "/-/load":
+                send_load(conn)
+            elif values:
+                head = REFUSAL % values.pop().encode()
+                conn.sendall(head + b"Content-Length: 0\r\n\r\n")
+            else:
+                conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+        service = RawUpstream(answer)
+        self.addCleanup(service.close)
+        return service
+
+    def send(self):
+        """Call the service and return the answer."""
+        return call(self.entry.port, "POST", "/services/portal/notes", b"", AUTHORISED)
+
+    def test_nothing_is_sent_to_a_service_during_the_pause_that_it_asked_for(self):
+        # Polls of its load count too. The usual pause after a refusal is 0.1 s.
+        self.start("2", None)
+        paused, _ = self.services
+        poll(lambda: self.send().status == 200 and paused.count("/notes"))
+        seen, stated = len(paused.seen), time.monotonic()
+        while time.monotonic() < stated + 1.5:
+            self.assertEqual(self.send().status, 200)
+        self.assertEqual(len(paused.seen), seen)
+        poll(lambda: self.send().status == 200 and paused.count("/notes") > 1, 2.0)
+
+    def test_calls_are_refused_at_once_if_the_pause_outlasts_their_deadline(self):
+        self.start("300")
+        began = time.monotonic()
+        for _ in range(4):
+            answer = self.send()
+            self.assertEqual(answer.status, 503, answer.raw)
+            self.assertTrue(answer.json()["type"].endswith("/pool-paused"))
+            self.assertGreater(float(answer.headers["retry-after"]), 290.0)
+        self.assertLess(time.monotonic() - began, 2.0)
+        self.assertEqual(self.services[0].count("/notes"), 1)
+
+
 class TestPauses(unittest.TestCase):
     def setUp(self):
         self.process = ProcessId("u0", 5.0)
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -11,6 +11,7 @@
     DeadlinePassed,
     NoUpstream,
     PoolFull,
+    PoolPaused,
     UpstreamFailed,
 )
 from chervilwing.models import (
@@ -70,6 +71,37 @@
     return scheduler.dispatch(now), [refusal for refusal in refusals if refusal]
 
 
+class TestStatedPauses(unittest.TestCase):
+    def test_queued_work_that_cannot_wait_for_the_end_of_the_pause_is_refused(self):
+        # It would wait in the queue until its deadline and be refused then.
+        scheduler = make_scheduler(size=1)
+        offer_requests(scheduler, 4)
+        scheduler.offer(make_work("short", deadline=20.0), 0.0)
+        scheduler.offer(make_work("long"), 0.0)
+        scheduler.pause("u0", 30.0, 1.0)
+        (refusal,) = scheduler.expire(1.0)
+        self.assertEqual(refusal.request_id, "short")
+        self.assertIsInstance(refusal.exc, PoolPaused)
+        self.assertEqual(refusal.exc.retry_after, 30.0)
+        scheduler.finish("0", "u0", OK, 0.1, 5.0, 60, 2.0)
+        self.assertEqual(scheduler.dispatch(30.9), ())
+        (placement,) = scheduler.dispatch(31.1)
+        self.assertEqual(placement.request_id, "long")
+
+    def test_a_pause_outlasts_busy_answers_shorter_pauses_and_a_new_inventory(self):
+        scheduler = make_scheduler(size=1)
+        placements, _ = offer_requests(scheduler, 1)
+        scheduler.pause("u0", 30.0, 0.0)
+        scheduler.finish("0", "u0", BUSY, None, 0.1, 0, 0.1)
+        scheduler.pause("u0", 5.0, 0.2)
+        scheduler.configure(make_configuration(size=0))
+        scheduler.configure(make_configuration(size=1))
+        scheduler.offer(make_work("next"), 0.3)
+        self.assertEqual(scheduler.dispatch(29.0), ())
+        self.assertTrue(scheduler.is_paused("u0", 29.0))
+        self.assertEqual(len(scheduler.dispatch(30.1)), 1)
+
+
 class TestAdmission(unittest.TestCase):
     def test_work_that_cannot_meet_its_deadline_is_refused_on_arrival(self):
         scheduler = make_scheduler()
