Leave upstreams that leave out of the Retry-After of limited pools

Callers were told when an upstream would have credit that takes no new requests any more. Ended pauses are dropped when they are read, so that they cost nothing afterwards.

--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -186,7 +186,9 @@
             self.record_pause(registration, REUSED_NAME_PAUSE, now)
             return
         process = get_process(registration)
-        if self.record_leaving(process, now) and not registration.leaving:
+        is_new = self.record_leaving(process, now)
+        # Otherwise the store tells the other instances too.
+        if is_new and not registration.leaving:
             self.on_upstream_leaving(process)
 
     def record_leaving(self, process, now, reported_by=""):
@@ -315,10 +317,9 @@
         if error is not None:
             return error
         scope = Scope("pool", pool.spec.name)
+        names = {state.registration.name for state in pool.list_accepting()}
         paused = self.pauses.list_paused(pool.upstream_states, now)
-        wait = self.upstream_limits.get_retry_after(
-            pool.upstream_states.keys() - paused
-        )
+        wait = self.upstream_limits.get_retry_after(names - paused)
         if wait is None:
             return NoUpstream(scope=scope, retry_after=RETRY_AFTER)
         return PoolLimited(scope=scope, retry_after=wait)
--- a/src/chervilwing/upstream_pauses.py
+++ b/src/chervilwing/upstream_pauses.py
@@ -20,7 +20,6 @@
 
         Answers may overtake each other, and an earlier request's answer may state less.
         """
-        self._ends = {key: end for key, end in self._ends.items() if now < end}
         self._ends[process] = max(now + seconds, self._ends.get(process, now))
 
     def is_paused(self, process, now):
@@ -31,10 +30,11 @@
         """Return the names of the upstreams that want no requests now."""
         if not self._ends:
             return NO_UPSTREAMS
+        self._ends = {key: end for key, end in self._ends.items() if now < end}
         return {
             process.name
-            for process, end in self._ends.items()
-            if now < end and is_current(process, upstream_states)
+            for process in self._ends
+            if is_current(process, upstream_states)
         }
 
     def get_wait(self, upstream_states, now):
