Let engines and plain services announce their end in answers to chervilwingd

An announcement, also in the answer to a poll of its load, is now a pause of 10 s, after which one request or poll shows whether it still holds: upstreams of the inventory keep their names over restarts, so that it must not hold for good.

--- a/src/chervilwing/dispatch.py
+++ b/src/chervilwing/dispatch.py
@@ -11,6 +11,7 @@
 from .caches import CacheBuffer
 from .claimant import KEY_HEADER
 from .completions import Completion
+from .dialects import PLAIN
 from .directory import Directory
 from .exceptions import (
     NOT_RUN,
@@ -30,6 +31,7 @@
 from .scheduling import Scheduler, SchedulingSettings, Work
 from .sessions import Session
 from .stats import NO_CUSTOMER
+from .upstream_pauses import REUSED_NAME_PAUSE
 from .web import answer_failures
 from .work import CANCELLED, LEAVING
 
@@ -184,8 +186,17 @@
         self.leaving[name] = until if deadline else float("inf")
         self.scheduler.mark_leaving(name, time.monotonic())
 
-    def pause_upstream(self, name, seconds):
-        """Send nothing to an upstream for the time that it asked for."""
+    def record_answer_head(self, name, status, headers):
+        """Pause an upstream whose answer asks for a pause or announces its end.
+
+        Upstreams of the inventory keep their names over restarts, so that an
+        announcement can't hold for good.
+        """
+        answer_status = PLAIN.read_answer_head(status, headers)
+        leave_pause = REUSED_NAME_PAUSE if answer_status.leaving else 0.0
+        seconds = max(leave_pause, answer_status.retry_after or 0.0)
+        if not seconds:
+            return
         now = time.monotonic()
         if not self.scheduler.is_paused(name, now):
             log_event("upstream paused", upstream=name, seconds=seconds)
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -32,7 +32,7 @@
 from .routing import RoutingTable, pick_target
 from .stats import Stats
 from .upstream_limits import UpstreamLimits
-from .upstream_pauses import UpstreamPauses
+from .upstream_pauses import REUSED_NAME_PAUSE, UpstreamPauses
 from .web import Web, WebHandlers, WebOptions
 
 # Seconds after which a caller that reached a stopping instance may try another one.
@@ -49,9 +49,6 @@
 # estimate, plus this many seconds. A faulty version may be several times slower.
 SLOW_FACTOR = 3.0
 SLOW_MARGIN = 0.1
-# Seconds for which an upstream that announced its end gets no requests if its name may
-# be that of its successor. Then one request shows whether the successor has started.
-REUSED_NAME_PAUSE = 10.0
 # Metric label of requests to open routes; no organisation can have this name.
 OPEN_LABEL = "(open)"
 
--- a/src/chervilwing/loads.py
+++ b/src/chervilwing/loads.py
@@ -59,7 +59,13 @@
         # If only old connections failed, the upstream isn't marked as down: it may just
         # have answered on a new one. A pool with a single upstream would otherwise
         # refuse all waiting requests.
-        self._client.submit(call, collect_json_response(handle, path_lost=lambda: None))
+        handlers = collect_json_response(handle, path_lost=lambda: None)
+
+        def record_head(status, headers):
+            self._dispatch.record_answer_head(upstream.name, status, headers)
+            handlers.head(status, headers)
+
+        self._client.submit(call, handlers._replace(head=record_head))
 
     def _handle_load(self, name, status, value):
         scheduler = self._dispatch.scheduler
--- a/src/chervilwing/sessions.py
+++ b/src/chervilwing/sessions.py
@@ -2,7 +2,6 @@
 
 import time
 
-from .dialects import read_retry_after
 from .exceptions import NOT_RUN, RAN, UNKNOWN, HandedOver
 from .logs import RequestLine, log_request
 from .work import LEAVING
@@ -78,10 +77,8 @@
         self.tokens += count
 
     def record_answer_head(self, status, headers):
-        """Pause the upstream for the time that its answer asks for."""
-        seconds = read_retry_after(status, headers)
-        if seconds:
-            self._dispatcher.pause_upstream(self.upstream.name, seconds)
+        """Record what the head of an answer states of its upstream."""
+        self._dispatcher.record_answer_head(self.upstream.name, status, headers)
 
     def report(self, outcome, first_token, tokens):
         """Report the outcome of the current attempt to the scheduler."""
--- a/src/chervilwing/upstream_pauses.py
+++ b/src/chervilwing/upstream_pauses.py
@@ -6,6 +6,9 @@
 
 from .registrations import get_process
 
+# Seconds for which an upstream that announced its end gets no requests if its name may
+# be that of its successor. Then one request shows whether the successor has started.
+REUSED_NAME_PAUSE = 10.0
 NO_UPSTREAMS = frozenset()
 
 
--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -7,11 +7,14 @@
 
 from chervilwing import gateway as gateway_module
 from chervilwing.platform.headers import DIALECT
+from tests.deployments import AUTHORISED, Deployment, Upstreams, make_configuration
 from tests.gateways import GatewayThread, make_document
 from tests.limiting_upstreams import send_steadily
-from tests.procs import poll
+from tests.procs import call, poll
 from tests.stating_upstreams import StatingUpstream
 from tests.test_platform import PlatformCase
+from tests.test_platform import answer as answer_whole
+from tests.upstreams import RawUpstream, send_load
 
 
 class StatingCase(unittest.TestCase):
@@ -87,8 +90,7 @@
         leaving.leaving = True
         leaving.release.clear()
         answers = []
-        call = lambda: answers.extend(self.call("/chat/x"))
-        thread = threading.Thread(target=call)
+        thread = threading.Thread(target=lambda: answers.extend(self.call("/chat/x")))
         thread.start()
         poll(lambda: self.run_.gateway.registry.count_leaving())
         self.assertEqual(self.call("/note/x")[0].status, 503)
@@ -114,6 +116,38 @@
         self.assertGreaterEqual(len(leaving.arrivals), count + 5)
 
 
+class TestEntryInstance(unittest.TestCase):
+    def test_a_service_that_announces_its_end_gets_no_calls_or_polls(self):
+        # A poll of its load may be the first answer that announces it.
+        def answer(conn, method, path, body):
+            head = b"HTTP/1.1 200 OK\r\nChervilwing-Leaving: 1\r\n"
+            conn.sendall(head + b"Content-Length: 2\r\n\r\n{}")
+
+        def answer_load(conn, method, path, body):
+            if path == "/-/load":
+                send_load(conn)
+            else:
+                answer_whole(conn, method, path, body)
+
+        leaving, other = RawUpstream(answer), RawUpstream(answer_load)
+        deployment = Deployment()
+        self.addCleanup(deployment.close)
+        deployment.upstreams = Upstreams((), (leaving, other))
+        for upstream in (leaving, other):
+            self.addCleanup(upstream.close)
+        deployment.put_configuration(make_configuration(deployment.upstreams))
+        entry = deployment.start_entry("one")
+        poll(lambda: leaving.seen)
+        time.sleep(0.1)
+        seen = len(leaving.seen)
+        for _ in range(40):
+            path = "/services/portal/notes"
+            found = call(entry.port, "POST", path, b"", AUTHORISED)
+            self.assertEqual(found.status, 200)
+            time.sleep(0.025)
+        self.assertEqual(len(leaving.seen), seen)
+
+
 class TestSeveralInstances(PlatformCase):
     def test_all_instances_know_what_one_of_them_was_told(self):
         # The store is away, and the upstream ends while most of them never asked it.
@@ -124,15 +158,15 @@
             self.register(f"i-l{number}")
         self.operate(deletes=["servers/i-1"])
         gateways = [self.start(name) for name in ("one", "two", "three")]
-        call = lambda number: self.call(gateways[number % 3])
+        call_any = lambda number: self.call(gateways[number % 3])
         # Instances learn of each other within a second.
-        send_steadily(call, 20.0, 1.5)
+        send_steadily(call_any, 20.0, 1.5)
         self.platform.fault(refuse_calls=True)
         self.leaving.leaving = True
         poll(lambda: self.call(gateways[0]) == 200 and self.leaving.stated)
         time.sleep(0.2)
         stated = time.monotonic()
-        statuses = send_steadily(call, 40.0, 1.5)
+        statuses = send_steadily(call_any, 40.0, 1.5)
         self.assertEqual(set(statuses), {200})
         self.assertEqual(self.leaving.count_since(stated), 0)
 
