--- a/tests/weakened_gateway.py
+++ b/tests/weakened_gateway.py
@@ -36,6 +36,12 @@
 )
 LIMITED = "tests.test_limited_upstreams.TestOneInstance.test_"
 LIMITED_MODEL = "tests.test_limited_upstreams_model.TestCalm.test_"
+LEAVING = "tests.test_leaving_upstreams.Test"
+PAUSED = "tests.test_paused_upstreams.TestOneInstance.test_"
+RANDOM_STATEMENTS = (
+    "tests.test_statements_randomised.TestStatements"
+    ".test_requests_go_only_to_processes_that_made_no_statement"
+)
 PIECE = "data = relay.events.feed(data)"
 
 GATEWAY_WEAKNESSES = (
@@ -82,6 +88,71 @@
             ".test_an_older_answer_without_a_limit_does_not_end_it",
         ),
     ),
+    Weakness(
+        "an announcement marks the known registration only",
+        (
+            Edit(
+                "gateway",
+                "registration = self.leaving_upstreams.apply(registration)",
+                "pass",
+            ),
+        ),
+        (
+            LEAVING + "OneInstance"
+            ".test_a_registration_does_not_revoke_an_announcement_but_a_restart_does",
+            RANDOM_STATEMENTS,
+        ),
+    ),
+    Weakness(
+        "an announcement is told to nobody",
+        (
+            Edit(
+                "leaving_exchange",
+                "self._copies_left[process] = COPIES",
+                "pass",
+            ),
+        ),
+        (
+            "tests.test_leaving_model.TestSpread.test_all_instances_know_of_it_after"
+            "_the_last_copy",
+        ),
+    ),
+    Weakness(
+        "a pause is not a reason to exclude an upstream",
+        (Edit("upstream_pauses", "if not self._ends:", "if True:"),),
+        (
+            PAUSED + "nothing_is_sent_to_an_upstream_during_the_pause_that_it_asked"
+            "_for",
+            RANDOM_STATEMENTS,
+        ),
+    ),
+    Weakness(
+        "the last pause counts",
+        (
+            Edit(
+                "upstream_pauses",
+                "max(now + seconds, self._ends.get(process, now))",
+                "now + seconds",
+            ),
+        ),
+        (RANDOM_STATEMENTS,),
+    ),
+    Weakness(
+        "a pause holds for the next process",
+        (
+            Edit(
+                "upstream_pauses",
+                "is not None and get_process(state.registration) == process",
+                "is not None",
+            ),
+        ),
+        (RANDOM_STATEMENTS,),
+    ),
+    Weakness(
+        "requests that wait for a connection stay",
+        (Edit("attempts", "if call is None or not call.conn.connecting:", "if True:"),),
+        (PAUSED + "requests_that_wait_for_a_connection_are_placed_again",),
+    ),
     Weakness(
         "a barred request is sent",
         (Edit("crash_records", "if self.is_barred(fingerprint, now):", "if False:"),),
