Withdraw calls of chervilwingd that wait for a connection when a pause begins

A call whose connection was still opening when its upstream asked for a pause reached it once the connection opened. It is retried elsewhere now, as one that has not run, like in the gateway. The new test failed before, as nothing withdrew it.

--- a/src/chervilwing/dialects.py
+++ b/src/chervilwing/dialects.py
@@ -151,6 +151,7 @@
 
 
 def _read_retry_date(text, sent_at):
+    """Return the seconds between two HTTP dates as a list, empty if one is invalid."""
     try:
         delay = parsedate_to_datetime(text) - parsedate_to_datetime(sent_at)
     except (TypeError, ValueError, OverflowError):
--- a/src/chervilwing/dispatch.py
+++ b/src/chervilwing/dispatch.py
@@ -201,6 +201,9 @@
         if not self.scheduler.is_paused(name, now):
             log_event("upstream paused", upstream=name, seconds=seconds)
         self.scheduler.pause(name, seconds, now)
+        for session in list(self.sessions.values()):
+            if session.upstream is not None and session.upstream.name == name:
+                session.run.withdraw_unsent()
 
     def get_upstream_state(self, name):
         """Return an upstream's state as the status page shows it."""
--- a/src/chervilwing/forwards.py
+++ b/src/chervilwing/forwards.py
@@ -97,6 +97,13 @@
         self.session.client.cancel(self._call)
         self._fail_attempt(outcome, UpstreamFailed("The service is leaving."))
 
+    def withdraw_unsent(self):
+        """Retry elsewhere if the attempt still waits for a connection."""
+        if not self.running or not self._call.conn.connecting:
+            return
+        self.session.client.cancel(self._call)
+        self._fail_attempt(BUSY, UpstreamFailed("Not sent.", outcome=NOT_RUN))
+
     def _handle_headers(self, status, headers):
         self.session.record_answer_head(status, headers)
         self._status = status
--- a/src/chervilwing/generations.py
+++ b/src/chervilwing/generations.py
@@ -116,6 +116,11 @@
             session.client, session.cfg, self._upstream.address, self._attempt, exported
         )
 
+    def withdraw_unsent(self):
+        """Retry elsewhere if the attempt still waits for a connection."""
+        if self.running and self._call.conn.connecting:
+            self._abort_attempt(BUSY, "The request was not sent.")
+
     def store_cache(self, address, done):
         """Copy the KV cache to an engine; call ``done`` on success and on failure.
 
--- a/tests/test_paused_upstreams.py
+++ b/tests/test_paused_upstreams.py
@@ -6,9 +6,14 @@
 import unittest
 from types import SimpleNamespace
 
+from chervilwing.completions import Completion
+from chervilwing.exceptions import NOT_RUN
+from chervilwing.forwards import Forward
+from chervilwing.generations import Generation
 from chervilwing.registrations import ProcessId, Registration
 from chervilwing.upstream_pauses import UpstreamPauses
 from chervilwing.upstream_states import UpstreamState
+from chervilwing.work import BUSY
 from tests.deployments import AUTHORISED, Deployment, Upstreams, make_configuration
 from tests.limiting_upstreams import send_steadily
 from tests.procs import HOST, call, poll
@@ -17,6 +22,7 @@
 from tests.test_platform import PlatformCase
 from tests.upstreams import RawUpstream, send_load
 
+COMPLETION = Completion("memo", "hello", 8, True, False)
 PAUSE = 1.0
 # Seconds after the end of a pause within which an upstream must have its share again.
 BACK_AFTER = 1.0
@@ -185,6 +191,31 @@
         self.assertEqual(self.services[0].count("/notes"), 1)
 
 
+class TestUnsentAttempts(unittest.TestCase):
+    def test_only_an_attempt_without_a_connection_is_withdrawn(self):
+        # It would reach the upstream once the connection opens, during its pause.
+        for make in (
+            lambda session: Forward(session, "/notes"),
+            lambda session: Generation(session, COMPLETION, "v1"),
+        ):
+            for connecting in (True, False):
+                outcomes = []
+                session = SimpleNamespace(
+                    request_id="r",
+                    client=SimpleNamespace(cancel=lambda call: None),
+                    report=lambda *figures: None,
+                    retry=lambda exc, outcome, seen=outcomes: seen.append(
+                        (exc.outcome, outcome)
+                    ),
+                )
+                run = make(session)
+                conn = SimpleNamespace(connecting=connecting)
+                run._call = SimpleNamespace(finished=False, conn=conn)
+                run._upstream = SimpleNamespace(name="u0")
+                run.withdraw_unsent()
+                self.assertEqual(outcomes, [(NOT_RUN, BUSY)] * connecting)
+
+
 class TestPauses(unittest.TestCase):
     def setUp(self):
         self.process = ProcessId("u0", 5.0)
