--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -75,6 +75,9 @@
         """Send a request to the chosen upstream; the caller has checked the limits."""
         now = read_boottime()
         upstream_state, estimate = choice
+        source = estimate.source
+        if source and not self._gateway.may_fetch_from(source.registration, now):
+            estimate = estimate._replace(source=None)
         relay.upstream_state, relay.estimate = upstream_state, estimate
         relay.attempts += 1
         relay.tried_upstreams.add(upstream_state.registration.name)
@@ -116,7 +119,7 @@
             relay.deadline - now,
             relay.priority,
             relay.events.last_id if relay.events else "",
-            self._find_source_address(relay, now),
+            relay.estimate.source and relay.estimate.source.registration.address,
         )
         max_idle_time = (
             MAX_IDLE_REPEATABLE if route.repeatable else MAX_IDLE_NON_REPEATABLE
@@ -141,13 +144,6 @@
             body_until_close=True,
         )
 
-    def _find_source_address(self, relay, now):
-        """Return the address of the upstream to fetch prompt parts from, or None."""
-        source = relay.estimate.source
-        if source is None or not self._gateway.may_fetch_from(source.registration, now):
-            return None
-        return source.registration.address
-
     def withdraw_unsent(self, process):
         """Place the requests again that still wait for a connection to a ProcessId."""
         for relay in list(self._gateway.relays):
--- a/tests/test_paused_upstreams.py
+++ b/tests/test_paused_upstreams.py
@@ -100,6 +100,16 @@
         self.assertLess(time.monotonic() - began, 0.4)
         self.assertEqual([answer.status for answer in results], [200, 200])
 
+    def test_no_prompt_is_fetched_from_a_paused_upstream_or_one_that_has_left(self):
+        # It would be work for the former, and go to an unknown one for the latter.
+        self.start()
+        gateway, source = self.run_.gateway, self.run_.make_registration("u0", 1)
+        gateway.record_pause(source, 3.0, 10.0)
+        self.assertFalse(gateway.may_fetch_from(source, 12.9))
+        gateway.record_announcement(source, 13.0)
+        self.assertTrue(gateway.may_fetch_from(source, 13.0))
+        self.assertFalse(gateway.may_fetch_from(source, 13.1 + gateway.cfg.leave_bound))
+
     def fill_backlog(self, listener):
         """Fill the listener's backlog, so that no further connection opens."""
         for _ in range(4):
