Keep a pause that begins while a KV cache is imported

chervilwingd imports a moved request's cache into its next engine and sends the request after that. An engine that asked for a pause meanwhile got it all the same; it is retried elsewhere now as one that has not run. The new test failed before (the call was sent).

--- a/src/chervilwing/generations.py
+++ b/src/chervilwing/generations.py
@@ -190,6 +190,10 @@
             self._abort_attempt(outcome, "The engine is leaving.")
 
     def _send(self):
+        # The engine may have asked for a pause while its cache was imported.
+        if self.session.is_upstream_paused():
+            self._fail_attempt(BUSY, "The engine asked for a pause.")
+            return
         call = self._make_call(self._attempt, self._upstream)
         handlers = CallHandlers(
             self._handle_headers,
--- a/src/chervilwing/sessions.py
+++ b/src/chervilwing/sessions.py
@@ -80,6 +80,11 @@
         """Record what the head of an answer states of its upstream."""
         self._dispatcher.record_answer_head(self.upstream.name, status, headers)
 
+    def is_upstream_paused(self):
+        """Return whether the current attempt's upstream asked for a pause."""
+        scheduler = self._dispatcher.scheduler
+        return scheduler.is_paused(self.upstream.name, time.monotonic())
+
     def report(self, outcome, first_token, tokens):
         """Report the outcome of the current attempt to the scheduler."""
         now = time.monotonic()
--- a/tests/test_paused_upstreams.py
+++ b/tests/test_paused_upstreams.py
@@ -225,6 +225,20 @@
                 run.withdraw_unsent()
                 self.assertEqual(outcomes, [(NOT_RUN, BUSY)] * connecting)
 
+    def test_a_pause_that_begins_during_a_cache_import_is_kept(self):
+        # The request followed the import without another look at the engine.
+        outcomes = []
+        session = SimpleNamespace(
+            request_id="r",
+            is_upstream_paused=lambda: True,
+            report=lambda *figures: None,
+            retry=lambda exc, outcome: outcomes.append((exc.outcome, outcome)),
+        )
+        run = Generation(session, COMPLETION, "v1")
+        run._upstream = SimpleNamespace(name="u0")
+        run._send()
+        self.assertEqual(outcomes, [(NOT_RUN, BUSY)])
+
 
 class TestPauses(unittest.TestCase):
     def setUp(self):
