--- a/src/chervilwing/leaving_exchange.py
+++ b/src/chervilwing/leaving_exchange.py
@@ -35,7 +35,7 @@
         datagrams.subscribe(LEAVING, self._receive)
 
     def _announce(self, process):
-        """Tell the other instances of an answer in which an upstream announced it."""
+        """Tell the other instances that an upstream announced its end to this one."""
         self._copies_left[process] = COPIES
         self._next_copy = read_boottime()
 
--- a/src/chervilwing/leaving_upstreams.py
+++ b/src/chervilwing/leaving_upstreams.py
@@ -11,8 +11,8 @@
 from .bounds import keep_latest
 from .registrations import get_process
 
-# Announcements that are kept. The oldest ones are of processes that ended long ago; a
-# cell of the largest deployments has 660 upstreams.
+# Maximum number of announcements to keep; the oldest ones are of processes that ended
+# long ago. The largest deployments have 660 upstreams.
 MAX_ANNOUNCEMENTS = 4096
 
 
--- a/src/chervilwing/upstream_pauses.py
+++ b/src/chervilwing/upstream_pauses.py
@@ -6,14 +6,14 @@
 
 from .registrations import get_process
 
-# Seconds for which an upstream that announced its end gets no requests if its name may
-# be that of its successor. Then one request shows whether the successor has started.
+# Seconds of the pause after an upstream announced its end, where a restarted process
+# keeps the name. The next request shows whether it has restarted.
 REUSED_NAME_PAUSE = 10.0
 NO_UPSTREAMS = frozenset()
 
 
 class UpstreamPauses:
-    """Until when upstreams want no requests; times are seconds on one clock."""
+    """Ends of the pauses by ProcessId; times are seconds on one clock."""
 
     def __init__(self):
         self._ends = {}
