Let the test of a stream at a leaving upstream use a stream

Its path was answered whole at once, so that nothing was in hand when the upstream announced its end. On a path that is streamed, the answer begins with the announcement, a new request is refused meanwhile, and the stream is completed: green, as strict and no longer vacuous.

--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -90,7 +90,7 @@
         leaving.leaving = True
         leaving.release.clear()
         answers = []
-        thread = threading.Thread(target=lambda: answers.extend(self.call("/chat/x")))
+        thread = threading.Thread(target=lambda: answers.extend(self.call("/quote/x")))
         thread.start()
         poll(lambda: self.run_.gateway.registry.count_leaving())
         self.assertEqual(self.call("/note/x")[0].status, 503)
