--- a/src/chervilwing/admission.py
+++ b/src/chervilwing/admission.py
@@ -86,9 +86,13 @@
     return PoolFull(detail, scope=Scope("pool", pool), retry_after=retry_after)
 
 
-def make_pool_paused_error(pool, retry_after):
-    """Return the error for work whose deadline passes while all upstreams pause."""
+def make_pool_paused_error(pool, wait, rng):
+    """Return the error for work whose deadline passes while all upstreams pause.
+
+    ``wait`` is the time until the first pause ends, in seconds; callers return later.
+    """
     detail = f"all upstreams of pool {pool} asked for a pause"
+    retry_after = wait * rng.uniform(*PoolPaused.retry_jitter)
     return PoolPaused(detail, scope=Scope("pool", pool), retry_after=retry_after)
 
 
--- a/src/chervilwing/scheduling.py
+++ b/src/chervilwing/scheduling.py
@@ -441,7 +441,7 @@
         wait = pool.state.get_pause_end() - now
         if wait <= 0 or now + wait + pool.state.pace.estimate(cost) <= work.deadline:
             return None
-        return admission.make_pool_paused_error(pool.name, wait)
+        return admission.make_pool_paused_error(pool.name, wait, self._rng)
 
     def _is_overloaded(self, pool, work, prediction, work_class, now):
         # Refusing work that can start now gains nothing, and only running work can
