Log the store's epoch, lists and lost histories

Cause: in both incidents the store's revisions went back, and neither logs nor metrics say that it was restored, whether a watch got 410, or whether an instance listed. No decision is changed.

--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -17,7 +17,7 @@
 from .mirrors import Mirror
 from .models import Address
 from .rollouts import DECISIONS, decode_decision
-from .store_calls import Committed
+from .store_calls import Committed, HistoryGone, Page
 from .stored_crashes import CRASHES, decode_crash
 
 # Store keys that the instances write: running instances, and the holder of the duties.
@@ -276,9 +276,10 @@
 
     def _receive_reply(self, mirror, apply, reply):
         now = read_boottime()
-        lost = mirror.lost_since
+        lost, revision = mirror.lost_since, mirror.revision
         changed = mirror.receive(reply, now)
         self._log_store_state(mirror, lost, reply)
+        self._log_list(mirror, revision, reply, len(changed))
         self._apply_changes(mirror, apply, changed, now)
         self.make_due_calls()
 
@@ -289,6 +290,17 @@
             outage = round(read_boottime() - lost, 3)
             log_event("store regained", prefix=mirror.prefix, seconds=outage)
 
+    def _log_list(self, mirror, revision, reply, changes):
+        if isinstance(reply, HistoryGone):
+            log_event("store history gone", prefix=mirror.prefix, revision=revision)
+        elif isinstance(reply, Page) and mirror.revision is not None:
+            log_event(
+                "store listed",
+                prefix=mirror.prefix,
+                revision=mirror.revision,
+                changes=changes,
+            )
+
     def _observe_duty(self, mirror, now):
         if mirror.revision is None:
             return
--- a/src/chervilwing/local_stores.py
+++ b/src/chervilwing/local_stores.py
@@ -46,6 +46,7 @@
     def __init__(self, cfg):
         super().__init__()
         self.cfg = cfg
+        self.epoch = 0
         self._items = {}
         self._history = []
         self._compacted_revision = 0
--- a/src/chervilwing/platform/store.py
+++ b/src/chervilwing/platform/store.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..connections import Call
+from ..logs import log_event
 from ..store_calls import (
     Changes,
     Commit,
@@ -28,6 +29,8 @@
 JSON_HEADERS = {"content-type": "application/json"}
 CONNECT_TIMEOUT = 0.5
 MS_PER_S = 1000
+# In all replies: a number that rises by one each time the store returns from a copy.
+EPOCH = "store-era"
 
 
 def encode_list(req):
@@ -125,11 +128,18 @@
         return Unavailable(f"unreadable: {type(exc).__name__}")
 
 
+def read_epoch(headers):
+    """Return the store's epoch that a reply states, 0 if it states none."""
+    text = headers.get(EPOCH, "")
+    return int(text) if text.isascii() and text.isdecimal() else 0
+
+
 class PlatformStore:
     """Send calls to the platform's store; each callback gets exactly one reply."""
 
     def __init__(self, cfg, client):
         self.cfg = cfg
+        self.epoch = 0
         self._client = client
 
     def submit(self, req, reply):
@@ -149,5 +159,14 @@
             silence_timeout=self.cfg.store_timeout + wait,
             probe_if_silent=False,
         )
-        handlers = collect(lambda status, data: reply(decode(req, status, data)))
+        handlers = collect(
+            lambda status, data: reply(decode(req, status, data)),
+            read_headers=self._read_headers,
+        )
         self._client.submit(call, handlers)
+
+    def _read_headers(self, headers):
+        epoch = read_epoch(headers)
+        if epoch != self.epoch:
+            log_event("store epoch changed", epoch=epoch, was=self.epoch)
+            self.epoch = epoch
--- a/src/chervilwing/stores.py
+++ b/src/chervilwing/stores.py
@@ -117,18 +117,21 @@
         self.submit(action.request, lambda reply: received(action.token, reply))
 
 
-def collect(reply, path_lost=None):
+def collect(reply, path_lost=None, read_headers=None):
     """Return handlers that call ``reply`` with the status and body of a response.
 
     The status is 0 if there was no response. ``path_lost`` is called instead of
     ``reply`` if the call's connection went silent while the same address answers on a
-    new connection (PathSilent); the caller may then repeat the call.
+    new connection (PathSilent); the caller may then repeat the call. ``read_headers``
+    is called before ``reply`` with the header fields of a response.
     """
     parts = []
     status = []
 
     def on_head(code, headers):
         status.append(code)
+        if read_headers is not None:
+            read_headers(headers)
 
     def on_done():
         reply(status[0], b"".join(parts))
