Reproduce changes and leaves that are missed after the store was restored

What callers see: after the store came back from a copy, a revoked key still works 2 s after its acknowledgement (CONFIG), and a follower still sends to an upstream that left (DRAIN). The fake platform learns drills: a copy is saved, the store returns to it, watches are cut, lost leases' numbers are granted again, and all replies state the store's era.

--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -1,11 +1,13 @@
 """Fake of the users' platform: its store, and its API of usage reports and orders.
 
 It implements the platform's documented interface: items under a global revision
-counter, watches, leases, conditional writes, and API calls with a fencing token.
+counter, watches, leases, conditional writes, drills in which the store returns from a
+copy, and API calls with a fencing token.
 """
 
 import asyncio
 import base64
+import copy
 import itertools
 import json
 import time
@@ -33,13 +35,15 @@
     def __init__(self, options):
         # ``report_no_events``: watches report no events. ``lose_writes``: this many
         # writes are carried out, but their answers are lost. ``refuse_calls``: all
-        # calls to the store but the operator's are refused.
+        # calls to the store but the operator's are refused. ``state_era``: replies
+        # state the store's era.
         self.switches = Switches(
             refuse_calls=False,
             silent=False,
             lose_writes=0,
             report_no_events=False,
             refuse_orders=False,
+            state_era=True,
         )
         self.switches.react = self.notify_watches
         self.items = {}
@@ -52,6 +56,24 @@
         self.changed = asyncio.Event()
         self.calls = []
         self.fences = {}
+        self.era = 1
+        self.saved = None
+
+    def save_copy(self):
+        """Save a copy of the store, to which a drill returns."""
+        data = (self.items, self.history, self.compacted_revision, self.revision)
+        self.saved = copy.deepcopy((*data, set(self.leases), next(self.lease_ids)))
+
+    async def restore_copy(self):
+        """Return to the saved copy, cut the watches and start its leases again."""
+        *data, leases, next_lease = copy.deepcopy(self.saved)
+        self.items, self.history, self.compacted_revision, self.revision = data
+        now = time.monotonic()
+        self.leases = {name: now + self.ttls[name] / 1000 for name in leases}
+        # The numbers of lost leases are granted again.
+        self.lease_ids = itertools.count(next_lease)
+        self.era += 1
+        await self.notify_watches()
 
     async def notify_watches(self):
         """Make every watch check for events again."""
@@ -112,8 +134,12 @@
         if state.switches["silent"]:
             await asyncio.Event().wait()
         if state.switches["refuse_calls"]:
-            return reply({"error": "busy"}, UNAVAILABLE)
-        return await handler(state, request)
+            response = reply({"error": "busy"}, UNAVAILABLE)
+        else:
+            response = await handler(state, request)
+        if state.switches["state_era"]:
+            response.headers["Store-Era"] = str(state.era)
+        return response
 
     return handle
 
@@ -132,7 +158,8 @@
 async def watch(state, request):
     """Wait for events of keys with a prefix."""
     after, prefix = int(request.query["after"]), request.query["prefix"]
-    if after < state.compacted_revision:
+    era = state.era
+    if not state.compacted_revision <= after <= state.revision:
         return reply({"error": "compacted"}, 410)
 
     def find():
@@ -142,7 +169,8 @@
 
     wait = int(request.query["waitMs"]) / 1000
     events = await wait_until(find, lambda: state.changed, wait) or []
-    if state.switches["refuse_calls"] or after < state.compacted_revision:
+    cut = state.switches["refuse_calls"] or state.era != era
+    if cut or after < state.compacted_revision:
         await drop(request)
     return reply({"events": events, "storeRevision": state.revision})
 
@@ -211,6 +239,18 @@
     return reply({})
 
 
+async def save_copy(state, request):
+    """Save the copy to which the next drill returns."""
+    state.save_copy()
+    return reply({"revision": state.revision})
+
+
+async def restore_copy(state, request):
+    """Run a drill: the store has what it had when the copy was saved."""
+    await state.restore_copy()
+    return reply({"revision": state.revision})
+
+
 async def handle_api_call(state, request):
     """Accept a usage report or an order unless its fencing token is outdated."""
     body = await read_json(request)
@@ -243,6 +283,7 @@
         "values": statuses,
         "calls": state.calls,
         "revision": state.revision,
+        "leases": sorted(state.leases),
     }
 
 
@@ -258,6 +299,8 @@
         ("DELETE", "/-/kv-lease-end/{lease}", end),
         ("POST", "/-/operate", operate),
         ("POST", "/-/forget", forget),
+        ("POST", "/-/save", save_copy),
+        ("POST", "/-/restore", restore_copy),
         ("POST", "/usage", handle_api_call),
         ("POST", "/scale", handle_api_call),
     )
--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,87 @@
+"""Tests of gateway processes whose store returns from a copy some seconds old."""
+
+import time
+
+from tests.procs import poll
+from tests.test_platform import PlatformCase
+
+# Seconds within which a change of the configuration or a leave holds everywhere.
+APPLY_BOUND = 2.0
+
+
+class DrillCase(PlatformCase):
+    """Gateways whose store is restored."""
+
+    def write_unrelated(self, count):
+        """Write items that the gateways ignore, which raises the store's revision."""
+        for number in range(count):
+            self.operate({f"op/note/{number}": number})
+
+    def wait_until_known(self, *gateways):
+        """Wait until these gateways know the store's present revision."""
+        time.sleep(1.0)
+
+    def publish_keys(self, version, *keys):
+        """Publish a version whose only customer has these API keys."""
+        self.document["version"] = version
+        self.document["tenants"][0]["apiKeys"] = list(keys)
+        self.publish()
+
+
+class TestChangesAfterARestore(DrillCase):
+    def lose_a_change(self, *gateways):
+        """Confirm version 7, with key k3, and restore a copy from before it."""
+        self.platform.post("/-/save", {})
+        self.write_unrelated(20)
+        self.publish_keys(7, "k1", "k3")
+        for gateway in gateways:
+            poll(lambda gateway=gateway: self.call(gateway, key="k3") == 200)
+        self.wait_until_known()
+        self.platform.post("/-/restore", {})
+
+    def test_a_change_after_a_restore_is_in_force_in_time(self):
+        # Revisions begin again below the known ones: a changed item that is ordered by
+        # its number alone is taken for an older one, and a revoked key still works.
+        gateway = self.start("one")
+        self.lose_a_change(gateway)
+        time.sleep(1.0)
+        self.publish_keys(9, "k1")
+        poll(lambda: self.call(gateway, key="k3") == 401, APPLY_BOUND)
+
+    def test_a_change_whose_revision_was_passed_before_the_watch_is_in_force(self):
+        # The numbers given out again pass the watched one before the gateway reaches
+        # the store: no call gets 410, and the watch skips all changes below it.
+        gateway = self.start("one")
+        self.lose_a_change(gateway)
+        self.platform.fault(refuse_calls=True)
+        self.publish_keys(9, "k1")
+        self.write_unrelated(40)
+        self.platform.fault(refuse_calls=False)
+        poll(lambda: self.call(gateway, key="k3") == 401, APPLY_BOUND)
+
+    def test_a_confirmed_change_that_the_store_lost_stays_in_force(self):
+        # The copy has the version before; serving it would take back what was
+        # acknowledged to the operator.
+        gateway = self.start("one")
+        self.lose_a_change(gateway)
+        end = time.monotonic() + 2.0
+        while time.monotonic() < end:
+            self.assertEqual(self.call(gateway, key="k3"), 200)
+            self.assertEqual(self.call(gateway, key="k2"), 401)
+
+
+class TestLeavesAfterARestore(DrillCase):
+    def test_a_leave_after_a_restore_reaches_an_instance_that_knew_more(self):
+        # A follower that saw a higher revision before the restore asks its leader for
+        # later changes, gets none, and sends requests to the upstream that left.
+        gateways = [self.start(name) for name in ("one", "two", "three")]
+        self.platform.post("/-/save", {})
+        self.write_unrelated(20)
+        self.wait_until_known(*gateways)
+        self.platform.post("/-/restore", {})
+        self.wait_until_known(*gateways)
+        self.operate(deletes=["servers/i-1"])
+        deadline = time.monotonic() + APPLY_BOUND
+        for gateway in gateways:
+            left = deadline - time.monotonic()
+            poll(lambda gateway=gateway: self.call(gateway) == 503, left)
