Order revisions over the epochs of the store, and hold what it lost

What callers saw: after the store came back from a copy, changes and leaves that it had acknowledged weren't in force for seconds (CONFIG, DRAIN). Cause: a revision was the store's bare number. Ruled out: the grace for lapsed entries; a leader that had not seen the return. Change: a revision contains the epoch above the number, decoded once in platform/store; so all comparisons are right as they stand. A reply of an earlier epoch is Unavailable. A mirror lists when its watch is answered in another epoch, ignores news of an earlier one, and passes the difference on, so that followers needn't list. What the store lost or took back is held: the configuration and decisions until written again, registrations as in an outage.

--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -18,6 +18,7 @@
 from .models import Address
 from .rollouts import DECISIONS, decode_decision
 from .store_calls import Committed, HistoryGone, Page
+from .store_epochs import get_epoch, get_number
 from .stored_crashes import CRASHES, decode_crash
 
 # Store keys that the instances write: running instances, and the holder of the duties.
@@ -48,6 +49,13 @@
 TRUSTED_FRACTION = 0.95
 # Seconds up to which knowledge of registrations counts as fresh.
 MAX_REGISTRATIONS_AGE = 2.0
+# Seconds for which a registration that the store returned with is ignored if it was
+# replaced or deleted before. The entry of an upstream that is gone lapses meanwhile;
+# one that is still there belongs to an upstream that runs.
+RESTORED_REGISTRATION_HOLD = 8.0
+# Seconds for which an instance that the store lost is still a peer. It registers itself
+# again within a second. Without this, all would share the limits among fewer instances.
+LOST_INSTANCE_HOLD = 5.0
 # The first followed prefixes, this many, must be fresh: the configuration and the
 # registrations. Knowledge of other instances may be older.
 FRESH_PREFIX_COUNT = 2
@@ -78,6 +86,29 @@
         raise BadConfiguration(f"{key}: {exc}") from exc
 
 
+def hold_documents(key, lost):
+    """Return the seconds to keep a document that the store lost: until it's written."""
+    return float("inf")
+
+
+def hold_registration(key, lost):
+    """Return the seconds to ignore what a restored store says of a registration.
+
+    A lost registration lapses like those that can't be renewed in an outage.
+    """
+    return 0.0 if lost else RESTORED_REGISTRATION_HOLD
+
+
+def hold_instance_item(key, lost):
+    """Return the seconds to keep an item of the instances that the store lost.
+
+    The claim to the duties holds only as long as the store has it.
+    """
+    if key == DUTIES:
+        return 0.0
+    return LOST_INSTANCE_HOLD if key.startswith(INSTANCES) else float("inf")
+
+
 class StoreLayout(NamedTuple):
     """Where the platform keeps the followed items, and how they are decoded.
 
@@ -110,13 +141,24 @@
         value = encode_peer(Peer(cfg.beacon_listen, cfg.data_centre, cfg.link_rate))
         record = Record(INSTANCES + cfg.name, value)
         self.duty_lease = DutyLease(DUTIES, record, cfg.name, cfg.lease, rng)
-        self._documents = Mirror(sources.documents, CONFIGURATION_WAIT, rng)
+        self._documents = Mirror(
+            sources.documents, CONFIGURATION_WAIT, rng, compute_hold=hold_documents
+        )
         self._registrations = Mirror(
-            sources.registrations, REGISTRATIONS_WAIT, rng, REGISTRATIONS_SPACING
+            sources.registrations,
+            REGISTRATIONS_WAIT,
+            rng,
+            REGISTRATIONS_SPACING,
+            hold_registration,
         )
         self._instances = Mirror(
-            INSTANCES.rstrip("/"), INSTANCES_WAIT, rng, INSTANCES_SPACING
+            INSTANCES.rstrip("/"),
+            INSTANCES_WAIT,
+            rng,
+            INSTANCES_SPACING,
+            hold_instance_item,
         )
+        store.epochs.subscribe(self._enter_epoch)
         self._followed = (
             (self._documents, self._apply_document),
             (self._registrations, self._apply_registration),
@@ -195,6 +237,7 @@
         """Apply another instance's news of each prefix."""
         for (mirror, apply), item in zip(self._followed, news, strict=True):
             if item is not None:
+                self._store.epochs.note(get_epoch(item.revision))
                 self._apply_changes(
                     mirror, apply, mirror.apply_news(item, queried_at, now), now
                 )
@@ -216,6 +259,9 @@
         """Return the lease of this instance's items, or None."""
         return self.duty_lease.lease
 
+    def _enter_epoch(self, epoch):
+        log_event("store epoch changed", epoch=epoch)
+
     @handler("tick", channel="*")
     def _on_tick(self):
         self.make_due_calls()
@@ -226,6 +272,7 @@
         self._set_watch_wait()
         lost = [mirror for mirror, _ in self._followed if mirror.lost_since]
         for mirror, apply in self._followed:
+            self._apply_changes(mirror, apply, mirror.expire_held(now), now)
             # While the store is lost, only one prefix is tried: one call suffices to
             # detect its return, and every call is charged for.
             call = None if mirror in lost[1:] else mirror.next_call(now)
@@ -292,13 +339,18 @@
 
     def _log_list(self, mirror, revision, reply, changes):
         if isinstance(reply, HistoryGone):
-            log_event("store history gone", prefix=mirror.prefix, revision=revision)
+            log_event(
+                "store history gone",
+                prefix=mirror.prefix,
+                revision=get_number(revision),
+            )
         elif isinstance(reply, Page) and mirror.revision is not None:
             log_event(
                 "store listed",
                 prefix=mirror.prefix,
-                revision=mirror.revision,
+                revision=get_number(mirror.revision),
                 changes=changes,
+                held=len(mirror.held_until),
             )
 
     def _observe_duty(self, mirror, now):
@@ -314,14 +366,16 @@
         order = self._read(self._sources.read_order, item)
         if order is not None:
             self._gateway.rollouts.put_order(order, item.revision)
-            log_event("rollout ordered", revision=item.revision, **order._asdict())
+            log_event(
+                "rollout ordered", revision=get_number(item.revision), **order._asdict()
+            )
             return
         document = self._read(self._sources.read_document, item)
         if document is not None and self._gateway.configure(document):
             log_event(
                 "configuration in force",
                 version=document.version,
-                revision=item.revision,
+                revision=get_number(item.revision),
             )
 
     def _read(self, read, item):
@@ -335,7 +389,11 @@
         name = item.key.removeprefix(self._sources.registrations)
         if item.value is None:
             self._gateway.remove_upstream(name, self._registrations.regained_at)
-            log_event("upstream unregistered", upstream=name, revision=item.revision)
+            log_event(
+                "upstream unregistered",
+                upstream=name,
+                revision=get_number(item.revision),
+            )
             return
         found = self._read(self._sources.read_registration, item)
         if found is None:
@@ -349,7 +407,7 @@
             pool=found.pool,
             leaving=found.leaving,
             reclaimable=found.reclaimable,
-            revision=item.revision,
+            revision=get_number(item.revision),
         )
 
     def _apply_instance(self, item, now):
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -152,7 +152,7 @@
             "gateway_upstreams": len(gateway.registry.upstreams),
             "gateway_configuration_version": version,
             "gateway_keys_age_seconds": round(self._coordinator.compute_keys_age(), 3),
-            "gateway_store_epoch": self._store.epoch,
+            "gateway_store_epoch": self._store.epochs.current,
             "gateway_store_revision": min(revision or 0 for revision in revisions),
             "gateway_fence": self._coordinator.duty_lease.fence(now) or 0,
             "gateway_usage_heard": self._usage_parts.count_reported(),
--- a/src/chervilwing/local_stores.py
+++ b/src/chervilwing/local_stores.py
@@ -24,6 +24,7 @@
     TakeLease,
     WatchItems,
 )
+from .store_epochs import StoreEpochs
 
 DOCUMENT_PREFIX = "configuration/"
 UPSTREAM_PREFIX = "upstreams/"
@@ -46,7 +47,7 @@
     def __init__(self, cfg):
         super().__init__()
         self.cfg = cfg
-        self.epoch = 0
+        self.epochs = StoreEpochs()
         self._items = {}
         self._history = []
         self._compacted_revision = 0
--- a/src/chervilwing/mirrors.py
+++ b/src/chervilwing/mirrors.py
@@ -3,11 +3,15 @@
 The mirror lists the items once and then watches for changes. It makes one call at a
 time, so that a slow reply can't arrive after a newer one, and it records how old its
 knowledge may be.
+
+A store that returns from a copy begins a new epoch. The mirror then lists it, and keeps
+in force what the store has lost until it is written again, or for a limited time.
 """
 
 from collections import deque
 from typing import NamedTuple
 
+from .replaced_items import ReplacedItems, identify
 from .store_calls import (
     Changes,
     HistoryGone,
@@ -17,6 +21,13 @@
     Unavailable,
     WatchItems,
 )
+from .store_epochs import (
+    get_epoch,
+    get_number,
+    is_return,
+    make_return_revision,
+    make_revision,
+)
 
 # First and longest delay, in seconds, before a failed call is repeated; it doubles each
 # time. Without it, hundreds of instances whose store has just recovered would all call
@@ -55,9 +66,24 @@
     keys: tuple[str, ...] | None = None
 
 
+def is_same_value(known, item):
+    """Return whether an item has the value that is known, which may be None."""
+    return (known.value if known else None) == item.value
+
+
+def hold_nothing(key, lost):
+    """Return the seconds for which a key keeps what a restored store took back."""
+    return 0.0
+
+
 class Mirror:
     """State of one prefix; times are seconds on one clock, passed by the caller.
 
+    ``items`` are those that the store has, ``in_force`` those to go by. They differ in
+    the keys of ``held_until`` only: the store lost a write or a deletion of these, and
+    nobody has written them since. ``compute_hold(key, lost)`` returns for how many
+    seconds such a key is held; ``lost`` is true if the store doesn't have it any more.
+
     ``as_of`` is when the last answered call was sent: every write that was acknowledged
     before that time is included. The arrival of the reply would be too late a time, as
     the reply may have been delayed. ``lost_since`` is when calls began to fail, or
@@ -68,9 +94,13 @@
     ``wait`` is how many seconds a watch waits; it may be changed.
     """
 
-    def __init__(self, prefix, wait, rng, spacing=0.0):
+    def __init__(self, prefix, wait, rng, spacing=0.0, compute_hold=hold_nothing):
         self.prefix = prefix
         self.items = {}
+        self.in_force = {}
+        self.held_until = {}
+        self._compute_hold = compute_hold
+        self._replaced = ReplacedItems()
         self.complete = False
         self.as_of = float("-inf")
         self.regained_at = float("-inf")
@@ -82,9 +112,11 @@
         self._rng = rng
         self.revision = None
         self._listing = None
-        # Whether another instance has changes that are too large to send and must be
-        # listed.
+        # Whether the items must be listed again: another instance has changes that are
+        # too large to send, or the store has no history from the known revision on.
         self._must_list = False
+        self._watched_revision = None
+        self._has_history = True
         self._sent_at = None
         self._next_call_at = 0.0
         self._backoff = MIN_BACKOFF
@@ -94,6 +126,12 @@
         # seen here. News based on earlier changes would omit their deletion, and other
         # instances would keep them for good.
         self._changes_since = None
+        # The revision at which the present epoch was entered, and the last revision
+        # known of each earlier one. The kept changes lead from there to the present
+        # epoch, but not from any other revision.
+        self._entered_at = 0
+        self._last_revisions = {}
+        self._carried_epoch = None
 
     def next_call(self, now):
         """Return the call to make now, or None while one runs or none is due."""
@@ -104,6 +142,7 @@
             return None
         self._sent_at = now
         if up_to_date:
+            self._watched_revision = self.revision
             return WatchItems(self.prefix, self.revision, self.wait)
         if self._listing is None:
             self._listing = (None, {})
@@ -116,54 +155,90 @@
         return RECEIVERS[type(reply)](self, reply, sent_at, now)
 
     def _receive_page(self, page, sent_at, now):
+        self._mark_reachable(now)
         if self._listing is None:
             # Another instance sent the rest of the list while this page was on its way.
-            self._mark_reachable(now)
             return []
         first, found = self._listing
+        restored = first is not None and get_epoch(first) != get_epoch(page.revision)
+        if restored or self._is_outdated(page.revision):
+            # The store was restored between two pages, or after this one.
+            self._listing = None
+            return []
         # Pages are no snapshot: changes after the first page's revision are watched
         # for.
         first = page.revision if first is None else first
         found.update((item.key, item) for item in page.items)
         self._listing = (first, found)
-        self._mark_reachable(now)
         if page.more and page.items:
             return []
-        return self._replace(first, found, sent_at)
+        return self._replace(first, found, sent_at, now)
 
-    def _replace(self, revision, found, sent_at):
+    def _replace(self, revision, found, sent_at, now):
         deleted = [
-            Item(key, None, revision)
+            Item(key, None, self._date_deletion(item, revision))
             for key, item in self.items.items()
             if key not in found and item.revision <= revision
         ]
         self._listing = None
         self._must_list = False
-        self.revision = revision
-        self.as_of = sent_at
+        self._has_history = True
+        self.as_of = max(self.as_of, sent_at)
         self.complete = True
-        self._reset_changes(revision)
-        return self._apply_items([*found.values(), *deleted])
+        is_new_epoch = self._is_new_epoch(revision)
+        if is_new_epoch:
+            self._enter_epoch(revision, (), now)
+        changed = self._apply_items([*found.values(), *deleted], now)
+        self.revision = revision
+        if is_new_epoch:
+            self._keep_changes(sorted(changed, key=lambda item: item.revision))
+        else:
+            self._reset_changes(revision)
+        return self._put_in_force(changed, now)
+
+    def _is_new_epoch(self, revision):
+        return self.revision is not None and get_epoch(revision) > get_epoch(
+            self.revision
+        )
+
+    def _is_outdated(self, revision):
+        return self.revision is not None and get_epoch(revision) < get_epoch(
+            self.revision
+        )
+
+    def _enter_epoch(self, revision, items, now):
+        """Record the change to a revision of a later epoch.
+
+        ``items`` are those received together with it. The store was away, so that
+        entries may lapse now whose owners couldn't renew them.
+        """
+        epoch = get_epoch(self.revision)
+        known = [item.revision for item in items if get_epoch(item.revision) == epoch]
+        self._last_revisions[epoch] = max([self.revision, *known])
+        self._entered_at = revision
+        self.regained_at = max(self.regained_at, now)
 
     def _receive_changes(self, changes, sent_at, now):
         self._mark_reachable(now)
-        if self.revision is None:
-            # Listing has restarted meanwhile; the list will include these changes.
+        if get_epoch(self._watched_revision) != get_epoch(changes.revision):
+            # The number that was watched belongs to another history: what the store
+            # wrote below it is missing.
+            self._must_list |= self._is_new_epoch(changes.revision)
             return []
         if changes.items:
             self._next_call_at = now + self._spacing
-        changed = self._apply_changes(changes.items, changes.revision)
+        changed = self._apply_changes(changes.items, changes.revision, now)
         self.as_of = max(self.as_of, sent_at)
-        return changed
+        return self._put_in_force(changed, now)
 
-    def _apply_changes(self, items, revision):
+    def _apply_changes(self, items, revision, now):
         """Apply changes up to a revision and return the items that changed.
 
         The reply to a watch and another instance's news may cross. A change that is
         older than the present revision would restore an item that was deleted since.
         """
         changed = self._apply_items(
-            [item for item in items if item.revision > self.revision]
+            [item for item in items if item.revision > self.revision], now
         )
         self.revision = max(self.revision, revision)
         self._keep_changes(changed)
@@ -171,10 +246,10 @@
 
     def make_news(self, revision, now):
         """Return the News after a revision for an instance that queries this one."""
-        if self.revision is None:
+        if self.revision is None or not self._has_history:
             return None
         keys = None
-        if revision is not None and revision < self._changes_since:
+        if revision is not None and not self._is_followed_by_changes(revision):
             keys = tuple(self.items)
         items, more = self._select_changes(revision, keys)
         last_revision = items[-1].revision if more else self.revision
@@ -187,6 +262,14 @@
             keys if items is not None else None,
         )
 
+    def _is_followed_by_changes(self, revision):
+        """Return whether all changes after a revision are kept."""
+        if revision < self._changes_since:
+            return False
+        if get_epoch(revision) == get_epoch(self.revision):
+            return revision >= self._entered_at
+        return revision <= self._last_revisions.get(get_epoch(revision), -1)
+
     def _select_changes(self, revision, keys):
         """Return the changes after a revision that fit, and whether more follow.
 
@@ -220,7 +303,9 @@
         Its age counts from the sending of the query, which the reply can't precede, so
         that a delay of the reply or a suspension of this instance doesn't matter.
         """
-        if self.revision is None:
+        if self.revision is None or not self._has_history:
+            return []
+        if self._is_outdated(news.revision):
             return []
         if news.items is None:
             # The present items stay meanwhile: another instance may send the changes
@@ -236,37 +321,107 @@
         items = news.items
         if news.keys is not None:
             items = [*items, *self._find_deleted(news)]
-        changed = self._apply_changes(items, news.revision)
+        if self._is_new_epoch(news.revision):
+            self._enter_epoch(news.revision, items, now)
+        changed = self._apply_changes(items, news.revision, now)
         if news.keys is not None:
             self._reset_changes(self.revision)
         if not news.more:
             self.as_of = max(self.as_of, queried_at - news.age)
-        return changed
+            self._carry_over()
+        return self._put_in_force(changed, now)
 
     def _find_deleted(self, news):
         """Return deletions of the items that another instance no longer has."""
         keys = set(news.keys)
         return [
-            Item(key, None, news.revision)
+            Item(key, None, self._date_deletion(item, news.revision))
             for key, item in self.items.items()
             if key not in keys and item.revision < news.revision
         ]
 
-    def _apply_items(self, items):
+    def _date_deletion(self, item, revision):
+        """Return the revision of the deletion of an item that is missing at a revision.
+
+        Where the store has returned meanwhile, it counts as lost.
+        """
+        epoch = get_epoch(revision)
+        if get_epoch(item.revision) < epoch:
+            return make_return_revision(epoch)
+        return revision
+
+    def _carry_over(self):
+        """Move the items that the store still has into the present epoch."""
+        epoch = get_epoch(self.revision)
+        if epoch == self._carried_epoch:
+            return
+        self._carried_epoch = epoch
+        for item in list(self.items.values()):
+            if get_epoch(item.revision) < epoch:
+                revision = make_revision(epoch, get_number(item.revision))
+                self._renumber(item._replace(revision=revision))
+
+    def _renumber(self, item):
+        """Replace an item by the same write with its revision of another epoch."""
+        self.items[item.key] = item
+        if item.key not in self.held_until:
+            self.in_force[item.key] = item
+
+    def _apply_items(self, items, now):
+        """Apply items to ``items``; return those that changed."""
         changed = []
         for item in items:
             current = self.items.get(item.key)
             if current is not None and current.revision >= item.revision:
                 continue
+            if current is not None and identify(current) == identify(item):
+                self._renumber(item)
+                continue
             if item.value is not None:
                 self.items[item.key] = item
             elif current is None:
                 continue
             else:
                 del self.items[item.key]
+            if current is not None:
+                self._replaced.add(current, now)
             changed.append(item)
         return changed
 
+    def _put_in_force(self, changed, now):
+        """Apply changes of ``items`` to ``in_force``; return those that changed."""
+        in_force = []
+        for item in changed:
+            lost = item.value is None and is_return(item.revision)
+            restored = item.value is not None and self._replaced.contains(item)
+            known = self.in_force.get(item.key)
+            hold = 0.0
+            if (lost or restored) and not is_same_value(known, item):
+                hold = self._compute_hold(item.key, lost)
+            if hold:
+                self.held_until[item.key] = now + hold
+                continue
+            was_held = self.held_until.pop(item.key, None) is not None
+            if known is None and item.value is None and was_held:
+                continue
+            in_force.append(self._set_in_force(item))
+        return in_force
+
+    def _set_in_force(self, item):
+        self.in_force.pop(item.key, None)
+        if item.value is not None:
+            self.in_force[item.key] = item
+        return item
+
+    def expire_held(self, now):
+        """Put what the store has in force where the hold is over; return the items."""
+        changed = []
+        for key in [key for key, until in self.held_until.items() if now >= until]:
+            del self.held_until[key]
+            item = self.items.get(key) or Item(key, None, self.revision)
+            changed.append(self._set_in_force(item))
+        return changed
+
     def _reset_changes(self, revision):
         """Drop the kept changes; keep those after a revision from now on."""
         self._changes.clear()
@@ -279,12 +434,10 @@
             self._changes_since = max(self._changes_since, dropped.revision)
 
     def _receive_history_gone(self, reply, sent_at, now):
-        self._restart_listing()
-        return []
-
-    def _restart_listing(self):
-        self.revision = None
+        self._must_list = True
+        self._has_history = False
         self._listing = None
+        return []
 
     def _receive_failure(self, reply, sent_at, now):
         self.unreachable = True
--- a/src/chervilwing/platform/store.py
+++ b/src/chervilwing/platform/store.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from ..connections import Call
-from ..logs import log_event
 from ..store_calls import (
     Changes,
     Commit,
@@ -24,6 +23,7 @@
     Unavailable,
     WatchItems,
 )
+from ..store_epochs import StoreEpochs, get_number, make_revision
 from ..stores import collect
 
 JSON_HEADERS = {"content-type": "application/json"}
@@ -45,7 +45,7 @@
     """Return the method, path and body that watch the items under a prefix."""
     query = {
         "prefix": req.prefix,
-        "after": req.after,
+        "after": get_number(req.after),
         "waitMs": int(req.wait * MS_PER_S),
     }
     return "GET", f"/-/kv-watch?{urlencode(query)}", None
@@ -54,7 +54,10 @@
 def encode_commit(req):
     """Return the method, path and body of a conditional write."""
     body = {
-        "ifRev": [{"key": key, "revision": revision} for key, revision in req.expect],
+        "ifRev": [
+            {"key": key, "revision": get_number(revision)}
+            for key, revision in req.expect
+        ],
         "puts": [encode_put(*put) for put in req.puts],
         "delete": list(req.deletes),
     }
@@ -81,24 +84,31 @@
 }
 
 
-def read_item(value):
+def read_item(value, epoch):
     """Return the Item of an entry of ``items`` or ``events``."""
     data = None if value.get("deleted") else base64.b64decode(value.get("value") or "")
-    return Item(value["key"], data, value["revision"])
+    return Item(value["key"], data, make_revision(epoch, value["revision"]))
 
 
-def decode_page(req, value):
+def decode_page(req, value, epoch):
     """Return the Page in the reply to a ListItems call."""
-    items = tuple(map(read_item, value["items"]))
-    return Page(items, value["storeRevision"], value.get("truncated", False))
+    items = tuple(read_item(item, epoch) for item in value["items"])
+    revision = make_revision(epoch, value["storeRevision"])
+    return Page(items, revision, value.get("truncated", False))
 
 
-def decode_changes(req, value):
+def decode_changes(req, value, epoch):
     """Return the Changes in the reply to a WatchItems call."""
-    return Changes(tuple(map(read_item, value["events"])), value["storeRevision"])
+    items = tuple(read_item(item, epoch) for item in value["events"])
+    return Changes(items, make_revision(epoch, value["storeRevision"]))
 
 
-def decode_leased(req, value):
+def decode_committed(req, value, epoch):
+    """Return the Committed in the reply to a Commit call."""
+    return Committed(make_revision(epoch, value["revision"]))
+
+
+def decode_leased(req, value, epoch):
     """Return the Leased in a reply; that to a renewal does not contain the lease id."""
     lease = value.get("lease", getattr(req, "lease", None))
     return Leased(lease, value["ttlMs"] / MS_PER_S)
@@ -107,23 +117,23 @@
 DECODERS = {
     (ListItems, 200): decode_page,
     (WatchItems, 200): decode_changes,
-    (WatchItems, 410): lambda req, value: HistoryGone(),
-    (Commit, 200): lambda req, value: Committed(value["revision"]),
-    (Commit, 412): lambda req, value: Conflict(),
-    (Commit, 404): lambda req, value: LeaseGone(),
+    (WatchItems, 410): lambda req, value, epoch: HistoryGone(),
+    (Commit, 200): decode_committed,
+    (Commit, 412): lambda req, value, epoch: Conflict(),
+    (Commit, 404): lambda req, value, epoch: LeaseGone(),
     (TakeLease, 200): decode_leased,
     (KeepLease, 200): decode_leased,
-    (KeepLease, 404): lambda req, value: LeaseGone(),
+    (KeepLease, 404): lambda req, value, epoch: LeaseGone(),
 }
 
 
-def decode(req, status, body):
-    """Return the reply that an HTTP response contains, Unavailable on any error."""
+def decode(req, status, body, epoch=0):
+    """Return the reply of an HTTP response of an epoch, Unavailable on any error."""
     read = DECODERS.get((type(req), status))
     if read is None:
         return Unavailable(f"status {status}")
     try:
-        return read(req, msgspec.json.decode(body) if body else {})
+        return read(req, msgspec.json.decode(body) if body else {}, epoch)
     except (msgspec.DecodeError, KeyError, TypeError, ValueError) as exc:
         return Unavailable(f"unreadable: {type(exc).__name__}")
 
@@ -135,11 +145,15 @@
 
 
 class PlatformStore:
-    """Send calls to the platform's store; each callback gets exactly one reply."""
+    """Send calls to the platform's store; each callback gets exactly one reply.
+
+    A reply of an earlier epoch than the latest is Unavailable: what it says was lost
+    when the store returned.
+    """
 
     def __init__(self, cfg, client):
         self.cfg = cfg
-        self.epoch = 0
+        self.epochs = StoreEpochs()
         self._client = client
 
     def submit(self, req, reply):
@@ -159,14 +173,17 @@
             silence_timeout=self.cfg.store_timeout + wait,
             probe_if_silent=False,
         )
+        headers = {}
         handlers = collect(
-            lambda status, data: reply(decode(req, status, data)),
-            read_headers=self._read_headers,
+            lambda status, data: reply(self._decode(req, status, data, headers)),
+            read_headers=headers.update,
         )
         self._client.submit(call, handlers)
 
-    def _read_headers(self, headers):
+    def _decode(self, req, status, data, headers):
+        if not status:
+            return decode(req, status, data)
         epoch = read_epoch(headers)
-        if epoch != self.epoch:
-            log_event("store epoch changed", epoch=epoch, was=self.epoch)
-            self.epoch = epoch
+        if not self.epochs.note(epoch):
+            return Unavailable(f"epoch {epoch} is over")
+        return decode(req, status, data, epoch)
--- a/src/chervilwing/store_calls.py
+++ b/src/chervilwing/store_calls.py
@@ -1,6 +1,7 @@
 """The calls on a store of items with revisions, watches and leases, and their replies.
 
-A revision is a number that grows with each write to the whole store.
+A revision is a number that grows with each write to the whole store, and with each
+return of the store from a copy; see ``store_epochs``.
 """
 
 from typing import NamedTuple
