Rely on no lease or duty of before the store's return

Cause: the same class, a number of one history of the store used in another. Change: the fencing number is a revision with its epoch. In a new epoch an instance relies on its lease only once it has seen its own record in the store; otherwise it takes another.

--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -257,10 +257,11 @@
     @property
     def lease(self):
         """Return the lease of this instance's items, or None."""
-        return self.duty_lease.lease
+        return self.duty_lease.confirmed_lease
 
     def _enter_epoch(self, epoch):
         log_event("store epoch changed", epoch=epoch)
+        self.duty_lease.enter_epoch(epoch, read_boottime())
 
     @handler("tick", channel="*")
     def _on_tick(self):
@@ -358,6 +359,8 @@
             return
         fence_before = self.duty_lease.fence(now)
         self.duty_lease.observe(mirror.items.get(DUTIES), mirror.revision)
+        own_record = mirror.items.get(self.duty_lease.record.key)
+        self.duty_lease.confirm_lease(own_record, mirror.revision)
         self._log_duty(fence_before, now)
 
     def _apply_document(self, item, now):
--- a/src/chervilwing/duty_leases.py
+++ b/src/chervilwing/duty_leases.py
@@ -1,7 +1,12 @@
 """Holding the duties, such as ordering machines, by one instance at a time.
 
 The holder creates one key under its lease. The key's revision is the fencing number:
-revisions of the store only grow, so every later holder has a higher number.
+revisions only grow, over all epochs of the store, so every later holder has a higher
+number.
+
+A store that returns from a copy may have lost the key, the lease or both, and may grant
+the lease's number to another instance. In a new epoch an instance therefore relies on
+its lease again only when it sees its own record in the store.
 """
 
 from typing import NamedTuple
@@ -16,6 +21,7 @@
     TakeLease,
     Unavailable,
 )
+from .store_epochs import get_epoch
 
 # Fractions of the lease after which it is renewed, and after which its holder no longer
 # relies on it: the rest covers a call in transit and the drift of two clocks.
@@ -48,7 +54,7 @@
     def __init__(self, key, record, name, ttl, rng):
         self.key = key
         self.lease = None
-        self._record = record
+        self.record = record
         self._record_written = False
         self._vacant = False
         self._vacant_since = None
@@ -64,6 +70,40 @@
         self._renew_at = 0.0
         self._last_act_at = float("-inf")
         self._last_act_fence = 0
+        self._epoch = 0
+        self._lease_confirmed = True
+        self._act_from = float("-inf")
+
+    @property
+    def confirmed_lease(self):
+        """Return the lease if it is known to be this instance's own, or None."""
+        return self.lease if self._lease_confirmed else None
+
+    def enter_epoch(self, epoch, now):
+        """Rely on no lease and no duty of an earlier epoch of the store.
+
+        The holder of that epoch may not know of the return yet. Others leave the duty
+        to it until it no longer relies on its lease either.
+        """
+        if self.lease is not None and self.fence(now) is None:
+            self._act_from = now + self._ttl * TRUST_FRACTION
+        self._epoch = epoch
+        self._fence = 0
+        self._vacant = False
+        self._lease_confirmed = self.lease is None
+
+    def confirm_lease(self, record, revision):
+        """Apply this instance's record as the store has it, None if it has none.
+
+        The record is written under the lease. If the store still has it, it has the
+        lease too.
+        """
+        if self._lease_confirmed or get_epoch(revision) < self._epoch:
+            return
+        if record is not None and record.value == self.record.value:
+            self._lease_confirmed = True
+            return
+        self._end_lease()
 
     def fence(self, now):
         """Return the fencing number to act under now, or None.
@@ -72,7 +112,8 @@
         holders in the order A, B, A. A returning holder therefore waits until its last
         act under the older number is a whole lease ago.
         """
-        if not self._fence or now >= self._trusted_until:
+        relies = self._lease_confirmed and self._act_from <= now < self._trusted_until
+        if not self._fence or not relies:
             return None
         if self._last_act_fence != self._fence and now < self._last_act_at + self._ttl:
             return None
@@ -92,7 +133,7 @@
         An observation may be older than this instance's own claim, and must not end a
         hold that has just begun.
         """
-        if revision < self._fence:
+        if revision < self._fence or get_epoch(revision) < self._epoch:
             return
         if item is None or item.revision != self._fence:
             self._fence = 0
@@ -117,8 +158,10 @@
             return TakeLease(self._ttl)
         if now >= self._renew_at:
             return KeepLease(self.lease)
+        if not self._lease_confirmed:
+            return None
         if not self._record_written:
-            put = (self._record.key, self._record.value, self.lease)
+            put = (self.record.key, self.record.value, self.lease)
             return Commit(puts=(put,))
         if self._may_claim(now):
             value = f"{self._name}/{self.lease}".encode()
@@ -132,9 +175,9 @@
             return False
         if self._vacant_since is None:
             self._vacant_since = now
-        return (
-            now < self._trusted_until and now - self._vacant_since >= self.claim_delay
-        )
+        if now < max(self._act_from, self._vacant_since + self.claim_delay):
+            return False
+        return now < self._trusted_until
 
     def receive(self, reply, now):
         """Apply the reply to the last call."""
@@ -149,7 +192,11 @@
         self._renew_at = sent_at + reply.ttl * RENEW_FRACTION
 
     def _receive_lease_gone(self, reply, sent_at, now):
+        self._end_lease()
+
+    def _end_lease(self):
         self.lease = None
+        self._lease_confirmed = True
         self._record_written = False
         self._fence = 0
         self._trusted_until = float("-inf")
--- a/tests/test_duty_leases.py
+++ b/tests/test_duty_leases.py
@@ -15,11 +15,14 @@
     TakeLease,
     Unavailable,
 )
+from chervilwing.store_epochs import make_revision
 
 TTL = 3.0
 
 
-class TestDutyLease(unittest.TestCase):
+class DutyCase(unittest.TestCase):
+    """One instance's lease and claim."""
+
     def setUp(self):
         record = Record("instances/one", b"10.0.0.1:1")
         self.duty = DutyLease("duty", record, "one", TTL, random.Random(1))
@@ -40,6 +43,8 @@
         claim = self.answer(Committed(revision), 0.1)
         self.assertEqual(claim, Commit((("duty", 0),), (("duty", b"one/7", 7),)))
 
+
+class TestDutyLease(DutyCase):
     def test_fencing_number_is_the_revision_of_the_claim(self):
         self.hold(9)
         self.assertEqual(self.duty.fence(0.2), 9)
@@ -120,3 +125,66 @@
         self.assertIsNone(self.duty.fence(0.7))
         self.answer(Leased(7, TTL), 1.8)
         self.assertEqual(self.duty.fence(0.5 + TTL), 15)
+
+
+class TestNewEpoch(DutyCase):
+    """The store returned from a copy of itself."""
+
+    def enter(self, now, epoch=1):
+        """Let the instance learn of the return."""
+        self.duty.enter_epoch(epoch, now)
+
+    def observe(self, item, record, number=5, epoch=1):
+        """Let the instance see the duty and its own record as the store has them."""
+        revision = make_revision(epoch, number)
+        self.duty.observe(item, revision)
+        record = record and Item("instances/one", record, revision)
+        self.duty.confirm_lease(record, revision)
+
+    def test_a_duty_that_the_copy_has_is_kept_under_a_higher_number(self):
+        self.hold(9)
+        self.enter(0.2)
+        self.assertIsNone(self.duty.fence(0.2))
+        claim = Item("duty", b"one/7", make_revision(1, 9))
+        self.observe(claim, b"10.0.0.1:1", 9)
+        self.assertEqual(self.duty.fence(0.3), make_revision(1, 9))
+
+    def test_a_lease_whose_number_may_be_another_instance_s_is_given_up(self):
+        # The lease was granted after the copy was made, and its number again since: its
+        # renewal succeeds, and prolongs what belongs to the other instance.
+        self.hold(9)
+        self.enter(0.2)
+        self.assertIsNone(self.duty.confirmed_lease)
+        self.assertIsNone(self.duty.next_call(0.3))
+        self.observe(None, None)
+        self.assertEqual(self.duty.next_call(0.3), TakeLease(TTL))
+        self.assertEqual(self.duty.lease, None)
+
+    def test_what_was_seen_before_the_return_claims_nothing(self):
+        self.hold(9)
+        self.enter(0.2)
+        self.duty.observe(Item("duty", b"one/7", 9), 40)
+        self.duty.confirm_lease(Item("instances/one", b"10.0.0.1:1", 5), 40)
+        self.assertIsNone(self.duty.fence(0.3))
+
+    def test_a_lost_claim_is_left_to_its_holder_while_that_may_rely_on_it(self):
+        # The holder of the earlier epoch has not learned of the return. If another
+        # instance claimed the vacant duty at once, both would act.
+        self.answer(Leased(7, TTL), 0.0)
+        self.answer(Committed(5), 0.0)
+        self.duty.observe(Item("duty", b"two/3", 8), 8)
+        self.enter(0.2)
+        self.observe(None, b"10.0.0.1:1")
+        self.assertIsNone(self.duty.next_call(0.8))
+        self.answer(Leased(7, TTL), 1.0)
+        self.answer(Leased(7, TTL), 2.0)
+        self.assertIsNone(self.duty.next_call(2.2))
+        self.assertIsInstance(self.duty.next_call(0.2 + TTL), (Commit, KeepLease))
+
+    def test_the_holder_claims_at_once_what_the_store_lost(self):
+        self.hold(9)
+        self.enter(0.2)
+        self.observe(None, b"10.0.0.1:1")
+        claim = self.answer(Committed(make_revision(1, 6)), 0.3)
+        self.assertEqual(claim.expect, (("duty", 0),))
+        self.assertEqual(self.duty.fence(0.3), make_revision(1, 6))
