Keep the decision on a roll-out whose order is written again after a restore

What callers would see: a roll-out was completed; the store returned from a copy and the operator wrote the order again. It counted as a new order, and requests went back to the version that was replaced for another trial. Change: an order that is known and written again in a later epoch keeps its decision; the holder of the duties stores the decision under the order's new number, with its status. A decision names its order by number and target. Result: test_a_completed_roll_out_is_not_begun_again fails before (never reported as completed again in 10 s) and passes after.

--- a/src/chervilwing/rollout_duty.py
+++ b/src/chervilwing/rollout_duty.py
@@ -14,6 +14,7 @@
     sum_answers,
 )
 from .store_calls import Committed
+from .store_epochs import get_number
 
 # Seconds between two evaluations of the versions' answers.
 EVALUATE_INTERVAL = 0.5
@@ -51,7 +52,13 @@
                 return
 
     def _advance(self, rollout):
-        """Write the next state of a roll-out; return whether there is one."""
+        """Write the next state of a roll-out; return whether there is one.
+
+        A decision that the store lost is written again first.
+        """
+        if rollout.unsaved:
+            self._write(rollout, rollout.decision)
+            return True
         answers = add_totals(self._rollouts.answers, self._rollouts.peer_answers)
         tried, current = split_answers(answers, rollout)
         now = self._read_time()
@@ -60,7 +67,7 @@
             return False
         began = rollout.decision.began_at if rollout.decision else now
         target = rollout.order.target
-        decision = Decision(rollout.revision, target, state, began)
+        decision = Decision(get_number(rollout.revision), target, state, began)
         log_event(
             "rollout",
             pool=rollout.order.pool,
@@ -70,14 +77,16 @@
             tried=dict(zip(("answers", "bad"), sum_answers(tried), strict=True)),
             standing=dict(zip(("answers", "bad"), sum_answers(current), strict=True)),
         )
-        status = self._write_status(rollout.order.pool, target, state)
+        self._write(rollout, decision)
+        return True
+
+    def _write(self, rollout, decision):
+        pool, target, state = rollout.order.pool, decision.target, decision.state
+        status = self._write_status(pool, target, state)
         self._busy = True
         self._coordinator.duty_lease.record_act(read_boottime())
         commit = make_commit(rollout, decision, status)
-        self._store.submit(
-            commit, lambda reply: self._written(rollout.order.pool, decision, reply)
-        )
-        return True
+        self._store.submit(commit, lambda reply: self._written(pool, decision, reply))
 
     def _written(self, pool, decision, reply):
         self._busy = False
--- a/src/chervilwing/rollouts.py
+++ b/src/chervilwing/rollouts.py
@@ -12,10 +12,12 @@
 from typing import NamedTuple
 
 import msgspec
+from msgspec.structs import replace
 
 from .exceptions import BadConfiguration
 from .instance_reports import add_growth
 from .store_calls import Commit
+from .store_epochs import get_epoch, get_number
 
 DECISIONS = "chervilwing/instances-rollouts/"
 # Kinds of totals, named after the fields of Answers to which they are added.
@@ -75,7 +77,7 @@
 
 
 class Decision(msgspec.Struct, frozen=True):
-    """Decision on an order; ``order`` is the revision of that order.
+    """Decision on an order; ``order`` is the store's number of that order's revision.
 
     ``began_at`` is the Unix time, by the instances' common clock, at which the order
     was first seen.
@@ -98,13 +100,16 @@
     """An order with its revision, and the decision on it.
 
     ``decision`` is None if there is none or if it belongs to an older order;
-    ``decided_at`` is the revision of the decision's key in either case.
+    ``decided_at`` is the revision of the decision's key in either case. ``unsaved`` is
+    true if the store doesn't have the decision any more, or for the order's number of
+    an earlier epoch only.
     """
 
     order: RolloutOrder
     revision: int
     decision: Decision | None = None
     decided_at: int = 0
+    unsaved: bool = False
 
 
 def encode_decision(decision):
@@ -165,6 +170,22 @@
     return decision is None or state in NEXT_STATES[decision.state]
 
 
+def is_decision_on(decision, rollout):
+    """Return whether a stored decision belongs to a roll-out's order."""
+    number, target = get_number(rollout.revision), rollout.order.target
+    return (decision.order, decision.target) == (number, target)
+
+
+def is_earlier(decision, known):
+    """Return whether a decision, None if there is none, precedes the known one."""
+    return decision is None or known.state in NEXT_STATES[decision.state]
+
+
+def is_written_again(rollout, order, revision):
+    """Return whether an order is the known one, written again in a later epoch."""
+    return order == rollout.order and get_epoch(revision) > get_epoch(rollout.revision)
+
+
 def sum_answers(by_route):
     """Return the sum of the Answers of all routes."""
     return Answers(
@@ -239,11 +260,22 @@
         seen.setdefault(version, now if seen else float("-inf"))
 
     def put_order(self, order, revision):
-        """Store an operator's order, unless a newer order for its pool is known."""
+        """Store an operator's order, unless a newer order for its pool is known.
+
+        An order that is written again after the store lost it keeps its decision. If it
+        began anew, requests would go back to the version that was replaced.
+        """
         known = self.rollouts_by_pool.get(order.pool)
-        if known is None or known.revision < revision:
-            self.rollouts_by_pool[order.pool] = Rollout(order, revision)
-            self._update_rollout(order.pool)
+        if known is not None and revision <= known.revision:
+            return
+        decision = None
+        if known is not None and is_written_again(known, order, revision):
+            number = get_number(revision)
+            decision = known.decision and replace(known.decision, order=number)
+        self.rollouts_by_pool[order.pool] = Rollout(
+            order, revision, decision, unsaved=decision is not None
+        )
+        self._update_rollout(order.pool)
 
     def put_decision(self, pool, decision, revision):
         """Apply the decision that the store holds for a pool; None if there is none."""
@@ -255,10 +287,17 @@
         if rollout is None:
             return
         decision, decided_at = self._decisions.get(pool, (None, 0))
-        if decision is not None and decision.order != rollout.revision:
+        if decision is not None and not is_decision_on(decision, rollout):
             decision = None
+        is_restored = rollout.unsaved or get_epoch(decided_at) > get_epoch(
+            rollout.decided_at
+        )
+        known = rollout.decision
+        unsaved = is_restored and known is not None and is_earlier(decision, known)
         self.rollouts_by_pool[pool] = rollout._replace(
-            decision=decision, decided_at=decided_at
+            decision=known if unsaved else decision,
+            decided_at=decided_at,
+            unsaved=unsaved,
         )
 
     def list_excluded(self, pool, upstream_states, drawn, now):
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -2,8 +2,10 @@
 
 import time
 
+from tests.fakes.control import HOST
 from tests.procs import poll
-from tests.test_platform import PlatformCase
+from tests.test_platform import PlatformCase, answer
+from tests.upstreams import RawUpstream
 
 # Seconds within which a change of the configuration or a leave holds everywhere.
 APPLY_BOUND = 2.0
@@ -85,3 +87,36 @@
         for gateway in gateways:
             left = deadline - time.monotonic()
             poll(lambda gateway=gateway: self.call(gateway) == 503, left)
+
+
+class TestRolloutsAfterARestore(DrillCase):
+    def read_status(self):
+        """Return the reported roll-out status, an empty dict before the first."""
+        return self.platform.record()["values"].get("status/rollout/web", {})
+
+    def test_a_completed_roll_out_is_not_begun_again(self):
+        # The store lost the order, its decision and its status. The operator writes the
+        # order again: requests would go back to the version that was replaced.
+        other = RawUpstream(answer)
+        self.addCleanup(other.close)
+        order = {"op/rollout/web": {"service": "web", "target": "v2", "durationS": 6}}
+        gateway = self.start("one")
+        self.assertEqual(self.call(gateway), 200)
+        self.write_unrelated(20)
+        self.platform.post("/-/save", {})
+        self.operate(order)
+        self.register("i-2", version="v2", address=f"{HOST}:{other.port}")
+
+        def is_completed():
+            for _ in range(40):
+                self.call(gateway)
+            return self.read_status().get("state") == "completed"
+
+        poll(is_completed, 30)
+        self.platform.post("/-/restore", {})
+        self.register("i-2", version="v2", address=f"{HOST}:{other.port}")
+        self.operate(order)
+        before = len(self.upstream.heads)
+        poll(lambda: self.read_status().get("state") == "completed", 10)
+        self.assertEqual({self.call(gateway) for _ in range(100)}, {200})
+        self.assertEqual(len(self.upstream.heads), before)
