Report each window of usage once around the store's returns

What the platform would see: two reports of one window with different counts, or none of requests whose stored counts were lost. Change: the last report is also kept under the prefix that all instances follow, and is in force there until written again; a holder that finds an older one in the store writes the known one and sends it unchanged. Counts that may be lost are stored again. A process that starts after a return, with nobody left who knows, reports no window that ended before its start.

--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -254,6 +254,11 @@
         }
         return set(self._last_seen)
 
+    @property
+    def instance_items(self):
+        """Return the Mirror of what the instances write."""
+        return self._instances
+
     @property
     def lease(self):
         """Return the lease of this instance's items, or None."""
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -29,6 +29,7 @@
 from .settings import HELP_FLAGS, render_help
 from .store_calls import EndLease
 from .ticks import tick
+from .usage import SHARED_REPORT
 from .usage_reports import UsageParts, UsageReporter
 from .web import Web, WebHandlers
 
@@ -88,8 +89,13 @@
         ).register(self)
         Placing(cfg, datagrams, self._coordinator, self.gateway).register(self)
         LeavingExchange(cfg, datagrams, self._coordinator, self.gateway).register(self)
+        instance_items = self._coordinator.instance_items
+        self._usage_parts.read_shared = lambda: instance_items.in_force.get(
+            SHARED_REPORT
+        )
+        is_leader = lambda: report_exchange.is_leader
+        write_status = adapter.sources.write_status
         if not cfg.routes:
-            is_leader = lambda: report_exchange.is_leader
             CrashSaver(self._store, self.gateway, is_leader).register(self)
         if cfg.cloud is not None:
             cloud = adapter.make_cloud(cfg, platform)
@@ -100,7 +106,7 @@
             self._store,
             self._coordinator,
             self.gateway,
-            adapter.sources.write_status,
+            write_status,
             self._usage_parts.read_time,
         ).register(self)
         if cfg.cloud is not None and cfg.buys:
--- a/src/chervilwing/usage.py
+++ b/src/chervilwing/usage.py
@@ -4,6 +4,9 @@
 from collections import Counter
 from typing import NamedTuple
 
+# Key of the last report, followed by all instances: in a restored store the report may
+# be missing, and its window must not be counted again.
+SHARED_REPORT = "chervilwing/instances-usage-report"
 # Number of windows kept while they can't be written: they span more than the usual
 # outages of the store, and a report after a longer outage would be useless.
 MAX_WINDOWS = 12
@@ -15,10 +18,11 @@
 
 
 class Report(NamedTuple):
-    """The final counts of one window, by organisation."""
+    """The final counts of one window, by organisation; ``epoch`` is the store's."""
 
     window: int
     counts: dict[str, int]
+    epoch: int = 0
 
 
 class UsageCounter:
@@ -28,6 +32,7 @@
         self.length = length
         self._windows = {}
         self._first = None
+        self._first_counted = None
         self._stored = set()
 
     def count(self, organisation, at):
@@ -39,7 +44,7 @@
 
     def start(self, now):
         """Start counting with the present window."""
-        self._first = int(now // self.length)
+        self._first = self._first_counted = int(now // self.length)
 
     def list_unstored(self, now):
         """Return the counts that aren't stored yet by window, the present one included.
@@ -60,6 +65,15 @@
             if window not in self._stored
         }
 
+    def forget_stored(self, after):
+        """Take no window after this one for stored any more."""
+        self._stored = {window for window in self._stored if window <= after}
+
+    @property
+    def first(self):
+        """Return the window in which the counting began, 0 before it."""
+        return self._first_counted or 0
+
     def mark_stored(self, window, counts):
         """Record that these counts of an ended window are stored."""
         if self._windows.get(window, {}) == counts:
@@ -141,10 +155,10 @@
 
 def encode_report(report):
     """Return a Report as bytes for the store."""
-    return json.dumps({"window": report.window, "counts": report.counts}).encode()
+    return json.dumps(report._asdict()).encode()
 
 
 def decode_report(value):
     """Return the Report of the store's bytes."""
     value = json.loads(value)
-    return Report(value["window"], value["counts"])
+    return Report(value["window"], value["counts"], value.get("epoch", 0))
--- a/src/chervilwing/usage_reports.py
+++ b/src/chervilwing/usage_reports.py
@@ -10,6 +10,7 @@
 from .store_calls import Commit, Committed, Conflict, ListItems, Page
 from .usage import (
     MAX_WINDOWS,
+    SHARED_REPORT,
     ReceivedCounts,
     Report,
     UsageCounter,
@@ -54,7 +55,8 @@
     """Count requests that run here, and store the counts with those of other instances.
 
     ``is_storing`` returns whether this instance stores; otherwise it only reports its
-    counts to another one that does.
+    counts to another one that does. ``read_shared`` returns the item of SHARED_REPORT
+    that is in force, or None.
     """
 
     channel = "usage-parts"
@@ -63,6 +65,8 @@
         super().__init__()
         self.counter = UsageCounter(cfg.usage_window)
         self.is_storing = lambda: True
+        self.read_shared = lambda: None
+        self._shared_item = self._shared_report = None
         self._store = store
         self._agreed_time = agreed_time
         # The name includes the incarnation, so that a restarted instance doesn't
@@ -75,6 +79,25 @@
         self._stored = {}
         self._pending_writes = 0
         self._retry_at = 0.0
+        store.epochs.subscribe(self._enter_epoch)
+
+    def _enter_epoch(self, epoch):
+        """Store the counts again that a restored store may have lost.
+
+        Those of reported windows aren't needed any more.
+        """
+        report = self.find_last_report()
+        reported = report.window if report else -1
+        self._stored = {w: c for w, c in self._stored.items() if w <= reported}
+        self.counter.forget_stored(reported)
+
+    def find_last_report(self):
+        """Return the last Report of any instance that is known here, or None."""
+        item = self.read_shared()
+        if item != self._shared_item:
+            self._shared_item = item
+            self._shared_report = decode_report(item.value) if item else None
+        return self._shared_report
 
     def read_time(self):
         """Return the Unix time in seconds that the instances agree on."""
@@ -186,6 +209,7 @@
         self._report_read = False
         self._revision = 0
         self._report = None
+        self._report_stored = True
         self._report_sent = False
         self._call_pending = False
         self._retry_at = 0.0
@@ -202,8 +226,11 @@
         self._advance(now)
 
     def _advance(self, now):
+        self._adopt(self._parts.find_last_report())
         if not self._report_read:
             self._submit(ListItems(REPORT), self._receive_report)
+        elif not self._report_stored:
+            self._store_report(self._report, ())
         elif self._report is not None and not self._report_sent:
             self._send(now)
         elif self._obsolete_keys:
@@ -236,11 +263,25 @@
             return
         found = [item for item in reply.items if item.key == REPORT]
         self._revision = found[0].revision if found else 0
-        self._report = decode_report(found[0].value) if found else None
-        self._report_sent = False
+        known, self._report = self._report, None
+        if found:
+            self._report = decode_report(found[0].value)
+        self._report_stored, self._report_sent = True, False
         self._report_read = True
+        self._adopt(known)
         self._submit(ListItems(PARTS), self._receive_obsolete_keys)
 
+    def _adopt(self, known):
+        """Go on from a known Report that the store has lost; None if none is known.
+
+        Its window may have been reported already. Counted again, it could be reported
+        with other counts.
+        """
+        window = self._report.window if self._report else -1
+        if self._report_read and known is not None and known.window > window:
+            self._report = known._replace(epoch=self._store.epochs.current)
+            self._report_stored = self._report_sent = False
+
     def _receive_obsolete_keys(self, reply):
         """Collect the keys of counts that were stored too late for their window."""
         if not isinstance(reply, Page) or self._report is None:
@@ -255,7 +296,12 @@
         newest = int((self._parts.read_time() - COLLECT_DELAY) // length) - 1
         if self._report is None:
             return newest
-        return max(self._report.window + 1, newest - MAX_LATE_WINDOWS)
+        first = max(self._report.window + 1, newest - MAX_LATE_WINDOWS)
+        if self._report.epoch < self._store.epochs.current:
+            # Later windows may have been reported before the store returned, and this
+            # process knows only of those since its start that they weren't.
+            first = max(first, self._parts.counter.first)
+        return first
 
     def _collect(self):
         window = self._next_window()
@@ -291,12 +337,7 @@
             return
         counts = sum_counts(merge_counts((stored, reported)).values())
         keys = [item.key for item in reply.items]
-        report = Report(window, counts)
-        commit = Commit(
-            expect=((REPORT, self._revision),),
-            puts=((REPORT, encode_report(report), 0),),
-            deletes=tuple(keys[:MAX_DELETES]),
-        )
+        report = Report(window, counts, self._store.epochs.current)
         log_event(
             "usage decided",
             window=window,
@@ -304,17 +345,27 @@
             heard=len(unstored),
             missing=len(missing),
         )
+        self._store_report(report, keys)
+
+    def _store_report(self, report, obsolete_keys):
+        """Store a report under both keys and delete the counts of its window."""
+        value = encode_report(report)
+        commit = Commit(
+            expect=((REPORT, self._revision),),
+            puts=((REPORT, value, 0), (SHARED_REPORT, value, 0)),
+            deletes=tuple(obsolete_keys[:MAX_DELETES]),
+        )
         self._submit(
             commit,
             lambda answer: self._receive_commit_reply(
-                report, keys[MAX_DELETES:], answer
+                report, obsolete_keys[MAX_DELETES:], answer
             ),
         )
 
     def _receive_commit_reply(self, report, obsolete_keys, reply):
         if isinstance(reply, Committed):
             self._revision, self._report = reply.revision, report
-            self._report_sent = False
+            self._report_stored, self._report_sent = True, False
             self._obsolete_keys += obsolete_keys
             return
         # A write whose reply was lost may have taken effect: read the report again
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -89,6 +89,82 @@
             poll(lambda gateway=gateway: self.call(gateway) == 503, left)
 
 
+class TestDutiesAfterARestore(DrillCase):
+    def call_for(self, seconds, *gateways):
+        """Send requests to these gateways; return how many were served."""
+        served, end = 0, time.monotonic() + seconds
+        while time.monotonic() < end:
+            for gateway in gateways:
+                served += self.call(gateway) == 200
+            time.sleep(0.02)
+        return served
+
+    def read_reports(self):
+        """Return a list of the reported counts for each window."""
+        reports = {}
+        for _, _, body in self.list_calls("/usage"):
+            reports.setdefault(body["windowId"], []).append(body["counts"])
+        return reports
+
+    def check_usage(self, served):
+        """Wait until all requests are reported, and check that each counts once."""
+
+        def count_reported():
+            reports = self.read_reports().values()
+            return sum(counts[0].get("insurer", 0) for counts in reports)
+
+        poll(lambda: count_reported() >= served, 20)
+        time.sleep(2.0)
+        self.assertEqual(count_reported(), served)
+        for counts in self.read_reports().values():
+            self.assertEqual(counts, counts[:1] * len(counts))
+        fences = [fence for _, fence, _ in self.list_calls("/usage")]
+        self.assertEqual(fences, sorted(fences))
+
+    def test_usage_around_restores_is_reported_once(self):
+        # The store loses counts and reports that the platform has accepted: counted
+        # again, a window is reported with other counts.
+        gateways = [self.start(name) for name in ("one", "two", "three")]
+        served = self.call_for(1.5, *gateways)
+        for _ in range(3):
+            self.platform.post("/-/save", {})
+            served += self.call_for(3.0, *gateways)
+            self.platform.post("/-/restore", {})
+        served += self.call_for(3.0, *gateways)
+        self.check_usage(served)
+
+    def test_usage_is_reported_once_where_the_holder_ends_with_the_store(self):
+        # The next holder finds an older report than the last one that was sent.
+        first, second = self.start("one"), self.start("two")
+        poll(lambda: self.list_calls("/usage"), 20)
+        self.platform.post("/-/save", {})
+        self.call_for(4.0, second)
+        holder, other = first, second
+        if self.list_calls("/usage")[-1][0] == "two":
+            holder, other = second, first
+        holder.kill()
+        self.platform.post("/-/restore", {})
+        seen = len(self.list_calls("/usage"))
+        poll(lambda: len(self.list_calls("/usage")) > seen + 2, 20)
+        for counts in self.read_reports().values():
+            self.assertEqual(counts, counts[:1] * len(counts))
+        self.assertEqual(self.list_calls("/usage")[-1][0], other.info["name"])
+
+    def test_a_restarted_instance_reports_no_window_from_before_a_restore(self):
+        # Nobody is left who knows which windows were reported.
+        gateway = self.start("one", usage_window="2")
+        poll(lambda: self.list_calls("/usage"), 20)
+        self.platform.post("/-/save", {})
+        self.call_for(7.0, gateway)
+        gateway.kill()
+        self.platform.post("/-/restore", {})
+        seen = len(self.list_calls("/usage"))
+        self.start("one", usage_window="2")
+        poll(lambda: len(self.list_calls("/usage")) > seen + 2, 20)
+        for counts in self.read_reports().values():
+            self.assertEqual(counts, counts[:1] * len(counts))
+
+
 class TestRolloutsAfterARestore(DrillCase):
     def read_status(self):
         """Return the reported roll-out status, an empty dict before the first."""
