Let followers wait for their leader's list of a restored store

Cause: each follower whose watch was answered in another epoch listed the store, 173 lists by 320 instances in the model, just when the store was back; an answer 410 of the new epoch made it deaf to its leader's news meanwhile. A 410 states its epoch.

--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -206,6 +206,11 @@
         for mirror, _ in self._followed:
             mirror.passive = passive
 
+    def set_list_delay(self, seconds):
+        """Set for how long a leader's news are waited for after the store's return."""
+        for mirror, _ in self._followed:
+            mirror.list_delay = seconds
+
     @property
     def unreachable(self):
         """Return whether the last own call on the store had no reply."""
--- a/src/chervilwing/mirrors.py
+++ b/src/chervilwing/mirrors.py
@@ -91,7 +91,8 @@
     waits for ``spacing`` seconds, so that changes that come together cost one call. A
     ``passive`` mirror makes no calls except to list: another instance sends it the
     news. ``unreachable`` is true where the mirror's own last call had no reply.
-    ``wait`` is how many seconds a watch waits; it may be changed.
+    ``wait`` is how many seconds a watch waits; it may be changed. ``list_delay`` is for
+    how many seconds the news of a leader are waited for after a return of the store.
     """
 
     def __init__(self, prefix, wait, rng, spacing=0.0, compute_hold=hold_nothing):
@@ -108,6 +109,7 @@
         self.passive = False
         self.unreachable = False
         self.wait = wait
+        self.list_delay = 0.0
         self._spacing = spacing
         self._rng = rng
         self.revision = None
@@ -223,7 +225,7 @@
         if get_epoch(self._watched_revision) != get_epoch(changes.revision):
             # The number that was watched belongs to another history: what the store
             # wrote below it is missing.
-            self._must_list |= self._is_new_epoch(changes.revision)
+            self._plan_listing(get_epoch(changes.revision), now)
             return []
         if changes.items:
             self._next_call_at = now + self._spacing
@@ -434,11 +436,21 @@
             self._changes_since = max(self._changes_since, dropped.revision)
 
     def _receive_history_gone(self, reply, sent_at, now):
+        self._mark_reachable(now)
+        if reply.epoch > get_epoch(self.revision):
+            self._plan_listing(reply.epoch, now)
+            return []
         self._must_list = True
         self._has_history = False
         self._listing = None
         return []
 
+    def _plan_listing(self, epoch, now):
+        """List the items soon if the store has reached a later epoch."""
+        if epoch > get_epoch(self.revision):
+            self._must_list = True
+            self._next_call_at = now + self.list_delay
+
     def _receive_failure(self, reply, sent_at, now):
         self.unreachable = True
         if self.lost_since is None:
--- a/src/chervilwing/platform/store.py
+++ b/src/chervilwing/platform/store.py
@@ -117,7 +117,7 @@
 DECODERS = {
     (ListItems, 200): decode_page,
     (WatchItems, 200): decode_changes,
-    (WatchItems, 410): lambda req, value, epoch: HistoryGone(),
+    (WatchItems, 410): lambda req, value, epoch: HistoryGone(epoch),
     (Commit, 200): decode_committed,
     (Commit, 412): lambda req, value, epoch: Conflict(),
     (Commit, 404): lambda req, value, epoch: LeaseGone(),
--- a/src/chervilwing/report_exchange.py
+++ b/src/chervilwing/report_exchange.py
@@ -49,6 +49,10 @@
 # of an instance that is cut off lapses and it leaves the peers, but it may still know
 # the state of the store.
 QUERIER_LIFETIME = 60.0
+# Seconds for which a follower waits for its leader's list of a restored store: the
+# leader's list and the next query. If all followers listed as well, the store's rate
+# limit would be exhausted.
+LIST_DELAY = 0.6
 # Replaces the group's name in a query to a fallback, an instance other than the leader.
 FALLBACK = ""
 
@@ -156,6 +160,7 @@
         leader = self._leader.choose(names[:rank_in_group], now)
         if leader != before:
             log_event("leader followed", leader=leader or "", was=before or "")
+        self._coordinator.set_list_delay(0.0 if leader is None else LIST_DELAY)
         if leader is None:
             informed = any(
                 self._queries_by_group[group].fresh
--- a/src/chervilwing/store_calls.py
+++ b/src/chervilwing/store_calls.py
@@ -46,7 +46,9 @@
 
 
 class HistoryGone(NamedTuple):
-    """The store no longer has the requested changes."""
+    """The store, in its present epoch, doesn't have the requested changes."""
+
+    epoch: int = 0
 
 
 class Unavailable(NamedTuple):
--- a/tests/test_store_watchers.py
+++ b/tests/test_store_watchers.py
@@ -53,6 +53,9 @@
             if not self.store_lost:
                 self._as_of = self._clock.now
 
+    def set_list_delay(self, seconds):
+        """Ignore the delay, as nothing is listed."""
+
     def list_links(self):
         """Return no links, as all are equal."""
         return {}
