Let no older news hide a return or the loss of an item

What callers would see: an instance whose leader is cut off learned of no change for as long as the cut; an upstream that left stayed at an instance that got the items of the new epoch in parts. Cause: young news of the earlier epoch cancelled the list that was due; the deletion of an item of the earlier epoch is dated at the return, and was taken for older than the parts already applied.

--- a/src/chervilwing/mirrors.py
+++ b/src/chervilwing/mirrors.py
@@ -132,6 +132,7 @@
         # known of each earlier one. The kept changes lead from there to the present
         # epoch, but not from any other revision.
         self._entered_at = 0
+        self._store_epoch = 0
         self._last_revisions = {}
         self._carried_epoch = None
 
@@ -187,6 +188,7 @@
         self._has_history = True
         self.as_of = max(self.as_of, sent_at)
         self.complete = True
+        self._store_epoch = max(self._store_epoch, get_epoch(revision))
         is_new_epoch = self._is_new_epoch(revision)
         if is_new_epoch:
             self._enter_epoch(revision, (), now)
@@ -204,9 +206,7 @@
         )
 
     def _is_outdated(self, revision):
-        return self.revision is not None and get_epoch(revision) < get_epoch(
-            self.revision
-        )
+        return get_epoch(revision) < self._store_epoch
 
     def _enter_epoch(self, revision, items, now):
         """Record the change to a revision of a later epoch.
@@ -214,6 +214,7 @@
         ``items`` are those received together with it. The store was away, so that
         entries may lapse now whose owners couldn't renew them.
         """
+        self._store_epoch = max(self._store_epoch, get_epoch(revision))
         epoch = get_epoch(self.revision)
         known = [item.revision for item in items if get_epoch(item.revision) == epoch]
         self._last_revisions[epoch] = max([self.revision, *known])
@@ -239,9 +240,12 @@
         The reply to a watch and another instance's news may cross. A change that is
         older than the present revision would restore an item that was deleted since.
         """
-        changed = self._apply_items(
-            [item for item in items if item.revision > self.revision], now
-        )
+        later = [
+            item
+            for item in items
+            if item.revision > self.revision or is_return(item.revision)
+        ]
+        changed = self._apply_items(later, now)
         self.revision = max(self.revision, revision)
         self._keep_changes(changed)
         return changed
@@ -448,6 +452,8 @@
     def _plan_listing(self, epoch, now):
         """List the items soon if the store has reached a later epoch."""
         if epoch > get_epoch(self.revision):
+            # News of an earlier epoch don't replace the list, however fresh they are.
+            self._store_epoch = max(self._store_epoch, epoch)
             self._must_list = True
             self._next_call_at = now + self.list_delay
 
--- a/tests/test_restored_mirrors.py
+++ b/tests/test_restored_mirrors.py
@@ -183,14 +183,17 @@
         self.items = items
         self.follower.passive = True
 
-    def restore(self, number=45, later=()):
-        """Let the leader list a restored store, which has its first items."""
-        watch(self.leader, [], 2, number)
-        items = [
-            item._replace(revision=make_revision(2, get_number(item.revision)))
+    def list_items(self, epoch):
+        """Return the first items as a store of this epoch has them."""
+        return [
+            item._replace(revision=make_revision(epoch, get_number(item.revision)))
             for item in self.items
         ]
-        relist(self.leader, [*items, *later], 2, number)
+
+    def restore(self, number=45):
+        """Let the leader list a restored store, which has its first items."""
+        watch(self.leader, [], 2, number)
+        relist(self.leader, self.list_items(2), 2, number)
 
     def apply_news(self, now=3.0):
         """Query the leader; return its news and what changed."""
@@ -233,12 +236,8 @@
         self.restore()
         watch(self.leader, [delete("k1", 2, 46)], 2, 47)
         watch(self.leader, [], 3, 46)
-        kept = [item for item in self.items if item.key != "a/k1"]
-        moved = [
-            item._replace(revision=make_revision(3, get_number(item.revision)))
-            for item in kept
-        ]
-        relist(self.leader, moved, 3, 46)
+        kept = [item for item in self.list_items(3) if item.key != "a/k1"]
+        relist(self.leader, kept, 3, 46)
         changed = self.apply_news(9.0)[1]
         self.assertEqual([item.key for item in changed], ["a/k1"])
         self.assertEqual(self.follower.items, self.leader.items)
@@ -253,3 +252,26 @@
         self.assertEqual(self.follower.in_force["a/k1"].value, b"new")
         self.assertNotIn("a/k2", self.follower.in_force)
         self.assertEqual(self.follower.items, self.leader.items)
+
+    def test_news_of_a_leader_that_is_cut_off_do_not_replace_the_list(self):
+        # The leader has not seen the return, and its news are young. If they cancelled
+        # the follower's list each time, it would learn of nothing until the leader does.
+        self.follower.passive = False
+        watch(self.follower, [], 2, 60)
+        self.apply_news(1.1)
+        self.assertEqual(self.follower.next_call(1.2), ListItems("a/"))
+
+    def test_deletions_are_found_where_news_come_in_parts(self):
+        # The follower has applied a part of the new epoch when an item of the earlier
+        # one is deleted; the deletion is older than the part.
+        sender = make_mirror(*self.list_items(2), epoch=2)
+        self.follower.passive = False
+        watch(self.follower, [put("short", 1, 70)], 1, 90)
+        self.follower.passive = True
+        first = sender.make_news(self.follower.revision, 3.0)
+        self.assertTrue(first.more)
+        self.follower.apply_news(first, 3.0, 3.0)
+        while self.follower.revision != sender.revision:
+            news = sender.make_news(self.follower.revision, 3.0)
+            self.follower.apply_news(news, 3.0, 3.0)
+        self.assertNotIn("a/short", self.follower.items)
