--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -2,28 +2,24 @@
 
 import random
 from collections.abc import Callable
-from math import isfinite
 from typing import NamedTuple
 
 import msgspec
 from circuits.core import BaseComponent, handler
 
-from .addresses import format_address, parse_address
 from .clocks import read_boottime
 from .duty_leases import DutyLease, Record
 from .exceptions import BadConfiguration
+from .holds import hold_documents, hold_instance_item, hold_registration
 from .instance_count import COUNT, InstanceCount
+from .instance_records import DUTIES, INSTANCES, Peer, decode_peer, encode_peer
 from .logs import log_event
 from .mirrors import Mirror
-from .models import Address
 from .rollouts import DECISIONS, decode_decision
 from .store_calls import Committed, HistoryGone, Page
 from .store_epochs import get_epoch, get_number
 from .stored_crashes import CRASHES, decode_crash
 
-# Store keys that the instances write: running instances, and the holder of the duties.
-INSTANCES = "chervilwing/instances/"
-DUTIES = "chervilwing/instances-duties"
 # Seconds that a watch waits for a change. Each reply, even without changes, renews the
 # knowledge of this instance and of those that query it; see
 # leader_queries.MAX_FRESH_AGE.
@@ -49,66 +45,11 @@
 TRUSTED_FRACTION = 0.95
 # Seconds up to which knowledge of registrations counts as fresh.
 MAX_REGISTRATIONS_AGE = 2.0
-# Seconds for which a registration that the store returned with is ignored if it was
-# replaced or deleted before. The entry of an upstream that is gone lapses meanwhile;
-# one that is still there belongs to an upstream that runs.
-RESTORED_REGISTRATION_HOLD = 8.0
-# Seconds for which an instance that the store lost is still a peer. It registers itself
-# again within a second. Without this, all would share the limits among fewer instances.
-LOST_INSTANCE_HOLD = 5.0
 # The first followed prefixes, this many, must be fresh: the configuration and the
 # registrations. Knowledge of other instances may be older.
 FRESH_PREFIX_COUNT = 2
 
 
-class Peer(NamedTuple):
-    """Another instance: its address for datagrams, data centre and link in Mbit/s."""
-
-    address: Address
-    data_centre: str
-    link: float
-
-
-def encode_peer(peer):
-    """Return the value under which an instance is registered."""
-    return f"{format_address(peer.address)} {peer.data_centre} {peer.link}".encode()
-
-
-def decode_peer(key, value):
-    """Return the Peer of a registered value, or raise BadConfiguration."""
-    try:
-        address, data_centre, link = value.decode().split(" ")
-        peer = Peer(parse_address(address), data_centre, float(link))
-        if not isfinite(peer.link):
-            raise ValueError("the link rate is not a finite number")
-        return peer
-    except ValueError as exc:
-        raise BadConfiguration(f"{key}: {exc}") from exc
-
-
-def hold_documents(key, lost):
-    """Return the seconds to keep a document that the store lost: until it's written."""
-    return float("inf")
-
-
-def hold_registration(key, lost):
-    """Return the seconds to ignore what a restored store says of a registration.
-
-    A lost registration lapses like those that can't be renewed in an outage.
-    """
-    return 0.0 if lost else RESTORED_REGISTRATION_HOLD
-
-
-def hold_instance_item(key, lost):
-    """Return the seconds to keep an item of the instances that the store lost.
-
-    The claim to the duties holds only as long as the store has it.
-    """
-    if key == DUTIES:
-        return 0.0
-    return LOST_INSTANCE_HOLD if key.startswith(INSTANCES) else float("inf")
-
-
 class StoreLayout(NamedTuple):
     """Where the platform keeps the followed items, and how they are decoded.
 
--- /dev/null
+++ b/src/chervilwing/holds.py
@@ -0,0 +1,36 @@
+"""For how long what a restored store has lost, or took back, stays in force."""
+
+from math import inf
+
+from .instance_records import DUTIES, INSTANCES
+
+# Seconds for which a registration that the store returned with is ignored if it was
+# replaced or deleted before. The entry of an upstream that is gone lapses meanwhile;
+# one that is still there belongs to an upstream that runs.
+RESTORED_REGISTRATION_HOLD = 8.0
+# Seconds for which an instance that the store lost is still a peer. It registers itself
+# again within a second. Without this, all would share the limits among fewer instances.
+LOST_INSTANCE_HOLD = 5.0
+
+
+def hold_documents(key, lost):
+    """Return the seconds to keep a document that the store lost: until it's written."""
+    return inf
+
+
+def hold_registration(key, lost):
+    """Return the seconds to ignore what a restored store says of a registration.
+
+    A lost registration lapses like those that can't be renewed in an outage.
+    """
+    return 0.0 if lost else RESTORED_REGISTRATION_HOLD
+
+
+def hold_instance_item(key, lost):
+    """Return the seconds to keep an item of the instances that the store lost.
+
+    The claim to the duties holds only as long as the store has it.
+    """
+    if key == DUTIES:
+        return 0.0
+    return LOST_INSTANCE_HOLD if key.startswith(INSTANCES) else inf
--- a/src/chervilwing/mirrors.py
+++ b/src/chervilwing/mirrors.py
@@ -8,10 +8,11 @@
 in force what the store has lost until it is written again, or for a limited time.
 """
 
-from collections import deque
 from typing import NamedTuple
 
-from .replaced_items import ReplacedItems, identify
+from .items_in_force import ItemsInForce, hold_nothing
+from .kept_changes import KeptChanges
+from .replaced_items import identify
 from .store_calls import (
     Changes,
     HistoryGone,
@@ -34,18 +35,6 @@
 # at once and exhaust the store's rate limit.
 MIN_BACKOFF = 0.1
 MAX_BACKOFF = 1.0
-# Changes kept for other instances: a reclaim wave takes some hundred upstreams at once,
-# and other instances query several times a second.
-MAX_CHANGES = 1024
-# Bytes of keys and values in one News, so that three prefixes fit into a datagram of a
-# few IP fragments. A larger item is read from the store.
-MAX_NEWS_BYTES = 1200
-# Bytes of keys sent to an instance whose revision is older than the kept changes: the
-# keys of a thousand upstreams, or of two hundred where the changes need several News.
-# The keys are repeated with each News, and hundreds of instances may start at once.
-# More keys would fill the links, and one list call to the store is cheaper.
-MAX_KEYS_BYTES = 24_000
-MAX_REPEATED_KEYS_BYTES = 4800
 
 
 class News(NamedTuple):
@@ -66,23 +55,11 @@
     keys: tuple[str, ...] | None = None
 
 
-def is_same_value(known, item):
-    """Return whether an item has the value that is known, which may be None."""
-    return (known.value if known else None) == item.value
-
-
-def hold_nothing(key, lost):
-    """Return the seconds for which a key keeps what a restored store took back."""
-    return 0.0
-
-
 class Mirror:
     """State of one prefix; times are seconds on one clock, passed by the caller.
 
     ``items`` are those that the store has, ``in_force`` those to go by. They differ in
-    the keys of ``held_until`` only: the store lost a write or a deletion of these, and
-    nobody has written them since. ``compute_hold(key, lost)`` returns for how many
-    seconds such a key is held; ``lost`` is true if the store doesn't have it any more.
+    the keys of ``held_until`` only; see ItemsInForce, also for ``compute_hold``.
 
     ``as_of`` is when the last answered call was sent: every write that was acknowledged
     before that time is included. The arrival of the reply would be too late a time, as
@@ -98,10 +75,9 @@
     def __init__(self, prefix, wait, rng, spacing=0.0, compute_hold=hold_nothing):
         self.prefix = prefix
         self.items = {}
-        self.in_force = {}
-        self.held_until = {}
-        self._compute_hold = compute_hold
-        self._replaced = ReplacedItems()
+        self._holds = ItemsInForce(compute_hold)
+        self.in_force = self._holds.items
+        self.held_until = self._holds.held_until
         self.complete = False
         self.as_of = float("-inf")
         self.regained_at = float("-inf")
@@ -122,18 +98,9 @@
         self._sent_at = None
         self._next_call_at = 0.0
         self._backoff = MIN_BACKOFF
-        self._changes = deque()
-        # All changes after this revision are kept. Items that were created and deleted
-        # between two lists, or before another instance's list was applied, were never
-        # seen here. News based on earlier changes would omit their deletion, and other
-        # instances would keep them for good.
-        self._changes_since = None
-        # The revision at which the present epoch was entered, and the last revision
-        # known of each earlier one. The kept changes lead from there to the present
-        # epoch, but not from any other revision.
-        self._entered_at = 0
+        self._changes = KeptChanges()
+        # The latest epoch of the store that is known here.
         self._store_epoch = 0
-        self._last_revisions = {}
         self._carried_epoch = None
 
     def next_call(self, now):
@@ -195,10 +162,10 @@
         changed = self._apply_items([*found.values(), *deleted], now)
         self.revision = revision
         if is_new_epoch:
-            self._keep_changes(sorted(changed, key=lambda item: item.revision))
+            self._changes.add(changed)
         else:
-            self._reset_changes(revision)
-        return self._put_in_force(changed, now)
+            self._changes.reset(revision)
+        return self._holds.apply(changed, now)
 
     def _is_new_epoch(self, revision):
         return self.revision is not None and get_epoch(revision) > get_epoch(
@@ -217,8 +184,7 @@
         self._store_epoch = max(self._store_epoch, get_epoch(revision))
         epoch = get_epoch(self.revision)
         known = [item.revision for item in items if get_epoch(item.revision) == epoch]
-        self._last_revisions[epoch] = max([self.revision, *known])
-        self._entered_at = revision
+        self._changes.enter_epoch(max([self.revision, *known]), revision)
         self.regained_at = max(self.regained_at, now)
 
     def _receive_changes(self, changes, sent_at, now):
@@ -232,7 +198,7 @@
             self._next_call_at = now + self._spacing
         changed = self._apply_changes(changes.items, changes.revision, now)
         self.as_of = max(self.as_of, sent_at)
-        return self._put_in_force(changed, now)
+        return self._holds.apply(changed, now)
 
     def _apply_changes(self, items, revision, now):
         """Apply changes up to a revision and return the items that changed.
@@ -247,7 +213,7 @@
         ]
         changed = self._apply_items(later, now)
         self.revision = max(self.revision, revision)
-        self._keep_changes(changed)
+        self._changes.add(changed)
         return changed
 
     def make_news(self, revision, now):
@@ -255,9 +221,9 @@
         if self.revision is None or not self._has_history:
             return None
         keys = None
-        if revision is not None and not self._is_followed_by_changes(revision):
+        if revision is not None and not self._changes.cover(revision):
             keys = tuple(self.items)
-        items, more = self._select_changes(revision, keys)
+        items, more = self._changes.select(revision, self.items.values(), keys)
         last_revision = items[-1].revision if more else self.revision
         return News(
             now - self.as_of,
@@ -268,41 +234,6 @@
             keys if items is not None else None,
         )
 
-    def _is_followed_by_changes(self, revision):
-        """Return whether all changes after a revision are kept."""
-        if revision < self._changes_since:
-            return False
-        if get_epoch(revision) == get_epoch(self.revision):
-            return revision >= self._entered_at
-        return revision <= self._last_revisions.get(get_epoch(revision), -1)
-
-    def _select_changes(self, revision, keys):
-        """Return the changes after a revision that fit, and whether more follow.
-
-        The changes are None where they can't be sent. With ``keys``, the present items
-        are selected instead of the kept changes.
-        """
-        keys_size = sum(map(len, keys or ()))
-        if revision is None or keys_size > MAX_KEYS_BYTES:
-            return None, False
-        changes = self._changes if keys is None else self.items.values()
-        later = [item for item in changes if item.revision > revision]
-        later.sort(key=lambda item: item.revision)
-        fitting, size = [], 0
-        for item in later:
-            size += len(item.key) + len(item.value or b"")
-            if size > MAX_NEWS_BYTES:
-                break
-            fitting.append(item)
-        if len(fitting) == len(later):
-            return tuple(fitting), False
-        if keys_size > MAX_REPEATED_KEYS_BYTES:
-            return None, False
-        # Changes written by one commit have one revision and are sent together.
-        first_left_out = later[len(fitting)].revision
-        fitting = [item for item in fitting if item.revision < first_left_out]
-        return (tuple(fitting), True) if fitting else (None, False)
-
     def apply_news(self, news, queried_at, now):
         """Apply another instance's News and return the items that changed.
 
@@ -331,11 +262,11 @@
             self._enter_epoch(news.revision, items, now)
         changed = self._apply_changes(items, news.revision, now)
         if news.keys is not None:
-            self._reset_changes(self.revision)
+            self._changes.reset(self.revision)
         if not news.more:
             self.as_of = max(self.as_of, queried_at - news.age)
             self._carry_over()
-        return self._put_in_force(changed, now)
+        return self._holds.apply(changed, now)
 
     def _find_deleted(self, news):
         """Return deletions of the items that another instance no longer has."""
@@ -370,8 +301,7 @@
     def _renumber(self, item):
         """Replace an item by the same write with its revision of another epoch."""
         self.items[item.key] = item
-        if item.key not in self.held_until:
-            self.in_force[item.key] = item
+        self._holds.renumber(item)
 
     def _apply_items(self, items, now):
         """Apply items to ``items``; return those that changed."""
@@ -390,54 +320,13 @@
             else:
                 del self.items[item.key]
             if current is not None:
-                self._replaced.add(current, now)
+                self._holds.record_replaced(current, now)
             changed.append(item)
         return changed
 
-    def _put_in_force(self, changed, now):
-        """Apply changes of ``items`` to ``in_force``; return those that changed."""
-        in_force = []
-        for item in changed:
-            lost = item.value is None and is_return(item.revision)
-            restored = item.value is not None and self._replaced.contains(item)
-            known = self.in_force.get(item.key)
-            hold = 0.0
-            if (lost or restored) and not is_same_value(known, item):
-                hold = self._compute_hold(item.key, lost)
-            if hold:
-                self.held_until[item.key] = now + hold
-                continue
-            was_held = self.held_until.pop(item.key, None) is not None
-            if known is None and item.value is None and was_held:
-                continue
-            in_force.append(self._set_in_force(item))
-        return in_force
-
-    def _set_in_force(self, item):
-        self.in_force.pop(item.key, None)
-        if item.value is not None:
-            self.in_force[item.key] = item
-        return item
-
     def expire_held(self, now):
         """Put what the store has in force where the hold is over; return the items."""
-        changed = []
-        for key in [key for key, until in self.held_until.items() if now >= until]:
-            del self.held_until[key]
-            item = self.items.get(key) or Item(key, None, self.revision)
-            changed.append(self._set_in_force(item))
-        return changed
-
-    def _reset_changes(self, revision):
-        """Drop the kept changes; keep those after a revision from now on."""
-        self._changes.clear()
-        self._changes_since = revision
-
-    def _keep_changes(self, changed):
-        self._changes.extend(changed)
-        while len(self._changes) > MAX_CHANGES:
-            dropped = self._changes.popleft()
-            self._changes_since = max(self._changes_since, dropped.revision)
+        return self._holds.expire(self.items, self.revision, now)
 
     def _receive_history_gone(self, reply, sent_at, now):
         self._mark_reachable(now)
--- a/tests/restored_fleet.py
+++ b/tests/restored_fleet.py
@@ -8,7 +8,7 @@
 import random
 from itertools import count
 
-from chervilwing.coordination import hold_registration
+from chervilwing.holds import hold_registration
 from chervilwing.leader_queries import (
     LeaderQueries,
     compute_query_interval,
--- a/tests/test_lost_writes.py
+++ b/tests/test_lost_writes.py
@@ -5,8 +5,8 @@
 from unittest import mock
 
 from chervilwing import lost_writes
-from chervilwing.coordination import hold_instance_item
 from chervilwing.crash_records import SUSPECTED_FOR
+from chervilwing.holds import hold_instance_item
 from chervilwing.instance_count import COUNT
 from chervilwing.lost_writes import MAX_DELAY, LostWrites
 from chervilwing.mirrors import Mirror
@@ -132,6 +132,7 @@
         self.wait()
         self.assertEqual(self.store.calls, [])
         self.is_leader = True
-        self.mirror.held_until = {PREFIX + "/one": 1e9}
+        self.mirror.held_until.clear()
+        self.mirror.held_until[PREFIX + "/one"] = 1e9
         self.wait()
         self.assertEqual(self.store.calls, [])
--- a/tests/test_restored_mirrors.py
+++ b/tests/test_restored_mirrors.py
@@ -208,6 +208,11 @@
         self.assertEqual((news.items, news.keys, changed), ((), None, []))
         self.assertEqual(self.follower.items, self.leader.items)
 
+    def test_changes_of_one_epoch_are_sent_without_keys(self):
+        watch(self.leader, [delete("k1", 1, 52)], 1, 52)
+        news, changed = self.apply_news()
+        self.assertEqual((news.keys, len(news.items), len(changed)), (None, 1, 1))
+
     def test_a_follower_that_knew_more_learns_of_later_changes(self):
         self.follower.passive = False
         watch(self.follower, [put("short", 1, 70)], 1, 90)
