chervilwingd: keep the configuration when the store returns from a copy

What operators would see: after a return the store had an older configuration than was in force; an edit of that one got a revision that all instances had passed, and was confirmed but never adopted. Watches of the older version's number waited for one that was not to come. Change: versions contain the epoch that replies state (Store-Epoch, in our protocol of the key-value service). Watchers store the configuration in force again where the store lacks it, and give an edit of an older one the next revision; both on the condition of what the store has, so once.

--- a/src/chervilwing/follower.py
+++ b/src/chervilwing/follower.py
@@ -6,7 +6,7 @@
 from circuits.core import BaseComponent, handler
 from returns.pipeline import is_successful
 
-from .documents import CONFIG_KEY, parse_document
+from .documents import CONFIG_KEY, parse_document, serialise
 from .exceptions import BadConfiguration, TooLarge
 from .logs import log_event
 from .messages import StoreCall
@@ -23,6 +23,12 @@
     return Stamp(configuration.revision, configuration.operation)
 
 
+def renumber(value, revision):
+    """Return a stored document with another revision."""
+    configuration = unwrap(parse_document(value))
+    return serialise(configuration._replace(revision=revision))
+
+
 def unwrap(result):
     """Return the value of a parser's result, or raise its failure."""
     if is_successful(result):
@@ -45,7 +51,10 @@
         self._publish = publish
         self._dispatch = dispatcher
         settings = RevisionSettings(key=CONFIG_KEY, watch_wait=cfg.watch_wait)
-        self.revisions = Revisions(settings, cfg.name, read_stamp, random.Random())
+        self.revisions = Revisions(
+            settings, cfg.name, read_stamp, random.Random(), renumber
+        )
+        store.epochs.subscribe(self._enter_epoch)
 
     def begin(self, members):
         """Read the configuration from the store and start waiting for the peers."""
@@ -71,6 +80,10 @@
         """Return a NoConfiguration if no configuration is in force, or None."""
         return self.revisions.explain_not_ready()
 
+    def _enter_epoch(self, epoch):
+        log_event("store epoch changed", epoch=epoch)
+        self._apply(self.revisions.enter_epoch(epoch))
+
     @handler("tick", channel="*")
     def _on_tick(self):
         self._apply(self.revisions.tick(time.monotonic()))
--- a/src/chervilwing/revisions.py
+++ b/src/chervilwing/revisions.py
@@ -2,14 +2,18 @@
 
 import itertools
 import math
+from collections import deque
 from typing import NamedTuple
 
 from .exceptions import BadConfiguration, ChervilwingError, NoConfiguration
-from .messages import Missing, Read, StoreCall, Unanswered, Watch
+from .messages import ABSENT, Missing, Read, StoreCall, Unanswered, Watch, Write
 from .ranking import rank
 
 WATCH = "watch"
 READ = "read"
+REWRITE = "rewrite"
+# Operation ids of adopted values that are kept, to recognise those of a restored store.
+MAX_OPERATIONS = 64
 
 STORE = "key-value service"
 PEERS = "peers"
@@ -59,16 +63,26 @@
     """Hold the revision that this instance has in force and decide on newer ones.
 
     Pass values that the membership receives from peers to ``hear``. ``read_stamp``
-    returns the Stamp of a value or raises BadConfiguration; ``rng`` is a random.Random.
-    Call ``start`` once, after the first ``enlist``.
+    returns the Stamp of a value or raises BadConfiguration; ``renumber`` returns a
+    value with another revision. ``rng`` is a random.Random. Call ``start`` once, after
+    the first ``enlist``.
+
+    A store that returns from a copy may have an older value than is in force, or none.
+    The watchers write the value in force again. A value that is new and was edited from
+    an older one is stored under a higher revision, so that it is adopted.
     """
 
-    def __init__(self, cfg, instance, read_stamp, rng):
+    def __init__(self, cfg, instance, read_stamp, rng, renumber=None):
         self.cfg = cfg
         self.instance = instance
         self.value = ""
         self.stamp = Stamp(0, "")
         self._read_stamp = read_stamp
+        self._renumber = renumber
+        # Operations whose values were in force; the epoch of the store that had the
+        # present one, and the store's latest.
+        self._operations = deque(maxlen=MAX_OPERATIONS)
+        self._stored_epoch = self._epoch = 0
         self._rng = rng
         self._members = {}
         self._elected = False
@@ -132,13 +146,49 @@
             self._watch_at = now + self.cfg.watch_retry_delay
             return ()
         self._store_answered = True
-        if isinstance(reply, Missing):
+        if kind == REWRITE:
+            # The next watch or read shows what the store has now.
             return self._watch(now)
+        if isinstance(reply, Missing):
+            rewrites = self._rewrite(None, ABSENT) if kind == READ else ()
+            return (*rewrites, *self._watch(now))
+        rewrites = self._rewrite(reply.value, reply.version)
         self._version = max(self._version, reply.version)
         actions = self._adopt_if_newer(reply.value, STORE)
         # The store has the newest revision, so the one in force is the newest as well.
         self._ready = self.stamp.revision > 0
-        return (*actions, *self._watch(now))
+        return (*actions, *rewrites, *self._watch(now))
+
+    def enter_epoch(self, epoch):
+        """Read the store again in a later epoch of it; return the store call."""
+        self._epoch = epoch
+        return (self._make_call(READ, Read(self.cfg.key)),)
+
+    def _rewrite(self, value, version):
+        """Return the write for a restored store that lacks the value in force."""
+        if not self.stamp.revision or self._stored_epoch >= self._epoch:
+            return ()
+        stored = self._find_stamp(value)
+        if stored is None and value is not None:
+            return ()
+        if stored is not None and stored.revision > self.stamp.revision:
+            return ()
+        if stored is not None and stored.operation == self.stamp.operation:
+            self._stored_epoch = self._epoch
+            return ()
+        wanted = self.value
+        if stored is not None and stored.operation not in self._operations:
+            wanted = self._renumber(value, self.stamp.revision + 1)
+        if not self._elected or REWRITE in self._calls.values():
+            return ()
+        write = Write(self.cfg.key, wanted, version)
+        return (self._make_call(REWRITE, write),)
+
+    def _find_stamp(self, value):
+        try:
+            return None if value is None else self._read_stamp(value)
+        except BadConfiguration:
+            return None
 
     def tick(self, now):
         """Return the store calls that are due; call it a few times a second."""
@@ -180,6 +230,9 @@
             return ()
         self.value = value
         self.stamp = stamp
+        self._operations.append(stamp.operation)
+        if source == STORE:
+            self._stored_epoch = self._epoch
         return (Adopted(value, stamp),)
 
     def _end_peer_wait(self, now):
--- a/src/chervilwing/stores.py
+++ b/src/chervilwing/stores.py
@@ -1,11 +1,13 @@
 """Calls to the platform's key-value service: typed requests and replies over HTTP."""
 
 import json
+from functools import partial
 from urllib.parse import quote, urlencode
 
 from .connections import Call, CallHandlers
 from .exceptions import PathSilent
 from .messages import (
+    ABSENT,
     Found,
     Grant,
     Granted,
@@ -18,8 +20,12 @@
     Write,
     Written,
 )
+from .store_epochs import StoreEpochs, get_number, make_revision
 
 JSON_HEADERS = {"Content-Type": "application/json"}
+# In all replies: a number that rises each time the service returns from a copy. The
+# versions in this package contain it, as revisions do.
+EPOCH_HEADER = "store-epoch"
 
 
 def encode_read(req):
@@ -29,7 +35,7 @@
 
 def encode_write(req):
     """Return method, path and body of a compare-and-swap."""
-    body = {"value": req.value, "expect": req.expect}
+    body = {"value": req.value, "expect": get_number(req.expect)}
     if req.lease is not None:
         body["lease"] = req.lease
     return "PUT", f"/kv/{quote(req.key, safe='/')}", body
@@ -37,7 +43,8 @@
 
 def encode_watch(req):
     """Return method, path and body of a watch."""
-    query = urlencode({"key": req.key, "after": req.after, "wait": req.wait})
+    after = get_number(req.after)
+    query = urlencode({"key": req.key, "after": after, "wait": req.wait})
     return "GET", f"/watch?{query}", None
 
 
@@ -59,26 +66,42 @@
     Renew: encode_renew,
 }
 DECODERS = {
-    (Read, 200): lambda req, value: Found(value["value"], value["version"]),
-    (Read, 404): lambda req, value: Missing(),
-    (Write, 200): lambda req, value: Written(value["version"]),
-    (Write, 409): lambda req, value: Rejected(value["value"], value["version"]),
-    (Write, 404): lambda req, value: Missing(),
-    (Watch, 200): lambda req, value: Found(value["value"], value["version"]),
-    (Watch, 204): lambda req, value: Missing(),
-    (Grant, 200): lambda req, value: Granted(value["lease"], value["ttl"]),
-    (Renew, 200): lambda req, value: Granted(req.lease, value["ttl"]),
-    (Renew, 404): lambda req, value: Missing(),
+    (Read, 200): lambda req, value, date: Found(value["value"], date(value["version"])),
+    (Read, 404): lambda req, value, date: Missing(),
+    (Write, 200): lambda req, value, date: Written(date(value["version"])),
+    (Write, 409): lambda req, value, date: Rejected(
+        value["value"], date(value["version"])
+    ),
+    (Write, 404): lambda req, value, date: Missing(),
+    (Watch, 200): lambda req, value, date: Found(
+        value["value"], date(value["version"])
+    ),
+    (Watch, 204): lambda req, value, date: Missing(),
+    (Grant, 200): lambda req, value, date: Granted(value["lease"], value["ttl"]),
+    (Renew, 200): lambda req, value, date: Granted(req.lease, value["ttl"]),
+    (Renew, 404): lambda req, value, date: Missing(),
 }
 
 
-def decode(req, status, body):
-    """Return the reply in an HTTP response; Unanswered if it can't be decoded."""
+def read_epoch(headers):
+    """Return the service's epoch that a response states, 0 if it states none."""
+    text = headers.get(EPOCH_HEADER, "")
+    return int(text) if text.isascii() and text.isdecimal() else 0
+
+
+def date_version(epoch, version):
+    """Return a version as one of an epoch; ABSENT stays as it is."""
+    return make_revision(epoch, version) if version != ABSENT else ABSENT
+
+
+def decode(req, status, body, epoch=0):
+    """Return the reply in a response of an epoch; Unanswered if it can't be decoded."""
     reply = DECODERS.get((type(req), status))
     if reply is None:
         return Unanswered()
     try:
-        return reply(req, json.loads(body) if body else {})
+        value = json.loads(body) if body else {}
+        return reply(req, value, partial(date_version, epoch))
     except (ValueError, KeyError, TypeError):
         return Unanswered()
 
@@ -87,13 +110,15 @@
     """Send requests to the key-value service and pass replies to callbacks.
 
     Each network failure is reported as ``Unanswered``. A write may have taken effect
-    although its reply was lost, so the sender has to read the key to find out.
+    although its reply was lost, so the sender has to read the key to find out. So is a
+    reply of an earlier epoch than the latest: what it says may be lost.
     """
 
     def __init__(self, cfg, client):
         self._cfg = cfg
         self._client = client
         self.address = cfg.store
+        self.epochs = StoreEpochs()
 
     def submit(self, req, reply):
         """Send one request; call ``reply`` exactly once, with a StoreReply."""
@@ -108,9 +133,20 @@
             connect_timeout=self._cfg.connect_timeout,
             silence_timeout=self._cfg.store_timeout + wait,
         )
-        self._client.submit(
-            call, collect(lambda status, answer: reply(decode(req, status, answer)))
+        headers = {}
+        handlers = collect(
+            lambda status, answer: reply(self._decode(req, status, answer, headers)),
+            read_headers=headers.update,
         )
+        self._client.submit(call, handlers)
+
+    def _decode(self, req, status, body, headers):
+        if not status:
+            return Unanswered()
+        epoch = read_epoch(headers)
+        if not self.epochs.note(epoch):
+            return Unanswered()
+        return decode(req, status, body, epoch)
 
     def send_call(self, action, received):
         """Send a StoreCall's request; call ``received`` with the token and reply."""
--- a/tests/fakes/store.py
+++ b/tests/fakes/store.py
@@ -1,6 +1,7 @@
 """Fake of a key-value store: compare-and-swap, leases, watches, rates, outages."""
 
 import asyncio
+import copy
 import itertools
 import time
 
@@ -68,6 +69,27 @@
         self.writes = []
         self.due_rejections = 0.0
         self.changed = asyncio.Event()
+        self.epoch = 1
+        self.saved = None
+
+    def save_copy(self):
+        """Save a copy, to which a drill returns."""
+        data = (self.values, self.versions, self.key_leases, next(self.lease_ids))
+        self.saved = copy.deepcopy(
+            (*data, {k: v["ttl"] for k, v in self.leases.items()})
+        )
+
+    def restore_copy(self):
+        """Return to the copy: versions and lost leases' ids are given out again."""
+        data = copy.deepcopy(self.saved)
+        for lease in list(self.leases):
+            self.leases.pop(lease)["timer"].cancel()
+        self.values, self.versions, self.key_leases, next_lease, leases = data
+        self.lease_ids = itertools.count(next_lease)
+        for lease, ttl in leases.items():
+            self.start_lease(lease, ttl)
+        self.epoch += 1
+        self.wake_watches()
 
     def version(self, key):
         """Return the version of a key, or 0 if it doesn't exist."""
@@ -161,8 +183,11 @@
             return unavailable(reason)
         if request.method == "GET":
             await asyncio.sleep(store.switches["slow"])
-            return await handler(request)
-        return await run_write(store, request, handler)
+            response = await handler(request)
+        else:
+            response = await run_write(store, request, handler)
+        response.headers["Store-Epoch"] = str(store.epoch)
+        return response
 
     return apply_faults
 
@@ -271,6 +296,18 @@
     return reply({"ttl": ttl})
 
 
+async def save_copy(store, request):
+    """Save the copy to which the next drill returns."""
+    store.save_copy()
+    return reply({})
+
+
+async def restore_copy(store, request):
+    """Run a drill: the store has what it had when the copy was saved."""
+    store.restore_copy()
+    return reply({})
+
+
 def make_record(store):
     """Return what the store counted and wrote."""
     return {
@@ -291,6 +328,8 @@
     ("POST", "/leases", grant_lease),
     ("POST", "/leases/{lease}/renew", renew_lease),
     ("DELETE", "/leases/{lease}", end_lease),
+    ("POST", "/-/save", save_copy),
+    ("POST", "/-/restore", restore_copy),
 )
 
 
--- a/tests/test_restored_fleet.py
+++ b/tests/test_restored_fleet.py
@@ -8,6 +8,19 @@
 # Instances and seconds of each run; the seeds of a run by hand:
 # RESTORED_SEEDS=50 python -m unittest tests.test_restored_fleet
 RUNS = ((1, 40), (3, 40), (8, 40), (67, 15), (320, 10))
+# Runs that failed: young news of a leader that was cut off cancelled the list that was
+# due, or news in parts hid a deletion.
+FAILED = (
+    (1, 25),
+    (8, 9),
+    (8, 18),
+    (8, 23),
+    (8, 24),
+    (8, 31),
+    (8, 43),
+    (67, 11),
+    (67, 19),
+)
 SEEDS = int(os.environ.get("RESTORED_SEEDS", "3"))
 # Lists that a follower with a leader makes for one return, at most, on average.
 MAX_LISTS = 0.2
@@ -35,22 +48,24 @@
 
 class TestRestoredFleet(unittest.TestCase):
     def test_what_is_acknowledged_is_in_force_in_any_order_of_drills(self):
-        for size, seconds in RUNS:
-            for seed in range(SEEDS):
-                with self.subTest(size=size, seed=seed):
-                    fleet = Fleet(size, seed)
-                    for _ in range(10):
-                        fleet.add_upstream()
-                    fleet.publish()
-                    fleet.run(2.0)
-                    play(fleet, seconds)
-                    fleet.run(15.0)
-                    self.assertEqual(fleet.failures[:3], [])
-                    for instance in fleet.instances.values():
-                        self.assertEqual(
-                            {k: i.value for k, i in instance.mirror.items.items()},
-                            {k: v for k, (_, v) in fleet.store.items.items()},
-                        )
+        seconds_by_size = dict(RUNS)
+        runs = {(size, seed) for size in seconds_by_size for seed in range(SEEDS)}
+        for size, seed in sorted(runs.union(FAILED)):
+            seconds = seconds_by_size[size]
+            with self.subTest(size=size, seed=seed):
+                fleet = Fleet(size, seed)
+                for _ in range(10):
+                    fleet.add_upstream()
+                fleet.publish()
+                fleet.run(2.0)
+                play(fleet, seconds)
+                fleet.run(15.0)
+                self.assertEqual(fleet.failures[:3], [])
+                for instance in fleet.instances.values():
+                    self.assertEqual(
+                        {k: i.value for k, i in instance.mirror.items.items()},
+                        {k: v for k, (_, v) in fleet.store.items.items()},
+                    )
 
     def test_followers_learn_of_a_return_without_listing(self):
         # Hundreds of instances that list at once exhaust the store's rate limit just
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -7,8 +7,9 @@
 from chervilwing.documents import serialise
 from chervilwing.exceptions import TooLarge
 from chervilwing.follower import Follower
-from chervilwing.messages import Found, Missing, Unanswered
+from chervilwing.messages import Found, Missing, Unanswered, Watch, Write
 from chervilwing.revisions import Adopted, Ignored, Revisions, RevisionSettings
+from chervilwing.store_epochs import StoreEpochs, make_revision
 from tests.deployments import Upstreams, make_configuration
 from tests.world import read_stamp
 
@@ -63,13 +64,64 @@
         self.assertEqual(self.revisions.value, "2 op-2")
 
 
+class TestRestoredStore(unittest.TestCase):
+    """The store returned from a copy that lacks the value in force."""
+
+    def setUp(self):
+        renumber = lambda value, revision: f"{revision} {value.split()[1]}"
+        self.revisions = Revisions(CFG, "one", read_stamp, random.Random(1), renumber)
+        self.revisions.enlist(MEMBERS)
+        (self.read,) = self.revisions.start(0.0)
+        self.answer(self.read, Found("6 op-6", make_revision(1, 5)))
+        self.answer(self.read, Found("7 op-7", make_revision(1, 6)))
+        (self.read,) = self.revisions.enter_epoch(2)
+
+    def answer(self, read, reply):
+        """Answer a read; return the writes that follow."""
+        self.revisions._calls[read.token] = "read"
+        actions = self.revisions.receive(read.token, reply, 1.0)
+        calls = [item.request for item in actions if hasattr(item, "request")]
+        return [call for call in calls if isinstance(call, Write)]
+
+    def test_the_value_in_force_is_written_again(self):
+        version = make_revision(2, 5)
+        (write,) = self.answer(self.read, Found("6 op-6", version))
+        self.assertEqual(write, Write(CFG.key, "7 op-7", version))
+        self.assertEqual(self.answer(self.read, Found("6 op-6", version)), [])
+        self.assertEqual(self.revisions.stamp.revision, 7)
+
+    def test_a_lost_value_is_written_again(self):
+        (write,) = self.answer(self.read, Missing())
+        self.assertEqual(write, Write(CFG.key, "7 op-7", 0))
+
+    def test_an_edit_of_a_restored_value_gets_a_higher_revision(self):
+        # The operators' tool read the older value and stored the next revision, which
+        # is in force already with other content: the edit would never be adopted.
+        version = make_revision(2, 6)
+        (write,) = self.answer(self.read, Found("7 op-8", version))
+        self.assertEqual(write, Write(CFG.key, "8 op-8", version))
+
+    def test_the_same_value_and_later_ones_are_left_alone(self):
+        version = make_revision(2, 6)
+        self.assertEqual(self.answer(self.read, Found("7 op-7", version)), [])
+        self.assertEqual(self.answer(self.read, Found("9 op-9", version)), [])
+        self.assertEqual(self.revisions.stamp.revision, 9)
+
+    def test_watches_go_on_from_the_new_epoch(self):
+        self.answer(self.read, Found("7 op-7", make_revision(2, 3)))
+        self.revisions._calls.clear()
+        (watch,) = [a for a in self.revisions.tick(9.0) if isinstance(a.request, Watch)]
+        self.assertEqual(watch.request.after, make_revision(2, 3))
+
+
 class TestFollower(unittest.TestCase):
     def setUp(self):
         self.published, self.configured = [], []
         dispatcher = SimpleNamespace(configure=self.configured.append)
         cfg = SimpleNamespace(name="one", watch_wait=1.0)
         publish = lambda *args: self.published.append(args)
-        self.follower = Follower(cfg, None, publish, dispatcher)
+        store = SimpleNamespace(epochs=StoreEpochs())
+        self.follower = Follower(cfg, store, publish, dispatcher)
 
     def test_value_of_a_peer_is_put_in_force(self):
         value = serialise(make_configuration(Upstreams((), ()), 4)).encode()
