chervilwingd: write claims again that the store has lost

What callers would see: a call that must run at most once, sent again after the store returned from a copy without its claim, ran a second time. Change: in a new epoch a writer reads its cells again, merges the claims and outcomes it knows, judges by both, and writes what is missing on the condition of the cell's version.

--- a/src/chervilwing/claim_writer.py
+++ b/src/chervilwing/claim_writer.py
@@ -32,6 +32,7 @@
     decode,
     encode,
     evaluate,
+    merge,
 )
 
 # States that a write by another instance may have changed since the last read.
@@ -63,6 +64,8 @@
     While ``segment`` is None it isn't known and has to be read from the store.
     ``draft`` is the segment being written and its size in bytes. ``uncertain_version``
     is the expected version of a write that got no reply and may still take effect.
+    ``known`` is the segment as it was before the store returned from a copy, None once
+    the store has all of its claims again.
     """
 
     def __init__(self, name, shard, now):
@@ -73,6 +76,7 @@
         self.size = 0
         self.draft = None
         self.uncertain_version = None
+        self.known = None
         self.call = None
         self.queue = {}
         self.used_at = now
@@ -82,8 +86,21 @@
         """Return whether claims are queued, whose callers wait for the write."""
         return any(kind == CLAIM for _, kind in self.queue)
 
+    def enter_epoch(self):
+        """Read the segment again, as the store may have lost claims."""
+        self.known = self.segment or self.known
+        self.segment = None
+        self.uncertain_version = None
+
     def update(self, segment, version, size):
-        """Set the segment, version and size in bytes that the store now holds."""
+        """Set the segment, version and size in bytes that the store now holds.
+
+        Claims that it lost are added: their requests may have run.
+        """
+        if self.known is not None:
+            merged = merge(segment, self.known)
+            self.known = merged if merged != segment else None
+            segment = merged
         self.segment = segment
         self.version = version
         self.size = size
@@ -119,6 +136,16 @@
         wait = self._probe_at - now if self.down else self.cfg.probe_interval
         return min(max(wait, 0.1), self.cfg.probe_interval)
 
+    def enter_epoch(self, now):
+        """Write the known claims again that a restored store lacks; return actions."""
+        known = [cell for cell in self._cells.values() if cell.segment is not None]
+        for cell in self._cells.values():
+            cell.enter_epoch()
+        for cell in known:
+            if cell.known.claims:
+                self._active[cell.name] = cell
+        return _flatten(self._process_cell(cell, now) for cell in known)
+
     def submit(self, asker, ask, now):
         """Queue an ``Ask``; return store calls and answers."""
         if self.down and ask.kind == CLAIM:
@@ -170,14 +197,17 @@
     def _process_cell(self, cell, now):
         if cell.call is not None or self.down:
             return ()
-        if cell.queue and self._must_read(cell, now):
+        if cell.name not in self._active:
+            return ()
+        if self._must_read(cell, now):
             return (self._send(cell, Read(cell.name)),)
         answers = self._answer_queued(cell, now)
-        if not cell.queue:
+        if not cell.queue and cell.known is None:
             self._remove_waiting(cell)
             self._active.pop(cell.name, None)
             return answers
-        if not any(queued.due <= now for queued in cell.queue.values()):
+        due = [queued.due for queued in cell.queue.values()]
+        if cell.known is None and min(due) > now:
             return answers
         if self._waiting.get(cell.shard) or not self._take_write_permit(
             cell.shard, now
@@ -255,7 +285,7 @@
         segment = cell.segment if slot == cell.segment.slot else Segment(slot, {})
         draft, rejected = apply_asks(segment, asks, self.cfg.segment_limit - used)
         answers = [self._refuse_as_full(cell, ask) for ask in rejected]
-        if not cell.queue:
+        if not cell.queue and cell.known is None:
             return answers
         value = encode(draft)
         cell.draft = draft, len(value)
@@ -324,7 +354,8 @@
         for name, cell in list(self._cells.items()):
             self._drop_expired(cell, now)
             idle = now - cell.used_at > self.cfg.cell_idle_time
-            if idle and cell.call is None and not cell.queue:
+            busy = cell.call is not None or cell.queue or cell.known is not None
+            if idle and not busy:
                 del self._cells[name]
                 self._active.pop(name, None)
 
@@ -352,6 +383,7 @@
 
 def _update_from_draft(cell, reply):
     draft, size = cell.draft
+    cell.known = None
     cell.update(draft, reply.version, size)
 
 
--- a/src/chervilwing/claimant.py
+++ b/src/chervilwing/claimant.py
@@ -39,6 +39,10 @@
         settings = ClaimSettings(run_limit=cfg.request_timeout)
         self._ledger = Ledger(settings, cfg.name)
         peers.subscribe((Ask, Verdict), self._on_peer_message)
+        store.epochs.subscribe(self._enter_epoch)
+
+    def _enter_epoch(self, epoch):
+        self._apply(self._ledger.enter_epoch(time.time()))
 
     def enlist(self, names):
         """Set the names of the live entry instances, which may own shards."""
--- a/src/chervilwing/claims.py
+++ b/src/chervilwing/claims.py
@@ -111,6 +111,10 @@
         self._members = tuple(sorted({*members, self.instance}))
         self._owners.clear()
 
+    def enter_epoch(self, now):
+        """Write the known claims again that a restored store lacks; return actions."""
+        return self._apply_outputs(self._writer.enter_epoch(now), now)
+
     def claim(self, operation, key, fingerprint, now):
         """Claim a key, so that its request may be sent; return actions.
 
--- a/src/chervilwing/segments.py
+++ b/src/chervilwing/segments.py
@@ -193,6 +193,23 @@
     return Segment(slot, claims), rejected
 
 
+def merge(stored, known):
+    """Return a stored segment with the claims and outcomes that only ``known`` has."""
+    if known.slot != stored.slot:
+        return max(stored, known, key=lambda segment: segment.slot)
+    lost = {
+        key: claim
+        for key, claim in known.claims.items()
+        if key not in stored.claims or _is_settled_since(stored.claims[key], claim)
+    }
+    return Segment(stored.slot, stored.claims | lost)
+
+
+def _is_settled_since(stored, known):
+    same = stored.operation == known.operation
+    return same and stored.outcome is None and known.outcome is not None
+
+
 def _add_claim(claims, key, ask):
     # The first of two claims to one key in a batch wins.
     claim = Claim(ask.operation, ask.fingerprint, ask.holder, ask.run_until)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -275,6 +275,55 @@
         self.assertEqual(Writer(CFG, "one").receive("x", m.Missing(), NOW), ())
 
 
+class TestRestoredStore(unittest.TestCase):
+    """The store returned from a copy that lacks claims."""
+
+    def setUp(self):
+        rng = random.Random(3)
+        self.key = ClaimKey("andesur", make_key(NOW, rng))
+        self.ledger, self.store = Ledger(CFG, "one"), {}
+        self.claim("op-0", ClaimKey("andesur", make_key(NOW, rng)))
+        self.copy = dict(self.store)
+
+    def claim(self, operation, key, ledger=None):
+        """Claim a key and return the result."""
+        ledger = ledger or self.ledger
+        actions = ledger.claim(operation, key, "f", NOW)
+        return run_store_calls(ledger, actions, self.store, NOW)
+
+    def restore(self):
+        """Return the store from its copy, and let the instance learn of it."""
+        self.store = dict(self.copy)
+        actions = self.ledger.enter_epoch(NOW + 1)
+        run_store_calls(self.ledger, actions, self.store, NOW + 1)
+        run_store_calls(self.ledger, self.ledger.tick(NOW + 2), self.store, NOW + 2)
+
+    def test_a_lost_claim_is_written_again_and_granted_to_nobody_else(self):
+        # A call runs under its claim when the store loses it. Sent once more through
+        # another instance, it would run twice.
+        (granted,) = self.claim("op-1", self.key)
+        self.assertIsInstance(granted, ClaimGranted)
+        self.restore()
+        (result,) = self.claim("op-2", self.key, Ledger(CFG, "two"))
+        self.assertIsInstance(result, ClaimRefused)
+
+    def test_a_lost_outcome_is_written_again(self):
+        self.claim("op-1", self.key)
+        self.copy = dict(self.store)
+        actions = self.ledger.settle("op-1", Outcome(201, "x"), NOW)
+        run_store_calls(self.ledger, actions, self.store, NOW)
+        run_store_calls(self.ledger, self.ledger.tick(NOW + 1), self.store, NOW + 1)
+        self.restore()
+        (result,) = self.claim("op-2", self.key, Ledger(CFG, "two"))
+        self.assertEqual(result.outcome, Outcome(201, "x"))
+
+    def test_what_the_store_still_has_is_not_written_again(self):
+        self.claim("op-1", self.key)
+        self.copy = dict(self.store)
+        self.restore()
+        self.assertEqual(self.store, self.copy)
+
+
 def read(value):
     """Return the Stamp in a value such as ``3 op-c op-b op-a``."""
     revision, *operations = value.split()
