--- a/src/chervilwing/orderer.py
+++ b/src/chervilwing/orderer.py
@@ -54,6 +54,12 @@
         self._revision_since = 0.0
         self._next_plan_at = 0.0
         self._unanswered = set()
+        store.epochs.subscribe(self._enter_epoch)
+
+    def _enter_epoch(self, epoch):
+        now = time.monotonic()
+        for pool, holder in self._holders.items():
+            self._run_actions(pool, holder.enter_epoch(now))
 
     def enlist(self, names):
         """Set the live entry instances of this data centre."""
--- a/src/chervilwing/orders.py
+++ b/src/chervilwing/orders.py
@@ -114,6 +114,7 @@
         self._lease_until = 0.0
         self._next_call_at = 0.0
         self._holding_from = 0.0
+        self._earliest_hold = 0.0
         self._orders = {}
 
     def enlist(self, members):
@@ -121,6 +122,15 @@
         contenders = rank(self._rank_key, members)[: self.cfg.contenders]
         self._is_contender = self.instance in contenders
 
+    def enter_epoch(self, now):
+        """Step down, as the store returned from a copy; return the actions.
+
+        The lease may be lost and its id another instance's. The next holder waits until
+        a holder of before, who may not know of the return, no longer relies on it.
+        """
+        self._earliest_hold = now + self.cfg.ttl - self.cfg.margin
+        return self._step_down() if self.state != FREE else ()
+
     def order(self, order_id, order, now):
         """Send an order, and send it again each second until it is answered."""
         if not self._may_order(order, now):
@@ -232,7 +242,7 @@
         # holder's record is a fencing token that every later holder exceeds.
         self.state = SETTLING
         self.fence = reply.version
-        self._holding_from = now + self.cfg.settle_time
+        self._holding_from = max(now + self.cfg.settle_time, self._earliest_hold)
         return ()
 
     def _extend_lease(self, reply, now):
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -72,6 +72,24 @@
         self.assertEqual(self.order_types(FENCED, end - 0.1), [OrderSend])
         self.assertEqual(self.order_types(FENCED, end), [OrderRefused])
 
+    def test_holder_steps_down_when_the_store_returns_from_a_copy(self):
+        # The lease may be lost, and its id another instance's by now.
+        self.acquire_lease()
+        self.assertEqual(self.order_types(FENCED, NOW), [OrderSend])
+        (refused,) = self.holder.enter_epoch(NOW + 1)
+        self.assertEqual(refused.failure.outcome, UNKNOWN)
+        self.assertEqual(self.order_types(FENCED, NOW + 1), [OrderRefused])
+
+    def test_no_early_hold_after_the_store_returned_from_a_copy(self):
+        # The holder of before may not know of the return and still sends orders.
+        self.holder.enter_epoch(NOW)
+        self.acquire_lease()
+        end = NOW + CFG.ttl - CFG.margin
+        self.answer_calls(m.Granted("l-1", 9.0), now=end - 0.1)
+        self.assertFalse(self.holder.may_act(end - 0.1))
+        self.holder.tick(end)
+        self.assertTrue(self.holder.may_act(end))
+
     def test_unanswered_order_is_sent_again_with_its_id(self):
         self.acquire_lease()
         self.order_types(FENCED, NOW)
