--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -29,6 +29,7 @@
 from .routing import CallerLimits
 from .settings import HELP_FLAGS, render_help
 from .store_calls import EndLease
+from .store_epochs import get_number
 from .ticks import tick
 from .usage import SHARED_REPORT
 from .usage_reports import UsageParts, UsageReporter
@@ -161,7 +162,7 @@
             "gateway_configuration_version": version,
             "gateway_keys_age_seconds": round(self._coordinator.compute_keys_age(), 3),
             "gateway_store_epoch": self._store.epochs.current,
-            "gateway_store_revision": min(revision or 0 for revision in revisions),
+            "gateway_store_revision": min(get_number(item or 0) for item in revisions),
             "gateway_fence": self._coordinator.duty_lease.fence(now) or 0,
             "gateway_usage_heard": self._usage_parts.count_reported(),
             "gateway_requests_suspected": suspected,
