Pass on no part of a new epoch, and move the followed prefixes out

A mirror that has got only a part of a new epoch's items gave them as complete: its receiver would have taken its own items of the earlier epoch for the rest and ignored an older value that the store returned to. Found in reading; the unit test is red before. The prefixes, their waits and holds have a module.

--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -10,31 +10,15 @@
 from .clocks import read_boottime
 from .duty_leases import DutyLease, Record
 from .exceptions import BadConfiguration
-from .holds import hold_documents, hold_instance_item, hold_registration
+from .followed_prefixes import INSTANCES_WAIT, REGISTRATIONS_WAIT, make_mirrors
 from .instance_count import COUNT, InstanceCount
 from .instance_records import DUTIES, INSTANCES, Peer, decode_peer, encode_peer
 from .logs import log_event
-from .mirrors import Mirror
 from .rollouts import DECISIONS, decode_decision
 from .store_calls import Committed, HistoryGone, Page
 from .store_epochs import get_epoch, get_number
 from .stored_crashes import CRASHES, decode_crash
 
-# Seconds that a watch waits for a change. Each reply, even without changes, renews the
-# knowledge of this instance and of those that query it; see
-# leader_queries.MAX_FRESH_AGE.
-CONFIGURATION_WAIT = 0.4
-REGISTRATIONS_WAIT = 0.4
-INSTANCES_WAIT = 4.0
-# Seconds after a change of the instances until the next call. When dozens of instances
-# start within a second, each would otherwise wake every watch. An instance that has
-# gone is queried for about another second in any case.
-INSTANCES_SPACING = 0.5
-# Seconds after a change of the registrations until the next call. A reclaim wave takes
-# a whole data centre's upstreams; each change would wake every instance, and every call
-# is charged for and counted. A leaving upstream still serves for two seconds, so that a
-# quarter of a second does no harm.
-REGISTRATIONS_SPACING = 0.25
 # Seconds for which an instance that is gone still counts as recently registered: the
 # length of a usage window plus the time until that window is reported.
 RECENT_SECONDS = 10.0
@@ -82,22 +66,8 @@
         value = encode_peer(Peer(cfg.beacon_listen, cfg.data_centre, cfg.link_rate))
         record = Record(INSTANCES + cfg.name, value)
         self.duty_lease = DutyLease(DUTIES, record, cfg.name, cfg.lease, rng)
-        self._documents = Mirror(
-            sources.documents, CONFIGURATION_WAIT, rng, compute_hold=hold_documents
-        )
-        self._registrations = Mirror(
-            sources.registrations,
-            REGISTRATIONS_WAIT,
-            rng,
-            REGISTRATIONS_SPACING,
-            hold_registration,
-        )
-        self._instances = Mirror(
-            INSTANCES.rstrip("/"),
-            INSTANCES_WAIT,
-            rng,
-            INSTANCES_SPACING,
-            hold_instance_item,
+        self._documents, self._registrations, self._instances = make_mirrors(
+            sources.documents, sources.registrations, rng
         )
         store.epochs.subscribe(self._enter_epoch)
         self._followed = (
--- a/src/chervilwing/mirrors.py
+++ b/src/chervilwing/mirrors.py
@@ -101,7 +101,8 @@
         self._changes = KeptChanges()
         # The latest epoch of the store that is known here.
         self._store_epoch = 0
-        self._carried_epoch = None
+        # The latest epoch of which this mirror has all items.
+        self._carried_epoch = 0
 
     def next_call(self, now):
         """Return the call to make now, or None while one runs or none is due."""
@@ -155,7 +156,8 @@
         self._has_history = True
         self.as_of = max(self.as_of, sent_at)
         self.complete = True
-        self._store_epoch = max(self._store_epoch, get_epoch(revision))
+        self._carried_epoch = get_epoch(revision)
+        self._store_epoch = max(self._store_epoch, self._carried_epoch)
         is_new_epoch = self._is_new_epoch(revision)
         if is_new_epoch:
             self._enter_epoch(revision, (), now)
@@ -220,6 +222,9 @@
         """Return the News after a revision for an instance that queries this one."""
         if self.revision is None or not self._has_history:
             return None
+        if get_epoch(self.revision) != self._carried_epoch:
+            # The other instance would take the items of two epochs for those of one.
+            return None
         keys = None
         if revision is not None and not self._changes.cover(revision):
             keys = tuple(self.items)
--- a/tests/test_restored_mirrors.py
+++ b/tests/test_restored_mirrors.py
@@ -266,6 +266,15 @@
         self.apply_news(1.1)
         self.assertEqual(self.follower.next_call(1.2), ListItems("a/"))
 
+    def test_a_part_of_the_new_epoch_is_not_passed_on(self):
+        # The receiver would take its own items of the earlier epoch for the rest.
+        sender = make_mirror(*self.list_items(2), epoch=2)
+        self.follower.passive = False
+        watch(self.follower, [put("short", 1, 70)], 1, 90)
+        news = sender.make_news(self.follower.revision, 3.0)
+        self.follower.apply_news(news, 3.0, 3.0)
+        self.assertIsNone(self.follower.make_news(make_revision(1, 50), 3.0))
+
     def test_deletions_are_found_where_news_come_in_parts(self):
         # The follower has applied a part of the new epoch when an item of the earlier
         # one is deleted; the deletion is older than the part.
