Share the confirmed configuration with instances that start after a restore

What callers would see: an instance that starts between the store's return and the operator's next write serves the older version of the copy. Cause: the store is all that a starting instance knows. Change: leaders write the document that they hold under a key of the instances, once and under a lease of 60 s; a newer version replaces it as ever.

--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -12,7 +12,14 @@
 from .exceptions import BadConfiguration
 from .followed_prefixes import INSTANCES_WAIT, REGISTRATIONS_WAIT, make_mirrors
 from .instance_count import COUNT, InstanceCount
-from .instance_records import DUTIES, INSTANCES, Peer, decode_peer, encode_peer
+from .instance_records import (
+    DUTIES,
+    INSTANCES,
+    SHARED_DOCUMENTS,
+    Peer,
+    decode_peer,
+    encode_peer,
+)
 from .logs import log_event
 from .rollouts import DECISIONS, decode_decision
 from .store_calls import Committed, HistoryGone, Page
@@ -175,6 +182,11 @@
         """Return the Mirror of what the instances write."""
         return self._instances
 
+    @property
+    def documents(self):
+        """Return the Mirror of the operators' documents."""
+        return self._documents
+
     @property
     def lease(self):
         """Return the lease of this instance's items, or None."""
@@ -338,6 +350,10 @@
         if item.key == COUNT:
             self._instance_count.observe(item)
             return
+        if item.key.startswith(SHARED_DOCUMENTS):
+            key = item.key.removeprefix(SHARED_DOCUMENTS)
+            self._apply_document(item._replace(key=key), now)
+            return
         if item.key.startswith(DECISIONS):
             self._apply_decision(item)
             return
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -96,8 +96,10 @@
             SHARED_REPORT
         )
         is_leader = lambda: report_exchange.is_leader
-        write_status = adapter.sources.write_status
-        LostWrites(self._store, instance_items, write_status, is_leader).register(self)
+        documents = self._coordinator.documents
+        LostWrites(
+            self._store, instance_items, documents, adapter.sources, is_leader
+        ).register(self)
         if not cfg.routes:
             CrashSaver(self._store, self.gateway, is_leader).register(self)
         if cfg.cloud is not None:
@@ -109,7 +111,7 @@
             self._store,
             self._coordinator,
             self.gateway,
-            write_status,
+            adapter.sources.write_status,
             self._usage_parts.read_time,
         ).register(self)
         if cfg.cloud is not None and cfg.buys:
--- a/src/chervilwing/holds.py
+++ b/src/chervilwing/holds.py
@@ -2,7 +2,7 @@
 
 from math import inf
 
-from .instance_records import DUTIES, INSTANCES
+from .instance_records import DUTIES, INSTANCES, SHARED_DOCUMENTS
 
 # Seconds for which a registration that the store returned with is ignored if it was
 # replaced or deleted before. The entry of an upstream that is gone lapses meanwhile;
@@ -29,8 +29,9 @@
 def hold_instance_item(key, lost):
     """Return the seconds to keep an item of the instances that the store lost.
 
-    The claim to the duties holds only as long as the store has it.
+    The claim to the duties holds only as long as the store has it, and shared documents
+    are in force by themselves.
     """
-    if key == DUTIES:
+    if key.startswith((DUTIES, SHARED_DOCUMENTS)):
         return 0.0
     return LOST_INSTANCE_HOLD if key.startswith(INSTANCES) else inf
--- a/src/chervilwing/instance_records.py
+++ b/src/chervilwing/instance_records.py
@@ -10,6 +10,8 @@
 # Store keys that the instances write: running instances, and the holder of the duties.
 INSTANCES = "chervilwing/instances/"
 DUTIES = "chervilwing/instances-duties"
+# Documents that are in force although the store has lost them, by their own keys.
+SHARED_DOCUMENTS = "chervilwing/instances-documents/"
 
 
 class Peer(NamedTuple):
--- a/tests/test_lost_writes.py
+++ b/tests/test_lost_writes.py
@@ -2,12 +2,14 @@
 
 import random
 import unittest
+from types import SimpleNamespace
 from unittest import mock
 
 from chervilwing import lost_writes
 from chervilwing.crash_records import SUSPECTED_FOR
-from chervilwing.holds import hold_instance_item
+from chervilwing.holds import hold_documents, hold_instance_item
 from chervilwing.instance_count import COUNT
+from chervilwing.instance_records import SHARED_DOCUMENTS
 from chervilwing.lost_writes import MAX_DELAY, LostWrites
 from chervilwing.mirrors import Mirror
 from chervilwing.rollouts import COMPLETED, DECISIONS, Decision, encode_decision
@@ -27,6 +29,8 @@
 PREFIX = "chervilwing/instances"
 DECISION = DECISIONS + "engines"
 CRASH = CRASHES + "u1/one"
+DOCUMENT = "op/config"
+SHARED = SHARED_DOCUMENTS + DOCUMENT
 STATUS = ("status/engines", b"completed", 0)
 
 
@@ -57,22 +61,28 @@
         self.store, self.is_leader = Store(), True
         rng = random.Random(1)
         self.mirror = Mirror(PREFIX, 1.0, rng, compute_hold=hold_instance_item)
+        self.documents = Mirror("op/", 1.0, rng, compute_hold=hold_documents)
+        sources = SimpleNamespace(
+            write_status=lambda *args: STATUS,
+            read_document=lambda key, value: value if key == DOCUMENT else None,
+        )
         self.lost_writes = LostWrites(
-            self.store, self.mirror, lambda *args: STATUS, lambda: self.is_leader
+            self.store, self.mirror, self.documents, sources, lambda: self.is_leader
         )
 
-    def restore(self, before, after):
-        """Let the mirror know items by key, and list what a restored store has."""
-        self.mirror.next_call(0.0)
-        self.mirror.receive(Page((), make_revision(1, 9)), 0.0)
+    def restore(self, before, after, mirror=None):
+        """Let a mirror know items by key, and list what a restored store has."""
+        mirror = mirror or self.mirror
+        mirror.next_call(0.0)
+        mirror.receive(Page((), make_revision(1, 9)), 0.0)
         items = [Item(k, v, make_revision(1, n)) for k, v, n in before]
-        self.mirror.next_call(0.0)
-        self.mirror.receive(Changes(tuple(items), make_revision(1, 80)), 0.0)
-        self.mirror.next_call(0.0)
-        self.mirror.receive(Changes((), make_revision(2, 50)), 0.0)
-        self.mirror.next_call(0.0)
+        mirror.next_call(0.0)
+        mirror.receive(Changes(tuple(items), make_revision(1, 80)), 0.0)
+        mirror.next_call(0.0)
+        mirror.receive(Changes((), make_revision(2, 50)), 0.0)
+        mirror.next_call(0.0)
         items = [Item(k, v, make_revision(2, n)) for k, v, n in after]
-        self.mirror.receive(Page(tuple(items), make_revision(2, 50)), 0.0)
+        mirror.receive(Page(tuple(items), make_revision(2, 50)), 0.0)
 
     def wait(self, seconds=MAX_DELAY):
         """Let some seconds pass."""
@@ -126,6 +136,21 @@
         commit = self.store.answer(Committed(make_revision(2, 51)))
         self.assertEqual(commit.deletes, (CRASH,))
 
+    def test_a_lost_document_is_shared_until_it_is_written_again(self):
+        # An instance that starts meanwhile would serve the older version of the copy.
+        self.restore([], [])
+        before = [(DOCUMENT, b"v3", 40), (DOCUMENT, b"v7", 60), ("op/note", b"x", 61)]
+        self.restore(before, [(DOCUMENT, b"v3", 40)], self.documents)
+        self.wait()
+        self.assertEqual(self.store.answer(Leased(4, 60.0)), TakeLease(60.0))
+        commit = self.store.answer(Committed(make_revision(2, 51)))
+        self.assertEqual(commit, Commit(((SHARED, 0),), ((SHARED, b"v7", 4),)))
+        written = Item(SHARED, b"v7", make_revision(2, 51))
+        self.mirror.next_call(1.0)
+        self.mirror.receive(Changes((written,), make_revision(2, 51)), 1.0)
+        self.wait()
+        self.assertEqual(self.store.calls, [])
+
     def test_followers_and_registrations_write_nothing(self):
         self.is_leader = False
         self.restore([(COUNT, b"7", 60)], [])
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -71,6 +71,16 @@
             self.assertEqual(self.call(gateway, key="k3"), 200)
             self.assertEqual(self.call(gateway, key="k2"), 401)
 
+    def test_an_instance_that_starts_after_a_restore_has_the_confirmed_version(self):
+        # The store has the version before; the instances that know better tell it.
+        gateway = self.start("one")
+        self.lose_a_change(gateway)
+        added = self.start("two")
+        poll(lambda: self.call(added, key="k3") == 200, APPLY_BOUND)
+        self.assertEqual(self.call(added, key="k2"), 401)
+        self.publish_keys(9, "k1")
+        poll(lambda: self.call(added, key="k3") == 401, APPLY_BOUND)
+
 
 class TestLeavesAfterARestore(DrillCase):
     def test_a_leave_after_a_restore_reaches_an_instance_that_knew_more(self):
