Look for lost items on leaders only

Each instance listed held items at each tick, and decoded a held document until it was shared, though only leaders write. No write is changed; 6 tests pass.

--- a/src/chervilwing/lost_writes.py
+++ b/src/chervilwing/lost_writes.py
@@ -55,15 +55,15 @@
 
     @handler("tick", channel="*")
     def _on_tick(self):
-        wanted = self._list_wanted()
-        if not wanted:
+        if self._busy or not self._is_leader():
             return
         now = read_boottime()
+        wanted = self._list_wanted()
         for key in wanted:
             delay = random.uniform(MIN_DELAY, MAX_DELAY)
             self._due_at.setdefault(key, now + delay)
         due = [key for key in wanted if now >= self._due_at[key]]
-        if due and not self._busy and self._is_leader():
+        if due:
             self._write(due[0], wanted[due[0]])
 
     def _list_wanted(self):
