--- a/bench/returns.py
+++ b/bench/returns.py
@@ -30,6 +30,13 @@
 USAGE_WAIT = 18.0
 USAGE_WINDOW = "3"
 UNRELATED_WRITES = 20
+INTRODUCTION = """\
+## Returns of the store from a copy
+
+`python -m bench.returns`. Two returns within three seconds lose a confirmed change; *change
+lost* counts requests that an instance refused by the older version 0.3 s after each return.
+Then a key is revoked and an upstream leaves.
+"""
 HEADS = (
     "instances", "faults", "served", "p99 ms", "longest ms", "change lost",
     "change in force s", "after the leave", "usage reported", "windows told apart",
@@ -143,7 +150,7 @@
     rows = [run(size, faults) for size in SIZES for faults in (False, True)]
     table = format_table(HEADS, rows)
     print(table)
-    write_section("returns", f"## Returns of the store from a copy\n\n{table}")
+    write_section("returns", f"{INTRODUCTION}\n{table}")
 
 
 if __name__ == "__main__":
