--- a/bench/returns.py
+++ b/bench/returns.py
@@ -33,9 +33,9 @@
 INTRODUCTION = """\
 ## Returns of the store from a copy
 
-`python -m bench.returns`. Two returns within three seconds lose a confirmed change; *change
-lost* counts requests that an instance refused by the older version 0.3 s after each return.
-Then a key is revoked and an upstream leaves.
+`python -m bench.returns`. Two returns within three seconds lose a confirmed change;
+*change lost* counts requests that an instance refused by the older version 0.3 s after
+each return. Then a key is revoked and an upstream leaves.
 """
 HEADS = (
     "instances", "faults", "served", "p99 ms", "longest ms", "change lost",
