--- a/src/chervilwing/items_in_force.py
+++ b/src/chervilwing/items_in_force.py
@@ -5,7 +5,7 @@
 from .store_epochs import is_return
 
 
-def hold_nothing(key, lost):
+def hold_nothing(key, known, lost):
     """Return the seconds for which a key keeps what a restored store took back."""
     return 0.0
 
@@ -15,8 +15,9 @@
 
     They differ from the store's in the keys of ``held_until`` only: the store lost a
     write or a deletion of these when it returned from a copy, and nobody has written
-    them since. ``compute_hold(key, lost)`` returns for how many seconds such a key is
-    held; ``lost`` is true if the store doesn't have it any more.
+    them since. ``compute_hold(key, known, lost)`` returns for how many seconds such a
+    key is held; ``known`` is the item in force, None if it was deleted, and ``lost`` is
+    true if the store doesn't have the key any more.
     """
 
     def __init__(self, compute_hold):
@@ -40,7 +41,7 @@
 
     def _apply_item(self, item, now):
         known = self.items.get(item.key)
-        hold = 0.0 if is_same_value(known, item) else self._measure_hold(item)
+        hold = 0.0 if is_same_value(known, item) else self._measure_hold(known, item)
         if hold:
             self.held_until[item.key] = now + hold
             return False
@@ -50,13 +51,11 @@
         self._set(item)
         return True
 
-    def _measure_hold(self, item):
+    def _measure_hold(self, known, item):
         """Return for how many seconds a change of the store's items doesn't hold."""
-        if item.value is None:
-            return self._compute_hold(item.key, True) if is_return(item.revision) else 0
-        if not self._replaced.contains(item):
-            return 0.0
-        return self._compute_hold(item.key, False)
+        lost = item.value is None and is_return(item.revision)
+        restored = item.value is not None and self._replaced.contains(item)
+        return self._compute_hold(item.key, known, lost) if lost or restored else 0.0
 
     def expire(self, stored, revision, now):
         """Put the store's items in force where the hold is over; return them."""
--- a/src/chervilwing/leaving_upstreams.py
+++ b/src/chervilwing/leaving_upstreams.py
@@ -1,9 +1,9 @@
-"""Upstreams that announced that they are about to end.
+"""Upstreams that announced in their answers that they are about to end.
 
-An upstream announces this in its answers and reports it to the store, which may be
-unavailable for longer than the upstream stays, or lose the report when it returns from
-a copy. Either holds for the rest of that process: an older or repeated registration
-that says otherwise does not revoke it, and neither does one that lapses and returns.
+An upstream also reports this to the store, which may be unavailable for longer than the
+upstream stays. An announcement holds for the rest of that process: an older or repeated
+registration that says otherwise does not revoke it, and neither does one that lapses
+and returns.
 """
 
 from collections import OrderedDict
@@ -21,8 +21,6 @@
 
     def __init__(self):
         self._known_since = OrderedDict()
-        # Processes whose registration has said so, in the order of their arrival.
-        self._registered = OrderedDict()
 
     def add(self, process, now):
         """Record a ProcessId's announcement; return whether it is new."""
@@ -34,11 +32,7 @@
 
     def apply(self, registration):
         """Return the registration, as leaving if its process has announced its end."""
-        process = get_process(registration)
-        if registration.leaving:
-            self._registered[process] = None
-            keep_latest(self._registered, MAX_ANNOUNCEMENTS)
-        if process in self._known_since or process in self._registered:
+        if get_process(registration) in self._known_since:
             return registration._replace(leaving=True)
         return registration
 
--- a/tests/restored_fleet.py
+++ b/tests/restored_fleet.py
@@ -44,9 +44,9 @@
 ENTRY = b"x" * 180
 
 
-def compute_hold(key, lost):
+def compute_hold(key, known, lost):
     """Hold the configuration until written, registrations as an instance does."""
-    return float("inf") if key == CONFIG else hold_registration(key, lost)
+    return float("inf") if key == CONFIG else hold_registration(key, known, lost)
 
 
 class Store:
--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -73,19 +73,6 @@
         self.call(count=20)
         self.assertGreaterEqual(len(leaving.arrivals), count + 5)
 
-    def test_an_older_registration_of_a_restored_store_takes_no_leave_back(self):
-        # The store returned from a copy without the leave that it had acknowledged, and
-        # the upstream, which stays for a while, doesn't write it again.
-        leaving, other = StatingUpstream(), StatingUpstream()
-        self.start(leaving, other)
-        self.put("u0", leaving, leaving=True)
-        self.put("u0", leaving)
-        self.call(count=20)
-        self.assertEqual(len(leaving.arrivals), 0)
-        self.put("u0", leaving, started_at=9.0)
-        self.call(count=20)
-        self.assertGreaterEqual(len(leaving.arrivals), 5)
-
     def test_an_expiring_registration_expires_despite_an_announcement(self):
         # Marked as leaving it would be kept for good.
         leaving = StatingUpstream()
--- a/tests/test_restored_mirrors.py
+++ b/tests/test_restored_mirrors.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from chervilwing.holds import RESTORED_REGISTRATION_HOLD, hold_registration
 from chervilwing.mirrors import Mirror
 from chervilwing.store_calls import (
     Changes,
@@ -29,7 +30,7 @@
 
 def make_mirror(*items, epoch=1, number=50, hold=HOLD):
     """Return a mirror that has listed these items."""
-    compute_hold = lambda key, lost: hold
+    compute_hold = lambda key, known, lost: hold
     mirror = Mirror("a/", 1.0, random.Random(1), compute_hold=compute_hold)
     mirror.next_call(0.0)
     mirror.receive(Page(items, make_revision(epoch, number)), 0.0)
@@ -174,6 +175,38 @@
         self.assertEqual(mirror.regained_at, 2.0)
 
 
+class TestRegistrations(unittest.TestCase):
+    """Registrations of upstreams in a store that returned from a copy."""
+
+    def restore(self, *writes):
+        """Return a mirror that saw these writes and then the first of them again."""
+        first, *later = writes
+        mirror = make_mirror(first)
+        mirror._holds._compute_hold = hold_registration
+        watch(mirror, later, 1, 58)
+        watch(mirror, [], 2, 49)
+        back = first._replace(revision=make_revision(2, get_number(first.revision)))
+        self.changed = relist(mirror, [back], 2, 49)
+        return mirror
+
+    def test_a_leave_that_the_store_lost_holds_until_the_entry_is_written_again(self):
+        # The upstream leaves for many seconds. With its older entry it would get
+        # requests again, although the store has acknowledged its leave.
+        ready, leaving = put("u", 1, 45, b"ready"), put("u", 1, 55, b"leaving")
+        mirror = self.restore(ready, leaving)
+        self.assertEqual(self.changed + mirror.expire_held(1e6), [])
+        self.assertEqual(mirror.in_force["a/u"].value, b"leaving")
+        again = put("u", 2, 51, b"ready")
+        self.assertEqual(watch(mirror, [again], 2, 51, 3.0), [again])
+
+    def test_an_entry_that_returns_is_ignored_while_it_may_lapse(self):
+        mirror = self.restore(put("u", 1, 45), delete("u", 1, 55))
+        self.assertEqual(mirror.expire_held(2.0 + RESTORED_REGISTRATION_HOLD - 1), [])
+        self.assertNotIn("a/u", mirror.in_force)
+        (back,) = mirror.expire_held(2.0 + RESTORED_REGISTRATION_HOLD)
+        self.assertEqual(back.key, "a/u")
+
+
 class TestNewsOfARestoredStore(unittest.TestCase):
     def setUp(self):
         items = [put(f"k{n}", 1, 10 + n, b"x" * 300) for n in range(30)]
