Log how each attempt at an upstream failed

Cause: lines of refused requests don't tell a refused connection from a reset or a silent one, nor one upstream's failure from the loss of all paths. Change: a line 'attempt failed' with the upstream, whether the request may have run, and the error of its connection.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -335,6 +335,13 @@
 
     def _on_failure(self, relay, exc):
         """Retry or give up after an attempt that failed without a complete answer."""
+        log_event(
+            "attempt failed",
+            request=relay.demand.request_id,
+            upstream=relay.upstream_state.registration.name,
+            outcome=exc.outcome,
+            detail=exc.detail,
+        )
         if exc.outcome == NOT_RUN:
             # Nothing was sent, so this does not count towards the route's attempts.
             relay.attempts -= 1
--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -1,5 +1,6 @@
 """HTTP calls to upstreams and to the platform, one call at a time on a connection."""
 
+import errno
 import re
 import time
 from collections import defaultdict
@@ -393,7 +394,8 @@
             self._end(state)
             state.handlers.done()
             return
-        self._fail(state, "The connection broke off.", ConnectionBroken)
+        reason = f": {errno.errorcode.get(exc.errno, exc.errno)}" if exc else ""
+        self._fail(state, f"The connection broke off{reason}.", ConnectionBroken)
 
     def _fail(self, state, detail, exc_type=UpstreamFailed):
         conn = state.conn
