--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -87,7 +87,10 @@
         address = f"{HOST}:{self.upstream.port}"
         self.operate({f"servers/{name}": ENTRY | {"address": address} | changes})
 
-    def start(self, name, settings_file=None, **options):
+    # The module that is run as a gateway, and variables of its environment.
+    module = "chervilwing.platform"
+
+    def start(self, name, settings_file=None, variables=None, **options):
         """Start a gateway and wait until it is ready.
 
         With a settings file, the store's address is read from there.
@@ -104,12 +107,12 @@
             "usage-window": "1",
             **{key.replace("_", "-"): value for key, value in options.items()},
         }
-        env = None
+        env = dict(variables or {})
         if settings_file is not None:
             del flags["store"]
-            env = {"CHERVILWING_SETTINGS": settings_file}
+            env["CHERVILWING_SETTINGS"] = settings_file
         argv = [f"--{key}={value}" for key, value in flags.items()]
-        program = [sys.executable, "-m", "chervilwing.platform", *argv]
+        program = [sys.executable, "-m", self.module, *argv]
         gateway = self.procs.start(program, env)
         poll(lambda: self.is_ready(gateway))
         return gateway
