Keep connections whose peer falls silent for a second or two

Cause: Linux ends keep-alive probing once nothing came for TCP_USER_TIMEOUT (2 s), whatever the number of probes, so that a peer's silence of 1.1 s closed a connection whose last data was a second old. Change: the user timeout is what the probes need, 3 s.

--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -28,12 +28,14 @@
 # more, so that an engine would write a whole answer to a caller that reads nothing.
 # Callers are at most three milliseconds away, so 128 KB in flight carry 40 MB a second.
 KERNEL_BUFFER_SIZE = 131072
-# Milliseconds without an acknowledgement after which a connection is closed. Three lost
-# packets in a row are retransmitted within 1.4 s, and callers of quick requests give up
-# after four seconds.
-PATH_TIMEOUT_MS = 2000
+# A probe is sent after a second without data and again after each further second. The
+# connection of a peer that falls silent for a second or two must survive, although its
+# last data may be a second old when that begins.
 KEEPALIVE_SECONDS = 1
 KEEPALIVE_PROBES = 2
+# Linux gives up on unanswered probes after TCP_USER_TIMEOUT, whatever their number, so
+# that both must say the same.
+PATH_TIMEOUT_MS = 1000 * KEEPALIVE_SECONDS * (1 + KEEPALIVE_PROBES)
 WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINPROGRESS)
 
 
