Reach upstreams through another instance where the own paths are lost

What callers saw: an instance cut from all upstreams refused every request (503 no-upstream after 17 to 80 ms), while others of its data centre served theirs. Cause: an upstream was only ever reached from the instance that took the request, and a connection's failure was taken for the upstream's: no second path, and no evidence that tells the two apart. 12 upstreams were reported crashed that answered others. Change: a tunnel (CONNECT) through another instance that helps; the request, its deadline, quota, usage, attempts and retries stay where it was taken.

--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -10,19 +10,27 @@
 from circuits.core import BaseComponent, handler
 
 from .addresses import format_address
+from .clocks import read_boottime
 from .exceptions import (
     NOT_RUN,
     UNKNOWN,
     BadRequest,
     ConnectionBroken,
+    PathBroken,
     PathSilent,
+    PathUnavailable,
+    TunnelLost,
+    TunnelNotOpened,
+    TunnelRejected,
     UpstreamFailed,
     UpstreamSilent,
+    UpstreamUnreachable,
 )
 from .logs import log_failure
 from .models import Address
 from .parsers import HttpHead, ResponseReader
 from .sockets import StreamHandlers, Streams
+from .tunnels import Tunnel, TunnelPeer
 from .work import FAILED, PATH_SILENT, SILENT
 
 # Idle connections kept for each address, as many as a pool worker has slots. Without
@@ -46,6 +54,12 @@
     (UpstreamSilent, SILENT),
     (UpstreamFailed, FAILED),
 )
+# Failure types by the error of a connection through another instance.
+TUNNEL_FAILURES = {
+    TunnelNotOpened: PathUnavailable,
+    TunnelRejected: UpstreamUnreachable,
+    TunnelLost: PathBroken,
+}
 
 
 def get_attempt_outcome(exc):
@@ -66,7 +80,9 @@
     Connections idle for ``max_idle_time`` or longer are not reused, and at most
     ``max_idle`` idle ones are kept for the address. ``is_answer`` returns False for the
     answer to an earlier call. ``body_until_close`` accepts an orderly close of the
-    connection as the end of an answer that has no length.
+    connection as the end of an answer that has no length. ``via`` is the instance
+    through which to connect, None for a direct connection. ``connect_only`` ends the
+    call once a new connection is open, without sending anything.
     """
 
     address: Address
@@ -84,6 +100,8 @@
     max_idle: int = MAX_IDLE_CONNECTIONS
     is_answer: Callable[[HttpHead], bool] | None = None
     body_until_close: bool = False
+    via: TunnelPeer | None = None
+    connect_only: bool = False
 
 
 class CallHandlers(NamedTuple):
@@ -93,6 +111,8 @@
     data: Callable[[bytes], None]
     done: Callable[[], None]
     failed: Callable[[UpstreamFailed], None]
+    # Called when a new connection for the call has opened.
+    opened: Callable[[], None] = lambda: None
 
 
 class CallState:
@@ -154,6 +174,8 @@
         self._idle: dict[Address, list] = defaultdict(list)
         self._active: set[CallState] = set()
         self._probes: dict[Address, CallState] = {}
+        # When bytes last arrived over a direct connection, by read_boottime().
+        self.received_at = float("-inf")
         handlers = StreamHandlers(self._opened, self._received, self._closed)
         self._streams = Streams(poller, handlers, f"{channel}-streams").register(self)
 
@@ -163,12 +185,14 @@
         self._active.add(state)
         conn = self._pop_idle(call)
         if conn is None:
-            conn = self._streams.dial(call.address)
+            tunnel = Tunnel(call.via, call.address) if call.via else None
+            conn = self._streams.dial(call.address, tunnel)
             conn.last_activity = state.last_activity
         conn.state = state
         conn.sent = 0
         state.conn = conn
-        self._streams.send(conn, encode_call(call))
+        if not call.connect_only:
+            self._streams.send(conn, encode_call(call))
         return state
 
     def cancel(self, state):
@@ -179,7 +203,11 @@
         if state.finished:
             return
         self._end(state)
-        self._streams.drop(state.conn)
+        self._drop_call(state.conn)
+
+    def _drop_call(self, conn):
+        """Close a call's connection; a tunnel must not deliver what it still holds."""
+        self._streams.drop(conn, reset=conn.tunnel is not None)
 
     def pause(self, state):
         """Stop reading the answer until ``resume``."""
@@ -202,12 +230,20 @@
         for conn in self._idle.pop(address, []):
             self._streams.drop(conn)
 
+    def close_idle_matching(self, matches):
+        """Close the idle connections for which ``matches`` returns true."""
+        for conns in list(self._idle.values()):
+            for conn in [conn for conn in conns if matches(conn)]:
+                self._streams.drop(conn)
+
     def is_connected(self, address):
-        """Return whether any connection to an address is open."""
-        if self._idle.get(address):
+        """Return whether any direct connection to an address is open."""
+        if any(conn.tunnel is None for conn in self._idle.get(address, ())):
             return True
         return any(
-            item.call.address == address and not item.conn.connecting
+            item.call.address == address
+            and not item.conn.connecting
+            and item.conn.tunnel is None
             for item in self._active
         )
 
@@ -230,7 +266,8 @@
         for state in list(self._active):
             if state.finished or not self._is_silent(state, now):
                 continue
-            self.close_idle(state.call.address)
+            if state.conn.tunnel is None:
+                self.close_idle(state.call.address)
             probe = self._probes.get(state.call.address)
             no_probe = state.conn.connecting or not state.call.probe_if_silent
             if no_probe or state is probe:
@@ -287,7 +324,7 @@
                 self._fail(state, "The connection has gone silent.", exc_type)
 
     def _pop_idle(self, call):
-        if call.new_connection:
+        if call.new_connection or call.connect_only:
             return None
         idle = self._idle.get(call.address, [])
         now = time.monotonic()
@@ -304,12 +341,20 @@
         if state is None:
             return
         state.last_activity = conn.last_activity
+        state.handlers.opened()
+        if state.call.connect_only:
+            self._end(state)
+            self._drop_call(conn)
+            state.handlers.done()
+            return
         # A process that was suspended while it connected would otherwise send an order
         # under a lease that has expired since the check before ``submit``.
         if state.last_activity >= state.call.send_before:
             self._fail(state, "The connection opened too late to send the request.")
 
     def _received(self, conn, data):
+        if conn.tunnel is None:
+            self.received_at = read_boottime()
         state = conn.state
         if state is None:
             self._streams.drop(conn)
@@ -394,6 +439,9 @@
             self._end(state)
             state.handlers.done()
             return
+        if type(exc) in TUNNEL_FAILURES:
+            self._fail(state, str(exc), TUNNEL_FAILURES[type(exc)])
+            return
         reason = f": {errno.errorcode.get(exc.errno, exc.errno)}" if exc else ""
         self._fail(state, f"The connection broke off{reason}.", ConnectionBroken)
 
@@ -402,7 +450,7 @@
         # The request certainly did not run only if no byte of it was sent.
         outcome = UNKNOWN if conn.sent else NOT_RUN
         self._end(state)
-        self._streams.drop(conn)
+        self._drop_call(conn)
         state.handlers.failed(exc_type(detail, outcome=outcome))
 
     def _end(self, state):
--- a/src/chervilwing/crash_detection.py
+++ b/src/chervilwing/crash_detection.py
@@ -1,10 +1,12 @@
 """Detection of upstreams that crashed, and of the requests they were running.
 
 A broken connection alone doesn't prove a crash, as a link may have reset it. A crashed
-upstream also refuses the next connection, within a round trip.
+upstream also refuses the next connection, within a round trip, and that of another
+instance, whose path is another one.
 """
 
 from collections import OrderedDict, deque
+from functools import partial
 from typing import NamedTuple
 
 from circuits.core import BaseComponent, handler
@@ -186,6 +188,7 @@
             self._records.assume(suspicion, now)
         self._assumed[name] = suspicions
         conn = self._streams.dial(registration.address)
+        conn.state = registration
         self._probes[conn] = Probe(name, now)
 
     def _list_in_flight(self, name, now):
@@ -210,6 +213,7 @@
     def _opened(self, conn):
         probe, suspicions = self._pop_probe(conn)
         if probe is not None:
+            self._gateway.record_path_opened(probe.upstream)
             self._dismiss(suspicions)
         self._streams.drop(conn)
 
@@ -220,12 +224,30 @@
         probe, suspicions = self._pop_probe(conn)
         if probe is None:
             return
+        refused = isinstance(exc, REFUSED)
+        self._gateway.paths.record_failed(probe.upstream, read_boottime(), not refused)
         unconnected = not self._client.is_connected(conn.address)
-        if isinstance(exc, REFUSED) and unconnected:
-            self._prove(probe.upstream, suspicions)
+        if refused and unconnected:
+            result = partial(self._end_check, probe, suspicions)
+            self._gateway.check_path(conn.state, result)
             return
         # A timeout proves nothing. Neither does a refusal while other connections are
         # open: the upstream is full. If it did crash, its registration lapses.
+        self._abandon(probe, suspicions)
+
+    def _end_check(self, probe, suspicions, reached):
+        """Handle whether another instance reaches an upstream that refused this one.
+
+        ``reached`` is None if no other instance could be asked.
+        """
+        doubtful = self._gateway.paths.is_doubtful(read_boottime())
+        if reached or (reached is None and doubtful):
+            self._abandon(probe, suspicions)
+        else:
+            self._prove(probe.upstream, suspicions)
+
+    def _abandon(self, probe, suspicions):
+        """Dismiss suspicions, and keep the attempts in case the upstream did crash."""
         self._dismiss(suspicions)
         now = read_boottime()
         for suspicion in suspicions:
--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -175,6 +175,43 @@
     """An upstream is silent on old connections but answers on a new one."""
 
 
+class TunnelError(OSError):
+    """A connection through another instance failed.
+
+    The sockets report it like any other connection's error.
+    """
+
+
+class TunnelNotOpened(TunnelError):
+    """The other instance can't be reached, or opens no tunnel."""
+
+
+class TunnelRejected(TunnelError):
+    """The other instance can't connect to the upstream either."""
+
+
+class TunnelLost(TunnelError):
+    """A tunnel ended before the upstream's connection did."""
+
+
+class PathUnavailable(UpstreamFailed):
+    """No tunnel was opened; this says nothing about the upstream."""
+
+    type, title = "path-unavailable", "Path unavailable"
+
+
+class UpstreamUnreachable(UpstreamFailed):
+    """Neither this instance nor another one can connect to the upstream."""
+
+    type, title = "upstream-unreachable", "Upstream unreachable"
+
+
+class PathBroken(UpstreamFailed):
+    """The tunnel to the upstream was lost; this says nothing about the upstream."""
+
+    type, title = "path-broken", "Path broken"
+
+
 class DeadlinePassed(ChervilwingError):
     """The request was not finished by its deadline."""
 
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -31,7 +31,9 @@
 from .rollouts import Rollouts
 from .routing import RoutingTable, pick_target
 from .stats import Stats
+from .tunnel_peers import TunnelPeers
 from .upstream_limits import UpstreamLimits
+from .upstream_paths import UpstreamPaths
 from .upstream_pauses import REUSED_NAME_PAUSE, UpstreamPauses
 from .web import Web, WebHandlers, WebOptions
 
@@ -93,6 +95,10 @@
         self.leaving_upstreams = LeavingUpstreams()
         # Called with the ProcessId of an upstream that announced its end in an answer.
         self.on_upstream_leaving = lambda process: None
+        self.paths = UpstreamPaths()
+        self.tunnel_peers = TunnelPeers(cfg.name)
+        # Asks another instance to reach an upstream, see PathChecks.check.
+        self.check_path = lambda registration, on_result: on_result(None)
         self.retries = RetryShares(self)
         self.relays = set()
         self.pools = {}
@@ -210,6 +216,43 @@
         self.pauses.add(process, seconds, now)
         self._attempts.withdraw_unsent(process)
 
+    def record_path_opened(self, name):
+        """Record a new direct connection to an upstream."""
+        if name in self.paths.list_detours() or self.paths.is_cut():
+            self._attempts.close_idle_tunnels()
+        self.paths.record_opened(name, read_boottime())
+
+    def record_path_reached(self, name):
+        """Record that another instance reached an upstream."""
+        now = read_boottime()
+        if not self.paths.record_reached(name, now):
+            return
+        for suspected in self.paths.list_suspected(now):
+            for pool in self.pools.values():
+                if suspected in pool.upstream_states:
+                    pool.upstream_states[suspected].clear_failures()
+
+    def leave_silent_paths(self):
+        """Give up the direct connections, which hang."""
+        self._attempts.leave_silent_paths()
+
+    def leave_tunnels(self, name):
+        """Send nothing more through an instance that has gone silent."""
+        self._attempts.leave_tunnels(name)
+
+    def _raise_if_unreachable(self, pool, now):
+        """Raise NoUpstream if neither this instance nor another reaches upstreams."""
+        if self.paths.is_cut() and self.tunnel_peers.choose(now) is None:
+            scope = Scope("pool", pool.spec.name)
+            raise NoUpstream(scope=scope, retry_after=RETRY_AFTER)
+
+    def _list_unreachable(self, now):
+        """Return the upstreams that no path leads to now."""
+        detours = self.paths.list_detours()
+        if not detours or self.tunnel_peers.choose(now) is not None:
+            return frozenset()
+        return frozenset(detours)
+
     def may_fetch_from(self, registration, now):
         """Return whether engines may fetch prompt parts from this upstream.
 
@@ -264,6 +307,7 @@
         relay.cost = self._dialect.measure_cost(demand, organisation)
         relay.rollout_draw = self._rng.random()
         self.crashes.raise_if_barred(relay.fingerprint, now)
+        self._raise_if_unreachable(pool, now)
         return relay
 
     def _charge_and_place(self, relay, now):
@@ -293,6 +337,7 @@
         self.crashes.raise_if_barred(relay.fingerprint, now)
         if choice is None:
             raise self.make_unavailable_error(relay.pool, now)
+        self._raise_if_unreachable(relay.pool, now)
         upstream_state, estimate = choice
         if relay.upstream_state is None:
             self._check_capacity(relay, estimate, now)
@@ -332,7 +377,8 @@
     def list_unavailable_upstreams(self, relay, now):
         """Return the names of the upstreams that were tried or want no requests."""
         paused = self.pauses.list_paused(relay.pool.upstream_states, now)
-        return paused | relay.tried_upstreams if paused else relay.tried_upstreams
+        excluded = self._list_unreachable(now).union(paused)
+        return excluded | relay.tried_upstreams if excluded else relay.tried_upstreams
 
     def record_answer(self, relay, failed):
         """Record the first byte or failure of an answer for the version's roll-out."""
@@ -455,6 +501,7 @@
     def _on_tick(self):
         """Retry requests that wait for credit; end those past their deadline."""
         now = read_boottime()
+        self._attempts.end_broken(now)
         self.retry_waiting_requests(now)
         for relay in list(self.relays):
             if now >= relay.deadline:
@@ -463,7 +510,9 @@
     def _expire(self, relay):
         sent = relay.call is not None and relay.call.conn.sent
         if relay.call is not None:
-            failed = True if sent and relay.answer is None else None
+            blamed = sent and relay.answer is None
+            blamed = blamed and not self.paths.is_doubtful(read_boottime())
+            failed = True if blamed and relay.call.conn.tunnel is None else None
             self.crash_detection.handle_caller_left(relay, read_boottime())
             self._attempts.end_attempt(relay, failed, cancel=True)
         relay.may_have_run = relay.may_have_run or bool(sent)
--- a/src/chervilwing/gateway_settings.py
+++ b/src/chervilwing/gateway_settings.py
@@ -65,6 +65,9 @@
     leave_bound: float = 2.0
     link_rate: float = 100.0
     heartbeat: float = 2.0
+    # Address for other instances that reach upstreams through this one, None to help
+    # nobody.
+    tunnel_listen: Address | None = None
     # Path of a TOML file with routes and upstreams, used instead of a store.
     routes: str = ""
     # Distinguishes the successive processes of one instance.
@@ -99,6 +102,13 @@
     Field(
         "metrics_listen", parse_optional_address, "", "HOST:PORT", "address for metrics"
     ),
+    Field(
+        "tunnel_listen",
+        parse_optional_address,
+        "",
+        "HOST:PORT",
+        "address for other instances' tunnels to upstreams",
+    ),
     Field("name", parse_name, "", "name", "name of this instance"),
     Field("data_centre", parse_name, "local", "name", "where this instance runs"),
     Field("store", parse_optional_address, "", "HOST:PORT", "the platform's store"),
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -21,6 +21,7 @@
 from .leaving_exchange import LeavingExchange
 from .logs import NonBlockingSink, count_dropped_lines, log_event, set_up_logs
 from .lost_writes import LostWrites
+from .path_checks import PathChecks
 from .placement_exchange import Placing
 from .pollers import DirectPoller
 from .report_exchange import ReportExchange
@@ -31,6 +32,8 @@
 from .store_calls import EndLease
 from .store_epochs import get_number
 from .ticks import tick
+from .tunnel_exchange import TunnelExchange
+from .tunnel_server import TunnelServer
 from .usage import SHARED_REPORT
 from .usage_reports import UsageParts, UsageReporter
 from .web import Web, WebHandlers
@@ -38,6 +41,8 @@
 # Seconds between ticks. Time limits, scheduled calls and the detection of silent
 # connections are late by at most this.
 TICK = 0.05
+# Part of the time for a planned stop in which other instances' tunnels may end.
+HELP_PART = 0.8
 # Seconds between two reads of the settings file, which may change without a signal.
 RELOAD_INTERVAL = 2.0
 
@@ -91,6 +96,19 @@
         ).register(self)
         Placing(cfg, datagrams, self._coordinator, self.gateway).register(self)
         LeavingExchange(cfg, datagrams, self._coordinator, self.gateway).register(self)
+        PathChecks(self.gateway, upstreams).register(self)
+        self._tunnels = TunnelServer(poller, self.gateway).register(self)
+        self._tunnel_port = 0
+        if cfg.tunnel_listen is not None:
+            self._tunnel_port = self._tunnels.listen(cfg.tunnel_listen).port
+        TunnelExchange(
+            cfg,
+            datagrams,
+            self._coordinator,
+            self.gateway,
+            self._tunnels,
+            self._tunnel_port,
+        ).register(self)
         instance_items = self._coordinator.instance_items
         self._usage_parts.read_shared = lambda: instance_items.in_force.get(
             SHARED_REPORT
@@ -172,6 +190,10 @@
             "gateway_upstreams_limited": gateway.upstream_limits.count(),
             "gateway_upstreams_leaving": gateway.registry.count_leaving(),
             "gateway_upstreams_paused": gateway.pauses.count(now),
+            "gateway_upstreams_detoured": len(gateway.paths.list_detours()),
+            "gateway_partitioned": int(gateway.paths.is_cut()),
+            "gateway_tunnels_used": sum(gateway.tunnel_peers.in_use.values()),
+            "gateway_tunnels_served": self._tunnels.count(),
             "gateway_log_lines_dropped": count_dropped_lines(),
         }
         return "".join(f"chervilwing_{k} {v}\n" for k, v in gauges.items())
@@ -223,6 +245,7 @@
         if self._stopping_at is None:
             self._stopping_at = read_boottime()
             self.gateway.web.stopping = True
+            self._tunnels.stopping = True
             log_event("draining", in_flight=len(self.gateway.relays))
 
     @handler("tick", channel="*")
@@ -244,6 +267,8 @@
             if self._coordinator.lease is not None:
                 call = EndLease(self._coordinator.lease)
                 self._store.submit(call, lambda reply: None)
+        if self._tunnels.count() and elapsed < self.cfg.drain_timeout * HELP_PART:
+            return
         if not self.gateway.relays and self._usage_parts.is_idle():
             log_event("stopped", cut=0)
             self.root.stop()
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -83,6 +83,7 @@
         "upstream_state",
         "first_byte_at",
         "placement_id",
+        "tried_peers",
         "tried_upstreams",
     )
 
@@ -100,6 +101,8 @@
         # that is being rolled out.
         self.rollout_draw = 1.0
         self.tried_upstreams = set()
+        # Instances through which the current attempt was to reach its upstream.
+        self.tried_peers = set()
         self.attempts = 0
         self.call = None
         self.upstream_state = None
--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -7,12 +7,14 @@
 
 import errno
 import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from circuits.core import BaseComponent, handler
 
+from .exceptions import TunnelError
 from .logs import log_failure
 from .models import Address
 
@@ -36,6 +38,8 @@
 # Linux gives up on unanswered probes after TCP_USER_TIMEOUT, whatever their number, so
 # that both must say the same.
 PATH_TIMEOUT_MS = 1000 * KEEPALIVE_SECONDS * (1 + KEEPALIVE_PROBES)
+# Closes a connection by a reset, which discards what wasn't sent yet.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINPROGRESS)
 
 
@@ -75,7 +79,11 @@
 
 
 class Conn:
-    """State of one connected, or connecting, socket."""
+    """State of one connected, or connecting, socket.
+
+    ``tunnel`` is its Tunnel if it leads through another instance, and else None. Until
+    the tunnel is open, the connection counts as connecting.
+    """
 
     __slots__ = (
         "sock",
@@ -91,6 +99,7 @@
         "pending_size",
         "reading",
         "sent",
+        "tunnel",
         "writing",
         "state",
     )
@@ -112,6 +121,7 @@
         self.reading = False
         self.writing = False
         self.sent = 0
+        self.tunnel = None
         self.state: Any = None
 
     @property
@@ -120,6 +130,11 @@
         return self.pending_size > HIGH_WATER
 
 
+def is_opening_tunnel(conn):
+    """Return whether a connection waits for the answer that opens its tunnel."""
+    return conn.tunnel is not None and conn.tunnel.requested
+
+
 class Streams(BaseComponent):
     """Own the sockets of one role and report their events to its callbacks."""
 
@@ -153,8 +168,11 @@
         self._listener.close()
         self._listener = None
 
-    def dial(self, address):
-        """Return a new connection; ``opened`` or ``closed`` is called later."""
+    def dial(self, address, tunnel=None):
+        """Return a new connection; ``opened`` or ``closed`` is called later.
+
+        With a Tunnel it leads through another instance.
+        """
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError as exc:
@@ -162,8 +180,9 @@
         configure_socket(sock)
         set_path_timeout(sock)
         conn = Conn(sock, address, connecting=True)
+        conn.tunnel = tunnel
         self._conns[sock] = conn
-        sock.connect_ex(address)
+        sock.connect_ex(address if tunnel is None else tunnel.peer.address)
         self._watch(conn, reading=False, writing=True)
         return conn
 
@@ -227,11 +246,16 @@
         if not conn.pending:
             self._shut_down(conn)
 
-    def drop(self, conn, exc=None):
-        """Close the connection at once and call ``closed``."""
+    def drop(self, conn, exc=None, reset=False):
+        """Close the connection at once and call ``closed``.
+
+        With ``reset``, data that the peer hasn't received is discarded.
+        """
         if self._conns.pop(conn.sock, None) is None:
             return
         self._poller.unwatch(conn.sock)
+        if reset:
+            conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         conn.sock.close()
         self._callbacks.closed(conn, exc)
 
@@ -275,7 +299,7 @@
         try:
             if writable:
                 self._on_writable(conn)
-            if readable and not conn.connecting:
+            if readable and (not conn.connecting or is_opening_tunnel(conn)):
                 self._on_readable(conn)
         except Exception as exc:
             log_failure("connection handler", exc, role=self.channel)
@@ -294,11 +318,32 @@
             if exc.errno not in WOULD_BLOCK:
                 self.drop(conn, exc)
             return
-        if not data:
+        if conn.tunnel is not None:
+            self._read_tunnel(conn, data)
+        elif not data:
             self._end_reading(conn)
         elif not conn.closing:
             self._callbacks.received(conn, data)
 
+    def _read_tunnel(self, conn, data):
+        """Handle bytes from the other end of a tunnel, none if it has closed."""
+        tunnel = conn.tunnel
+        if not data:
+            self.drop(conn, tunnel.make_closed_error())
+            return
+        try:
+            payload = tunnel.feed(data)
+        except TunnelError as exc:
+            self.drop(conn, exc)
+            return
+        if conn.connecting and tunnel.opened:
+            self._set_connected(conn)
+        if payload and conn.sock in self._conns:
+            self._callbacks.received(conn, payload)
+        if tunnel.over:
+            error = ConnectionResetError(errno.ECONNRESET, "reset by the upstream")
+            self.drop(conn, error if tunnel.was_reset else None)
+
     def _end_reading(self, conn):
         # Nothing is read after the peer's half-close, so a second event is a reset.
         if conn.half_closed or not self._stays_open_for_writing(conn):
@@ -360,10 +405,20 @@
             # Within one batch of events, a new socket can get the file descriptor of a
             # closed one and receive its event before it is connected.
             return False
+        if conn.tunnel is not None:
+            # A head of some hundred bytes fits into an empty send buffer.
+            if not conn.tunnel.requested:
+                conn.tunnel.requested = True
+                self._watch(conn, reading=True, writing=False)
+                conn.sock.send(conn.tunnel.request)
+            return False
+        self._set_connected(conn)
+        return conn.sock in self._conns
+
+    def _set_connected(self, conn):
         conn.connecting = False
         self._watch(conn, not conn.paused, writing=True)
         self._callbacks.opened(conn)
-        return conn.sock in self._conns
 
     def _send_pending(self, conn):
         while conn.pending:
--- a/src/chervilwing/upstream_states.py
+++ b/src/chervilwing/upstream_states.py
@@ -180,6 +180,10 @@
             (now - self._failure_at) / FAILURE_HALF_LIFE
         )
 
+    def clear_failures(self):
+        """Forget failures that were not the upstream's."""
+        self._failure_rate = 0.0
+
     def record(self, failed, now):
         """Record the outcome of one attempt."""
         rate = self.get_failure_rate(now)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -99,6 +99,7 @@
             "listen": f"{HOST}:0",
             "ready-listen": f"{HOST}:0",
             "beacon-listen": f"{HOST}:0",
+            "tunnel-listen": f"{HOST}:0",
             "store": f"{HOST}:{self.platform.port}",
             "cloud": f"{HOST}:{self.platform.port}",
             "name": name,
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -47,6 +47,7 @@
     "notices",
     "orderer",
     "parsers",
+    "path_checks",
     "peers",
     "placement_exchange",
     "pollers",
@@ -56,6 +57,8 @@
     "sockets",
     "stores",
     "ticks",
+    "tunnel_exchange",
+    "tunnel_server",
     "usage_reports",
     "web",
 }
