Send brittle upstreams what they have room for

Cause: upstreams that fall over after N refusals a second, counted over all instances, were sent as many requests as others; each instance saw its own refusals only. Change: the number is shared like an upstream's limit, at half of its value; a request that may find no room costs credit, one that certainly finds room none. What the choosing instance found full is not tried by others on their own.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -247,6 +247,9 @@
         self._gateway.upstream_limits.record_answer(
             name, answer_status.limit, relay.sent_at, now
         )
+        self._gateway.brittle_upstreams.record_answer(
+            name, answer_status.refusals, relay.sent_at, now
+        )
 
     def _record_notice(self, relay, answer_status):
         """Record that an answer states that its upstream leaves or wants a pause."""
@@ -269,6 +272,8 @@
     def _retry_not_run(self, relay, answer_status):
         """Send a request that this upstream has not run to another one, or give up."""
         failed = True
+        name = relay.upstream_state.registration.name
+        self._gateway.brittle_upstreams.record_refusal(name, read_boottime())
         if answer_status.retry_after:
             # The failure rate would keep requests away for longer than the upstream
             # asked for.
--- a/src/chervilwing/dialects.py
+++ b/src/chervilwing/dialects.py
@@ -47,6 +47,8 @@
     ``authentic`` is False for an answer that the upstream itself can't have sent.
     ``limit`` is the rate, in requests per second, that the upstream accepts from all
     instances together: infinity if it states no limit, None if that is unknown.
+    ``refusals`` is how many requests a second it may have to refuse, from all instances
+    together, before it falls over; infinity and None mean the same.
     ``leaving`` means that the upstream is about to end. ``retry_after`` is the time in
     seconds for which it wants no requests from this instance, None if it states none.
     """
@@ -54,6 +56,7 @@
     not_run: bool = False
     authentic: bool = True
     limit: float | None = None
+    refusals: float | None = None
     leaving: bool = False
     retry_after: float | None = None
 
@@ -163,6 +166,7 @@
     return AnswerStatus(
         not_run=headers.get("chervilwing-outcome") == "not_run",
         limit=read_limit(headers.get("chervilwing-limit", "inf")),
+        refusals=read_limit(headers.get("chervilwing-refusal-limit", "inf")),
         leaving=read_flag(headers.get("chervilwing-leaving", "")),
         retry_after=read_retry_after(status, headers),
     )
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -7,6 +7,7 @@
 from .allowances import Allowances
 from .attempts import RETRY_AFTER, Attempts
 from .balancing import PoolBalancer
+from .brittle_upstreams import BrittleUpstreams
 from .clocks import STARTED_AT, read_boottime
 from .crash_detection import CrashDetection
 from .crash_records import CrashRecords
@@ -91,6 +92,9 @@
         self.rollouts = Rollouts()
         self.crashes = CrashRecords(cfg.name)
         self.upstream_limits = UpstreamLimits(self.allowances, self._report_limit)
+        self.brittle_upstreams = BrittleUpstreams(
+            self.upstream_limits, lambda: self.retries.instances
+        )
         self.pauses = UpstreamPauses()
         self.leaving_upstreams = LeavingUpstreams()
         # Called with the ProcessId of an upstream that announced its end in an answer.
@@ -136,6 +140,7 @@
         if previous is not None:
             self.crash_detection.handle_restarted(previous, read_boottime())
             self.upstream_limits.record_restart(registration.name, read_boottime())
+            self.brittle_upstreams.record_restart(registration.name, read_boottime())
             self._remove_from_pools(registration.name)
         self.rollouts.record_version(
             registration.pool, registration.version, read_boottime()
@@ -319,13 +324,18 @@
             self._send(relay, self.choose_upstream(relay, now), now)
         return True
 
-    def choose_upstream(self, relay, now):
-        """Return this instance's best (upstream, estimate), or None without one."""
+    def choose_upstream(self, relay, now, refused=()):
+        """Return this instance's best (upstream, estimate), or None without one.
+
+        The upstreams in ``refused`` are not chosen.
+        """
         origin = self.placing.get_origin()
         exhausted = self.upstream_limits.list_exhausted(relay.pool.upstream_states, now)
-        if origin is not None and origin.placer:
+        placing = origin is not None and bool(origin.placer)
+        if placing:
             self.upstream_limits.request_credit(exhausted, now)
-        excluded = exhausted | self.list_excluded_upstreams(relay, now)
+        exhausted |= self.brittle_upstreams.list_full(relay.pool, now, placing)
+        excluded = exhausted.union(refused) | self.list_excluded_upstreams(relay, now)
         return relay.pool.choose(relay.demand, excluded, now, origin)
 
     def check_send(self, relay, choice, now):
@@ -345,6 +355,12 @@
             return
         if not self.upstream_limits.charge(upstream_state.registration.name, now):
             raise self.make_unavailable_error(relay.pool, now)
+        # What another instance chose, it has charged.
+        if relay.placement_id is not None:
+            return
+        placing = bool(estimate.placer)
+        if not self.brittle_upstreams.charge(relay.pool, upstream_state, now, placing):
+            raise self.make_unavailable_error(relay.pool, now)
 
     def make_paused_error(self, pool, now):
         """Return the error for a pool whose upstreams all want no requests, or None."""
@@ -361,6 +377,8 @@
         scope = Scope("pool", pool.spec.name)
         names = {state.registration.name for state in pool.list_accepting()}
         paused = self.pauses.list_paused(pool.upstream_states, now)
+        if any(map(self.brittle_upstreams.is_brittle, names - paused)):
+            return PoolFull(scope=scope, retry_after=RETRY_AFTER)
         wait = self.upstream_limits.get_retry_after(names - paused)
         if wait is None:
             return NoUpstream(scope=scope, retry_after=RETRY_AFTER)
@@ -392,9 +410,14 @@
         slow = elapsed > relay.estimate.seconds * SLOW_FACTOR + SLOW_MARGIN
         self.rollouts.record_answer(pool, version, relay.route.name, failed or slow)
 
-    def place_locally(self, relay, now):
-        """Send a request to the best upstream by this instance's own data."""
-        self.send_to_choice(relay, self.choose_upstream(relay, now), now)
+    def place_locally(self, relay, now, refused=False):
+        """Send a request to the best upstream by this instance's own data.
+
+        ``refused`` means that the placer found none, so that brittle ones are full.
+        """
+        excluded = self.brittle_upstreams.list_brittle(relay.pool) if refused else ()
+        choice = self.choose_upstream(relay, now, excluded)
+        self.send_to_choice(relay, choice, now)
 
     def send_to_choice(self, relay, choice, now):
         """Send a waiting request to the upstream chosen for it, or refuse it."""
--- a/src/chervilwing/placement_exchange.py
+++ b/src/chervilwing/placement_exchange.py
@@ -162,6 +162,8 @@
         limits = self._gateway.upstream_limits
         exhausted = limits.list_exhausted(pool.upstream_states, now)
         limits.request_credit(exhausted, now)
+        brittle = self._gateway.brittle_upstreams
+        exhausted |= brittle.list_full(pool, now, placing=bool(origin.placer))
         excluded = exhausted.union(ask.excluded)
         found = pool.choose(demand, excluded, now, origin)
         answer = Answer(ask.number, self._cfg.name, self._key)
@@ -169,6 +171,7 @@
             upstream_state, estimate = found
             name = upstream_state.registration.name
             charged = limits.is_limited(name) and limits.charge(name, now)
+            brittle.charge(pool, upstream_state, now, bool(origin.placer))
             pool.record_placed(key, demand, found, now)
             self._placed[key] = PlacedRequest(pool, upstream_state, demand.deadline)
             answer = fill_answer(
@@ -195,7 +198,7 @@
             return
         self._queue_ended(placement_id)
         if not relay.ended:
-            self._gateway.place_locally(relay, now)
+            self._gateway.place_locally(relay, now, refused=not answer.upstream)
 
     def _read_choice(self, relay, answer, now):
         """Return the upstream and Estimate of an answer, or None if it is unusable.
--- a/src/chervilwing/platform/headers.py
+++ b/src/chervilwing/platform/headers.py
@@ -29,6 +29,8 @@
 SIGNATURE = "x-server-stamp"
 # The requests per second that the upstream accepts from all instances together.
 LIMIT = "server-limit"
+# The refusals per second, of all instances together, after which the upstream fails.
+BRITTLE = "server-brittle"
 # Set to 1 in all answers of an upstream that is about to end.
 LEAVING = "server-leaving"
 MISDIRECTED = 421
@@ -118,21 +120,22 @@
         return AnswerStatus(authentic=False)
     return AnswerStatus(
         not_run,
-        limit=read_stated_limit(headers),
+        limit=read_stated_limit(headers, LIMIT),
+        refusals=read_stated_limit(headers, BRITTLE),
         leaving=read_flag(headers.get(LEAVING, "")),
         retry_after=read_retry_after(status, headers),
     )
 
 
-def read_stated_limit(headers):
-    """Return the limit that an answer states; see AnswerStatus.
+def read_stated_limit(headers, name):
+    """Return the limit that an answer states in this field; see AnswerStatus.
 
     An error may come from a proxy in front of the upstream. Therefore a missing limit
     means "no limit" only in an answer with the upstream's signature; otherwise such an
     error would remove a limit that still applies.
     """
     default = "inf" if SIGNATURE in headers else ""
-    return read_limit(headers.get(LIMIT, default))
+    return read_limit(headers.get(name, default))
 
 
 def belongs_to(head, request_id):
--- a/tests/placing_fleet.py
+++ b/tests/placing_fleet.py
@@ -11,6 +11,7 @@
 from chervilwing import placement_exchange
 from chervilwing.allowances import Allowances
 from chervilwing.balancing import PoolBalancer
+from chervilwing.brittle_upstreams import BrittleUpstreams
 from chervilwing.coordination import Peer
 from chervilwing.demands import Demand, PromptPart
 from chervilwing.models import Address
@@ -59,6 +60,7 @@
             incarnation=next(fleet.order) * BETWEEN_STARTS,
         )
         self.upstream_limits = UpstreamLimits(Allowances())
+        self.brittle_upstreams = BrittleUpstreams(self.upstream_limits)
         self.pools = {"engines": PoolBalancer(SPEC, self.cfg.data_centre, fleet.rng)}
         for number in range(engines):
             self.put(f"u{number}", leaving=False)
@@ -79,7 +81,7 @@
             Registration(upstream, "engines", address, centre, 64, leaving)
         )
 
-    def place_locally(self, relay, now):
+    def place_locally(self, relay, now, refused=False):
         self.unanswered += 1
         self.choose_upstream(relay, now)
 
--- a/tests/weakened_gateway.py
+++ b/tests/weakened_gateway.py
@@ -47,9 +47,51 @@
     "tests.test_statements_randomised.TestStatements"
     ".test_requests_go_only_to_processes_that_made_no_statement"
 )
+SUSPENDED = "if read_boottime() - self._ticked_at >= SUSPENDED_AFTER:"
+DROPPED = "self.drop(conn)"
 PIECE = "data = relay.events.feed(data)"
 
+BRITTLE = "tests.test_brittle_upstreams.TestRoom.test_"
+TUNNELS = "tests.test_tunnels.TestServer.test_"
+PATHS = "tests.test_upstream_paths.TestPaths.test_"
+
 GATEWAY_WEAKNESSES = (
+    Weakness(
+        "a brittle upstream's room is learnt by its refusals",
+        (Edit("brittle_upstreams", "if not self._limits.count():", "if True:"),),
+        (BRITTLE + "a_full_upstream_needs_credit_before_it_has_refused",),
+    ),
+    Weakness(
+        "a tunnel is opened for whoever asks",
+        (
+            Edit(
+                "tunnels",
+                "if not hmac.compare_digest(match.group(2), token.encode()):",
+                "if False:",
+            ),
+        ),
+        (TUNNELS + "nothing_is_sent_without_the_token_or_to_unregistered_addresses",),
+    ),
+    Weakness(
+        "the end of a tunnel is taken for the upstream's",
+        (Edit("sockets", "self.drop(conn, tunnel.make_closed_error())", DROPPED),),
+        (TUNNELS + "the_loss_of_the_helping_instance_does_not_look_like_an_end",),
+    ),
+    Weakness(
+        "an instance that may be cut off says that upstreams are out of reach",
+        (Edit("tunnel_server", "status = NOT_HELPING", "pass"),),
+        (TUNNELS + "an_instance_that_may_be_cut_off_says_nothing_about_upstreams",),
+    ),
+    Weakness(
+        "a suspended instance sends on what waited meanwhile",
+        (Edit("tunnel_server", SUSPENDED, "if False:"),),
+        (TUNNELS + "what_waited_while_the_helping_instance_was_suspended_is_dropped",),
+    ),
+    Weakness(
+        "an upstream that nobody reaches counts as a lost path",
+        (Edit("upstream_paths", "self._failed.pop(name, None)", "pass"),),
+        (PATHS + "upstreams_that_nobody_reaches_are_no_cut",),
+    ),
     Weakness(
         "an upstream's limit is not looked at",
         (Edit("upstream_limits", ADMITTED, "return True"),),
@@ -203,7 +245,7 @@
         (
             Edit(
                 "crash_detection",
-                "if isinstance(exc, REFUSED) and unconnected:",
+                "if refused and unconnected:",
                 "if exc:",
             ),
         ),
