Use direct connections again once a cut is over

Cause: tunnels that fell idle after the end of a cut were taken for direct calls, so that requests still went through the other instance (504 while it was frozen). Change: a direct call takes no idle tunnel. Tests: the helping instance is frozen after the cut; without any, requests are refused at once; usage, key and deadline through a tunnel.

--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -330,6 +330,10 @@
         now = time.monotonic()
         while idle:
             conn = idle.pop()
+            # Where the direct path works, no other instance is to be burdened.
+            if conn.tunnel is not None and call.via is None:
+                self._streams.drop(conn)
+                continue
             if now - conn.last_activity < min(call.max_idle_time, conn.idle_limit):
                 return conn
             self._streams.drop(conn)
--- a/tests/test_partitioned_instances.py
+++ b/tests/test_partitioned_instances.py
@@ -62,6 +62,53 @@
         return statuses
 
 
+class TestAlone(PartitionCase):
+    def setUp(self):
+        super().setUp()
+        self.helper.kill()
+
+    def test_requests_are_refused_at_once_if_nobody_helps(self):
+        # Guards against holding callers whose requests can't be served.
+        self.partition.cut("hang")
+        poll(lambda: self.call(self.gateway) == 503)
+        began = time.monotonic()
+        statuses = self.call_for(1.0)
+        self.assertEqual(set(statuses), {503})
+        longest = CALLERS * (time.monotonic() - began) / len(statuses)
+        self.assertLess(longest, 0.1)
+        self.partition.heal()
+        poll(lambda: self.call(self.gateway) == 200, 1.0)
+
+
+class TestAccounts(PartitionCase):
+    def test_requests_through_another_instance_are_counted_once(self):
+        # Guards against usage, attempts or deadlines of their own where the request is
+        # only passed on, and against a key that reaches an upstream.
+        poll(lambda: self.list_calls("/usage"), 20)
+        self.partition.cut("reset")
+        poll(lambda: self.call(self.gateway) == 200)
+        self.call_for(0.5)
+        for upstream in (self.upstream, self.other):
+            upstream.heads.clear()
+        before = self.read_reported()
+        served = self.call_for(1.0).count(200)
+        poll(lambda: self.read_reported() >= before + served, 20)
+        time.sleep(3.0)
+        total = len(self.upstream.seen) + len(self.other.seen)
+        self.assertEqual(self.read_reported(), total)
+        heads = [fields for _, fields in (*self.upstream.heads, *self.other.heads)]
+        self.assertEqual(len(heads), served)
+        for fields in heads:
+            self.assertEqual(fields["x-tenant"], "insurer")
+            self.assertNotIn("authorization", fields)
+            self.assertLessEqual(int(fields["x-deadline-ms"]), 2000)
+
+    def read_reported(self):
+        """Return the requests reported as usage, each window once."""
+        reports = {body["windowId"]: body for _, _, body in self.list_calls("/usage")}
+        return sum(body["counts"].get("insurer", 0) for body in reports.values())
+
+
 class TestCut(PartitionCase):
     """Guard against refusing all callers of an instance that reaches no upstream.
 
@@ -77,6 +124,11 @@
         self.partition.heal()
         self.assertGreaterEqual(statuses.count(200), len(statuses) * 2 / 3, statuses)
         poll(lambda: self.call(self.gateway) == 200)
+        # Soon after the cut its requests don't go through the other instance any more.
+        self.call_for(1.0)
+        self.helper.freeze()
+        self.addCleanup(self.helper.resume)
+        self.assertEqual(set(self.call_for(0.5)), {200})
 
     def test_callers_are_served_after_all_connections_were_reset(self):
         self.expect_served("reset")
