Blame crashed upstreams although no connection to others was needed

Cause: several failures at the same moment are doubtful until a new connection opens, which idle connections may make needless for seconds: nobody was blamed, and an instance that can ask nobody counted as cut off while it heard other upstreams. Change: two other upstreams are tried while failures are doubtful; nobody is alone who has heard an upstream 0.3 s before. Instances are asked less often where none helps in calm.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -445,7 +445,8 @@
             peer = self._choose_peer(relay, now)
         if peer is None:
             if tunnel is None:
-                self._paths.record_alone(len(self._gateway.registry.upstreams), now)
+                count = len(self._gateway.registry.upstreams)
+                self._paths.record_alone(count, self._client.received_at, now)
             return False
         self._submit(relay, peer, now)
         return True
--- a/src/chervilwing/path_checks.py
+++ b/src/chervilwing/path_checks.py
@@ -69,7 +69,8 @@
         now = read_boottime()
         peer = self._gateway.tunnel_peers.choose(now)
         if peer is None:
-            self._paths.record_alone(len(self._gateway.registry.upstreams), now)
+            count = len(self._gateway.registry.upstreams)
+            self._paths.record_alone(count, self._client.received_at, now)
             on_result(None)
             return
         failed = partial(self._end_check, registration, peer, on_result)
--- a/src/chervilwing/tunnel_peers.py
+++ b/src/chervilwing/tunnel_peers.py
@@ -10,6 +10,13 @@
 # last case avoided instances are asked as well.
 CALM, NEEDED, MISSING = "calm", "needed", "missing"
 QUERIES = {CALM: (2, 1.0), NEEDED: (4, 0.25), MISSING: (8, 0.1)}
+# The state by whether tunnels are needed and whether no instance offers one.
+STATES = {
+    (False, False): CALM,
+    (False, True): NEEDED,
+    (True, False): NEEDED,
+    (True, True): MISSING,
+}
 # Seconds for which a reply counts; an instance that is asked and silent counts no more.
 REPLY_LIFETIME = 3.0
 # Seconds without a reply after which an asked instance counts as silent: three queries
@@ -23,11 +30,15 @@
 
 
 class PeerReply(NamedTuple):
-    """What an instance replied last; ``load`` is its requests in flight."""
+    """What an instance replied last; ``load`` is its requests in flight.
+
+    ``rank`` decides between equal loads, differently at each asking instance.
+    """
 
     peer: TunnelPeer
     load: int
     at: float
+    rank: int
 
 
 class TunnelPeers:
@@ -53,6 +64,8 @@
         names = {*near, *far}
         self._replies = {n: r for n, r in self._replies.items() if n in names}
         self._asked = {n: at for n, at in self._asked.items() if n in names}
+        avoided = self._avoided_until.items()
+        self._avoided_until = {n: until for n, until in avoided if n in names}
 
     def _order(self, names):
         """Return the names in an order of this instance's own, to spread the load."""
@@ -63,16 +76,15 @@
 
     def list_queries(self, needed, now):
         """Return the instances to ask now, an empty list between two rounds."""
-        state = NEEDED if needed else CALM
-        if self.choose(now) is None:
-            state = MISSING
+        missing = self.choose(now) is None
+        state = STATES[needed, missing]
         count, interval = QUERIES[state]
         self._next_query = min(self._next_query, now + interval)
         if now < self._next_query:
             return []
         self._next_query = now + interval
-        near = self._list_askable(self._near, state == MISSING, now)
-        far = self._list_askable(self._far, state == MISSING, now)
+        near = self._list_askable(self._near, missing, now)
+        far = self._list_askable(self._far, missing, now)
         half = max(count // 2, count - len(far))
         names = (near[:half] + far)[:count]
         for name in names:
@@ -86,7 +98,8 @@
             self.avoid(peer.name, now)
             return
         self._avoided_until.pop(peer.name, None)
-        self._replies[peer.name] = PeerReply(peer, load, now)
+        rank = self._hash(peer.name)
+        self._replies[peer.name] = PeerReply(peer, load, now, rank)
 
     def avoid(self, name, now):
         """Open no tunnels through an instance for some time."""
@@ -96,7 +109,7 @@
     def choose(self, now, excluded=()):
         """Return the TunnelPeer with the least load, or None if no instance helps."""
         found = [
-            (self._measure(name, reply), self._hash(name), reply)
+            (self._measure(name, reply), reply.rank, reply)
             for name, reply in self._replies.items()
             if now - reply.at <= REPLY_LIFETIME and name not in excluded
         ]
--- a/src/chervilwing/upstream_paths.py
+++ b/src/chervilwing/upstream_paths.py
@@ -13,6 +13,8 @@
 # Seconds for which a failed connection counts. Requests arrive at an instance within
 # this time, so that a lasting cut shows again and again.
 FAILURE_LIFETIME = 2.0
+# Seconds since the last byte of any upstream within which open connections work.
+HEARD_LATELY = 0.3
 # Seconds for which an upstream that another instance couldn't reach either isn't
 # checked again.
 DOWN_TIME = 1.0
@@ -24,6 +26,8 @@
 PROBE_INTERVAL = 0.25
 # Upstreams tried at a time once one of them was reached directly again.
 RETURN_PROBES = 32
+# Upstreams tried at a time while it is doubtful whose failure several are.
+DOUBT_PROBES = 2
 NEVER = float("-inf")
 
 
@@ -98,8 +102,14 @@
         self._down_until[name] = now + DOWN_TIME
         self._failed.pop(name, None)
 
-    def record_alone(self, count, now):
-        """Record a failure that no instance could check; ``count`` upstreams exist."""
+    def record_alone(self, count, heard_at, now):
+        """Record a failure that no instance could check.
+
+        ``count`` upstreams exist; one of them was last heard at ``heard_at``. While any
+        is heard, open connections serve callers, whatever becomes of new ones.
+        """
+        if now - heard_at < HEARD_LATELY:
+            return
         enough = min(MIN_FAILED, count)
         if len(self.list_suspected(now)) >= enough:
             self._alone_since = now
@@ -116,16 +126,26 @@
         """
         for name in self._detours.keys() - names:
             del self._detours[name]
-        cut = self.is_cut()
-        if now < self._next_probe or not (cut or self._detours):
+        if now < self._next_probe:
             return []
-        self._next_probe = now + PROBE_INTERVAL
-        wanted = list(names) if cut else list(self._detours)
+        wanted, count = self._choose_probes(names, now)
         if not wanted:
             return []
-        count = 1 if cut and self._alone_since is None else RETURN_PROBES
+        self._next_probe = now + PROBE_INTERVAL
         first = int(now / PROBE_INTERVAL) % len(wanted)
         return (wanted[first:] + wanted[:first])[:count]
 
+    def _choose_probes(self, names, now):
+        """Return the upstreams that may be tried, and how many of them at a time.
+
+        Several failures are doubtful until a new connection to another upstream opens,
+        which may not be needed for long where open ones are idle.
+        """
+        if self.is_cut():
+            return list(names), 1 if self._alone_since is None else RETURN_PROBES
+        if self.is_doubtful(now):
+            return [n for n in names if n not in self._failed], DOUBT_PROBES
+        return list(self._detours), RETURN_PROBES
+
     def _list_failed(self, since):
         return [name for name, at in self._failed.items() if at >= since]
