End the processes of one seed before the next begins

Cause: a run of 25 seeds kept all their processes, some 13 each, until its end. Change: each seed is cleaned up.

--- a/tests/test_partitions_randomised.py
+++ b/tests/test_partitions_randomised.py
@@ -180,6 +180,9 @@
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 self.play(seed)
+            # Each seed has processes of its own.
+            self.doCleanups()
+            self.setUp()
 
 
 if __name__ == "__main__":
