Move the paths of attempts to a module of their own

Cause: attempts at upstreams decided on paths, whose failure one was and on retries. Change: 'detours' has the paths; an attempt that no other instance can connect isn't tried again at the same upstream.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -1,23 +1,18 @@
 """Attempts to send a request to upstreams, and the reaction to each outcome."""
 
-import copy
-import time
-from collections import deque
 from functools import partial
 from math import inf
 
 from .clocks import read_boottime
 from .connections import MAX_IDLE_CONNECTIONS, Call, CallHandlers
+from .detours import CONNECT_TIMEOUT, Detours
 from .dialects import HOP_BY_HOP, AttemptContext
 from .exceptions import (
     NOT_RUN,
     ChervilwingError,
-    ConnectionBroken,
     NoUpstream,
     PoolFull,
     UpstreamFailed,
-    UpstreamSilent,
-    UpstreamUnreachable,
 )
 from .logs import log_event
 from .registrations import get_process
@@ -29,21 +24,6 @@
 # Retry-After of refusals, in seconds. Instances learn of a new instance, or of the
 # replacement of an upstream, in about this time.
 RETRY_AFTER = 0.5
-# Seconds that a connection may take to open before another upstream is tried. Links
-# between data centres take 1.5 ms; TCP retransmits a lost SYN after one second.
-CONNECT_TIMEOUT = 0.6
-# The same where another instance may connect instead, and through another instance,
-# which itself waits up to 0.3 s.
-SHORT_CONNECT_TIMEOUT = 0.3
-TUNNEL_TIMEOUT = 0.4
-# Instances through which one attempt may be made to reach its upstream.
-MAX_TRIED_PEERS = 3
-# Seconds after which a broken connection counts as its upstream's failure, unless
-# connections to other upstreams failed as well.
-VERDICT_DELAY = 0.1
-# Seconds without any byte after which a connection counts as hanging once new
-# connections hang.
-HANGING_AFTER = 0.3
 # Longest idle time, in seconds, of a pooled connection that a request may reuse. If the
 # upstream closes the connection as the request arrives, it is unknown whether the
 # request ran, so one that must not be repeated uses only recently used connections.
@@ -83,10 +63,7 @@
         self._client = client
         self._dialect = dialect
         self._retries = gateway.retries
-        self._paths = gateway.paths
-        self._peers = gateway.tunnel_peers
-        # Copies of relays whose connections broke off, and when that counts.
-        self._broken = deque()
+        self._detours = Detours(gateway, client)
 
     def close_idle(self, address):
         """Close the idle connections to an address that is no longer used."""
@@ -108,17 +85,7 @@
         relay.pool.record_sent(upstream_state, relay.demand, estimate, now)
         if relay.attempts > 1:
             self._retries.record_retry(relay.pool.spec.name)
-        relay.tried_peers = set()
-        detour = self._paths.needs_detour(upstream_state.registration.name)
-        self._submit(relay, self._choose_peer(relay, now) if detour else None, now)
-
-    def _choose_peer(self, relay, now):
-        """Return the TunnelPeer for an attempt, or None if no instance helps."""
-        peer = self._peers.choose(now, relay.tried_peers)
-        if peer is not None:
-            relay.tried_peers.add(peer.name)
-            self._peers.in_use[peer.name] = self._peers.in_use.get(peer.name, 0) + 1
-        return peer
+        self._submit(relay, self._detours.choose_first(relay, now), now)
 
     def _submit(self, relay, peer, now):
         """Send an attempt directly, or through another instance."""
@@ -127,17 +94,10 @@
             data=partial(self._on_data, relay),
             done=partial(self._on_done, relay),
             failed=partial(self._on_failure, relay),
-            opened=partial(self._on_opened, relay, peer),
+            opened=partial(self._detours.record_opened, relay, peer),
         )
         relay.call = self._client.submit(self._make_call(relay, peer, now), handlers)
 
-    def _on_opened(self, relay, peer):
-        name = relay.upstream_state.registration.name
-        if peer is None:
-            self._gateway.record_path_opened(name)
-        else:
-            self._gateway.record_path_reached(name)
-
     def _place_again(self, relay):
         now = read_boottime()
         if not self._gateway.placing.request_placement(relay, now):
@@ -167,19 +127,13 @@
         max_idle_time = (
             MAX_IDLE_REPEATABLE if route.repeatable else MAX_IDLE_NON_REPEATABLE
         )
-        if peer is not None:
-            connect_timeout = TUNNEL_TIMEOUT
-        elif self._peers.choose(now) is not None:
-            connect_timeout = SHORT_CONNECT_TIMEOUT
-        else:
-            connect_timeout = CONNECT_TIMEOUT
         return Call(
             relay.upstream_state.registration.address,
             req.method,
             req.target,
             self._dialect.write_headers(relay.headers, context),
             req.body,
-            connect_timeout=connect_timeout,
+            connect_timeout=self._detours.get_timeout(peer, now),
             silence_timeout=float("inf"),
             probe_if_silent=False,
             host=relay.headers.get("host", ""),
@@ -399,15 +353,17 @@
         )
         now = read_boottime()
         if exc.outcome == NOT_RUN:
-            if self._connect_again(relay, exc, now):
+            peer = self._detours.choose_next(relay, exc, now)
+            if peer is not None:
+                self._submit(relay, peer, now)
                 return
             # Nothing was sent, so this does not count towards the route's attempts.
             relay.attempts -= 1
         else:
             relay.may_have_run = True
             self._count_usage(relay)
-            self._record_broken(relay, exc, now)
-        self._end_failed(relay, exc, now)
+            self._detours.record_broken(relay, exc, now)
+        self._detours.end_failed(relay, exc, self.end_attempt, now)
         if relay.ended:
             return
         if not relay.route.repeatable and relay.may_have_run:
@@ -423,86 +379,23 @@
             return
         self.give_up(relay, exc)
 
-    def _connect_again(self, relay, exc, now):
-        """Connect to the same upstream through another instance, if that may help.
-
-        Nothing was sent yet. The result tells whether the upstream or this instance's
-        path to it is down.
-        """
-        name, tunnel = relay.upstream_state.registration.name, relay.call.conn.tunnel
-        if isinstance(exc, UpstreamUnreachable):
-            self._paths.record_unreached(name, now)
-        elif tunnel is not None:
-            self._peers.avoid(tunnel.peer.name, now)
-        else:
-            silent = isinstance(exc, UpstreamSilent)
-            self._paths.record_failed(name, now, silent)
-        late = relay.deadline - now < TUNNEL_TIMEOUT / 2
-        if self._paths.is_down(name, now) or relay.ended or late:
-            return False
-        peer = None
-        if len(relay.tried_peers) < MAX_TRIED_PEERS:
-            peer = self._choose_peer(relay, now)
-        if peer is None:
-            if tunnel is None:
-                count = len(self._gateway.registry.upstreams)
-                self._paths.record_alone(count, self._client.received_at, now)
-            return False
-        self._submit(relay, peer, now)
-        return True
-
-    def _record_broken(self, relay, exc, now):
-        """Record a connection that broke off after the request was sent."""
-        if not isinstance(exc, ConnectionBroken):
-            return
-        if relay.call.conn.tunnel is None:
-            name = relay.upstream_state.registration.name
-            self._paths.record_failed(name, now)
-        self._gateway.crash_detection.handle_broken(relay, now)
-
-    def _end_failed(self, relay, exc, now):
-        """Record the end of a failed attempt, and whose failure it was."""
-        if relay.call.conn.tunnel is not None:
-            blamed = isinstance(exc, UpstreamUnreachable | ConnectionBroken)
-            self.end_attempt(relay, failed=True if blamed else None)
-            if not blamed:
-                relay.tried_upstreams.discard(relay.upstream_state.registration.name)
-        elif isinstance(exc, ConnectionBroken) and exc.outcome != NOT_RUN:
-            self._broken.append((now + VERDICT_DELAY, copy.copy(relay)))
-            relay.placement_id = relay.call = None
-        else:
-            blamed = not self._paths.is_doubtful(now)
-            self.end_attempt(relay, failed=True if blamed else None)
-
     def end_broken(self, now):
         """Record the ends of attempts whose connections broke off a while ago."""
-        while self._broken and now >= self._broken[0][0]:
-            _, relay = self._broken.popleft()
-            blamed = not self._paths.is_doubtful(now)
-            self.end_attempt(relay, failed=True if blamed else None)
+        self._detours.end_broken(self.end_attempt, now)
 
     def close_idle_tunnels(self):
         """Close the idle connections that lead through other instances."""
-        self._client.close_idle_matching(lambda conn: conn.tunnel is not None)
+        self._detours.close_idle_tunnels()
 
     def leave_silent_paths(self):
         """Give up the direct connections, which hang, and send again what may be."""
-        self._client.close_idle_matching(lambda conn: conn.tunnel is None)
-        now = time.monotonic()
-        for relay in list(self._gateway.relays):
-            call = relay.call
-            if call is None or call.conn.connecting or call.conn.tunnel is not None:
-                continue
-            if now - call.last_activity >= HANGING_AFTER:
-                self._leave_path(relay)
+        for relay in self._detours.list_hanging():
+            self._leave_path(relay)
 
     def leave_tunnels(self, name):
         """Give up the tunnels through an instance, and send again what may be."""
-        leads_through = lambda conn: conn.tunnel and conn.tunnel.peer.name == name
-        self._client.close_idle_matching(leads_through)
-        for relay in list(self._gateway.relays):
-            if relay.call is not None and leads_through(relay.call.conn):
-                self._leave_path(relay)
+        for relay in self._detours.list_through(name):
+            self._leave_path(relay)
 
     def _leave_path(self, relay):
         """Send a request again whose connection is silent, unless that is unsafe.
--- /dev/null
+++ b/src/chervilwing/detours.py
@@ -0,0 +1,167 @@
+"""The paths of attempts at upstreams, and whose failure a failed connection was."""
+
+import copy
+import time
+from collections import deque
+
+from .exceptions import (
+    NOT_RUN,
+    ConnectionBroken,
+    PathBroken,
+    UpstreamSilent,
+    UpstreamUnreachable,
+)
+
+# Seconds that a direct connection may take to open before another upstream is tried.
+# Links between data centres take 1.5 ms; TCP retransmits a lost SYN after one second.
+CONNECT_TIMEOUT = 0.6
+# The same where another instance may connect instead, and through another instance,
+# which itself waits up to 0.3 s.
+SHORT_CONNECT_TIMEOUT = 0.3
+TUNNEL_TIMEOUT = 0.4
+# Instances through which one attempt may be made to reach its upstream.
+MAX_TRIED_PEERS = 3
+# Seconds after which a broken connection counts as its upstream's failure, unless
+# connections to other upstreams failed as well.
+VERDICT_DELAY = 0.1
+# Seconds without any byte after which a connection counts as hanging once new
+# connections hang.
+HANGING_AFTER = 0.3
+
+
+def get_tunnel(relay):
+    """Return the Tunnel through which a request in progress is sent, or None."""
+    return relay.call.conn.tunnel
+
+
+class Detours:
+    """Choose the paths of attempts by what this instance's connections tell."""
+
+    def __init__(self, gateway, client):
+        self._gateway = gateway
+        self._client = client
+        self._paths = gateway.paths
+        self._peers = gateway.tunnel_peers
+        # Copies of relays whose connections broke off, and when that counts.
+        self._broken = deque()
+
+    def choose_first(self, relay, now):
+        """Return the TunnelPeer for a new attempt, None for a direct connection."""
+        relay.tried_peers = set()
+        name = relay.upstream_state.registration.name
+        return self._choose_peer(relay, now) if self._paths.needs_detour(name) else None
+
+    def choose_next(self, relay, exc, now):
+        """Return the TunnelPeer through which to connect to the same upstream again.
+
+        Return None if that can't help. Nothing was sent yet. The next result tells
+        whether the upstream or this instance's path to it is down.
+        """
+        name = relay.upstream_state.registration.name
+        self._record_unconnected(relay, exc, now)
+        late = relay.deadline - now < TUNNEL_TIMEOUT / 2
+        if self._paths.is_down(name, now) or relay.ended or late:
+            return None
+        peer = None
+        if len(relay.tried_peers) < MAX_TRIED_PEERS:
+            peer = self._choose_peer(relay, now)
+        if peer is None and get_tunnel(relay) is None:
+            count = len(self._gateway.registry.upstreams)
+            self._paths.record_alone(count, self._client.received_at, now)
+        return peer
+
+    def get_timeout(self, peer, now):
+        """Return the seconds that a connection may take to open."""
+        if peer is not None:
+            return TUNNEL_TIMEOUT
+        helped = self._peers.choose(now) is not None
+        return SHORT_CONNECT_TIMEOUT if helped else CONNECT_TIMEOUT
+
+    def record_opened(self, relay, peer):
+        """Record that a connection for an attempt has opened."""
+        name = relay.upstream_state.registration.name
+        if peer is None:
+            self._gateway.record_path_opened(name)
+        else:
+            self._gateway.record_path_reached(name)
+
+    def record_broken(self, relay, exc, now):
+        """Record a connection that broke off after the request was sent."""
+        if not isinstance(exc, ConnectionBroken):
+            return
+        if get_tunnel(relay) is None:
+            self._paths.record_failed(relay.upstream_state.registration.name, now)
+        self._gateway.crash_detection.handle_broken(relay, now)
+
+    def end_failed(self, relay, exc, end_attempt, now):
+        """Record the end of a failed attempt, and whose failure it was.
+
+        A direct connection that broke off is judged later, since all connections may
+        be about to break off.
+        """
+        if get_tunnel(relay) is not None:
+            blamed = isinstance(exc, UpstreamUnreachable | ConnectionBroken)
+            end_attempt(relay, failed=True if blamed else None)
+            if isinstance(exc, PathBroken):
+                relay.tried_upstreams.discard(relay.upstream_state.registration.name)
+        elif isinstance(exc, ConnectionBroken) and exc.outcome != NOT_RUN:
+            self._broken.append((now + VERDICT_DELAY, copy.copy(relay)))
+            relay.placement_id = relay.call = None
+        else:
+            end_attempt(relay, failed=self._judge(now))
+
+    def end_broken(self, end_attempt, now):
+        """Record the ends of attempts whose connections broke off a while ago."""
+        while self._broken and now >= self._broken[0][0]:
+            _, relay = self._broken.popleft()
+            end_attempt(relay, failed=self._judge(now))
+
+    def close_idle_tunnels(self):
+        """Close the idle connections that lead through other instances."""
+        self._client.close_idle_matching(lambda conn: conn.tunnel is not None)
+
+    def list_hanging(self):
+        """Close idle direct connections, and return the requests on hanging ones."""
+        self._client.close_idle_matching(lambda conn: conn.tunnel is None)
+        heard_since = time.monotonic() - HANGING_AFTER
+        return [
+            relay
+            for relay in self._gateway.relays
+            if relay.call is not None
+            and not relay.call.conn.connecting
+            and get_tunnel(relay) is None
+            and relay.call.last_activity <= heard_since
+        ]
+
+    def list_through(self, name):
+        """Close idle tunnels through an instance, and return the requests on others."""
+        leads_there = lambda conn: conn.tunnel and conn.tunnel.peer.name == name
+        self._client.close_idle_matching(leads_there)
+        return [
+            relay
+            for relay in self._gateway.relays
+            if relay.call is not None and leads_there(relay.call.conn)
+        ]
+
+    def _choose_peer(self, relay, now):
+        """Return the TunnelPeer for an attempt, or None if no instance helps."""
+        peer = self._peers.choose(now, relay.tried_peers)
+        if peer is not None:
+            relay.tried_peers.add(peer.name)
+            self._peers.in_use[peer.name] = self._peers.in_use.get(peer.name, 0) + 1
+        return peer
+
+    def _record_unconnected(self, relay, exc, now):
+        """Record a connection that didn't open."""
+        name, tunnel = relay.upstream_state.registration.name, get_tunnel(relay)
+        if isinstance(exc, UpstreamUnreachable):
+            self._paths.record_unreached(name, now)
+        elif tunnel is not None:
+            self._peers.avoid(tunnel.peer.name, now)
+        else:
+            silent = isinstance(exc, UpstreamSilent)
+            self._paths.record_failed(name, now, silent)
+
+    def _judge(self, now):
+        """Return True if a failure is its upstream's, None if that is doubtful."""
+        return None if self._paths.is_doubtful(now) else True
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -26,6 +26,7 @@
     "crash_detection",
     "daemon",
     "datagrams",
+    "detours",
     "dispatch",
     "drain",
     "embedded",
