Close idle tunnels through an instance that stops helping

Cause: a stopping instance waits for its tunnels, and others kept idle ones to it. Change: whoever hears that an instance doesn't help closes its idle tunnels through it. Result: a test; the randomised test ends at its first failing seed when run by hand.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -383,9 +383,9 @@
         """Record the ends of attempts whose connections broke off a while ago."""
         self._detours.end_broken(self.end_attempt, now)
 
-    def close_idle_tunnels(self):
-        """Close the idle connections that lead through other instances."""
-        self._detours.close_idle_tunnels()
+    def close_idle_tunnels(self, name=None):
+        """Close the idle connections that lead through an instance, or through any."""
+        self._detours.close_idle_tunnels(name)
 
     def leave_silent_paths(self):
         """Give up the direct connections, which hang, and send again what may be."""
--- a/src/chervilwing/detours.py
+++ b/src/chervilwing/detours.py
@@ -116,9 +116,11 @@
             _, relay = self._broken.popleft()
             end_attempt(relay, failed=self._judge(now))
 
-    def close_idle_tunnels(self):
-        """Close the idle connections that lead through other instances."""
-        self._client.close_idle_matching(lambda conn: conn.tunnel is not None)
+    def close_idle_tunnels(self, name=None):
+        """Close the idle connections that lead through an instance, or through any."""
+        self._client.close_idle_matching(
+            lambda conn: conn.tunnel and name in (None, conn.tunnel.peer.name)
+        )
 
     def list_hanging(self):
         """Close idle direct connections, and return the requests on hanging ones."""
@@ -135,12 +137,11 @@
 
     def list_through(self, name):
         """Close idle tunnels through an instance, and return the requests on others."""
-        leads_there = lambda conn: conn.tunnel and conn.tunnel.peer.name == name
-        self._client.close_idle_matching(leads_there)
+        self.close_idle_tunnels(name)
+        sent = [relay for relay in self._gateway.relays if relay.call is not None]
+        tunnels = [(relay, get_tunnel(relay)) for relay in sent]
         return [
-            relay
-            for relay in self._gateway.relays
-            if relay.call is not None and leads_there(relay.call.conn)
+            relay for relay, tunnel in tunnels if tunnel and tunnel.peer.name == name
         ]
 
     def _choose_peer(self, relay, now):
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -241,6 +241,10 @@
         """Give up the direct connections, which hang."""
         self._attempts.leave_silent_paths()
 
+    def close_idle_tunnels(self, name):
+        """Close the idle connections that lead through an instance."""
+        self._attempts.close_idle_tunnels(name)
+
     def leave_tunnels(self, name):
         """Send nothing more through an instance that has gone silent."""
         self._attempts.leave_tunnels(name)
--- a/src/chervilwing/tunnel_exchange.py
+++ b/src/chervilwing/tunnel_exchange.py
@@ -104,3 +104,6 @@
             return
         peer = TunnelPeer(str(name), Address(address.host, int(port)), str(token))
         self._peers.record_reply(peer, bool(helps), int(load), read_boottime())
+        if not helps:
+            # An instance that is stopping waits for its tunnels to end.
+            self._gateway.close_idle_tunnels(name)
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -154,6 +154,16 @@
         self.assertEqual(self.run_.call("POST", "/note/x", b"n").status, 200)
         self.assertEqual(len(self.upstream.seen), 1)
 
+    def test_a_stopping_instance_need_not_wait_for_idle_tunnels(self):
+        # Guards against planned stops that are held up for seconds.
+        body = SIGNED + b"Content-Length: 2\r\n\r\nok"
+        self.start(lambda conn, *rest: conn.sendall(body))
+        self.assertEqual(self.run_.call("POST", "/note/x", b"n").status, 200)
+        self.assertEqual(self.helpers[0].server.count(), 1)
+        self.gateway.close_idle_tunnels("three")
+        self.gateway.close_idle_tunnels("two")
+        poll(lambda: not self.helpers[0].server.count())
+
     def test_a_caller_that_leaves_ends_the_work_at_the_upstream(self):
         # Guards against work for callers who are gone.
         ended = threading.Event()
--- a/tests/test_partitions_randomised.py
+++ b/tests/test_partitions_randomised.py
@@ -188,4 +188,4 @@
 if __name__ == "__main__":
     first, count = map(int, sys.argv[1:3])
     SEEDS = range(first, first + count)
-    unittest.main(argv=sys.argv[:1])
+    unittest.main(argv=sys.argv[:1], failfast=True)
