--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -182,7 +182,6 @@
     def submit(self, call, handlers):
         """Start a call and return its state."""
         state = CallState(call, handlers, time.monotonic())
-        self._active.add(state)
         conn = self._pop_idle(call)
         if conn is None:
             tunnel = Tunnel(call.via, call.address) if call.via else None
@@ -191,6 +190,7 @@
         conn.state = state
         conn.sent = 0
         state.conn = conn
+        self._active.add(state)
         if not call.connect_only:
             self._streams.send(conn, encode_call(call))
         return state
