--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -5,7 +5,7 @@
 
 from .clocks import read_boottime
 from .connections import MAX_IDLE_CONNECTIONS, Call, CallHandlers
-from .detours import CONNECT_TIMEOUT, Detours
+from .detours import CONNECT_TIMEOUT, RETRY_AFTER
 from .dialects import HOP_BY_HOP, AttemptContext
 from .exceptions import (
     NOT_RUN,
@@ -21,9 +21,6 @@
 EVENT_STREAM = "text/event-stream"
 HTTP_OK = 200
 MIN_SERVER_ERROR = 500
-# Retry-After of refusals, in seconds. Instances learn of a new instance, or of the
-# replacement of an upstream, in about this time.
-RETRY_AFTER = 0.5
 # Longest idle time, in seconds, of a pooled connection that a request may reuse. If the
 # upstream closes the connection as the request arrives, it is unknown whether the
 # request ran, so one that must not be repeated uses only recently used connections.
@@ -63,7 +60,9 @@
         self._client = client
         self._dialect = dialect
         self._retries = gateway.retries
-        self._detours = Detours(gateway, client)
+        self._detours = gateway.detours
+        self._detours.end_attempt = self.end_attempt
+        self._detours.leave_path = self.leave_path
 
     def close_idle(self, address):
         """Close the idle connections to an address that is no longer used."""
@@ -363,7 +362,7 @@
             relay.may_have_run = True
             self._count_usage(relay)
             self._detours.record_broken(relay, exc, now)
-        self._detours.end_failed(relay, exc, self.end_attempt, now)
+        self._detours.end_failed(relay, exc, now)
         if relay.ended:
             return
         if not relay.route.repeatable and relay.may_have_run:
@@ -379,25 +378,7 @@
             return
         self.give_up(relay, exc)
 
-    def end_broken(self, now):
-        """Record the ends of attempts whose connections broke off a while ago."""
-        self._detours.end_broken(self.end_attempt, now)
-
-    def close_idle_tunnels(self, name=None):
-        """Close the idle connections that lead through an instance, or through any."""
-        self._detours.close_idle_tunnels(name)
-
-    def leave_silent_paths(self):
-        """Give up the direct connections, which hang, and send again what may be."""
-        for relay in self._detours.list_hanging():
-            self._leave_path(relay)
-
-    def leave_tunnels(self, name):
-        """Give up the tunnels through an instance, and send again what may be."""
-        for relay in self._detours.list_through(name):
-            self._leave_path(relay)
-
-    def _leave_path(self, relay):
+    def leave_path(self, relay):
         """Send a request again whose connection is silent, unless that is unsafe.
 
         Otherwise its answer may still come.
--- a/src/chervilwing/crash_detection.py
+++ b/src/chervilwing/crash_detection.py
@@ -213,7 +213,7 @@
     def _opened(self, conn):
         probe, suspicions = self._pop_probe(conn)
         if probe is not None:
-            self._gateway.record_path_opened(probe.upstream)
+            self._gateway.detours.record_direct(probe.upstream)
             self._dismiss(suspicions)
         self._streams.drop(conn)
 
@@ -229,7 +229,7 @@
         unconnected = not self._client.is_connected(conn.address)
         if refused and unconnected:
             result = partial(self._end_check, probe, suspicions)
-            self._gateway.check_path(conn.state, result)
+            self._gateway.detours.check_path(conn.state, result)
             return
         # A timeout proves nothing. Neither does a refusal while other connections are
         # open: the upstream is full. If it did crash, its registration lapses.
--- a/src/chervilwing/detours.py
+++ b/src/chervilwing/detours.py
@@ -4,14 +4,20 @@
 import time
 from collections import deque
 
+from .clocks import read_boottime
 from .exceptions import (
     NOT_RUN,
     ConnectionBroken,
+    NoUpstream,
     PathBroken,
+    Scope,
     UpstreamSilent,
     UpstreamUnreachable,
 )
 
+# Retry-After of refusals, in seconds. Instances learn of a new instance, or of the
+# replacement of an upstream, in about this time.
+RETRY_AFTER = 0.5
 # Seconds that a direct connection may take to open before another upstream is tried.
 # Links between data centres take 1.5 ms; TCP retransmits a lost SYN after one second.
 CONNECT_TIMEOUT = 0.6
@@ -44,6 +50,11 @@
         self._peers = gateway.tunnel_peers
         # Copies of relays whose connections broke off, and when that counts.
         self._broken = deque()
+        # Set by Attempts: end an attempt, and send a request again along another path.
+        self.end_attempt = lambda relay, failed: None
+        self.leave_path = lambda relay: None
+        # Asks another instance to reach an upstream, see PathChecks.check.
+        self.check_path = lambda registration, on_result: on_result(None)
 
     def choose_first(self, relay, now):
         """Return the TunnelPeer for a new attempt, None for a direct connection."""
@@ -77,13 +88,45 @@
         helped = self._peers.choose(now) is not None
         return SHORT_CONNECT_TIMEOUT if helped else CONNECT_TIMEOUT
 
+    def raise_if_unreachable(self, pool, now):
+        """Raise NoUpstream if neither this instance nor another reaches upstreams."""
+        if self._paths.is_cut() and self._peers.choose(now) is None:
+            scope = Scope("pool", pool.spec.name)
+            raise NoUpstream(scope=scope, retry_after=RETRY_AFTER)
+
+    def list_unreachable(self, now):
+        """Return the upstreams that no path leads to now."""
+        detours = self._paths.list_detours()
+        if not detours or self._peers.choose(now) is not None:
+            return frozenset()
+        return frozenset(detours)
+
     def record_opened(self, relay, peer):
         """Record that a connection for an attempt has opened."""
         name = relay.upstream_state.registration.name
         if peer is None:
-            self._gateway.record_path_opened(name)
+            self.record_direct(name)
         else:
-            self._gateway.record_path_reached(name)
+            self.record_reached(name)
+
+    def record_direct(self, name):
+        """Record a new direct connection to an upstream."""
+        if name in self._paths.list_detours() or self._paths.is_cut():
+            self.close_idle_tunnels()
+        self._paths.record_opened(name, read_boottime())
+
+    def record_reached(self, name):
+        """Record that another instance reached an upstream.
+
+        If only that one did, the failures of the last seconds weren't the upstreams'.
+        """
+        now = read_boottime()
+        if not self._paths.record_reached(name, now):
+            return
+        for suspected in self._paths.list_suspected(now):
+            for pool in self._gateway.pools.values():
+                if suspected in pool.upstream_states:
+                    pool.upstream_states[suspected].clear_failures()
 
     def record_broken(self, relay, exc, now):
         """Record a connection that broke off after the request was sent."""
@@ -93,7 +136,7 @@
             self._paths.record_failed(relay.upstream_state.registration.name, now)
         self._gateway.crash_detection.handle_broken(relay, now)
 
-    def end_failed(self, relay, exc, end_attempt, now):
+    def end_failed(self, relay, exc, now):
         """Record the end of a failed attempt, and whose failure it was.
 
         A direct connection that broke off is judged later, since all connections may
@@ -101,20 +144,20 @@
         """
         if get_tunnel(relay) is not None:
             blamed = isinstance(exc, UpstreamUnreachable | ConnectionBroken)
-            end_attempt(relay, failed=True if blamed else None)
+            self.end_attempt(relay, failed=True if blamed else None)
             if isinstance(exc, PathBroken):
                 relay.tried_upstreams.discard(relay.upstream_state.registration.name)
         elif isinstance(exc, ConnectionBroken) and exc.outcome != NOT_RUN:
             self._broken.append((now + VERDICT_DELAY, copy.copy(relay)))
             relay.placement_id = relay.call = None
         else:
-            end_attempt(relay, failed=self._judge(now))
+            self.end_attempt(relay, failed=self._judge(now))
 
-    def end_broken(self, end_attempt, now):
+    def end_broken(self, now):
         """Record the ends of attempts whose connections broke off a while ago."""
         while self._broken and now >= self._broken[0][0]:
             _, relay = self._broken.popleft()
-            end_attempt(relay, failed=self._judge(now))
+            self.end_attempt(relay, failed=self._judge(now))
 
     def close_idle_tunnels(self, name=None):
         """Close the idle connections that lead through an instance, or through any."""
@@ -122,27 +165,25 @@
             lambda conn: conn.tunnel and name in (None, conn.tunnel.peer.name)
         )
 
-    def list_hanging(self):
-        """Close idle direct connections, and return the requests on hanging ones."""
+    def leave_silent_paths(self):
+        """Give up the direct connections, which hang, and send again what may be."""
         self._client.close_idle_matching(lambda conn: conn.tunnel is None)
         heard_since = time.monotonic() - HANGING_AFTER
-        return [
-            relay
-            for relay in self._gateway.relays
-            if relay.call is not None
-            and not relay.call.conn.connecting
-            and get_tunnel(relay) is None
-            and relay.call.last_activity <= heard_since
-        ]
-
-    def list_through(self, name):
-        """Close idle tunnels through an instance, and return the requests on others."""
+        for relay in self._list_sent():
+            hangs = relay.call.last_activity <= heard_since
+            if get_tunnel(relay) is None and hangs and not relay.call.conn.connecting:
+                self.leave_path(relay)
+
+    def leave_tunnels(self, name):
+        """Give up the tunnels through an instance, and send again what may be."""
         self.close_idle_tunnels(name)
-        sent = [relay for relay in self._gateway.relays if relay.call is not None]
-        tunnels = [(relay, get_tunnel(relay)) for relay in sent]
-        return [
-            relay for relay, tunnel in tunnels if tunnel and tunnel.peer.name == name
-        ]
+        for relay in self._list_sent():
+            tunnel = get_tunnel(relay)
+            if tunnel is not None and tunnel.peer.name == name:
+                self.leave_path(relay)
+
+    def _list_sent(self):
+        return [relay for relay in self._gateway.relays if relay.call is not None]
 
     def _choose_peer(self, relay, now):
         """Return the TunnelPeer for an attempt, or None if no instance helps."""
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -5,12 +5,13 @@
 from circuits.core import BaseComponent, handler
 
 from .allowances import Allowances
-from .attempts import RETRY_AFTER, Attempts
+from .attempts import Attempts
 from .balancing import PoolBalancer
 from .brittle_upstreams import BrittleUpstreams
 from .clocks import STARTED_AT, read_boottime
 from .crash_detection import CrashDetection
 from .crash_records import CrashRecords
+from .detours import RETRY_AFTER, Detours
 from .exceptions import (
     ChervilwingError,
     DeadlinePassed,
@@ -101,8 +102,7 @@
         self.on_upstream_leaving = lambda process: None
         self.paths = UpstreamPaths()
         self.tunnel_peers = TunnelPeers(cfg.name)
-        # Asks another instance to reach an upstream, see PathChecks.check.
-        self.check_path = lambda registration, on_result: on_result(None)
+        self.detours = Detours(self, client)
         self.retries = RetryShares(self)
         self.relays = set()
         self.pools = {}
@@ -221,47 +221,6 @@
         self.pauses.add(process, seconds, now)
         self._attempts.withdraw_unsent(process)
 
-    def record_path_opened(self, name):
-        """Record a new direct connection to an upstream."""
-        if name in self.paths.list_detours() or self.paths.is_cut():
-            self._attempts.close_idle_tunnels()
-        self.paths.record_opened(name, read_boottime())
-
-    def record_path_reached(self, name):
-        """Record that another instance reached an upstream."""
-        now = read_boottime()
-        if not self.paths.record_reached(name, now):
-            return
-        for suspected in self.paths.list_suspected(now):
-            for pool in self.pools.values():
-                if suspected in pool.upstream_states:
-                    pool.upstream_states[suspected].clear_failures()
-
-    def leave_silent_paths(self):
-        """Give up the direct connections, which hang."""
-        self._attempts.leave_silent_paths()
-
-    def close_idle_tunnels(self, name):
-        """Close the idle connections that lead through an instance."""
-        self._attempts.close_idle_tunnels(name)
-
-    def leave_tunnels(self, name):
-        """Send nothing more through an instance that has gone silent."""
-        self._attempts.leave_tunnels(name)
-
-    def _raise_if_unreachable(self, pool, now):
-        """Raise NoUpstream if neither this instance nor another reaches upstreams."""
-        if self.paths.is_cut() and self.tunnel_peers.choose(now) is None:
-            scope = Scope("pool", pool.spec.name)
-            raise NoUpstream(scope=scope, retry_after=RETRY_AFTER)
-
-    def _list_unreachable(self, now):
-        """Return the upstreams that no path leads to now."""
-        detours = self.paths.list_detours()
-        if not detours or self.tunnel_peers.choose(now) is not None:
-            return frozenset()
-        return frozenset(detours)
-
     def may_fetch_from(self, registration, now):
         """Return whether engines may fetch prompt parts from this upstream.
 
@@ -316,7 +275,7 @@
         relay.cost = self._dialect.measure_cost(demand, organisation)
         relay.rollout_draw = self._rng.random()
         self.crashes.raise_if_barred(relay.fingerprint, now)
-        self._raise_if_unreachable(pool, now)
+        self.detours.raise_if_unreachable(pool, now)
         return relay
 
     def _charge_and_place(self, relay, now):
@@ -351,7 +310,7 @@
         self.crashes.raise_if_barred(relay.fingerprint, now)
         if choice is None:
             raise self.make_unavailable_error(relay.pool, now)
-        self._raise_if_unreachable(relay.pool, now)
+        self.detours.raise_if_unreachable(relay.pool, now)
         upstream_state, estimate = choice
         if relay.upstream_state is None:
             self._check_capacity(relay, estimate, now)
@@ -399,7 +358,7 @@
     def list_unavailable_upstreams(self, relay, now):
         """Return the names of the upstreams that were tried or want no requests."""
         paused = self.pauses.list_paused(relay.pool.upstream_states, now)
-        excluded = self._list_unreachable(now).union(paused)
+        excluded = self.detours.list_unreachable(now).union(paused)
         return excluded | relay.tried_upstreams if excluded else relay.tried_upstreams
 
     def record_answer(self, relay, failed):
@@ -528,7 +487,7 @@
     def _on_tick(self):
         """Retry requests that wait for credit; end those past their deadline."""
         now = read_boottime()
-        self._attempts.end_broken(now)
+        self.detours.end_broken(now)
         self.retry_waiting_requests(now)
         for relay in list(self.relays):
             if now >= relay.deadline:
--- a/src/chervilwing/path_checks.py
+++ b/src/chervilwing/path_checks.py
@@ -38,7 +38,7 @@
         self._next_silence_probe = float("-inf")
         # Whether the hanging connections of the present cut were given up.
         self._left = False
-        gateway.check_path = self.check
+        gateway.detours.check_path = self.check
 
     @handler("tick", channel="*")
     def _on_tick(self):
@@ -58,7 +58,7 @@
         helper = self._gateway.tunnel_peers.choose(now)
         if self._paths.silent and helper is not None and not self._left:
             self._left = True
-            self._gateway.leave_silent_paths()
+            self._gateway.detours.leave_silent_paths()
 
     def check(self, registration, on_result):
         """Ask another instance to reach an upstream that this one doesn't reach.
@@ -80,7 +80,7 @@
     def _end_check(self, registration, peer, on_result, exc):
         now = read_boottime()
         if exc is None:
-            self._gateway.record_path_reached(registration.name)
+            self._gateway.detours.record_reached(registration.name)
             on_result(True)
         elif isinstance(exc, UpstreamUnreachable):
             self._paths.record_unreached(registration.name, now)
@@ -91,7 +91,7 @@
 
     def _probe(self, registration, on_failed):
         """Try a direct connection."""
-        done = partial(self._gateway.record_path_opened, registration.name)
+        done = partial(self._gateway.detours.record_direct, registration.name)
         failed = partial(self._fail_probe, registration, on_failed)
         handlers = CallHandlers(ignore, ignore, done, failed)
         self._submit(registration, handlers, PROBE_TIMEOUT)
--- a/src/chervilwing/tunnel_exchange.py
+++ b/src/chervilwing/tunnel_exchange.py
@@ -39,7 +39,7 @@
         self._update_peers()
         self._count_in_use()
         for name in self._peers.avoid_silent(now):
-            self._gateway.leave_tunnels(name)
+            self._gateway.detours.leave_tunnels(name)
         paths = self._gateway.paths
         self._log_cut(paths.is_cut())
         needed = bool(paths.list_suspected(now) or paths.list_detours())
@@ -106,4 +106,4 @@
         self._peers.record_reply(peer, bool(helps), int(load), read_boottime())
         if not helps:
             # An instance that is stopping waits for its tunnels to end.
-            self._gateway.close_idle_tunnels(name)
+            self._gateway.detours.close_idle_tunnels(name)
--- a/src/chervilwing/tunnel_server.py
+++ b/src/chervilwing/tunnel_server.py
@@ -146,7 +146,7 @@
     def _connected(self, conn):
         tunnel = conn.state
         tunnel.opened = True
-        self._gateway.record_path_opened(tunnel.upstream)
+        self._gateway.detours.record_direct(tunnel.upstream)
         self._callers.send(tunnel.conn, encode_answer(CONNECTED))
 
     def _answered(self, conn, data):
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -38,7 +38,7 @@
         gateway = SimpleNamespace(
             registry=registry,
             paths=UpstreamPaths(),
-            record_path_opened=lambda upstream: None,
+            detours=SimpleNamespace(record_direct=lambda name: None),
         )
         self.server = TunnelServer(self.loop.poller, gateway).register(self.loop.root)
         address = self.server.listen(Address(HOST, 0))
@@ -126,7 +126,7 @@
     def test_a_stream_goes_on_after_its_helping_instance_stands_still(self):
         def freeze(helper):
             helper.freeze()
-            self.gateway.leave_tunnels("two")
+            self.gateway.detours.leave_tunnels("two")
 
         self.check_resumed(freeze)
 
@@ -160,8 +160,8 @@
         self.start(lambda conn, *rest: conn.sendall(body))
         self.assertEqual(self.run_.call("POST", "/note/x", b"n").status, 200)
         self.assertEqual(self.helpers[0].server.count(), 1)
-        self.gateway.close_idle_tunnels("three")
-        self.gateway.close_idle_tunnels("two")
+        self.gateway.detours.close_idle_tunnels("three")
+        self.gateway.detours.close_idle_tunnels("two")
         poll(lambda: not self.helpers[0].server.count())
 
     def test_a_caller_that_leaves_ends_the_work_at_the_upstream(self):
@@ -193,10 +193,10 @@
         detection._abandon = lambda probe, suspicions: outcomes.append("dismissed")
         probe = SimpleNamespace(upstream="u0")
         check = lambda reached: detection._end_check(probe, (), reached)
-        self.gateway.check_path(registration, check)
+        self.gateway.detours.check_path(registration, check)
         poll(lambda: outcomes)
         self.upstream.close()
-        self.gateway.check_path(registration, check)
+        self.gateway.detours.check_path(registration, check)
         poll(lambda: len(outcomes) == 2)
         self.assertEqual(outcomes, ["dismissed", "proved"])
 
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -91,7 +91,7 @@
         self.gateway = SimpleNamespace(
             registry=SimpleNamespace(upstreams=registered),
             paths=UpstreamPaths(),
-            record_path_opened=lambda name: None,
+            detours=SimpleNamespace(record_direct=lambda name: None),
         )
         self.server = TunnelServer(self.loop.poller, self.gateway).register(
             self.loop.root
