Let the tunnel server know its port

Cause: the daemon kept the port for another component. Change: the server says whether it helps, by its port as well.

--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -97,17 +97,11 @@
         Placing(cfg, datagrams, self._coordinator, self.gateway).register(self)
         LeavingExchange(cfg, datagrams, self._coordinator, self.gateway).register(self)
         PathChecks(self.gateway, upstreams).register(self)
-        self._tunnels = TunnelServer(poller, self.gateway).register(self)
-        self._tunnel_port = 0
+        tunnels = self._tunnels = TunnelServer(poller, self.gateway).register(self)
         if cfg.tunnel_listen is not None:
-            self._tunnel_port = self._tunnels.listen(cfg.tunnel_listen).port
+            tunnels.listen(cfg.tunnel_listen)
         TunnelExchange(
-            cfg,
-            datagrams,
-            self._coordinator,
-            self.gateway,
-            self._tunnels,
-            self._tunnel_port,
+            cfg, datagrams, self._coordinator, self.gateway, tunnels
         ).register(self)
         instance_items = self._coordinator.instance_items
         self._usage_parts.read_shared = lambda: instance_items.in_force.get(
--- a/src/chervilwing/tunnel_exchange.py
+++ b/src/chervilwing/tunnel_exchange.py
@@ -19,7 +19,7 @@
 
     channel = "tunnel-exchange"
 
-    def __init__(self, cfg, datagrams, coordinator, gateway, server, port):
+    def __init__(self, cfg, datagrams, coordinator, gateway, server):
         super().__init__()
         self._cfg = cfg
         self._datagrams = datagrams
@@ -27,7 +27,6 @@
         self._gateway = gateway
         self._peers = gateway.tunnel_peers
         self._server = server
-        self._port = port
         self._peers_version = None
         self._was_cut = False
         datagrams.subscribe(TUNNEL_QUERY, self._receive_query)
@@ -84,15 +83,9 @@
         if peer is None or peer.address != address:
             return
         load = len(self._gateway.relays) + self._server.count()
-        helps = bool(self._port) and self._server.is_helping()
-        fields = (
-            self._cfg.name,
-            incarnation,
-            self._port,
-            self._server.token,
-            helps,
-            load,
-        )
+        helps = self._server.is_helping()
+        port, token = self._server.port, self._server.token
+        fields = (self._cfg.name, incarnation, port, token, helps, load)
         self._datagrams.send(TUNNEL_REPLY, fields, address)
 
     def _receive_reply(self, address, name, incarnation, port, token, helps, load):
--- a/src/chervilwing/tunnel_server.py
+++ b/src/chervilwing/tunnel_server.py
@@ -28,10 +28,10 @@
 CONNECT_TIMEOUT = 0.3
 # Tunnels at the same time. Each takes two sockets and, with a slow reader, 64 KB.
 MAX_TUNNELS = 512
-# Seconds between two ticks from which on this process is too busy to open tunnels, and
-# from which on it was suspended: what waited unread meanwhile must not be sent, since
-# its caller may be gone.
+# Seconds between two ticks that show that this process is too busy to open tunnels.
 LATE_AFTER = 0.25
+# Seconds between two ticks that show that it was suspended. What waited unread must
+# not be sent, since its caller may be gone.
 SUSPENDED_AFTER = 0.6
 
 
@@ -59,6 +59,8 @@
         super().__init__()
         self._gateway = gateway
         self.token = secrets.token_hex(16)
+        # The port that it listens on, 0 if it helps nobody.
+        self.port = 0
         self.stopping = False
         self._tunnels = set()
         self._ticked_at = read_boottime()
@@ -74,7 +76,9 @@
 
     def listen(self, address):
         """Accept requests for tunnels and return the address that was bound."""
-        return self._callers.listen(address)
+        address = self._callers.listen(address)
+        self.port = address.port
+        return address
 
     def count(self):
         """Return the number of open tunnels."""
@@ -82,7 +86,8 @@
 
     def is_helping(self):
         """Return whether this instance opens tunnels now."""
-        if self.stopping or self._late or len(self._tunnels) >= MAX_TUNNELS:
+        full = len(self._tunnels) >= MAX_TUNNELS
+        if not self.port or self.stopping or self._late or full:
             return False
         return not self._gateway.paths.is_doubtful(read_boottime())
 
