Accept a visibly incomplete answer of a killed instance

The test's caller returns what it has when the connection ends, and 'whole' says that it lacks some; the instance was killed between an answer's head and its body. The check took that for a mixed answer. Change: a whole answer has to be the request's own, as before; an incomplete one has to be its beginning. An empty body that claims to be whole still fails.

--- a/tests/test_partitions_randomised.py
+++ b/tests/test_partitions_randomised.py
@@ -101,7 +101,7 @@
         head = f"GET {path} HTTP/1.1\r\nHost: a.example\r\n"
         caller.send(f"{head}Authorization: Bearer k1\r\n\r\n".encode())
         answer = caller.read_answer()
-        row = (name, began, path, answer.status, answer.body)
+        row = (name, began, path, answer.status, answer.body, answer.whole)
         self.record.answers.append(row)
 
     def run_step(self):
@@ -164,9 +164,12 @@
 
     def check_answers(self):
         """Expect no mixed answers, no broken promise and at most one run of a note."""
-        for _, _, path, status, body in self.record.answers:
-            if status == 200:
+        for _, _, path, status, body, whole in self.record.answers:
+            if status == 200 and whole:
                 self.assertEqual(body, path.encode())
+            elif status == 200:
+                # Its instance was killed; the length shows that some is missing.
+                self.assertTrue(path.encode().startswith(body), (path, body))
             elif status in NOT_RUN_STATUSES and path.startswith("/note/"):
                 self.assertEqual(self.record.ran[path], 0, path)
         notes = {k: n for k, n in self.record.ran.items() if k.startswith("/note/")}
