Log how each answer was framed and whether a stream ended inside an event

Cause: the log lines can't tell a stream whose end nobody checks from a reset that is read as an end. Streams that may not be resumed weren't split into events at all.

Change: every answer that announces events is followed, without holding anything back where it may not be resumed. The lines request and attempt failed have its framing and whether it is partial. What is done about such an answer hasn't changed.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -7,6 +7,7 @@
 from .connections import MAX_IDLE_CONNECTIONS, Call, CallHandlers
 from .detours import CONNECT_TIMEOUT, RETRY_AFTER
 from .dialects import HOP_BY_HOP, AttemptContext
+from .events import is_event_stream
 from .exceptions import (
     NOT_RUN,
     ChervilwingError,
@@ -18,7 +19,6 @@
 from .registrations import get_process
 from .routing import STREAM
 
-EVENT_STREAM = "text/event-stream"
 HTTP_OK = 200
 MIN_SERVER_ERROR = 500
 # Longest idle time, in seconds, of a pooled connection that a request may reuse. If the
@@ -80,6 +80,7 @@
         relay.tried_upstreams.add(upstream_state.registration.name)
         relay.sent_at = now
         relay.answer = None
+        relay.start_answer("", has_events=False)
         relay.take_buffered()
         relay.pool.record_sent(upstream_state, relay.demand, estimate, now)
         if relay.attempts > 1:
@@ -181,9 +182,9 @@
                 relay, "The answer was not sent by the upstream itself."
             )
             return
-        is_stream = status == HTTP_OK and headers.get("content-type", "").startswith(
-            EVENT_STREAM
-        )
+        has_events = is_event_stream(status, headers)
+        relay.start_answer(relay.call.reader.framing, has_events)
+        is_stream = has_events and status == HTTP_OK
         if relay.exchange.started and not is_stream:
             # The caller has received part of a stream; the body of another kind of
             # answer would appear in the middle of its events.
@@ -258,14 +259,14 @@
     def _on_data(self, relay, data):
         self._record_answer_started(relay)
         status, headers = relay.answer
+        if relay.has_events:
+            data = relay.events.feed(data)
         if status == HTTP_OK and relay.exchange.started:
             self._forward(relay, data)
         elif not relay.buffer(data):
             self._start_unbuffered(relay)
 
     def _forward(self, relay, data):
-        if relay.events is not None:
-            data = relay.events.feed(data)
         relay.exchange.write(data)
         if relay.exchange.congested and relay.call is not None:
             self._client.pause(relay.call)
@@ -308,7 +309,7 @@
         status, headers = relay.answer
         self._record_answer_started(relay)
         failed = status >= MIN_SERVER_ERROR
-        if relay.events is not None and relay.events.has_partial:
+        if relay.route.resumable and relay.has_partial_event:
             self._gateway.crash_detection.handle_broken(relay, read_boottime())
             self._abort_attempt(relay, "The stream ended in the middle of an event.")
             return
@@ -349,6 +350,8 @@
             upstream=relay.upstream_state.registration.name,
             outcome=exc.outcome,
             detail=exc.detail,
+            framing=relay.framing,
+            partial=relay.has_partial_event,
         )
         now = read_boottime()
         if exc.outcome == NOT_RUN:
@@ -368,10 +371,10 @@
         if not relay.route.repeatable and relay.may_have_run:
             self.give_up(relay, exc)
             return
-        if relay.exchange.started and relay.events is None:
+        if relay.exchange.started and not relay.route.resumable:
             self.give_up(relay, exc)
             return
-        if relay.events is not None:
+        if relay.route.resumable:
             relay.events.restart()
         if self._may_retry(relay):
             self._place_again(relay)
@@ -383,7 +386,7 @@
 
         Otherwise its answer may still come.
         """
-        started = relay.exchange.started and relay.events is None
+        started = relay.exchange.started and not relay.route.resumable
         if not relay.route.repeatable or started:
             return
         name = relay.upstream_state.registration.name
@@ -394,7 +397,7 @@
         relay.may_have_run = True
         self._count_usage(relay)
         self.end_attempt(relay, failed=None, cancel=True)
-        if relay.events is not None:
+        if relay.route.resumable:
             relay.events.restart()
         self._place_again(relay)
 
--- a/src/chervilwing/bodies.py
+++ b/src/chervilwing/bodies.py
@@ -6,6 +6,8 @@
 from .exceptions import BadRequest
 
 CRLF = b"\r\n"
+# What tells the end of a body (RFC 9112, section 6.3), as it is logged.
+LENGTH_FRAMING, CHUNKED_FRAMING, CLOSE_FRAMING = "length", "chunked", "close"
 # Stricter than int(), which also accepts signs, underscores and a 0x prefix.
 CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;.*)?\Z")
 CHUNK_LINE_LIMIT = 8192
@@ -34,6 +36,7 @@
     """A body of known length, or one that ends only when the connection closes."""
 
     def __init__(self, length):
+        self.framing = CLOSE_FRAMING if length is None else LENGTH_FRAMING
         self._remaining = math.inf if length is None else length
         self.rest = b""
 
@@ -65,6 +68,7 @@
 class ChunkedBody:
     """A chunked body; each step parses one element of its framing."""
 
+    framing = CHUNKED_FRAMING
     until_close = False
 
     def __init__(self):
--- a/src/chervilwing/parsers.py
+++ b/src/chervilwing/parsers.py
@@ -313,6 +313,11 @@
         """Return whether the answer ends only when the connection closes."""
         return self._body is not None and self._body.until_close
 
+    @property
+    def framing(self):
+        """Return what tells the end of the answer, or an empty text before its head."""
+        return "" if self._body is None else self._body.framing
+
     @property
     def rest(self):
         """Return the bytes received after the end of a complete answer."""
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -24,7 +24,9 @@
     first byte. ``fingerprint`` is the same for all retries of one request. ``limit`` is
     the limit, in requests per second, that an answer stated for its upstream, None if
     none did. ``placer`` is the process that chose the upstream for other instances,
-    empty if this instance chose for itself.
+    empty if this instance chose for itself. ``framing`` is what told the end of the
+    answer: a length, chunks or the connection's close. ``partial`` is set if a stream
+    ended in the middle of an event.
     """
 
     request: str
@@ -45,6 +47,8 @@
     fingerprint: str = ""
     limit: float | None = None
     placer: str = ""
+    framing: str = ""
+    partial: bool = False
 
 
 class Relay:
@@ -69,6 +73,8 @@
         "exchange",
         "fallback",
         "fingerprint",
+        "framing",
+        "has_events",
         "headers",
         "buffered",
         "buffered_size",
@@ -120,7 +126,10 @@
         # if no later attempt succeeds.
         self.fallback = None
         self.limit = None
+        # Reader of the events of a stream, None for other answers.
         self.events = EventReader() if route.resumable else None
+        self.has_events = False
+        self.framing = ""
         self.may_have_run = False
         self.usage_counted = False
         self.cost = 0.0
@@ -139,6 +148,17 @@
         own = self.organisation.priority if self.organisation else None
         return self.route.priority if own is None else own
 
+    @property
+    def has_partial_event(self):
+        """Return whether the answer ended, so far, in the middle of an event."""
+        return self.events is not None and self.events.has_partial
+
+    def start_answer(self, framing, has_events):
+        """Prepare for the body of an attempt's answer, which may be a stream."""
+        self.framing, self.has_events = framing, has_events
+        if not self.route.resumable:
+            self.events = EventReader(resumable=False) if has_events else None
+
     def buffer(self, data):
         """Buffer a part of the answer; return False once the buffer is too large."""
         self.buffered.append(data)
@@ -176,6 +196,8 @@
         fingerprint=relay.fingerprint,
         limit=relay.limit,
         placer=estimate.placer if estimate else "",
+        framing=relay.framing,
+        partial=relay.has_partial_event,
     )
 
 
