Treat a stream that ends inside an event as broken off, whatever its route

Callers saw a complete answer that was short: a stream that may not be resumed, whose upstream had crashed, was relayed as whole and logged as ok.

Cause: only streams that may be resumed were split into events, so that only their ends were checked. An answer with neither a length nor chunks ends with its connection, and the kernel closes a crashed process's connections in order.

Change: an incomplete event at the end counts as a broken connection for every answer that announces events: the caller's answer is cut visibly or resumed, the failure counts for the upstream and its version, and the crash is looked into.

Before: test_a_stream_that_ends_inside_an_event_never_looks_complete, ..._counts_as_broken and ..._a_crash_ends_inside_an_event_is_evidence fail.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -3,6 +3,7 @@
 from functools import partial
 from math import inf
 
+from .bodies import CLOSE_FRAMING
 from .clocks import read_boottime
 from .connections import MAX_IDLE_CONNECTIONS, Call, CallHandlers
 from .detours import CONNECT_TIMEOUT, RETRY_AFTER
@@ -11,6 +12,7 @@
 from .exceptions import (
     NOT_RUN,
     ChervilwingError,
+    ConnectionBroken,
     NoUpstream,
     PoolFull,
     UpstreamFailed,
@@ -309,9 +311,8 @@
         status, headers = relay.answer
         self._record_answer_started(relay)
         failed = status >= MIN_SERVER_ERROR
-        if relay.route.resumable and relay.has_partial_event:
-            self._gateway.crash_detection.handle_broken(relay, read_boottime())
-            self._abort_attempt(relay, "The stream ended in the middle of an event.")
+        if relay.has_partial_event:
+            self._fail_partial(relay)
             return
         if relay.call.reader.until_close:
             # The body ends with the connection, so a crash of the upstream can't be
@@ -328,6 +329,18 @@
                 return
         self._finish(relay, status, headers)
 
+    def _fail_partial(self, relay):
+        """Handle a stream that ended in order, but in the middle of an event.
+
+        The kernel closes a crashed upstream's connections in order.
+        """
+        detail = "The stream ended in the middle of an event."
+        if relay.framing == CLOSE_FRAMING:
+            self._on_failure(relay, ConnectionBroken(detail))
+            return
+        self._gateway.crash_detection.handle_broken(relay, read_boottime())
+        self._on_failure(relay, UpstreamFailed(detail))
+
     def _finish(self, relay, status, headers):
         exchange = relay.exchange
         body = relay.take_buffered()
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -2,7 +2,9 @@
 
 import unittest
 
-from tests.procs import Caller
+from chervilwing.clocks import read_boottime
+from chervilwing.rollouts import BAD_FIELD, RolloutOrder, encode_answer_key
+from tests.procs import Caller, poll
 from tests.test_gateway import (
     CHUNKED,
     SIGNED,
@@ -34,9 +36,13 @@
     return SIGNED + STREAM_TYPE + b"\r\n" + body
 
 
+LAST = b"id: 2\ndata: two\n\n"
 FRAMINGS = (frame_close, frame_chunks, frame_length)
 
 
+FINAL = frame_chunks(LAST)
+
+
 def end_in_order(data):
     """Return an upstream's script that sends bytes and closes its connection."""
 
@@ -90,6 +96,47 @@
                 self.assertEqual(self.count_received(), [1])
                 self.assertEqual(run.usage, ["insurer"])
 
+    def test_a_resumable_stream_goes_on_after_each_kind_of_end(self):
+        # Guards against half an event in front of the one with which a stream resumes.
+        for frame in FRAMINGS:
+            for part in PARTS:
+                run = self.start_with_second_closed(None, end_in_order(FINAL))
+                run.upstreams[0].script = self.end_and_open_second(frame(EVENT + part))
+                body, whole = self.read("/quote/x")
+                self.assertTrue(whole, (frame.__name__, part))
+                self.assertEqual(body, EVENT + LAST)
+                self.assertEqual(self.count_received(), [1, 1])
+
+    def end_and_open_second(self, data):
+        """Return a script that ends its connection once there is another upstream."""
+
+        def script(*request):
+            self.open_second_upstream()
+            end_in_order(data)(*request)
+
+        return script
+
+    def test_a_stream_that_ends_inside_an_event_counts_as_broken(self):
+        # Guards against an upstream or a version whose streams break off and that
+        # counts as healthy, and against a crash without evidence.
+        run = self.start(end_in_order(frame_close(EVENT + PARTS[0])))
+        run.gateway.rollouts.put_order(RolloutOrder("web", "v2", 30.0), 1)
+        self.read("/chat/x")
+        upstream_state = run.gateway.pools["web"].upstream_states["u0"]
+        poll(lambda: upstream_state.get_failure_rate(read_boottime()))
+        answers = run.gateway.rollouts.answers
+        self.assertEqual(answers[encode_answer_key("web", "", "chat", BAD_FIELD)], 1)
+
+    def test_a_stream_that_a_crash_ends_inside_an_event_is_evidence(self):
+        # Guards against a request that crashes one upstream after the other.
+        def crash(conn, *request):
+            run.upstreams[0].listener.close()
+            end_in_order(frame_close(EVENT + PARTS[0]))(conn, *request)
+
+        run = self.start(crash)
+        self.read("/chat/x")
+        poll(lambda: run.gateway.crashes.count_suspected(read_boottime())[0])
+
 
 if __name__ == "__main__":
     unittest.main()
