Relay comments at the end of a stream that may be resumed

Change: comments and empty lines belong to no event; what was held back is sent at the end of a whole stream.

Before: test_whole_streams_stay_whole fails for a stream that ends with ': bye'. After: it passes for three framings, four ends and both kinds of route.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -344,6 +344,8 @@
     def _finish(self, relay, status, headers):
         exchange = relay.exchange
         body = relay.take_buffered()
+        if relay.has_events:
+            body += relay.events.take_rest()
         if not exchange.started:
             length = len(body)
             if exchange.req.method == "HEAD":
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -116,6 +116,15 @@
 
         return script
 
+    def test_whole_streams_stay_whole(self):
+        # Guards against cutting off streams that end with a comment or an empty line.
+        for frame in FRAMINGS:
+            for rest in (b"", b"\n", b": bye\n", b"data: x\r\n\r\n"):
+                for path in ("/chat/x", "/quote/x"):
+                    self.start(end_in_order(frame(EVENT + rest)))
+                    found = self.read(path)
+                    self.assertEqual(found, (EVENT + rest, True), frame.__name__)
+
     def test_a_stream_that_ends_inside_an_event_counts_as_broken(self):
         # Guards against an upstream or a version whose streams break off and that
         # counts as healthy, and against a crash without evidence.
