Keep the error of a write that a connection's reset met first

Callers could see half an answer as whole: an upstream answers before it has read the request, without a length, and resets its connection.

Cause: the kernel reports a reset only once. A write of the rest of the request took it and dropped it; the next read said end of file, which ends an answer without a length.

Change: the error is kept and given with the end. EPIPE isn't, since the peer had closed in order before. The same sockets serve the helping end of a tunnel, which then passes the reset on.

Before: test_a_reset_that_a_write_meets_first_is_no_end fails, directly and through a tunnel, 3 of 3 runs. After: 3 of 3 pass; whole answers before the request was read stay whole.

--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -90,6 +90,7 @@
         "address",
         "connecting",
         "closing",
+        "error",
         "lingering",
         "half_closed",
         "last_activity",
@@ -109,6 +110,8 @@
         self.address = address
         self.connecting = connecting
         self.closing = False
+        # The error that a write met, None without one.
+        self.error = None
         self.lingering = False
         self.half_closed = False
         # Monotonic time at which the owner last received data, or connected.
@@ -277,10 +280,12 @@
         try:
             sent = conn.sock.send(data)
         except OSError as exc:
-            if exc.errno in WOULD_BLOCK:
-                return 0
-            # The poller reports the broken connection later; closing it here would call
-            # back into the sender in the middle of its work.
+            # The poller reports a broken connection later; closing it here would call
+            # back into the sender in the middle of its work. The kernel reports a reset
+            # only once: the next read would say that the peer closed in order. EPIPE
+            # says that it had done so before.
+            if exc.errno not in (*WOULD_BLOCK, errno.EPIPE) and conn.error is None:
+                conn.error = exc
             return 0
         conn.sent += sent
         return sent
@@ -347,7 +352,7 @@
     def _end_reading(self, conn):
         # Nothing is read after the peer's half-close, so a second event is a reset.
         if conn.half_closed or not self._stays_open_for_writing(conn):
-            self.drop(conn)
+            self.drop(conn, conn.error)
             return
         conn.half_closed = True
         self._watch(conn, False, conn.writing)
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -3,6 +3,7 @@
 import unittest
 
 from chervilwing.clocks import read_boottime
+from chervilwing.exceptions import ConnectionBroken
 from chervilwing.rollouts import BAD_FIELD, RolloutOrder, encode_answer_key
 from tests.procs import Caller, poll
 from tests.test_gateway import (
@@ -12,6 +13,7 @@
     close_after_sent,
     encode_chunk,
 )
+from tests.test_tunnels import UNTIL_CLOSE, TunnelCase
 
 EVENT = b"id: 1\ndata: one\n\n"
 # Ends of a stream inside a line, inside an event and between two lines of an event.
@@ -147,5 +149,39 @@
         poll(lambda: run.gateway.crashes.count_suspected(read_boottime())[0])
 
 
+class TestResets(TunnelCase):
+    """Resets that meet a request of which a part has not been sent yet."""
+
+    def answer_unread(self, answer):
+        """Return the end of a call whose upstream reads little and then closes.
+
+        Its kernel resets a connection that is closed with unread data.
+        """
+
+        def serve(conn):
+            conn.recv(100)
+            conn.sendall(answer)
+            conn.close()
+
+        address = self.start(None)
+        self.upstream.serve = serve
+        body = bytes(8 * 1024 * 1024)
+        return [
+            self.call(address, method="POST", body=body, via=via)
+            for via in (None, self.peer)
+        ]
+
+    def test_a_reset_that_a_write_meets_first_is_no_end(self):
+        # Guards against half an answer that looks whole, since a failed write takes
+        # the connection's error and the next read says that it ended.
+        for exc in self.answer_unread(UNTIL_CLOSE + b"half"):
+            self.assertIsInstance(exc, ConnectionBroken)
+
+    def test_a_whole_answer_before_the_request_was_read_stays_whole(self):
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+        self.assertEqual(self.answer_unread(answer), [None, None])
+        self.assertEqual(self.body, b"whole" * 2)
+
+
 if __name__ == "__main__":
     unittest.main()
