Reset the connection of an HTTP/1.0 caller whose answer is cut

HTTP/1.0 callers saw a broken stream as whole: an answer without a length ends with its connection, and ours ended in order when the upstream broke off, when the caller read too slowly and when the process was killed.

Cause: a caller of HTTP/1.1 misses the last chunk; one of HTTP/1.0 has nothing to miss.

Change: from the head of such an answer on, its connection is reset by every close until all of it has been written, also by the kernel when the process ends. chervilwingd's answers share this.

Before: test_callers_of_each_version_see_that_a_stream_broke_off, ..._a_caller_that_reads_too_ slowly_... and ..._a_killed_instance_broke_off fail for 1.0. After: they pass, and whole streams of 300 KB stay whole for both versions.

--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -38,8 +38,9 @@
 # Linux gives up on unanswered probes after TCP_USER_TIMEOUT, whatever their number, so
 # that both must say the same.
 PATH_TIMEOUT_MS = 1000 * KEEPALIVE_SECONDS * (1 + KEEPALIVE_PROBES)
-# Closes a connection by a reset, which discards what wasn't sent yet.
+# Values of SO_LINGER: a reset, which discards what wasn't sent yet; an end in order.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+ORDERLY_CLOSE = struct.pack("ii", 0, 0)
 WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINPROGRESS)
 
 
@@ -99,6 +100,7 @@
         "pending",
         "pending_size",
         "reading",
+        "resets",
         "sent",
         "tunnel",
         "writing",
@@ -123,6 +125,8 @@
         self.pending_size = 0
         self.reading = False
         self.writing = False
+        # Whether it is reset if it closes before all data has been written.
+        self.resets = False
         self.sent = 0
         self.tunnel = None
         self.state: Any = None
@@ -226,12 +230,22 @@
         conn.paused = False
         self._watch(conn, True, conn.writing)
 
+    def reset_if_cut(self, conn):
+        """Make each close but ``close`` and ``linger`` a reset, also if killed.
+
+        The peer of an answer that ends with its connection sees no other sign that the
+        answer is incomplete.
+        """
+        if conn.sock in self._conns:
+            conn.resets = True
+            conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     def close(self, conn):
         """Close the connection once all buffered data has been written."""
         if conn.pending and not conn.connecting:
             conn.closing = True
             return
-        self.drop(conn)
+        self._close_in_order(conn)
 
     def linger(self, conn):
         """Close the sending half, and read until the peer closes its own.
@@ -266,7 +280,17 @@
         """Return the number of connections, including those being opened."""
         return len(self._conns)
 
+    def _close_in_order(self, conn):
+        self._cancel_reset(conn)
+        self.drop(conn)
+
+    def _cancel_reset(self, conn):
+        if conn.resets and conn.sock in self._conns:
+            conn.resets = False
+            conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ORDERLY_CLOSE)
+
     def _shut_down(self, conn):
+        self._cancel_reset(conn)
         try:
             conn.sock.shutdown(socket.SHUT_WR)
         except OSError as exc:
@@ -441,7 +465,7 @@
                 self._shut_down(conn)
                 return
             if conn.closing:
-                self.drop(conn)
+                self._close_in_order(conn)
                 return
         if conn.pending_size <= LOW_WATER:
             self._callbacks.drained(conn)
--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -114,7 +114,7 @@
         if self.req.accepts_chunks:
             fields["Transfer-Encoding"] = "chunked"
         else:
-            self.req = self.req._replace(keep_alive=False)
+            self._end_with_connection()
         data = encode_head(
             status, fields | (headers or {}) | self._make_connection_field()
         )
@@ -135,7 +135,7 @@
             framing = {"Transfer-Encoding": "chunked"}
         else:
             framing = {}
-            self.req = self.req._replace(keep_alive=False)
+            self._end_with_connection()
         self.started = True
         fields = {**headers, **framing, **self._make_connection_field()}
         self._write(encode_head(status, fields))
@@ -164,6 +164,10 @@
         self.finished = True
         self._web.drop(self._conn)
 
+    def _end_with_connection(self):
+        self.req = self.req._replace(keep_alive=False)
+        self._web.reset_if_cut(self._conn)
+
     def _make_connection_field(self):
         keep = self.req.keep_alive and not self._web.stopping
         return {"Connection": "keep-alive" if keep else "close"}
@@ -240,6 +244,10 @@
         """Close a caller's connection at once."""
         self._streams.drop(conn)
 
+    def reset_if_cut(self, conn):
+        """Reset a caller's connection if it closes before the answer's end."""
+        self._streams.reset_if_cut(conn)
+
     def end_exchange(self, conn, keep_alive):
         """End an exchange.
 
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -1,5 +1,6 @@
 """Tests of who decides that an answer is whole, and how callers see that one isn't."""
 
+import time
 import unittest
 
 from chervilwing.clocks import read_boottime
@@ -12,7 +13,9 @@
     GatewayCase,
     close_after_sent,
     encode_chunk,
+    reset,
 )
+from tests.test_platform import PlatformCase
 from tests.test_tunnels import UNTIL_CLOSE, TunnelCase
 
 EVENT = b"id: 1\ndata: one\n\n"
@@ -149,6 +152,83 @@
         poll(lambda: run.gateway.crashes.count_suspected(read_boottime())[0])
 
 
+class TestCallers(BrokenCase):
+    """How callers of each version see that an answer is incomplete.
+
+    To HTTP/1.0, an answer without a length ends with its connection.
+    """
+
+    def read_broken(self, version, *, ended):
+        """Call for a stream that breaks off; return what the caller sees."""
+
+        def script(conn, *request):
+            conn.sendall(frame_close(EVENT + PARTS[0]))
+            poll(lambda: run.gateway.web.count())
+            ended(conn)
+
+        run = self.start(script)
+        return self.read("/chat/x", version)
+
+    def test_callers_of_each_version_see_that_a_stream_broke_off(self):
+        # Guards against a broken stream that ends in order for HTTP/1.0.
+        for version in ("1.0", "1.1"):
+            for ended in (close_after_sent, reset):
+                self.assertFalse(self.read_broken(version, ended=ended)[1], version)
+
+    def test_callers_of_each_version_see_whole_streams_as_whole(self):
+        body = EVENT * 20000
+        for version in ("1.0", "1.1"):
+            self.start(end_in_order(frame_close(body)))
+            self.assertEqual(self.read("/chat/x", version), (body, True))
+
+    def test_a_caller_that_reads_too_slowly_sees_that_its_answer_was_cut(self):
+        # Guards against an answer that is given up with its end unsent and that ends
+        # in order for HTTP/1.0.
+        seen = [self.read_late(EVENT * count) for count in range(10000, 60000, 3000)]
+        self.assertEqual(set(seen), {(True, "closed"), (False, "reset")})
+
+    def read_late(self, body):
+        """Read only after the connection has been idle for too long.
+
+        Return whether the whole body came and how the connection ended.
+        """
+        run = self.start(end_in_order(frame_close(body)))
+        run.gateway.limits.idle_timeout = 0.2
+        with Caller(run.port) as caller:
+            caller.send(
+                b"POST /chat/x HTTP/1.0\r\nHost: a.example\r\n"
+                b"Authorization: Bearer k1\r\nContent-Length: 0\r\n\r\n"
+            )
+            time.sleep(0.6)
+            caller.read_head()
+            with self.assertRaises(EOFError) as caught:
+                while True:
+                    caller.fill()
+            return caller.buffer == body, str(caught.exception)
+
+
+class TestKilled(PlatformCase):
+    def test_callers_of_each_version_see_that_a_killed_instance_broke_off(self):
+        # Guards against answers of a killed process that end in order for HTTP/1.0: the
+        # kernel closes its connections.
+        document = self.document["routes"][0]
+        document |= {"kind": "streaming"}
+        self.publish()
+        self.upstream.script = lambda conn, *rest: conn.sendall(frame_close(EVENT))
+        for version, seen in (("1.0", "reset"), ("1.1", "closed")):
+            gateway = self.start(f"one-{version}")
+            with Caller(gateway.port) as caller:
+                caller.send(
+                    f"GET /page/x HTTP/{version}\r\nHost: a.example\r\n"
+                    "Authorization: Bearer k1\r\n\r\n".encode()
+                )
+                caller.read_head()
+                poll(lambda caller=caller: caller.buffer or caller.fill() is None)
+                gateway.kill()
+                with self.assertRaisesRegex(EOFError, seen):
+                    caller.read_until(b"0\r\n\r\n")
+
+
 class TestResets(TunnelCase):
     """Resets that meet a request of which a part has not been sent yet."""
 
