Accept plain services' answers that end with their connection

Callers of chervilwingd got 502 for a whole answer with neither a length nor chunks, and a complete answer for a stream that its framing ended inside an event.

Cause: only the gateway accepted the end of a connection as an answer's end, and nobody looked where a plain service's stream had ended.

Change: an end in order ends such an answer, a reset doesn't; a stream that ends inside an event has failed and is neither returned nor kept for its idempotency key.

--- a/src/chervilwing/forwards.py
+++ b/src/chervilwing/forwards.py
@@ -1,7 +1,15 @@
 """Run one call to a plain service: its attempts and its answer to the caller."""
 
 from .connections import Call, CallHandlers, get_attempt_outcome
-from .exceptions import NOT_RUN, RAN, KeyExpired, Scope, UpstreamFailed
+from .events import EventReader, is_event_stream
+from .exceptions import (
+    NOT_RUN,
+    RAN,
+    ConnectionBroken,
+    KeyExpired,
+    Scope,
+    UpstreamFailed,
+)
 from .work import BUSY, CANCELLED, FAILED, OK
 
 # Bytes of one answer. An answer is buffered until it has ended, so that no caller gets
@@ -12,6 +20,15 @@
 HTTP_BUSY = 503
 
 
+def ends_inside_event(status, headers, body):
+    """Return whether a body is a stream that ends in the middle of an event."""
+    if not is_event_stream(status, headers):
+        return False
+    reader = EventReader(resumable=False)
+    reader.feed(bytes(body))
+    return reader.has_partial
+
+
 def pick_headers(headers, names):
     """Return the headers with these names, if present."""
     return {name: headers[name] for name in names if name in headers}
@@ -67,6 +84,7 @@
             cfg.connect_timeout,
             cfg.silence_timeout,
             new_connection=not session.target.idempotent,
+            body_until_close=True,
         )
         handlers = CallHandlers(
             self._handle_headers,
@@ -121,6 +139,10 @@
         if self._status == HTTP_BUSY and self._headers.get("x-not-run") == "1":
             self._fail_attempt(BUSY, UpstreamFailed("Refused.", outcome=NOT_RUN))
             return
+        if ends_inside_event(self._status, self._headers, self._body):
+            detail = "The stream ended in the middle of an event."
+            self._fail_attempt(FAILED, ConnectionBroken(detail))
+            return
         self._report(OK)
         session = self.session
         returned = pick_headers(self._headers, RETURNED_HEADERS)
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -6,7 +6,8 @@
 from chervilwing.clocks import read_boottime
 from chervilwing.exceptions import ConnectionBroken
 from chervilwing.rollouts import BAD_FIELD, RolloutOrder, encode_answer_key
-from tests.procs import Caller, poll
+from tests.deployments import AUTHORISED, Deployment, Upstreams, make_configuration
+from tests.procs import Caller, call, poll
 from tests.test_gateway import (
     CHUNKED,
     SIGNED,
@@ -17,6 +18,7 @@
 )
 from tests.test_platform import PlatformCase
 from tests.test_tunnels import UNTIL_CLOSE, TunnelCase
+from tests.upstreams import RawUpstream, send_load
 
 EVENT = b"id: 1\ndata: one\n\n"
 # Ends of a stream inside a line, inside an event and between two lines of an event.
@@ -229,6 +231,49 @@
                     caller.read_until(b"0\r\n\r\n")
 
 
+class TestPlainServices(unittest.TestCase):
+    """Answers of plain services through chervilwingd."""
+
+    def setUp(self):
+        deployment = Deployment()
+        self.addCleanup(deployment.close)
+        self.service = RawUpstream(self.answer)
+        self.addCleanup(self.service.close)
+        deployment.upstreams = Upstreams((), (self.service,))
+        deployment.put_configuration(make_configuration(deployment.upstreams))
+        self.entry = deployment.start_entry("one")
+
+    def answer(self, conn, method, path, body):
+        if path == "/-/load":
+            send_load(conn)
+            return
+        conn.sendall(self.data)
+        self.ended(conn)
+
+    def send(self, data, ended):
+        """Send a call that must not be repeated, to a service that answers this."""
+        self.data, self.ended = data, ended
+        return call(self.entry.port, "POST", "/services/portal/notes", b"", AUTHORISED)
+
+    def test_an_answer_without_a_length_is_whole_if_its_connection_ends_in_order(self):
+        # Guards against failing whole answers, and against callers who take half of one
+        # for whole.
+        body = bytes(100_000)
+        for data in (SIGNED + b"\r\n" + body, frame_close(EVENT)):
+            answer = self.send(data, close_after_sent)
+            self.assertEqual((answer.status, answer.whole), (200, True))
+            self.assertTrue(data.endswith(answer.body) and answer.body)
+            self.assertEqual(self.send(data, reset).status, 502)
+        self.assertEqual(self.service.count("/notes"), 4)
+
+    def test_a_stream_that_ends_inside_an_event_is_no_answer(self):
+        # Guards against a crashed service's stream that callers take for whole.
+        for frame in FRAMINGS:
+            answer = self.send(frame(EVENT + PARTS[0]), close_after_sent)
+            self.assertEqual(answer.status, 502, frame.__name__)
+        self.assertEqual(self.service.count("/notes"), len(FRAMINGS))
+
+
 class TestResets(TunnelCase):
     """Resets that meet a request of which a part has not been sent yet."""
 
