Log the version that served a request and the request that it resumes

Cause: the log lines name neither, so that streams which go on at another version can't be told from others, nor whether it happens within an answer or over a caller's tries.

Change: Resumes is decoded into the demand; request and attempt failed have the version to which the attempt was sent, request what it resumes, upstream registered the version. Nothing depends on them yet.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -80,6 +80,7 @@
         relay.upstream_state, relay.estimate = upstream_state, estimate
         relay.attempts += 1
         relay.tried_upstreams.add(upstream_state.registration.name)
+        relay.upstream_version = upstream_state.registration.version
         relay.sent_at = now
         relay.answer = None
         relay.start_answer("", has_events=False)
@@ -367,6 +368,7 @@
             detail=exc.detail,
             framing=relay.framing,
             partial=relay.has_partial_event,
+            upstream_version=relay.upstream_version,
         )
         now = read_boottime()
         if exc.outcome == NOT_RUN:
--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -343,6 +343,7 @@
             pool=found.pool,
             leaving=found.leaving,
             reclaimable=found.reclaimable,
+            version=found.version,
             revision=get_number(item.revision),
         )
 
--- a/src/chervilwing/demands.py
+++ b/src/chervilwing/demands.py
@@ -16,7 +16,8 @@
     Token counts are 0 for requests other than generation. ``output_tokens`` is the
     largest number of tokens that may be generated, ``expected_tokens`` the caller's
     estimate, which is often far off. ``last_event`` is the id of the event after which
-    a resumed stream continues.
+    a resumed stream continues, and ``resumes`` the id of the request that brought the
+    stream's first event, empty for a new stream.
     """
 
     request_id: str
@@ -26,6 +27,7 @@
     expected_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event: str = ""
+    resumes: str = ""
 
     @property
     def subject(self):
--- a/src/chervilwing/dialects.py
+++ b/src/chervilwing/dialects.py
@@ -109,7 +109,12 @@
     timeout = req.headers.get("chervilwing-timeout", "")
     seconds = float(timeout) if timeout.replace(".", "", 1).isdigit() else time_limit
     request_id = req.headers.get("x-request-id") or uuid.uuid4().hex
-    return Demand(request_id, now + min(seconds, time_limit))
+    return Demand(
+        request_id,
+        now + min(seconds, time_limit),
+        last_event=req.headers.get("last-event-id", ""),
+        resumes=req.headers.get("chervilwing-resumes", ""),
+    )
 
 
 def _write_headers(headers, context):
--- a/src/chervilwing/platform/headers.py
+++ b/src/chervilwing/platform/headers.py
@@ -19,6 +19,8 @@
 PROMPT_PREFIX = "x-prompt-prefix"
 LENGTH_HINT = "x-length-hint"
 LAST_EVENT = "last-event-id"
+# The X-Request-Id of the client attempt that brought a stream's first event.
+RESUMES = "resumes"
 EXPECTED_UPSTREAM = "x-expect-instance"
 ORGANISATION = "x-tenant"
 URGENCY = "x-request-urgency"
@@ -85,6 +87,7 @@
         int(hint) if hint.isdecimal() else output,
         read_parts(headers.get(PROMPT_PREFIX, "")),
         headers.get(LAST_EVENT, ""),
+        headers.get(RESUMES, ""),
     )
 
 
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -26,7 +26,9 @@
     none did. ``placer`` is the process that chose the upstream for other instances,
     empty if this instance chose for itself. ``framing`` is what told the end of the
     answer: a length, chunks or the connection's close. ``partial`` is set if a stream
-    ended in the middle of an event.
+    ended in the middle of an event. ``upstream_version`` is the version of the last
+    upstream's software, and ``resumes`` the request that began the stream which this
+    one goes on with.
     """
 
     request: str
@@ -49,6 +51,8 @@
     placer: str = ""
     framing: str = ""
     partial: bool = False
+    upstream_version: str = ""
+    resumes: str = ""
 
 
 class Relay:
@@ -87,6 +91,7 @@
         "route",
         "sent_at",
         "upstream_state",
+        "upstream_version",
         "first_byte_at",
         "placement_id",
         "tried_peers",
@@ -112,6 +117,8 @@
         self.attempts = 0
         self.call = None
         self.upstream_state = None
+        # Version that the current attempt was sent to; the registration may change.
+        self.upstream_version = ""
         # Identifies this request to the instance that chose its upstream; None if this
         # instance did.
         self.placement_id = None
@@ -198,6 +205,8 @@
         placer=estimate.placer if estimate else "",
         framing=relay.framing,
         partial=relay.has_partial_event,
+        upstream_version=relay.upstream_version,
+        resumes=relay.demand.resumes,
     )
 
 
