Let a stream go on only at the version that began it

Cause: an attempt after a break went to the best other upstream of the pool, whatever its version, and a caller that took a stream up was placed like a new one; the request that it names was not read. Class: an identity that a continuation depends on wasn't part of the state that is carried on.

Change: a stream's origin, its pool and version, binds all further attempts of its answer and all tries of its caller. Two instances are told of it before its first event, eight are asked; it is inferred where only one version is possible, by registrations and versions in the store. Nobody knows: refused at once, nothing run. Its version gone: refused without a time to come back. docs/design/STREAM-VERSIONS.md has the ways weighed and the bound.

Before: test_a_stream_goes_on_at_its_version_within_one_answer and test_streams_of_a_killed_instance_go_on_at_their_version fail. After: 11 of 11 tests pass, with instances killed, frozen, started again and started later, and a version gone or busy.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -193,6 +193,8 @@
             # answer would appear in the middle of its events.
             self._abort_attempt(relay, "The upstream did not resume the stream.")
         elif is_stream and not relay.exchange.started:
+            if relay.route.resumable:
+                self._gateway.resumptions.begin(relay, read_boottime())
             relay.exchange.on_drain = partial(self._on_drain, relay)
             relay.exchange.relay_head(status, drop_hop_by_hop(headers), None)
 
--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -131,9 +131,12 @@
         # Built on first use: hundreds of upstreams register at once, and rebuilding the
         # ring for each of them would take half a minute of CPU time.
         self._ring = None
+        # Versions of the registered upstreams, None if they may have changed.
+        self._versions = None
 
     def put_upstream(self, registration):
         """Add an upstream, or update its registration."""
+        self._versions = None
         existing = self.upstream_states.get(registration.name)
         if existing is not None:
             existing.registration = registration
@@ -185,10 +188,25 @@
         upstream_state = self.upstream_states.pop(name, None)
         if upstream_state is None:
             return None
-        self._ring = None
+        self._ring = self._versions = None
         self.caches.remove_upstream(name)
         return upstream_state.registration.address
 
+    def list_versions(self):
+        """Return the versions of all registered upstreams."""
+        if self._versions is None:
+            states = self.upstream_states.values()
+            self._versions = frozenset(state.registration.version for state in states)
+        return self._versions
+
+    def list_other_versions(self, version):
+        """Return the names of the upstreams that have another version."""
+        return frozenset(
+            name
+            for name, state in self.upstream_states.items()
+            if state.registration.version != version
+        )
+
     def list_accepting(self, excluded=()):
         """Return the upstreams that accept new requests, except excluded names."""
         return [
--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -25,6 +25,7 @@
 from .store_calls import Committed, HistoryGone, Page
 from .store_epochs import get_epoch, get_number
 from .stored_crashes import CRASHES, decode_crash
+from .stream_versions import VERSIONS, decode_origin
 
 # Seconds for which an instance that is gone still counts as recently registered: the
 # length of a usage window plus the time until that window is reported.
@@ -108,6 +109,11 @@
             else float("inf")
         )
 
+    def versions_are_fresh(self):
+        """Return whether all versions at which streams may have begun are known."""
+        age = read_boottime() - self._registrations.as_of
+        return age <= MAX_REGISTRATIONS_AGE and self._instances.complete
+
     @property
     def ready(self):
         """Return whether requests can be served."""
@@ -361,6 +367,10 @@
         if item.key.startswith(CRASHES):
             self._apply_crash(item, now)
             return
+        if item.key.startswith(VERSIONS):
+            origin = None if item.value is None else self._read(decode_origin, item)
+            self._gateway.resumptions.streams.put_stored(item.key, origin)
+            return
         self._apply_peer(item)
         self.list_recent_instances()
         self._gateway.retries.set_instances(1 + len(self.peers))
--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -149,6 +149,18 @@
     status, type, title, outcome = 503, "no-upstream", "No upstream", NOT_RUN
 
 
+class StreamUnknown(ChervilwingError):
+    """No instance that was asked knows which version began the caller's stream."""
+
+    status, type, title, outcome = 503, "stream-unknown", "Stream unknown", NOT_RUN
+
+
+class VersionGone(ChervilwingError):
+    """The caller's stream never goes on: no upstream has the version that began it."""
+
+    status, type, title, outcome = 503, "version-gone", "Version gone", NOT_RUN
+
+
 class RequestBarred(ChervilwingError):
     """The request is blocked, as several upstreams crashed while running it."""
 
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -29,6 +29,7 @@
 from .placer_selection import PlacementHooks
 from .registrations import Registry, get_process
 from .relays import Relay, describe_refusal, describe_relay
+from .resumptions import Resumptions
 from .retry_shares import RetryShares
 from .rollouts import Rollouts
 from .routing import RoutingTable, pick_target
@@ -104,6 +105,7 @@
         self.tunnel_peers = TunnelPeers(cfg.name)
         self.detours = Detours(self, client)
         self.retries = RetryShares(self)
+        self.resumptions = Resumptions(self)
         self.relays = set()
         self.pools = {}
         self.stats = Stats(cfg.stats_pairs)
@@ -129,8 +131,9 @@
         self.table = RoutingTable(document)
         self.limits.update(document.limits)
         self.allowances.configure(document.organisations, read_boottime())
+        self.resumptions.streams.configure(self.table.resumable, read_boottime())
         for name, spec in self.table.pools.items():
-            self._get_or_create_pool(name).spec = spec
+            self.get_or_create_pool(name).spec = spec
         return True
 
     def put_upstream(self, registration):
@@ -145,7 +148,7 @@
         self.rollouts.record_version(
             registration.pool, registration.version, read_boottime()
         )
-        self._get_or_create_pool(registration.pool).put_upstream(registration)
+        self.get_or_create_pool(registration.pool).put_upstream(registration)
 
     def remove_upstream(self, name, regained_at):
         """Handle the disappearance of an upstream's registration.
@@ -209,7 +212,7 @@
         log_event("upstream leaving", upstream=process.name, reported_by=reported_by)
         registration = self.registry.mark_leaving(process)
         if registration is not None:
-            self._get_or_create_pool(registration.pool).put_upstream(registration)
+            self.get_or_create_pool(registration.pool).put_upstream(registration)
         self._attempts.withdraw_unsent(process)
         return True
 
@@ -232,7 +235,8 @@
             return False
         return not self.leaving_upstreams.is_overdue(process, self.cfg.leave_bound, now)
 
-    def _get_or_create_pool(self, name):
+    def get_or_create_pool(self, name):
+        """Return the balancer of a pool."""
         pool = self.pools.get(name)
         if pool is None:
             pool = PoolBalancer(self.cfg.plain_pool, self.cfg.data_centre, self._rng)
@@ -243,17 +247,31 @@
         now = read_boottime()
         try:
             relay = self._admit(exchange, now)
-            sent = self._charge_and_place(relay, now)
+            if self.resumptions.find_origin(relay, now):
+                self._start(relay, now)
         except ChervilwingError as exc:
             self._log_and_refuse(exchange, exc)
             return
         exchange.tag = relay
         self.relays.add(relay)
-        if not sent:
+
+    def _start(self, relay, now):
+        """Charge and place a request, or let it wait for its credit."""
+        if not self._charge_and_place(relay, now):
             self._waiting.append(relay)
             self.allowances.add_waiting(relay.organisation, relay.cost)
             self.on_credit_needed()
 
+    def resume_stream(self, relay, origin, now):
+        """Go on with a caller's stream, of which ``origin`` is None if unknown."""
+        if relay.ended:
+            return
+        try:
+            self.resumptions.bind(relay, origin)
+            self._start(relay, now)
+        except ChervilwingError as exc:
+            self._refuse_waiting(relay, exc)
+
     def _log_and_refuse(self, exchange, exc):
         log_request(describe_refusal(exchange.req, exc, self._get_document_version()))
         self.refuse(exchange, exc)
@@ -270,7 +288,7 @@
         route = self.table.find_route(req.headers.get("host", ""), req.path)
         organisation = self._find_organisation(route, req)
         demand = self._dialect.read_demand(req, now, route.time_limit)
-        pool = self._get_or_create_pool(pick_target(route, self._rng.random()))
+        pool = self.get_or_create_pool(pick_target(route, self._rng.random()))
         relay = Relay(exchange, route, organisation, pool, demand, now)
         relay.cost = self._dialect.measure_cost(demand, organisation)
         relay.rollout_draw = self._rng.random()
@@ -309,6 +327,7 @@
         """
         self.crashes.raise_if_barred(relay.fingerprint, now)
         if choice is None:
+            self.resumptions.raise_if_gone(relay)
             raise self.make_unavailable_error(relay.pool, now)
         self.detours.raise_if_unreachable(relay.pool, now)
         upstream_state, estimate = choice
@@ -348,7 +367,12 @@
         return PoolLimited(scope=scope, retry_after=wait)
 
     def list_excluded_upstreams(self, relay, now):
-        """Return the names of the upstreams to which a request must not be sent."""
+        """Return the names of the upstreams to which a request must not be sent.
+
+        A stream that has begun isn't part of a trial.
+        """
+        if relay.origin is not None:
+            return self.list_unavailable_upstreams(relay, now)
         draw = None if relay.attempts else relay.rollout_draw
         pool = relay.pool
         name = pool.spec.name
@@ -356,9 +380,13 @@
         return excluded | self.list_unavailable_upstreams(relay, now)
 
     def list_unavailable_upstreams(self, relay, now):
-        """Return the names of the upstreams that were tried or want no requests."""
+        """Return the names of the upstreams that can't or may not be used now.
+
+        Those were tried, want no requests or have another version.
+        """
         paused = self.pauses.list_paused(relay.pool.upstream_states, now)
         excluded = self.detours.list_unreachable(now).union(paused)
+        excluded |= self.resumptions.list_excluded(relay)
         return excluded | relay.tried_upstreams if excluded else relay.tried_upstreams
 
     def record_answer(self, relay, failed):
@@ -461,7 +489,11 @@
         shortest_target = self.table.shortest_latency_targets.get(
             scope.name, float("inf")
         )
-        if hopeless or relay.pool.is_overloaded(estimate, shortest_target):
+        # A stream of which its caller has read a part waits for its own version.
+        queued = relay.origin is None and relay.pool.is_overloaded(
+            estimate, shortest_target
+        )
+        if hopeless or queued:
             relay.pool.record_work(relay.demand, estimate)
             raise PoolFull(scope=scope, retry_after=min(seconds, RETRY_AFTER * 4))
 
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -31,11 +31,13 @@
 from .settings import HELP_FLAGS, render_help
 from .store_calls import EndLease
 from .store_epochs import get_number
+from .stream_exchange import StreamExchange
 from .ticks import tick
 from .tunnel_exchange import TunnelExchange
 from .tunnel_server import TunnelServer
 from .usage import SHARED_REPORT
 from .usage_reports import UsageParts, UsageReporter
+from .version_keeper import VersionKeeper
 from .web import Web, WebHandlers
 
 # Seconds between ticks. Time limits, scheduled calls and the detection of silent
@@ -80,6 +82,9 @@
         self.gateway.registrations_fresh_since = (
             self._coordinator.registrations_fresh_since
         )
+        self.gateway.resumptions.streams.are_fresh = (
+            self._coordinator.versions_are_fresh
+        )
         self._usage_parts = UsageParts(cfg, self._store, agreed_time).register(self)
         self.gateway.on_usage = self._usage_parts.count_request
         report_exchange = ReportExchange(
@@ -96,6 +101,7 @@
         ).register(self)
         Placing(cfg, datagrams, self._coordinator, self.gateway).register(self)
         LeavingExchange(cfg, datagrams, self._coordinator, self.gateway).register(self)
+        StreamExchange(cfg, datagrams, self._coordinator, self.gateway).register(self)
         PathChecks(self.gateway, upstreams).register(self)
         tunnels = self._tunnels = TunnelServer(poller, self.gateway).register(self)
         if cfg.tunnel_listen is not None:
@@ -114,6 +120,7 @@
         ).register(self)
         if not cfg.routes:
             CrashSaver(self._store, self.gateway, is_leader).register(self)
+            VersionKeeper(self._store, self.gateway, is_leader).register(self)
         if cfg.cloud is not None:
             cloud = adapter.make_cloud(cfg, platform)
             UsageReporter(
@@ -188,6 +195,7 @@
             "gateway_partitioned": int(gateway.paths.is_cut()),
             "gateway_tunnels_used": sum(gateway.tunnel_peers.in_use.values()),
             "gateway_tunnels_served": self._tunnels.count(),
+            "gateway_streams_known": len(gateway.resumptions.streams),
             "gateway_log_lines_dropped": count_dropped_lines(),
         }
         return "".join(f"chervilwing_{k} {v}\n" for k, v in gauges.items())
--- a/src/chervilwing/hashing.py
+++ b/src/chervilwing/hashing.py
@@ -36,9 +36,9 @@
 
     def find(self, key, count, live):
         """Return the first ``count`` live names on the ring after the key."""
-        return list(islice(self._iterate_from(key, live), count))
+        return list(islice(self.iterate_from(key, live), count))
 
-    def _iterate_from(self, key, live):
+    def iterate_from(self, key, live):
         """Yield distinct live names in ring order, starting at the key's position."""
         start = bisect_left(self._keys, hash_text(key))
         seen = set()
--- a/src/chervilwing/lost_writes.py
+++ b/src/chervilwing/lost_writes.py
@@ -17,10 +17,11 @@
 from .rollouts import DECISIONS, decode_decision
 from .store_calls import Commit, Committed, Leased, TakeLease
 from .stored_crashes import CRASHES
+from .stream_versions import VERSIONS
 from .usage import SHARED_REPORT
 
 # Keys that no single instance looks after. Instances register themselves again.
-REWRITTEN = (DECISIONS, CRASHES, COUNT, SHARED_REPORT)
+REWRITTEN = (DECISIONS, CRASHES, COUNT, SHARED_REPORT, VERSIONS)
 # Seconds after which a lost item is written again, drawn at random: several instances
 # may do so, and the first write shows the others that theirs is not needed.
 MIN_DELAY, MAX_DELAY = 0.2, 1.2
--- a/src/chervilwing/placement_exchange.py
+++ b/src/chervilwing/placement_exchange.py
@@ -130,8 +130,12 @@
         self._last_number += 1
         self._pending[self._last_number] = PendingAsk(relay, target, now)
         excluded = self._gateway.list_excluded_upstreams(relay, now)
+        # The placer excludes other versions itself: their names might not fit.
+        excluded = excluded - self._gateway.resumptions.list_excluded(relay)
         ask = make_ask(self._last_number, self._cfg, relay, excluded, now)
-        self._datagrams.send(ASK, ask, peer.address)
+        # An instance of an earlier release doesn't know the last field.
+        fields = ask if ask.version is not None else ask[:-1]
+        self._datagrams.send(ASK, fields, peer.address)
         return True
 
     def _get_origin(self):
@@ -165,6 +169,8 @@
         brittle = self._gateway.brittle_upstreams
         exhausted |= brittle.list_full(pool, now, placing=bool(origin.placer))
         excluded = exhausted.union(ask.excluded)
+        if ask.version is not None:
+            excluded |= pool.list_other_versions(ask.version)
         found = pool.choose(demand, excluded, now, origin)
         answer = Answer(ask.number, self._cfg.name, self._key)
         if found is not None:
--- a/src/chervilwing/placer_selection.py
+++ b/src/chervilwing/placer_selection.py
@@ -30,7 +30,8 @@
     ``number`` is unique among the asks of the sender and of earlier processes at its
     address. ``centre`` is the sender's data centre, ``parts`` are the names and token
     counts of the prompt's parts, and ``seconds_left`` is the time to the deadline. The
-    upstreams in ``excluded`` must not be chosen.
+    upstreams in ``excluded`` must not be chosen, nor those of another version than
+    ``version``, if it isn't None.
     """
 
     number: int
@@ -41,6 +42,7 @@
     parts: list[tuple[str, int]]
     seconds_left: float
     excluded: list[str]
+    version: str | None = None
 
 
 class Answer(NamedTuple):
@@ -95,6 +97,7 @@
         [tuple(part) for part in demand.parts],
         demand.deadline - now,
         sorted(excluded),
+        relay.origin.version if relay.origin else None,
     )
 
 
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -4,6 +4,7 @@
 
 from .events import EventReader
 from .fingerprints import make_retry_fingerprint
+from .stream_versions import make_stream_id
 
 # Bytes of an answer that are buffered until it is complete, so that a broken answer can
 # be retried or refused and the caller never receives part of it. Usual answers have
@@ -85,6 +86,7 @@
         "limit",
         "may_have_run",
         "organisation",
+        "origin",
         "ended",
         "pool",
         "received_at",
@@ -135,6 +137,8 @@
         self.limit = None
         # Reader of the events of a stream, None for other answers.
         self.events = EventReader() if route.resumable else None
+        # Origin of the stream: an answer that has begun goes on at its version only.
+        self.origin = None
         self.has_events = False
         self.framing = ""
         self.may_have_run = False
@@ -155,6 +159,17 @@
         own = self.organisation.priority if self.organisation else None
         return self.route.priority if own is None else own
 
+    @property
+    def takes_up(self):
+        """Return whether the caller takes up a stream of which it has read a part."""
+        started = self.demand.last_event or self.demand.resumes
+        return self.route.resumable and bool(started)
+
+    @property
+    def stream(self):
+        """Return the id of the stream, the same over all tries of the caller."""
+        return make_stream_id(self.demand.resumes or self.demand.request_id)
+
     @property
     def has_partial_event(self):
         """Return whether the answer ended, so far, in the middle of an event."""
--- /dev/null
+++ b/src/chervilwing/resumptions.py
@@ -0,0 +1,76 @@
+"""Where a stream that has begun may go on."""
+
+from .exceptions import StreamUnknown, VersionGone
+from .stream_versions import Origin, StreamVersions, get_life
+
+# Retry-After in seconds of callers whose streams aren't known here now.
+UNKNOWN_RETRY_AFTER = 0.5
+
+
+class Resumptions:
+    """Keep each stream at the version that began it, at one instance.
+
+    ``on_begun`` is called with a relay and the time before a stream's first event is
+    relayed. ``seek(relay, now)`` asks other instances for a caller's stream and returns
+    whether it did; the gateway's ``resume_stream`` is called with the result.
+    """
+
+    def __init__(self, gateway):
+        self._gateway = gateway
+        self.streams = StreamVersions(self._list_registered)
+        self.on_begun = lambda relay, now: None
+        self.seek = lambda relay, now: False
+
+    def _list_registered(self, pool):
+        balancer = self._gateway.pools.get(pool)
+        return frozenset() if balancer is None else balancer.list_versions()
+
+    def find_origin(self, relay, now):
+        """Bind a caller's stream to its Origin; return False while others are asked."""
+        if not relay.takes_up:
+            return True
+        origin = None
+        if relay.demand.resumes:
+            origin = self.streams.find(relay.stream, now)
+        origin = origin or self.streams.infer(relay.route, now)
+        if origin is None and self.seek(relay, now):
+            return False
+        self.bind(relay, origin)
+        return True
+
+    def bind(self, relay, origin):
+        """Bind a caller's stream to its Origin, or raise if it can't go on.
+
+        ``origin`` is None if nobody knows it.
+        """
+        if origin is None:
+            raise StreamUnknown(retry_after=UNKNOWN_RETRY_AFTER)
+        if all(target.pool != origin.pool for target in relay.route.targets):
+            raise VersionGone()
+        relay.origin = origin
+        relay.pool = self._gateway.get_or_create_pool(origin.pool)
+        self.raise_if_gone(relay)
+
+    def begin(self, relay, now):
+        """Record the Origin of a stream whose first event is about to be relayed."""
+        if relay.origin is None:
+            relay.origin = Origin(relay.pool.spec.name, relay.upstream_version)
+        until = now + get_life(relay.route)
+        self.streams.record_begun(relay.stream, relay.origin, until)
+        self.on_begun(relay, now)
+
+    def list_excluded(self, relay):
+        """Return the names of the upstreams at which a stream may not go on."""
+        origin = relay.origin
+        if origin is None:
+            return frozenset()
+        if self._gateway.rollouts.is_rolled_back(*origin):
+            return frozenset(relay.pool.upstream_states)
+        return relay.pool.list_other_versions(origin.version)
+
+    def raise_if_gone(self, relay):
+        """Raise VersionGone if only upstreams of other versions take requests."""
+        if relay.origin is None or not relay.pool.list_accepting():
+            return
+        if not relay.pool.list_accepting(self.list_excluded(relay)):
+            raise VersionGone()
--- a/src/chervilwing/rollouts.py
+++ b/src/chervilwing/rollouts.py
@@ -334,6 +334,13 @@
             return lambda version: version == target
         return lambda version: version != target
 
+    def is_rolled_back(self, pool, version):
+        """Return whether a version was rolled back and gets no requests."""
+        rollout = self.rollouts_by_pool.get(pool)
+        if rollout is None or rollout.order.target != version:
+            return False
+        return self._get_state(rollout) == ROLLED_BACK
+
     @property
     def has_undecided(self):
         """Return whether any order has no final decision yet."""
--- a/src/chervilwing/routing.py
+++ b/src/chervilwing/routing.py
@@ -136,6 +136,7 @@
     def __init__(self, document):
         self.document = document
         self.pools = {pool.name: pool for pool in document.pools}
+        self.resumable = tuple(item for item in document.routes if item.resumable)
         self._hosts = {}
         for route in document.routes:
             self._hosts.setdefault(route.host, {})[route.prefix] = route
--- /dev/null
+++ b/src/chervilwing/stream_versions.py
@@ -0,0 +1,209 @@
+"""Which version of an upstream's software began each stream.
+
+What two versions write doesn't fit together, so that a stream goes on only at the
+version that began it. docs/design/STREAM-VERSIONS.md compares the alternatives.
+"""
+
+from collections import OrderedDict
+from hashlib import blake2b
+from typing import NamedTuple
+
+import msgspec
+
+from .bounds import keep_latest
+from .exceptions import BadConfiguration
+from .hashing import Ring
+
+# Prefix of the keys under which the store holds the versions that streams may have
+# begun at; a digest follows.
+VERSIONS = "chervilwing/instances-versions/"
+# Bytes of the digests of versions and of requests' ids, which may be long.
+DIGEST_SIZE = 12
+# A caller's tries take at most this many times the time limit of its route.
+LIFE_FACTOR = 2.0
+# Streams remembered at once, for about 20 MB; the oldest are dropped first.
+MAX_STREAMS = 65_536
+# Instances that are told of a stream, in two data centres if there are two.
+WITNESSES = 2
+# Instances that are asked for a stream.
+MAX_ASKED = 8
+
+
+class Origin(NamedTuple):
+    """The pool and the version of the upstream that began a stream."""
+
+    pool: str
+    version: str
+
+
+class Entry(NamedTuple):
+    """A stream's Origin, None if two were reported, and how long it is remembered."""
+
+    origin: Origin | None
+    until: float
+
+
+def get_life(route):
+    """Return the seconds for which a route's streams may be taken up again."""
+    return LIFE_FACTOR * route.time_limit
+
+
+def make_key(origin):
+    """Return the store's key of a version that streams may have begun at."""
+    text = f"{origin.pool}\0{origin.version}".encode()
+    return VERSIONS + blake2b(text, digest_size=DIGEST_SIZE).hexdigest()
+
+
+def make_stream_id(request_id):
+    """Return the id of the stream whose first event a request's answer brought."""
+    return blake2b(request_id.encode(), digest_size=DIGEST_SIZE).hexdigest()
+
+
+def encode_origin(origin):
+    """Return the stored form of an Origin."""
+    return msgspec.json.encode(origin)
+
+
+def decode_origin(key, data):
+    """Return the Origin stored under a key, or raise BadConfiguration."""
+    try:
+        return msgspec.json.decode(data, type=Origin)
+    except msgspec.DecodeError as exc:
+        raise BadConfiguration(f"{key}: {exc}") from exc
+
+
+class StreamVersions:
+    """The Origins known to one instance; times are seconds on one clock.
+
+    ``list_registered(pool)`` returns the versions of a pool's registered upstreams,
+    ``are_fresh()`` whether that and the stored versions are up to date.
+    """
+
+    def __init__(self, list_registered):
+        self._list_registered = list_registered
+        self.are_fresh = lambda: True
+        self._entries = OrderedDict()
+        # Streams that no other instance was told of, as the keys of a dict.
+        self._untold = {}
+        # Origins in the store by key.
+        self.stored = {}
+        # When the pools of each route last changed, by host and prefix.
+        self._targets = {}
+
+    def __len__(self):
+        return len(self._entries)
+
+    @property
+    def has_untold(self):
+        """Return whether no other instance knows some streams."""
+        return bool(self._untold)
+
+    def configure(self, routes, now):
+        """Record which pools each route leads to."""
+        for route in routes:
+            pools = frozenset(target.pool for target in route.targets)
+            known = self._targets.get((route.host, route.prefix))
+            if known is None or known[0] != pools:
+                changed_at = float("-inf") if known is None else now
+                self._targets[(route.host, route.prefix)] = (pools, changed_at)
+
+    def put_stored(self, key, origin):
+        """Apply a version stored under a key, None if it was deleted."""
+        if origin is None:
+            self.stored.pop(key, None)
+        else:
+            self.stored[key] = origin
+
+    def list_possible(self, pool):
+        """Return the versions at which streams of a pool may have begun."""
+        stored = {item.version for item in self.stored.values() if item.pool == pool}
+        return stored | self._list_registered(pool)
+
+    def infer(self, route, now):
+        """Return the only Origin that a route's streams can have, or None.
+
+        A version gets requests only some time after its registration is known, so that
+        an instance whose knowledge is fresh knows each version that is in use.
+        """
+        pools, changed_at = self._targets.get((route.host, route.prefix), ((), now))
+        if len(pools) != 1 or not self.are_fresh():
+            return None
+        if now - changed_at < get_life(route):
+            return None
+        (pool,) = pools
+        versions = self.list_possible(pool)
+        return Origin(pool, *versions) if len(versions) == 1 else None
+
+    def record(self, stream, origin, until):
+        """Remember a stream's Origin until a time.
+
+        Two different ones mean that two streams bear one id, and neither is believed.
+        """
+        known = self._entries.pop(stream, None)
+        if known is not None:
+            until = max(until, known.until)
+            origin = origin if origin == known.origin else None
+        self._entries[stream] = Entry(origin, until)
+        keep_latest(self._entries, MAX_STREAMS)
+
+    def record_begun(self, stream, origin, until):
+        """Remember a stream that this instance relays, and of which to tell others."""
+        self.record(stream, origin, until)
+        self._untold[stream] = None
+
+    def find(self, stream, now):
+        """Return the Origin of a stream, or None if it isn't known."""
+        entry = self._entries.get(stream)
+        return entry.origin if entry is not None and now < entry.until else None
+
+    def pop_untold(self, now):
+        """Return the streams that no other instance knows, and mark them as told.
+
+        The result holds (stream, Origin, seconds) for each.
+        """
+        untold, self._untold = self._untold, {}
+        found = [(name, self._entries.get(name)) for name in untold]
+        return [
+            (name, item.origin, item.until - now)
+            for name, item in found
+            if item is not None and item.origin is not None and now < item.until
+        ]
+
+    def expire(self, now):
+        """Drop the oldest streams whose time is over."""
+        while self._entries and now >= next(iter(self._entries.values())).until:
+            stream, _ = self._entries.popitem(last=False)
+            self._untold.pop(stream, None)
+
+
+class Witnesses:
+    """Choose the instances that are told of a stream and asked for it.
+
+    ``centres`` holds the data centre of each instance by name, this one's included. All
+    instances make the same choice if they know the same instances; those that don't,
+    differ in the instances that only one of them knows.
+    """
+
+    def __init__(self, centres):
+        self._centres = centres
+        self._ring = Ring(centres)
+
+    def list_asked(self, stream):
+        """Return the instances to ask, those that were told first."""
+        near = self._ring.find(stream, MAX_ASKED, self._centres)
+        return list(dict.fromkeys((*self.list_told(stream), *near)))
+
+    def list_told(self, stream, teller=""):
+        """Return WITNESSES of a stream, in different data centres if possible.
+
+        The ``teller`` isn't among them.
+        """
+        chosen, spare = [], []
+        for name in self._ring.iterate_from(stream, self._centres):
+            if name == teller:
+                continue
+            is_near = any(self._centres[item] == self._centres[name] for item in chosen)
+            (spare if is_near else chosen).append(name)
+            if len(chosen) == WITNESSES or len(spare) == MAX_ASKED:
+                break
+        return [*chosen, *spare][:WITNESSES]
--- /dev/null
+++ b/src/chervilwing/version_keeper.py
@@ -0,0 +1,87 @@
+"""Store the versions that streams may have begun at, for instances that start later."""
+
+from circuits.core import BaseComponent, handler
+
+from .clocks import read_boottime
+from .logs import log_event
+from .store_calls import Commit, Committed, Conflict
+from .stream_versions import Origin, encode_origin, get_life, make_key
+
+# Seconds between two checks. A version gets requests two seconds after it is known.
+CHECK_INTERVAL = 0.5
+RETRY_AFTER = 1.0
+# Versions in one write.
+MAX_KEYS = 8
+
+
+class VersionKeeper(BaseComponent):
+    """Write the versions in use, one call at a time, on the leaders of groups.
+
+    A version is deleted when none of its streams can be taken up again. ``leads``
+    returns whether this instance leads its group. Without the stored versions, an
+    instance that starts could not tell whether a stream that it doesn't know was begun
+    by a version that is gone.
+    """
+
+    channel = "version-keeper"
+
+    def __init__(self, store, gateway, leads):
+        super().__init__()
+        self._store = store
+        self._gateway = gateway
+        self._leads = leads
+        self._busy = False
+        self._next_check = 0.0
+        # When each stored version was first seen without an upstream, by key.
+        self._unused_since = {}
+
+    @handler("tick", channel="*")
+    def _on_tick(self):
+        now = read_boottime()
+        streams, table = self._gateway.resumptions.streams, self._gateway.table
+        if self._busy or now < self._next_check or table is None:
+            return
+        self._next_check = now + CHECK_INTERVAL
+        if not self._leads() or not streams.are_fresh():
+            self._unused_since.clear()
+            return
+        commit = self._make_commit(self._list_used(table), now)
+        if commit is not None:
+            self._busy = True
+            self._store.submit(commit, self._finish)
+
+    def _list_used(self, table):
+        """Return the Origins that new streams may have now, by key."""
+        pools = {target.pool for route in table.resumable for target in route.targets}
+        states = self._gateway.pools
+        used = {
+            Origin(pool, version)
+            for pool in pools & states.keys()
+            for version in states[pool].list_versions()
+        }
+        return {make_key(origin): origin for origin in used}
+
+    def _make_commit(self, used, now):
+        """Return the Commit of the next change, or None."""
+        stored = self._gateway.resumptions.streams.stored
+        missing = sorted(used.keys() - stored.keys())
+        if missing:
+            keys = missing[:MAX_KEYS]
+            puts = tuple((key, encode_origin(used[key]), 0) for key in keys)
+            return Commit(expect=tuple((key, 0) for key in keys), puts=puts)
+        routes = self._gateway.table.resumable
+        life = max(map(get_life, routes), default=0.0)
+        self._unused_since = {
+            key: self._unused_since.get(key, now) for key in stored.keys() - used.keys()
+        }
+        expired = [key for key, at in self._unused_since.items() if now - at >= life]
+        for key in expired[:MAX_KEYS]:
+            del self._unused_since[key]
+        return Commit(deletes=tuple(expired[:MAX_KEYS])) if expired else None
+
+    def _finish(self, reply):
+        self._busy = False
+        # After a conflict another instance has written them.
+        if not isinstance(reply, Committed | Conflict):
+            self._next_check = read_boottime() + RETRY_AFTER
+            log_event("versions not stored", reply=type(reply).__name__)
--- a/tests/placing_fleet.py
+++ b/tests/placing_fleet.py
@@ -17,6 +17,7 @@
 from chervilwing.models import Address
 from chervilwing.placement_exchange import Placing
 from chervilwing.registrations import Registration
+from chervilwing.resumptions import Resumptions
 from chervilwing.routing import EngineSpec, PoolSpec
 from chervilwing.upstream_limits import UpstreamLimits
 from tests.gateways import make_settings
@@ -61,6 +62,7 @@
         )
         self.upstream_limits = UpstreamLimits(Allowances())
         self.brittle_upstreams = BrittleUpstreams(self.upstream_limits)
+        self.resumptions = Resumptions(self)
         self.pools = {"engines": PoolBalancer(SPEC, self.cfg.data_centre, fleet.rng)}
         for number in range(engines):
             self.put(f"u{number}", leaving=False)
@@ -186,6 +188,7 @@
             demand=demand,
             pool=instance.pools["engines"],
             tried=set(),
+            origin=None,
             ended=False,
             placement_id=None,
         )
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,8 +1,11 @@
 """Tests that a stream goes on only at the version that began it."""
 
+import json
+import time
 import unittest
 
-from tests.procs import HOST, poll
+from chervilwing.stream_versions import VERSIONS
+from tests.procs import HOST, call, poll
 from tests.test_platform import PlatformCase
 from tests.versioned_upstreams import LENGTH, Stream, VersionedUpstream
 
@@ -97,10 +100,166 @@
         one, two = self.start_all("one", "two")
         streams = self.begin(one, 12)
         one.kill()
+        self.take_up_all(streams, two)
+
+    def test_streams_of_a_frozen_instance_go_on_at_their_version(self):
+        # Guards against a stream that only an instance without answers knows.
+        one, two, _ = self.start_all("one", "two", "three")
+        streams = self.begin(one, 6)
+        one.freeze()
+        self.take_up_all(streams, two)
+
+    def test_streams_go_on_at_an_instance_that_started_after_them(self):
+        # Guards against knowledge that ends with the instances of the time.
+        one, _, three = self.start_all("one", "two", "three")
+        streams = self.begin(one, 6)
+        one.kill()
+        three.kill()
+        four = self.start("four")
+        # The others answer it once they know it.
+        for upstream in self.upstreams:
+            upstream.release.set()
+        poll(lambda: streams[0].take_up(four.port) == 200, 3.0)
+        self.expect_gone_on(streams[0])
+        self.take_up_all(streams[1:], four)
+
+    def test_a_stream_that_breaks_off_again_names_its_first_attempt(self):
+        # Guards against a chain of breaks of which each names another request.
+        gateways = self.start_all("one", "two", "three")
+        (stream,) = self.begin(gateways[0], 1)
+        for gateway in gateways[1:]:
+            with stream.open(gateway.port) as caller:
+                stream.read(caller, 1)
+        self.take_up_all([stream], gateways[0])
+        self.assertEqual(stream.first, f"{stream.name}.1")
+
+    def take_up_all(self, streams, gateway):
+        """Take streams up again and expect that they go on at their version."""
+        for upstream in self.upstreams:
+            upstream.release.set()
         for stream in streams:
+            self.assertEqual(stream.take_up(gateway.port), 200, stream.body)
+            self.expect_gone_on(stream)
+
+
+class TestRefusals(VersionsCase):
+    def expect_refused(self, stream, gateway, problem):
+        """Expect a refusal at once that nothing was run for; return its fields."""
+        before = sum(len(upstream.served) for upstream in self.upstreams)
+        began = time.monotonic()
+        self.assertEqual(stream.take_up(gateway.port), 503)
+        self.assertLess(time.monotonic() - began, 0.4)
+        self.assertTrue(json.loads(stream.body)["type"].endswith(problem), stream.body)
+        self.assertEqual(len(stream.versions), 1)
+        after = sum(len(upstream.served) for upstream in self.upstreams)
+        self.assertEqual(after, before)
+        return stream.headers
+
+    def test_a_stream_that_nobody_knows_is_refused(self):
+        # Guards against a guess where all that knew the stream have started again.
+        one, two = self.start_all("one", "two")
+        (stream,) = self.begin(one, 1)
+        for gateway in (one, two):
+            gateway.kill()
+        (three,) = self.start_all("three")
+        headers = self.expect_refused(stream, three, "/stream-unknown")
+        self.assertIn("retry-after", headers)
+
+    def test_a_stream_whose_version_is_gone_is_told_that_it_never_goes_on(self):
+        # Guards against tries that can't be served, and against another version.
+        one, two = self.start_all("one", "two")
+        streams = self.begin(one, 8)
+        for number in (0, 1):
+            self.register_version(number, state="draining")
+        old = [stream for stream in streams if stream.versions == {"v1"}]
+        new = [stream for stream in streams if stream.versions == {"v2"}]
+        self.assertTrue(old and new)
+        poll(lambda: self.begin_whole(two).versions == {"v2"})
+        for stream in old:
+            headers = self.expect_refused(stream, two, "/version-gone")
+            self.assertNotIn("retry-after", headers)
+        for stream in new:
             self.assertEqual(stream.take_up(two.port), 200)
             self.expect_gone_on(stream)
 
+    def test_a_broken_answer_without_its_version_is_cut(self):
+        # Guards against events of another version in place of a visible break.
+        (gateway,) = self.start_all("one")
+        self.upstreams[1].close()
+        self.operate(deletes=["servers/u-1"])
+        poll(lambda: "gateway_upstreams 3" in self.read_metrics(gateway))
+        self.set_all(hold_after=2, breaks=True)
+        streams = [self.begin_whole(gateway) for _ in range(12)]
+        for stream in streams:
+            self.assertEqual(len(stream.versions), 1)
+            self.assertEqual(stream.whole, stream.versions == {"v2"}, stream.events)
+
+    def read_metrics(self, gateway):
+        """Return a gateway's metrics."""
+        return call(gateway.info["ready_port"], "GET", "/-/metrics").body.decode()
+
+
+class TestBusy(VersionsCase):
+    def test_a_stream_waits_for_its_busy_version(self):
+        # Guards against refusing a stream while upstreams of its version serve.
+        one, two = self.start_all("one", "two")
+        (stream,) = self.begin(one, 1)
+        one.kill()
+        same = [item for item in self.upstreams if {item.version} == stream.versions]
+        same[0].full = True
+        self.set_all(hold_after=LENGTH)
+        for upstream in self.upstreams:
+            upstream.release.set()
+        poll(lambda: stream.take_up(two.port) == 200, 2.0)
+        self.expect_gone_on(stream)
+
+
+class TestOneVersion(VersionsCase):
+    versions = ("v1", "v1")
+
+    def test_streams_go_on_after_all_instances_have_started_again(self):
+        # Guards against refusing streams that only one version can have begun.
+        one, two = self.start_all("one", "two")
+        streams = self.begin(one, 3)
+        for gateway in (one, two):
+            gateway.kill()
+        (three,) = self.start_all("three")
+        for stream in streams:
+            self.assertEqual(stream.take_up(three.port), 200, stream.body)
+            self.expect_gone_on(stream)
+
+    def test_a_version_that_is_gone_is_still_possible_after_a_restart(self):
+        # Guards against a guess where the version that began a stream has left.
+        one, two = self.start_all("one", "two")
+        (stream,) = self.begin(one, 1)
+        poll(lambda: self.list_stored() == 1)
+        for upstream in self.upstreams:
+            upstream.version = "v2"
+        for number in (0, 1):
+            self.operate(deletes=[f"servers/u-{number}"])
+            self.register(
+                f"w-{number}",
+                version="v2",
+                address=f"{HOST}:{self.upstreams[number].port}",
+            )
+        poll(lambda: self.list_stored() == 2)
+        for gateway in (one, two):
+            gateway.kill()
+        three = self.start("three")
+        self.set_all(hold_after=LENGTH)
+        # It knows the stored versions a moment after the upstreams.
+        time.sleep(0.5)
+        self.assertEqual(stream.take_up(three.port), 503)
+        self.assertIn(b"/stream-unknown", stream.body)
+        self.assertEqual(stream.versions, {"v1"})
+        # None of the first version's streams can be taken up any more.
+        poll(lambda: self.list_stored() == 1, 15)
+
+    def list_stored(self):
+        """Return how many versions the store holds."""
+        keys = self.platform.record()["keys"]
+        return sum(key.startswith(VERSIONS) for key in keys)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -56,11 +56,13 @@
     "rollout_duty",
     "sessions",
     "sockets",
+    "stream_exchange",
     "stores",
     "ticks",
     "tunnel_exchange",
     "tunnel_server",
     "usage_reports",
+    "version_keeper",
     "web",
 }
 ALLOWED_OVERRIDES = {"__init__"}
