--- a/src/chervilwing/resumptions.py
+++ b/src/chervilwing/resumptions.py
@@ -18,6 +18,7 @@
     def __init__(self, gateway):
         self._gateway = gateway
         self.streams = StreamVersions(self._list_registered)
+        gateway.rollouts.is_known = self.streams.is_stored
         self.on_begun = lambda relay, now: None
         self.seek = lambda relay, now: False
 
--- a/src/chervilwing/rollouts.py
+++ b/src/chervilwing/rollouts.py
@@ -250,14 +250,26 @@
         # When the known decisions were last up to date with the store.
         self.updated_at = float("-inf")
         self._decisions = {}
-        # When each version was first seen, by pool and version.
+        # When each version was first seen, by pool and version, the first one first.
         self._seen = {}
+        # Returns whether all instances have known a pool's version for a while.
+        self.is_known = lambda pool, version: False
 
     def record_version(self, pool, version, now):
         """Record that an upstream of a pool has a version."""
-        seen = self._seen.setdefault(pool, {})
-        # The first version of a pool is not a trial.
-        seen.setdefault(version, now if seen else float("-inf"))
+        self._seen.setdefault(pool, {}).setdefault(version, now)
+
+    def is_new(self, pool, version, now):
+        """Return whether a version may still be unknown to other instances.
+
+        The first version that an instance sees is not new, unless it started when a
+        second one did.
+        """
+        seen = self._seen.get(pool, {})
+        if now - seen.get(version, now) >= UNKNOWN_VERSION_WAIT:
+            return False
+        known = [item for item in seen if self.is_known(pool, item)]
+        return version not in (known or list(seen)[:1])
 
     def put_order(self, order, revision):
         """Store an operator's order, unless a newer order for its pool is known.
@@ -309,7 +321,7 @@
         rollout, seen = self.rollouts_by_pool.get(pool), self._seen.get(pool, {})
         if rollout is None and len(seen) < 2:
             return frozenset()
-        allowed = self._make_version_filter(rollout, seen, drawn, now)
+        allowed = self._make_version_filter(pool, rollout, drawn, now)
         names = {
             n for n, s in upstream_states.items() if not allowed(s.registration.version)
         }
@@ -321,10 +333,10 @@
     def _get_state(self, rollout):
         return rollout.decision.state if rollout.decision else RUNNING
 
-    def _make_version_filter(self, rollout, seen, drawn, now):
+    def _make_version_filter(self, pool, rollout, drawn, now):
         """Return a function that returns whether a version may serve the request."""
         if rollout is None:
-            return lambda version: now - seen.get(version, now) >= UNKNOWN_VERSION_WAIT
+            return lambda version: not self.is_new(pool, version, now)
         target, state = rollout.order.target, self._get_state(rollout)
         up_to_date = now - self.updated_at <= MAX_DECISION_AGE
         if state == COMPLETED or (state == SHIFTING and up_to_date):
--- a/src/chervilwing/stream_exchange.py
+++ b/src/chervilwing/stream_exchange.py
@@ -18,8 +18,9 @@
 TOLD = 13
 SOUGHT = 14
 FOUND = 15
-# Seconds until instances that haven't replied are asked once more, and until the caller
-# is refused: a bad link loses one datagram in thirty, and a round trip takes 3 ms.
+# Seconds until the instances are asked again, and until the caller is refused. A bad
+# link loses one datagram in thirty, a round trip takes 3 ms, and what the instance told
+# that began the stream may still be on its way.
 ASK_AGAIN_AFTER = 0.03
 GIVE_UP_AFTER = 0.08
 # Callers whose streams are being asked for. Without a limit, made-up ids would multiply
@@ -31,11 +32,16 @@
 
 
 class Lookup(NamedTuple):
-    """A caller's stream that other instances are asked for; ``at`` is in seconds."""
+    """A caller's stream that other instances are asked for.
+
+    ``at`` is in seconds; ``unheard`` are the addresses that haven't replied since they
+    were asked last, which is the second time if ``again`` is set.
+    """
 
     relay: Relay
     at: float
     addresses: frozenset
+    unheard: frozenset
     again: bool = False
 
 
@@ -68,7 +74,9 @@
         for number, lookup in list(self._pending.items()):
             self._advance(number, lookup, now)
         self._streams.expire(now)
-        self._tell_uncertain(now)
+        if self._gateway.table is not None:
+            self._streams.observe(self._gateway.table.resumable, now)
+            self._tell_uncertain(now)
 
     def _update_peers(self):
         if self._peers_version == self._coordinator.peers_version:
@@ -90,14 +98,15 @@
 
     def _tell_uncertain(self, now):
         """Tell of the streams whose version could be inferred until now."""
-        table = self._gateway.table
-        if table is None or not self._streams.has_untold:
-            return
-        if any(self._streams.infer(route, now) is None for route in table.resumable):
+        routes = self._gateway.table.resumable
+        certain = all(self._streams.infer(route, now) for route in routes)
+        if self._streams.has_untold and not certain:
             self._tell(now)
 
     def _tell(self, now):
         """Tell of all streams that no other instance has been told of."""
+        if not self._addresses:
+            return
         told = {}
         for stream, origin, seconds in self._streams.pop_untold(now):
             for name in self._witnesses.list_told(stream, self._cfg.name):
@@ -126,7 +135,7 @@
         if not found:
             return False
         number = secrets.randbits(ID_BITS)
-        self._pending[number] = lookup = Lookup(relay, now, found)
+        self._pending[number] = lookup = Lookup(relay, now, found, found)
         self._ask(number, lookup)
         return True
 
@@ -140,7 +149,8 @@
         if waited >= GIVE_UP_AFTER or lookup.relay.ended:
             self._end(number, None, now)
         elif waited >= ASK_AGAIN_AFTER and not lookup.again:
-            self._pending[number] = lookup._replace(again=True)
+            lookup = lookup._replace(again=True, unheard=lookup.addresses)
+            self._pending[number] = lookup
             self._ask(number, lookup)
 
     def _receive_sought(self, address, number, stream):
@@ -158,9 +168,9 @@
         if pool:
             self._end(number, Origin(str(pool), str(version)), now)
             return
-        left = lookup.addresses - {address}
-        self._pending[number] = lookup._replace(addresses=left)
-        if not left:
+        unheard = lookup.unheard - {address}
+        self._pending[number] = lookup._replace(unheard=unheard)
+        if lookup.again and not unheard:
             self._end(number, None, now)
 
     def _end(self, number, origin, now):
--- a/src/chervilwing/stream_versions.py
+++ b/src/chervilwing/stream_versions.py
@@ -10,7 +10,6 @@
 
 import msgspec
 
-from .bounds import keep_latest
 from .exceptions import BadConfiguration
 from .hashing import Ring
 
@@ -87,6 +86,8 @@
         self._untold = {}
         # Origins in the store by key.
         self.stored = {}
+        # Until when streams of the versions that were registered may be taken up.
+        self._seen = {}
         # When the pools of each route last changed, by host and prefix.
         self._targets = {}
 
@@ -114,10 +115,29 @@
         else:
             self.stored[key] = origin
 
-    def list_possible(self, pool):
+    def is_stored(self, pool, version):
+        """Return whether the store holds a version of a pool."""
+        return make_key(Origin(pool, version)) in self.stored
+
+    def observe(self, routes, now):
+        """Remember which versions are registered in the pools of these routes."""
+        for route in routes:
+            for target in route.targets:
+                for version in self._list_registered(target.pool):
+                    origin = Origin(target.pool, version)
+                    until = now + get_life(route)
+                    self._seen[origin] = max(until, self._seen.get(origin, until))
+
+    def list_possible(self, pool, now):
         """Return the versions at which streams of a pool may have begun."""
-        stored = {item.version for item in self.stored.values() if item.pool == pool}
-        return stored | self._list_registered(pool)
+        found = set(self._list_registered(pool))
+        found.update(item.version for item in self.stored.values() if item.pool == pool)
+        found.update(
+            item.version
+            for item, until in self._seen.items()
+            if item.pool == pool and now < until
+        )
+        return found
 
     def infer(self, route, now):
         """Return the only Origin that a route's streams can have, or None.
@@ -131,7 +151,7 @@
         if now - changed_at < get_life(route):
             return None
         (pool,) = pools
-        versions = self.list_possible(pool)
+        versions = self.list_possible(pool, now)
         return Origin(pool, *versions) if len(versions) == 1 else None
 
     def record(self, stream, origin, until):
@@ -144,7 +164,8 @@
             until = max(until, known.until)
             origin = origin if origin == known.origin else None
         self._entries[stream] = Entry(origin, until)
-        keep_latest(self._entries, MAX_STREAMS)
+        if len(self._entries) > MAX_STREAMS:
+            self._drop_oldest()
 
     def record_begun(self, stream, origin, until):
         """Remember a stream that this instance relays, and of which to tell others."""
@@ -172,8 +193,13 @@
     def expire(self, now):
         """Drop the oldest streams whose time is over."""
         while self._entries and now >= next(iter(self._entries.values())).until:
-            stream, _ = self._entries.popitem(last=False)
-            self._untold.pop(stream, None)
+            self._drop_oldest()
+        if any(now >= until for until in self._seen.values()):
+            self._seen = {key: at for key, at in self._seen.items() if now < at}
+
+    def _drop_oldest(self):
+        stream, _ = self._entries.popitem(last=False)
+        self._untold.pop(stream, None)
 
 
 class Witnesses:
--- a/src/chervilwing/version_keeper.py
+++ b/src/chervilwing/version_keeper.py
@@ -45,19 +45,23 @@
         if not self._leads() or not streams.are_fresh():
             self._unused_since.clear()
             return
-        commit = self._make_commit(self._list_used(table), now)
+        commit = self._make_commit(self._list_used(table, now), now)
         if commit is not None:
             self._busy = True
             self._store.submit(commit, self._finish)
 
-    def _list_used(self, table):
-        """Return the Origins that new streams may have now, by key."""
+    def _list_used(self, table, now):
+        """Return the Origins that new streams may have now, by key.
+
+        A version is stored once other instances know it, as their registrations show.
+        """
         pools = {target.pool for route in table.resumable for target in route.targets}
         states = self._gateway.pools
         used = {
             Origin(pool, version)
             for pool in pools & states.keys()
             for version in states[pool].list_versions()
+            if not self._gateway.rollouts.is_new(pool, version, now)
         }
         return {make_key(origin): origin for origin in used}
 
--- a/tests/placing_fleet.py
+++ b/tests/placing_fleet.py
@@ -18,6 +18,7 @@
 from chervilwing.placement_exchange import Placing
 from chervilwing.registrations import Registration
 from chervilwing.resumptions import Resumptions
+from chervilwing.rollouts import Rollouts
 from chervilwing.routing import EngineSpec, PoolSpec
 from chervilwing.upstream_limits import UpstreamLimits
 from tests.gateways import make_settings
@@ -62,6 +63,7 @@
         )
         self.upstream_limits = UpstreamLimits(Allowances())
         self.brittle_upstreams = BrittleUpstreams(self.upstream_limits)
+        self.rollouts = Rollouts()
         self.resumptions = Resumptions(self)
         self.pools = {"engines": PoolBalancer(SPEC, self.cfg.data_centre, fleet.rng)}
         for number in range(engines):
