Bound what an instance remembers of told streams, and build its ring when needed

Cause: a told time without end would have kept the list from expiring; hundreds of instances that start together would each have built the ring as often.

Change: told times over an hour count for nothing; the ring is built at the first use after a change. Before: the added check fails for infinity and not-a-number.

--- a/src/chervilwing/stream_exchange.py
+++ b/src/chervilwing/stream_exchange.py
@@ -28,7 +28,10 @@
 MAX_PENDING = 512
 # Streams in one datagram of about a kilobyte.
 MAX_TOLD = 16
-ID_BITS = 62
+# Longest time in seconds for which another instance's word is remembered.
+MAX_LIFE = 3600.0
+# Bits of a lookup's number, which strangers can't guess.
+NUMBER_BITS = 62
 
 
 class Lookup(NamedTuple):
@@ -59,7 +62,7 @@
         self._streams = gateway.resumptions.streams
         self._peers_version = None
         self._addresses = frozenset()
-        self._witnesses = Witnesses({cfg.name: cfg.data_centre})
+        self._witnesses = None
         self._pending = {}
         gateway.resumptions.on_begun = self._tell_begun
         gateway.resumptions.seek = self._seek
@@ -82,11 +85,18 @@
         if self._peers_version == self._coordinator.peers_version:
             return
         self._peers_version = self._coordinator.peers_version
-        peers = self._coordinator.peers
-        self._addresses = frozenset(peer.address for peer in peers.values())
-        centres = {name: peer.data_centre for name, peer in peers.items()}
-        centres[self._cfg.name] = self._cfg.data_centre
-        self._witnesses = Witnesses(centres)
+        peers = self._coordinator.peers.values()
+        self._addresses = frozenset(peer.address for peer in peers)
+        self._witnesses = None
+
+    def _get_witnesses(self):
+        """Return the Witnesses; their ring of hundreds of instances takes 10 ms."""
+        if self._witnesses is None:
+            peers = self._coordinator.peers.items()
+            centres = {name: peer.data_centre for name, peer in peers}
+            centres[self._cfg.name] = self._cfg.data_centre
+            self._witnesses = Witnesses(centres)
+        return self._witnesses
 
     def _tell_begun(self, relay, now):
         """Tell of a stream before its first event, unless others can infer its version.
@@ -98,18 +108,19 @@
 
     def _tell_uncertain(self, now):
         """Tell of the streams whose version could be inferred until now."""
+        if not self._streams.has_untold:
+            return
         routes = self._gateway.table.resumable
-        certain = all(self._streams.infer(route, now) for route in routes)
-        if self._streams.has_untold and not certain:
+        if not all(self._streams.infer(route, now) for route in routes):
             self._tell(now)
 
     def _tell(self, now):
         """Tell of all streams that no other instance has been told of."""
         if not self._addresses:
             return
-        told = {}
+        told, witnesses = {}, self._get_witnesses()
         for stream, origin, seconds in self._streams.pop_untold(now):
-            for name in self._witnesses.list_told(stream, self._cfg.name):
+            for name in witnesses.list_told(stream, self._cfg.name):
                 told.setdefault(name, []).append((stream, *origin, seconds))
         for name, rows in told.items():
             peer = self._coordinator.peers.get(name)
@@ -122,19 +133,20 @@
             return
         now = read_boottime()
         for stream, pool, version, seconds in rows[:MAX_TOLD]:
-            origin = Origin(str(pool), str(version))
-            self._streams.record(str(stream), origin, now + float(seconds))
+            if 0.0 < seconds <= MAX_LIFE:
+                origin = Origin(str(pool), str(version))
+                self._streams.record(str(stream), origin, now + seconds)
 
     def _seek(self, relay, now):
         """Ask other instances for a caller's stream; return whether any was asked."""
         if len(self._pending) >= MAX_PENDING or not relay.demand.resumes:
             return False
-        names = self._witnesses.list_asked(relay.stream)
+        names = self._get_witnesses().list_asked(relay.stream)
         peers = self._coordinator.peers
         found = frozenset(peers[name].address for name in names if name in peers)
         if not found:
             return False
-        number = secrets.randbits(ID_BITS)
+        number = secrets.randbits(NUMBER_BITS)
         self._pending[number] = lookup = Lookup(relay, now, found, found)
         self._ask(number, lookup)
         return True
--- a/tests/test_stream_exchange.py
+++ b/tests/test_stream_exchange.py
@@ -135,6 +135,9 @@
         row = ("s", "web", "v1", 5.0)
         self.exchange._receive_told(stranger, [row])
         self.assertEqual(len(self.streams), 0)
+        for seconds in (float("nan"), float("inf"), -1.0, 1e9):
+            self.exchange._receive_told(self.peer, [("t", "web", "v1", seconds)])
+        self.assertEqual(len(self.streams), 0)
         self.exchange._receive_told(self.peer, [row])
         self.assertEqual(len(self.streams), 1)
         self.exchange._receive_sought(stranger, 7, "s")
@@ -160,14 +163,14 @@
         self.assertEqual(found, [OLD])
 
     def test_streams_are_told_of_once_and_only_if_somebody_listens(self):
-        self.streams.record_begun("s", OLD, 1e12)
+        self.streams.record_begun("s", OLD, 50.0)
         self.exchange._tell(0.0)
         self.exchange._tell(0.0)
         (kind, (rows,), address) = self.sent.pop()
         self.assertEqual((kind, address, self.sent), (TOLD, self.peer, []))
-        self.assertEqual(rows, [("s", *OLD, 1e12)])
+        self.assertEqual(rows, [("s", *OLD, 50.0)])
         self.exchange._addresses = frozenset()
-        self.streams.record_begun("t", OLD, 1e12)
+        self.streams.record_begun("t", OLD, 50.0)
         self.exchange._tell(0.0)
         self.assertTrue(self.streams.has_untold)
 
