--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -14,6 +14,7 @@
 
 class VersionsCase(PlatformCase):
     versions = ("v1", "v1", "v2", "v2")
+    make_upstream = VersionedUpstream
 
     def setUp(self):
         super().setUp()
@@ -21,7 +22,7 @@
         self.document["version"] = 4
         self.publish()
         self.operate(deletes=["servers/i-1"])
-        self.upstreams = [VersionedUpstream(version) for version in self.versions]
+        self.upstreams = [self.make_upstream(version) for version in self.versions]
         for number, upstream in enumerate(self.upstreams):
             self.addCleanup(upstream.close)
             self.register_version(number)
