--- a/src/chervilwing/datagrams.py
+++ b/src/chervilwing/datagrams.py
@@ -1,6 +1,7 @@
 """The socket for messages between instances that may be lost: single datagrams."""
 
 import socket
+from collections import Counter
 
 import msgpack
 from circuits.core import BaseComponent
@@ -25,6 +26,9 @@
     def __init__(self, listen, poller):
         super().__init__()
         self._receivers = {}
+        # Datagrams sent and their bytes, by kind.
+        self.sent = Counter()
+        self.sent_bytes = Counter()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setblocking(False)
         self._sock.bind(listen)
@@ -37,8 +41,11 @@
 
     def send(self, kind, fields, address):
         """Send one datagram; delivery is not confirmed."""
+        data = msgpack.packb([kind, *fields])
+        self.sent[kind] += 1
+        self.sent_bytes[kind] += len(data)
         try:
-            self._sock.sendto(msgpack.packb([kind, *fields]), address)
+            self._sock.sendto(data, address)
         except OSError as exc:
             # The next datagram repeats the figures, so a full buffer is no failure.
             log_event("datagram not sent", code=exc.errno or 0)
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -101,7 +101,9 @@
         ).register(self)
         Placing(cfg, datagrams, self._coordinator, self.gateway).register(self)
         LeavingExchange(cfg, datagrams, self._coordinator, self.gateway).register(self)
-        StreamExchange(cfg, datagrams, self._coordinator, self.gateway).register(self)
+        self._stream_exchange = StreamExchange(
+            cfg, datagrams, self._coordinator, self.gateway
+        ).register(self)
         PathChecks(self.gateway, upstreams).register(self)
         tunnels = self._tunnels = TunnelServer(poller, self.gateway).register(self)
         if cfg.tunnel_listen is not None:
@@ -176,6 +178,7 @@
         version = gateway.table.document.version if gateway.table else 0
         revisions = self._coordinator.list_revisions()
         suspected, barred = gateway.crashes.count_suspected(now)
+        datagrams, size = self._stream_exchange.count_sent()
         gauges = {
             "gateway_in_flight": len(gateway.relays),
             "gateway_callers": gateway.web.count(),
@@ -196,6 +199,8 @@
             "gateway_tunnels_used": sum(gateway.tunnel_peers.in_use.values()),
             "gateway_tunnels_served": self._tunnels.count(),
             "gateway_streams_known": len(gateway.resumptions.streams),
+            "gateway_stream_datagrams_sent": datagrams,
+            "gateway_stream_bytes_sent": size,
             "gateway_log_lines_dropped": count_dropped_lines(),
         }
         return "".join(f"chervilwing_{k} {v}\n" for k, v in gauges.items())
--- a/src/chervilwing/stream_exchange.py
+++ b/src/chervilwing/stream_exchange.py
@@ -70,6 +70,12 @@
         datagrams.subscribe(SOUGHT, self._receive_sought)
         datagrams.subscribe(FOUND, self._receive_found)
 
+    def count_sent(self):
+        """Return the datagrams sent about streams, and their bytes."""
+        sent, sizes = self._datagrams.sent, self._datagrams.sent_bytes
+        kinds = (TOLD, SOUGHT, FOUND)
+        return sum(sent[kind] for kind in kinds), sum(sizes[kind] for kind in kinds)
+
     @handler("tick", channel="*")
     def _on_tick(self):
         now = read_boottime()
--- a/tests/versioned_upstreams.py
+++ b/tests/versioned_upstreams.py
@@ -2,6 +2,7 @@
 
 import re
 import threading
+import time
 from contextlib import suppress
 
 from tests.procs import Caller
@@ -26,6 +27,8 @@
         self.version = version
         self.hold_after = hold_after
         self.breaks = False
+        # Seconds before each event.
+        self.pace = 0.0
         self.full = False
         self.release = threading.Event()
         self.release.set()
@@ -59,6 +62,7 @@
                     close_after_sent(conn)
                     return
                 self.release.wait(20)
+            time.sleep(self.pace)
             event = f"id: {number}\ndata: {self.version}\n\n".encode()
             conn.sendall(encode_chunk(event))
         conn.sendall(b"0\r\n\r\n")
