Treat a version that returns as new again

Change: a version without an upstream is forgotten; when it returns it waits two seconds like any other, unless the store still holds it.

--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -178,9 +178,10 @@
         self._remove_from_pools(name)
 
     def _remove_from_pools(self, name):
-        for pool in self.pools.values():
+        for pool_name, pool in self.pools.items():
             address = pool.remove(name)
             if address is not None:
+                self.rollouts.keep_versions(pool_name, pool.list_versions())
                 # The address may be reassigned to another service, so that no
                 # connection to it may be reused.
                 self._attempts.close_idle(address)
--- a/src/chervilwing/rollouts.py
+++ b/src/chervilwing/rollouts.py
@@ -259,6 +259,14 @@
         """Record that an upstream of a pool has a version."""
         self._seen.setdefault(pool, {}).setdefault(version, now)
 
+    def keep_versions(self, pool, versions):
+        """Forget the versions of a pool that have no upstream any more.
+
+        One that returns is new again: other instances may have forgotten it as well.
+        """
+        seen = self._seen.get(pool, {})
+        self._seen[pool] = {item: at for item, at in seen.items() if item in versions}
+
     def is_new(self, pool, version, now):
         """Return whether a version may still be unknown to other instances.
 
--- a/tests/stream_fleet.py
+++ b/tests/stream_fleet.py
@@ -86,6 +86,7 @@
         """Learn of an upstream, or of its end if it has no version."""
         if version is None:
             self.pool.remove(name)
+            self.rollouts.keep_versions("web", self.pool.list_versions())
             return
         self.rollouts.record_version("web", version, self.fleet.now)
         self.pool.put_upstream(
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -105,6 +105,27 @@
         later = rollouts.list_excluded("engines", UPSTREAM_STATES, 0.5, 63.0)
         self.assertEqual((at_first, later), (NEW, frozenset()))
 
+    def test_a_version_that_returns_is_new_again(self):
+        # Guards against streams of a version that other instances think is impossible.
+        rollouts = Rollouts()
+        for version in ("v1", "v2"):
+            rollouts.record_version("engines", version, 0.0)
+        rollouts.keep_versions("engines", {"v1"})
+        rollouts.record_version("engines", "v2", 60.0)
+        self.assertTrue(rollouts.is_new("engines", "v2", 61.0))
+        self.assertFalse(rollouts.is_new("engines", "v2", 63.0))
+        self.assertFalse(rollouts.is_new("engines", "v1", 61.0))
+
+    def test_only_a_stored_version_is_used_by_an_instance_that_starts(self):
+        # Guards against the same where a version appears just before.
+        rollouts = Rollouts()
+        for version in ("v2", "v1"):
+            rollouts.record_version("engines", version, 60.0)
+        self.assertFalse(rollouts.is_new("engines", "v2", 60.1))
+        rollouts.is_known = lambda pool, version: version == "v1"
+        self.assertTrue(rollouts.is_new("engines", "v2", 60.1))
+        self.assertFalse(rollouts.is_new("engines", "v1", 60.1))
+
     def test_without_a_roll_out_no_upstream_is_excluded(self):
         rollouts = Rollouts()
         rollouts.record_version("engines", "v1", 0.0)
