Forget the pools of routes that are gone, and show two guards by taking them out

Cause: the table of routes' pools kept every route there ever was. A route that returns, or is new, now allows no inference until its streams' life is over.

--- a/src/chervilwing/stream_versions.py
+++ b/src/chervilwing/stream_versions.py
@@ -101,12 +101,13 @@
 
     def configure(self, routes, now):
         """Record which pools each route leads to."""
+        changed_at = now if self._targets else float("-inf")
+        known, self._targets = self._targets, {}
         for route in routes:
+            key = (route.host, route.prefix)
             pools = frozenset(target.pool for target in route.targets)
-            known = self._targets.get((route.host, route.prefix))
-            if known is None or known[0] != pools:
-                changed_at = float("-inf") if known is None else now
-                self._targets[(route.host, route.prefix)] = (pools, changed_at)
+            same = key in known and known[key][0] == pools
+            self._targets[key] = known[key] if same else (pools, changed_at)
 
     def put_stored(self, key, origin):
         """Apply a version stored under a key, None if it was deleted."""
--- a/tests/weakened_gateway.py
+++ b/tests/weakened_gateway.py
@@ -49,6 +49,8 @@
 )
 SUSPENDED = "if read_boottime() - self._ticked_at >= SUSPENDED_AFTER:"
 DROPPED = "self.drop(conn)"
+BROKEN = "tests.test_broken_answers.TestStreams.test_"
+ONE_ANSWER = "tests.test_stream_versions.TestOneAnswer.test_"
 PIECE = "data = relay.events.feed(data)"
 
 BRITTLE = "tests.test_brittle_upstreams.TestRoom.test_"
@@ -384,6 +386,22 @@
         ),
         (STREAMS + "a_stream_is_resumed_elsewhere_after_the_last_complete_event",),
     ),
+    Weakness(
+        "streams may end inside an event",
+        (Edit("attempts", "if relay.has_partial_event:", "if False:"),),
+        (BROKEN + "a_stream_that_ends_inside_an_event_never_looks_complete",),
+    ),
+    Weakness(
+        "streams go on at any version",
+        (
+            Edit(
+                "resumptions",
+                "return relay.pool.list_other_versions(origin.version)",
+                "return frozenset()",
+            ),
+        ),
+        (ONE_ANSWER + "a_stream_goes_on_at_its_version_within_one_answer",),
+    ),
     Weakness(
         "stale keys are accepted",
         (
