Know a stream's pool by its route's name for it

Cause: a pool that only a route names, as in a routes file, has an empty name in its settings. A stream that began there was refused as gone when its caller took it up.

Before: the added test gets 503; after: the stream goes on.

--- a/src/chervilwing/resumptions.py
+++ b/src/chervilwing/resumptions.py
@@ -26,6 +26,11 @@
         balancer = self._gateway.pools.get(pool)
         return frozenset() if balancer is None else balancer.list_versions()
 
+    def _find_pool(self, relay):
+        """Return the name of a pool, which one without settings doesn't know."""
+        names = (target.pool for target in relay.route.targets)
+        return next(n for n in names if self._gateway.pools.get(n) is relay.pool)
+
     def find_origin(self, relay, now):
         """Bind a caller's stream to its Origin; return False while others are asked."""
         if not relay.takes_up:
@@ -57,7 +62,7 @@
     def begin(self, relay, now):
         """Record the Origin of a stream whose first event is about to be relayed."""
         if relay.origin is None:
-            relay.origin = Origin(relay.pool.spec.name, relay.upstream_version)
+            relay.origin = Origin(self._find_pool(relay), relay.upstream_version)
         until = now + get_life(relay.route)
         self.streams.record_begun(relay.stream, relay.origin, until)
         self.on_begun(relay, now)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -5,7 +5,9 @@
 import unittest
 
 from chervilwing.stream_versions import VERSIONS
+from tests.gateways import make_document
 from tests.procs import HOST, call, poll
+from tests.test_gateway import GatewayCase
 from tests.test_platform import PlatformCase
 from tests.versioned_upstreams import LENGTH, Stream, VersionedUpstream
 
@@ -148,6 +150,25 @@
             self.expect_gone_on(stream)
 
 
+class TestRoutesFile(GatewayCase):
+    def test_a_stream_goes_on_in_a_pool_that_only_a_route_names(self):
+        # Guards against losing streams of pools that have no settings of their own.
+        document = make_document(pools=())
+        upstreams = [VersionedUpstream("v1") for _ in range(2)]
+        run = self.start(document=document)
+        for number, upstream in enumerate(upstreams):
+            self.addCleanup(upstream.close)
+            registration = run.make_registration(f"u{number}", upstream.port)
+            run.gateway.put_upstream(registration)
+            upstream.breaks, upstream.hold_after = True, 2
+        stream = Stream("s1")
+        with stream.open(run.port) as caller:
+            stream.read(caller, 1)
+        self.assertEqual(stream.take_up(run.port), 200)
+        self.assertTrue(stream.whole)
+        self.assertEqual(stream.numbers, list(range(1, LENGTH + 1)))
+
+
 class TestRefusals(VersionsCase):
     def expect_refused(self, stream, gateway, problem):
         """Expect a refusal at once that nothing was run for; return its fields."""
