Let a crash test wait until the gateway has counted the bytes it sent

Cause: the upstream's thread may read the request before the gateway's thread, which lost the interpreter's lock in send(), has counted its bytes; the test's own call then finds no request in flight. Shown by a pause of 0.2 s behind send(): the test fails each time.

Change: the test waits for that count; its checks are the same. With the pause: passes.

--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -268,6 +268,8 @@
         caller = threading.Thread(target=run.call, args=("POST", "/note/x", b"n"))
         caller.start()
         poll(lambda: upstream.seen)
+        # The upstream may read the request before the gateway's thread has counted it.
+        poll(lambda: any(item.call.conn.sent for item in list(run.gateway.relays)))
         again = run.make_registration("u0", upstream.port, started_at=9.0)
         run.gateway.put_upstream(again)
         self.assertEqual(self.count_now(b"n"), 1)
