--- a/bench/stream_versions.py
+++ b/bench/stream_versions.py
@@ -17,7 +17,11 @@
 from tests.procs import NotHttp, call
 from tests.test_platform import ENGINES
 from tests.test_stream_versions import QUOTE, VersionsCase
-from tests.versioned_upstreams import VersionedUpstream
+from tests.versioned_upstreams import (
+    VersionedUpstream,
+    make_prompt_fields,
+    read_subject,
+)
 
 SIZES = (1, 3, 8)
 VERSIONS = {1: ("v1",) * 4, 2: ("v1", "v1", "v2", "v2")}
@@ -28,7 +32,7 @@
 # Seconds before each event.
 PACE = 0.03
 BREAK_PART = 0.15
-SUBJECTS, SUBJECT_TOKENS, OWN_TOKENS = 40, 900, 100
+SUBJECTS, SUBJECT_TOKENS, OWN_TOKENS, OUTPUT_TOKENS = 40, 900, 100, 60
 # Subjects that an engine keeps in memory.
 KEPT = 12
 MAX_TRIES = 6
@@ -58,7 +62,7 @@
         self.pace = PACE
 
     def answer(self, conn, fields):
-        subject = fields.get("x-prompt-prefix", "").partition(":")[0]
+        subject = read_subject(fields)
         if subject:
             self.shared += 1
             self.cached += subject in self.kept
@@ -98,11 +102,8 @@
                 stream = self.make_stream()
                 self.streams.append(stream)
             subject = random.randrange(SUBJECTS)
-            fields = {
-                "X-Model": "m",
-                "X-Token-Count": f"{SUBJECT_TOKENS + OWN_TOKENS},60",
-                "X-Prompt-Prefix": f"{subject:x}:{SUBJECT_TOKENS},{stream.name}:100",
-            }
+            parts = ((f"{subject:x}", SUBJECT_TOKENS), (stream.name, OWN_TOKENS))
+            fields = make_prompt_fields(parts, OUTPUT_TOKENS)
             while not stream.whole and stream.tries < MAX_TRIES:
                 self.try_once(stream, fields)
 
--- a/tests/versioned_upstreams.py
+++ b/tests/versioned_upstreams.py
@@ -15,6 +15,21 @@
 LENGTH = 6
 
 
+def make_prompt_fields(parts, output_tokens):
+    """Return the header fields of a prompt of (name, tokens) parts."""
+    total = sum(tokens for _, tokens in parts)
+    return {
+        "X-Model": "m",
+        "X-Token-Count": f"{total},{output_tokens}",
+        "X-Prompt-Prefix": ",".join(f"{name}:{tokens}" for name, tokens in parts),
+    }
+
+
+def read_subject(fields):
+    """Return the name of a prompt's first part, empty without a prompt."""
+    return fields.get("x-prompt-prefix", "").partition(":")[0]
+
+
 class VersionedUpstream(RawUpstream):
     """Upstream whose streams go on after Last-Event-Id.
 
