--- a/src/chervilwing/events.py
+++ b/src/chervilwing/events.py
@@ -54,7 +54,7 @@
         complete, self._buffer = read[:end], read[end:]
         if not self._resumable:
             if len(self._buffer) > MAX_KEPT_BYTES:
-                # What tells a later end of the event: some content, and the last line.
+                # Enough to find the end of the event: some content and a line end.
                 self._buffer = b"x" + self._buffer[-len(b"\r\n\r") :]
             return data
         ids = EVENT_ID.findall(complete)
--- a/src/chervilwing/stream_exchange.py
+++ b/src/chervilwing/stream_exchange.py
@@ -29,7 +29,7 @@
 MAX_PENDING = 512
 # Streams in one datagram of about a kilobyte.
 MAX_TOLD = 16
-# Longest time in seconds for which another instance's word is remembered.
+# Longest time in seconds for which a told stream is remembered.
 MAX_LIFE = 3600.0
 # Bits of a lookup's number, which strangers can't guess.
 NUMBER_BITS = 62
