--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -48,6 +48,12 @@
             for name, value in values.items():
                 setattr(upstream, name, value)
 
+    def release_all(self):
+        """Let upstreams send whole streams."""
+        self.set_all(hold_after=LENGTH)
+        for upstream in self.upstreams:
+            upstream.release.set()
+
     def start_all(self, *names):
         """Start gateways, and return them once they use all versions."""
         gateways = [self.start(name) for name in names]
@@ -188,6 +194,7 @@
         (stream,) = self.begin(one, 1)
         for gateway in (one, two):
             gateway.kill()
+        self.release_all()
         (three,) = self.start_all("three")
         headers = self.expect_refused(stream, three, "/stream-unknown")
         self.assertIn("retry-after", headers)
@@ -242,9 +249,7 @@
         one.kill()
         same = [item for item in self.upstreams if {item.version} == stream.versions]
         same[0].full = True
-        self.set_all(hold_after=LENGTH)
-        for upstream in self.upstreams:
-            upstream.release.set()
+        self.release_all()
         poll(lambda: stream.take_up(two.port) == 200, 2.0)
         self.expect_gone_on(stream)
 
@@ -259,6 +264,7 @@
         streams = self.begin(one, 3)
         for gateway in (one, two):
             gateway.kill()
+        self.release_all()
         (three,) = self.start_all("three")
         for stream in streams:
             self.assertEqual(stream.take_up(three.port), 200, stream.body)
