Log the shared parts of the prompts in flight at a crash

The lines of a crash and of a request didn't tell which parts of prompts were there, so that one part in common couldn't be told from a request whose fingerprint changes, nor from an upstream that crashes by itself. Lines 'upstream crashed' count the shared parts of what was in flight, lines 'request' name those of the prompt.

tests.test_crash_logs: KeyError without the change, passes with it.

--- a/src/chervilwing/crash_detection.py
+++ b/src/chervilwing/crash_detection.py
@@ -5,7 +5,7 @@
 instance, whose path is another one.
 """
 
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from functools import partial
 from typing import NamedTuple
 
@@ -35,6 +35,8 @@
 MAX_PROBES = 64
 # Number of latest crashed upstreams that are kept.
 MAX_CRASHED = 256
+# Parts of prompts in a log line, those of most requests first.
+MAX_LOGGED_PARTS = 24
 REFUSED = (ConnectionRefusedError, ConnectionResetError)
 
 
@@ -54,10 +56,21 @@
 
 
 class Probe(NamedTuple):
-    """A connection attempt that shows whether an upstream is running."""
+    """A connection attempt that shows whether an upstream is running.
+
+    ``parts`` are the shared parts of the prompts in flight there; see describe_parts.
+    """
 
     upstream: str
     at: float
+    parts: str
+
+
+def describe_parts(demands):
+    """Return the shared parts of prompts, each with its number of prompts."""
+    counts = Counter(name for demand in demands for name in set(demand.shared_parts))
+    found = counts.most_common(MAX_LOGGED_PARTS)
+    return ",".join(f"{name}:{count}" for name, count in found)
 
 
 class CrashDetection(BaseComponent):
@@ -134,7 +147,7 @@
         name = registration.name
         suspicions = self._list_in_flight(name, now)
         if suspicions and not registration.leaving and name not in self._crashed:
-            self._prove(name, suspicions)
+            self._prove(name, suspicions, self._describe_in_flight(name))
         self._record_restart(name)
 
     def clear_registered(self, now):
@@ -189,19 +202,28 @@
         self._assumed[name] = suspicions
         conn = self._streams.dial(registration.address)
         conn.state = registration
-        self._probes[conn] = Probe(name, now)
+        self._probes[conn] = Probe(name, now, self._describe_in_flight(name))
 
-    def _list_in_flight(self, name, now):
-        """Return a Suspicion for each request that an upstream may be running."""
+    def _list_relays(self, name):
+        """Return the relays whose requests were sent to an upstream and run there."""
         since = self._get_restarts(name).at
-        found = {
-            relay.fingerprint
+        return [
+            relay
             for relay in self._gateway.relays
             if relay.call is not None
             and relay.call.conn.sent
             and relay.upstream_state.registration.name == name
             and relay.sent_at >= since
-        }
+        ]
+
+    def _describe_in_flight(self, name):
+        """Return the shared parts of the prompts that an upstream is running."""
+        return describe_parts(relay.demand for relay in self._list_relays(name))
+
+    def _list_in_flight(self, name, now):
+        """Return a Suspicion for each request that an upstream may be running."""
+        since = self._get_restarts(name).at
+        found = {relay.fingerprint for relay in self._list_relays(name)}
         found |= {
             item.fingerprint
             for item in self._abandoned
@@ -244,7 +266,7 @@
         if reached or (reached is None and doubtful):
             self._abandon(probe, suspicions)
         else:
-            self._prove(probe.upstream, suspicions)
+            self._prove(probe.upstream, suspicions, probe.parts)
 
     def _abandon(self, probe, suspicions):
         """Dismiss suspicions, and keep the attempts in case the upstream did crash."""
@@ -265,7 +287,7 @@
         for suspicion in suspicions:
             self._records.dismiss(suspicion)
 
-    def _prove(self, name, suspicions):
+    def _prove(self, name, suspicions, parts):
         now = read_boottime()
         self._crashed[name] = now
         keep_latest(self._crashed, MAX_CRASHED)
@@ -280,6 +302,7 @@
             in_flight=len(suspicions),
             most_suspected=most[1].fingerprint,
             crashes=most[0],
+            parts=parts,
         )
 
     @handler("tick", channel="*")
--- a/src/chervilwing/demands.py
+++ b/src/chervilwing/demands.py
@@ -29,6 +29,11 @@
     last_event: str = ""
     resumes: str = ""
 
+    @property
+    def shared_parts(self):
+        """Return the names of all parts but the last, which others may share."""
+        return tuple(part.name for part in self.parts[:-1])
+
     @property
     def subject(self):
         """Return the name of the last part shared with other requests, or ""."""
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -29,7 +29,7 @@
     answer: a length, chunks or the connection's close. ``partial`` is set if a stream
     ended in the middle of an event. ``upstream_version`` is the version of the last
     upstream's software, and ``resumes`` the request that began the stream which this
-    one goes on with.
+    one goes on with. ``parts`` names the shared parts of the prompt, in their order.
     """
 
     request: str
@@ -54,6 +54,7 @@
     partial: bool = False
     upstream_version: str = ""
     resumes: str = ""
+    parts: str = ""
 
 
 class Relay:
@@ -222,6 +223,7 @@
         partial=relay.has_partial_event,
         upstream_version=relay.upstream_version,
         resumes=relay.demand.resumes,
+        parts=",".join(relay.demand.shared_parts),
     )
 
 
