Keep a crash that follows a wrongly reported one of the same upstream

Seen in the model: while a data centre is cut off, its instances report crashes of upstreams that are running. If such an upstream then crashes indeed, an answer from before the crash withdrew all suspicions of it, since one time was kept for each upstream.

The time of the crash is kept for each suspicion.

--- a/src/chervilwing/crash_records.py
+++ b/src/chervilwing/crash_records.py
@@ -64,13 +64,6 @@
     age: float
 
 
-class Crash(NamedTuple):
-    """The time of an upstream's crash, and the requests suspected of it."""
-
-    at: float
-    fingerprints: set[str]
-
-
 class SuspicionState(Enum):
     """State of one request's suspicion of one crash.
 
@@ -114,7 +107,9 @@
 
     def __init__(self, name):
         self._suspects = OrderedDict()
-        # Crashes by upstream, and the time of each upstream's last known answer.
+        # The times of crashes by upstream and suspected request, as one crash may be
+        # reported wrongly before the upstream does crash, and the time of each
+        # upstream's last known answer.
         self._crashes = OrderedDict()
         self._alive = OrderedDict()
         # The times at which the latest requests were answered completely.
@@ -216,7 +211,8 @@
 
     def list_crashed(self, before):
         """Return the upstreams that are recorded as crashed at or before a time."""
-        return [name for name, crash in self._crashes.items() if crash.at <= before]
+        crashes = self._crashes.items()
+        return [name for name, crash in crashes if max(crash.values()) <= before]
 
     def record_alive(self, upstream, sent_at, now):
         """Record that an upstream answered a call that was sent at a time.
@@ -262,16 +258,19 @@
             self._alive[upstream] = at
             self._alive.move_to_end(upstream)
             keep_latest(self._alive, MAX_UPSTREAMS)
-        crash = self._crashes.get(upstream)
-        if crash is None or crash.at >= at:
+        crash = self._crashes.get(upstream, {})
+        withdrawn = [item for item, crashed_at in crash.items() if crashed_at < at]
+        if not withdrawn:
             return
-        del self._crashes[upstream]
-        for fingerprint in crash.fingerprints:
+        for fingerprint in withdrawn:
+            del crash[fingerprint]
             self._reports.pop(Suspicion(fingerprint, upstream), None)
             self.stored.schedule_rewrite(fingerprint, now)
             suspect = self._suspects.get(fingerprint)
             if suspect is not None:
                 suspect.crashes.pop(upstream, None)
+        if not crash:
+            del self._crashes[upstream]
         self._queue_report(Suspicion(ANY, upstream), at, now)
 
     def _count_if_proved(self, fingerprint, upstream):
@@ -279,6 +278,12 @@
         proved = suspect and suspect.crashes.get(upstream) is SuspicionState.PROVED
         return suspect.count() if proved else 0
 
+    def _update_time(self, suspicion, at):
+        """Apply another report of a suspicion: of the same crash or of a later one."""
+        crash = self._crashes.get(suspicion.upstream, {})
+        if suspicion.fingerprint in crash:
+            crash[suspicion.fingerprint] = max(crash[suspicion.fingerprint], at)
+
     def _was_answered(self, fingerprint, now):
         return now - self._answered.get(fingerprint, -inf) < EXEMPT_FOR
 
@@ -301,12 +306,13 @@
             and now < existing.until
             and existing.crashes.get(suspicion.upstream)
         )
+        if state is SuspicionState.PROVED:
+            self._update_time(suspicion, at)
         if state in (SuspicionState.PROVED, SuspicionState.WITHDRAWN):
             return False
         suspect = self._find_or_add(suspicion.fingerprint, now)
         suspect.crashes[suspicion.upstream] = SuspicionState.PROVED
-        crash = self._crashes.setdefault(suspicion.upstream, Crash(at, set()))
-        crash.fingerprints.add(suspicion.fingerprint)
+        self._crashes.setdefault(suspicion.upstream, {})[suspicion.fingerprint] = at
         keep_latest(self._crashes, MAX_UPSTREAMS)
         if self._was_answered(suspicion.fingerprint, now):
             self._withdraw_request(suspicion.fingerprint, now)
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -127,6 +127,15 @@
 
 
 class TestRunningUpstreams(RecordsCase):
+    def test_an_answer_withdraws_no_crash_that_followed_it(self):
+        # Guards against a real crash that is forgotten with a wrongly reported one of
+        # the same upstream before it.
+        self.prove("g", "u1", now=0.0)
+        self.prove("f", "u1", now=2.0)
+        self.records.record_alive("u1", 1.0, 2.1)
+        self.assertEqual(self.records.count("f", 2.1), 1)
+        self.assertEqual(self.records.count("g", 2.1), 0)
+
     def test_an_upstream_that_answers_another_instance_has_not_crashed(self):
         # While a data centre is cut off, connections to and from it are reset and
         # refused, so that its instances suspect all upstreams elsewhere of a crash.
