Reset new connections that an instance can't serve in time

An event loop that hardly ever waits for events is at its limit. It then accepts new connections only as far as the work accepted before leaves time, by the mean time of a request, and resets the others unread, so that their callers try another instance. It stays ready; open connections come first. Log line and metric for what is rejected.

--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -24,6 +24,7 @@
     Scope,
     StaleKeys,
 )
+from .intake import Intake
 from .leaving_upstreams import LeavingUpstreams
 from .logs import log_event, log_request
 from .placer_selection import PlacementHooks
@@ -54,6 +55,8 @@
 # estimate, plus this many seconds. A faulty version may be several times slower.
 SLOW_FACTOR = 3.0
 SLOW_MARGIN = 0.1
+# Seconds between two log lines about rejected connections.
+LOG_INTERVAL = 1.0
 # Metric label of requests to open routes; no organisation can have this name.
 OPEN_LABEL = "(open)"
 
@@ -123,6 +126,14 @@
         handlers = WebHandlers(self._on_request, self._on_caller_left)
         options = WebOptions(accept_chunked_bodies=True, answer_half_closed=False)
         self.web = Web(self.limits, poller, handlers, "callers", options).register(self)
+        self.intake = Intake()
+        poller.on_wait = self.intake.record_wait
+        # Rejected connections that were logged, and when the next are.
+        self._logged_rejected, self._log_rejected_at = 0, 0.0
+
+    def listen(self, address):
+        """Accept callers and return the address that was bound."""
+        return self.web.listen(address, self.intake)
 
     def configure(self, document):
         """Apply a routing document if it is newer; return whether it was applied."""
@@ -521,12 +532,20 @@
     def _on_tick(self):
         """Retry requests that wait for credit; end those past their deadline."""
         now = read_boottime()
+        self._log_rejected(now)
         self.detours.end_broken(now)
         self.retry_waiting_requests(now)
         for relay in list(self.relays):
             if now >= relay.deadline:
                 self._expire(relay)
 
+    def _log_rejected(self, now):
+        count = self.intake.rejected - self._logged_rejected
+        if count and now >= self._log_rejected_at:
+            self._log_rejected_at = now + LOG_INTERVAL
+            self._logged_rejected += count
+            log_event("connections rejected", count=count)
+
     def _expire(self, relay):
         sent = relay.call is not None and relay.call.conn.sent
         if relay.call is not None:
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -148,7 +148,7 @@
 
     def _listen(self, poller):
         cfg = self.cfg
-        self._listen_ports = {"port": self.gateway.web.listen(cfg.listen).port}
+        self._listen_ports = {"port": self.gateway.listen(cfg.listen).port}
         handlers = WebHandlers(self._serve, lambda exchange: None)
         ready, metrics = cfg.ready_listen, cfg.metrics_listen
         for name, address in (("ready", ready), ("metrics", metrics)):
@@ -201,6 +201,7 @@
             "gateway_streams_known": len(gateway.resumptions.streams),
             "gateway_stream_datagrams_sent": datagrams,
             "gateway_stream_bytes_sent": size,
+            "gateway_connections_rejected": gateway.intake.rejected,
             "gateway_log_lines_dropped": count_dropped_lines(),
         }
         return "".join(f"chervilwing_{k} {v}\n" for k, v in gauges.items())
--- a/src/chervilwing/pollers.py
+++ b/src/chervilwing/pollers.py
@@ -1,6 +1,7 @@
 """An epoll poller that calls the owner of a ready socket instead of firing events."""
 
 import select
+import time
 
 from circuits.core.pollers import EPoll
 
@@ -18,6 +19,8 @@
     def __init__(self):
         super().__init__()
         self._owners = {}
+        # Called with the times at which each wait for events began and ended.
+        self.on_wait = lambda began, ended: None
 
     def watch(self, owner, sock, reading, writing):
         """Call ``owner`` when ``sock`` is ready; replace an earlier watch on it."""
@@ -35,6 +38,14 @@
         if self._owners.pop(fileno, None) is not None:
             self._poller.unregister(fileno)
 
+    def _generate_events(self, event):
+        timeout = event.time_left
+        began = time.monotonic()
+        ready = self._poller.poll(None if timeout < 0 else timeout)
+        self.on_wait(began, time.monotonic())
+        for fileno, mask in ready:
+            self._process(fileno, mask)
+
     def _process(self, fileno, event):
         found = self._owners.get(fileno)
         if found is None:
--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -8,6 +8,7 @@
 import errno
 import socket
 import struct
+import time
 from collections import deque
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -154,10 +155,15 @@
         self._conns: dict[socket.socket, Conn] = {}
         self._listener: socket.socket | None = None
         self._listener_paused = False
+        self._intake = None
         self._failed_dials: list[tuple[Conn, OSError]] = []
 
-    def listen(self, address):
-        """Accept connections and return the address that was bound."""
+    def listen(self, address, intake=None):
+        """Accept connections and return the address that was bound.
+
+        With an Intake, connections beyond its limit are reset before they are read.
+        """
+        self._intake = intake
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
@@ -399,12 +405,24 @@
                 if exc.errno not in WOULD_BLOCK:
                     self._pause_listener()
                 return
+            if self._intake is not None and self._reject_excess(sock):
+                continue
             configure_socket(sock)
             conn = Conn(sock, Address(*address), connecting=False)
             self._conns[sock] = conn
             self._watch(conn, reading=True, writing=False)
             self._callbacks.opened(conn)
 
+    def _reject_excess(self, sock):
+        """Reset a new connection if the intake doesn't accept it; return whether."""
+        began = time.monotonic()
+        if self._intake.accept(began):
+            return False
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        sock.close()
+        self._intake.record_rejecting(time.monotonic() - began)
+        return True
+
     def _pause_listener(self):
         """Accept no connection until the next tick.
 
--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -193,6 +193,7 @@
         "last_sent",
         "serving",
         "idle_limit",
+        "has_sent",
     )
 
     def __init__(self, reader, now, idle_limit):
@@ -202,6 +203,8 @@
         self.waiting_since = now
         self.last_sent = 0
         self.serving = False
+        # Whether a request was received on the connection.
+        self.has_sent = False
 
 
 class Web(BaseComponent):
@@ -216,14 +219,19 @@
         self._callbacks = handlers
         self.stopping = False
         self._callers = set()
+        self._intake = None
         streams = StreamHandlers(
             self._opened, self._received, self._closed, self._drained, self._half_closed
         )
         self._streams = Streams(poller, streams, f"{channel}-streams").register(self)
 
-    def listen(self, address):
-        """Accept callers and return the address that was bound."""
-        return self._streams.listen(address)
+    def listen(self, address, intake=None):
+        """Accept callers and return the address that was bound.
+
+        With an Intake, callers beyond its limit are rejected before they are read.
+        """
+        self._intake = intake
+        return self._streams.listen(address, intake)
 
     def stop_listening(self):
         """Close the listener and end keep-alive; requests in flight continue.
@@ -338,6 +346,9 @@
                 self._streams.send(conn, CONTINUE)
             return False
         caller.exchange = Exchange(req, self, conn)
+        if self._intake is not None:
+            self._intake.record_request(time.monotonic(), not caller.has_sent)
+        caller.has_sent = True
         self._callbacks.requested(caller.exchange)
         return True
 
--- a/tests/busy_instances.py
+++ b/tests/busy_instances.py
@@ -83,7 +83,7 @@
         self.results = []
 
     def send(self, seconds, rate, favourite=None, share=0.0):
-        """Send requests at a rate per second, a share of first tries to one instance."""
+        """Send requests at a rate per second, a share of them to one instance first."""
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             first = self._rng.choice(self._instances)
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -88,7 +88,7 @@
             make_settings(), self.loop.poller, self.client, dialect, keys_are_fresh
         ).register(self.loop.root)
         self.gateway.on_usage = lambda name, seconds_ago: self.usage.append(name)
-        self.port = self.gateway.web.listen(ANY).port
+        self.port = self.gateway.listen(ANY).port
         self.gateway.allowances.set_instance_count(1, read_boottime())
         if document is not None:
             self.gateway.configure(document)
