Probe a crashed upstream again whose idle connection ended late

Seen with processes: an upstream crashed, but an idle connection to it was seen to end a moment after the one that broke off.

A refused probe is tried once more after 0.1 s while other connections are open. The test counted 0 crashes before and counts 1 now.

--- a/src/chervilwing/crash_detection.py
+++ b/src/chervilwing/crash_detection.py
@@ -20,6 +20,10 @@
 
 # Seconds that a probe's connection may take to open; a longer time proves nothing.
 CONNECT_TIMEOUT = 0.6
+# Probes of an upstream that refuses while other connections to it are open, and
+# seconds between two of them.
+MAX_TRIES = 2
+RETRY_AFTER = 0.1
 # Seconds for which an attempt whose caller left is kept. It may still crash its
 # upstream, which is noticed when the registration lapses: three heartbeats later, plus
 # the time until that is known.
@@ -78,6 +82,7 @@
     upstream: str
     at: float
     in_flight: list[tuple[Suspect, ...]]
+    tries: int = 1
 
 
 def describe_parts(in_flight):
@@ -109,13 +114,15 @@
         # Restarts by upstream, of the upstreams that restarted last.
         self._restarts = OrderedDict()
         self._probes = {}
+        # Registrations and Probes to be tried again, by time.
+        self._due_probes = deque()
         handlers = StreamHandlers(self._opened, self._received, self._closed)
         self._streams = Streams(poller, handlers, "crash-probes").register(self)
 
     @property
     def is_probing(self):
         """Return whether any probe is still open."""
-        return bool(self._probes)
+        return bool(self._probes or self._due_probes)
 
     def handle_broken(self, relay, now):
         """Handle an attempt whose connection broke off before the answer's end."""
@@ -260,9 +267,12 @@
         suspicions = self._assumed[name] = self._list_suspicions(name, in_flight)
         for suspicion in suspicions:
             self._records.assume(suspicion, now)
+        self._dial(registration, Probe(name, now, in_flight))
+
+    def _dial(self, registration, probe):
         conn = self._streams.dial(registration.address)
         conn.state = registration
-        self._probes[conn] = Probe(name, now, in_flight)
+        self._probes[conn] = probe
 
     def _list_relays(self, name):
         """Return the relays whose requests were sent to an upstream and run there."""
@@ -303,12 +313,19 @@
         self._streams.drop(conn)
 
     def _closed(self, conn, exc):
-        probe, suspicions = self._pop_probe(conn)
+        probe = self._probes.get(conn)
         if probe is None:
             return
         refused = isinstance(exc, REFUSED)
         self._gateway.paths.record_failed(probe.upstream, read_boottime(), not refused)
         unconnected = not self._client.is_connected(conn.address)
+        if refused and not unconnected and probe.tries < MAX_TRIES:
+            # The ends of a crashed upstream's connections are seen one by one.
+            again = probe._replace(at=read_boottime() + RETRY_AFTER, tries=MAX_TRIES)
+            self._due_probes.append((conn.state, again))
+            del self._probes[conn]
+            return
+        probe, suspicions = self._pop_probe(conn)
         if refused and unconnected:
             result = partial(self._end_check, probe, suspicions)
             self._gateway.detours.check_path(conn.state, result)
@@ -368,6 +385,9 @@
     @handler("tick", channel="*")
     def _on_tick(self):
         now = read_boottime()
+        while self._due_probes and now >= self._due_probes[0][1].at:
+            self._dial(*self._due_probes[0])
+            self._due_probes.popleft()
         for conn, probe in list(self._probes.items()):
             if now - probe.at >= CONNECT_TIMEOUT:
                 self._streams.drop(conn)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -89,6 +89,14 @@
         conn.sendall(COMPLETE)
 
 
+def close_in_turn(upstream, conn):
+    """Close the listener and one connection, and the others a moment later."""
+    upstream.listener.shutdown(socket.SHUT_RDWR)
+    conn.shutdown(socket.SHUT_RDWR)
+    time.sleep(0.05)
+    upstream.close()
+
+
 def end_unframed(upstream, conn):
     """Send part of an answer without a length, and close the upstream."""
     conn.sendall(HEAD + b"\r\npart")
@@ -155,6 +163,20 @@
         upstream.close()
         beside.join()
 
+    def test_a_crash_is_detected_while_some_connections_are_still_open(self):
+        # Guards against a crash that counts only once its registration lapses, as one
+        # idle connection's end is seen a little later than that of the request's.
+        both = threading.Barrier(2)
+        self.start(lambda conn, *rest: (both.wait(), conn.sendall(COMPLETE)))
+        run, upstream = self.run_, self.run_.upstreams[0]
+        beside = threading.Thread(target=run.call, args=("POST", "/note/x", b"other"))
+        beside.start()
+        run.call("POST", "/note/x", b"answered")
+        beside.join()
+        upstream.script = lambda conn, *rest: close_in_turn(upstream, conn)
+        self.assertEqual(run.call("POST", "/note/x", b"n").status, 502)
+        self.assertEqual(self.count(b"n"), 1)
+
     def test_an_upstream_that_stays_registered_has_not_crashed(self):
         # All requests of its pool are barred, so no answer can show that it is running.
         run, _ = self.start_crashed()
