--- a/bench/crashing_parts.py
+++ b/bench/crashing_parts.py
@@ -36,9 +36,9 @@
     try:
         fleet.start_all(size, ENGINES, size)
         began = time.monotonic()
-        fleet.run(CALM_SECONDS)
+        fleet.run_for(CALM_SECONDS)
         bad_from = time.monotonic()
-        fleet.run(SECONDS, rate)
+        fleet.run_for(SECONDS, rate)
         fleet.wait()
         later = min(fleet.get_known_at() + KNOWN_AFTER, bad_from + SECONDS / 2)
         return (
