--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -36,9 +36,10 @@
             self._due = max(self._due, self.now - 1.0)
             while self._due <= self.now:
                 self._due += 1.0 / rate
-                self._arrive()
+                self.arrive()
 
-    def _arrive(self):
+    def arrive(self):
+        """Let a connection arrive now."""
         if self.intake.accept(self.now):
             self.accepted += 1
             self._queue.append(self.now)
@@ -51,6 +52,9 @@
         # Guards against callers that are turned away by an instance with time left.
         loop = Simulation()
         loop.run(10.0, 0.6 / REQUEST_TIME)
+        # Many come at once, which the time until the next of them would do for.
+        for _ in range(int(3 * MAX_BACKLOG / REQUEST_TIME)):
+            loop.arrive()
         self.assertEqual(loop.rejected, 0)
 
     def test_requests_above_the_limit_are_rejected_and_the_others_served_in_time(self):
--- a/tests/weakened_gateway.py
+++ b/tests/weakened_gateway.py
@@ -29,6 +29,7 @@
 PARTS = "tests.test_crashing_parts.TestOneInstance.test_"
 PART_ANSWERS = "tests.test_crashing_parts.TestAnswers.test_"
 CAUSES = "tests.test_crash_causes.TestCauses.test_"
+INTAKE = "tests.test_intake.TestIntake.test_"
 NO_CRASH = "tests.test_crashing_requests.TestNoCrash.test_"
 
 CHANGED = "self.as_of = max(self.as_of, sent_at)"
@@ -220,6 +221,29 @@
             CRASHING + "request_that_may_run_once_crashes_three_upstreams",
         ),
     ),
+    Weakness(
+        "connections are accepted whatever time is left",
+        (Edit("intake", "if self._is_busy and", "if False and"),),
+        (
+            INTAKE + "requests_above_the_limit_are_rejected_and_the_others_served_"
+            "in_time",
+        ),
+    ),
+    Weakness(
+        "connections are rejected below the limit",
+        (Edit("intake", "if self._is_busy and", "if"),),
+        (INTAKE + "nothing_is_rejected_below_the_limit",),
+    ),
+    Weakness(
+        "requests on open connections don't count",
+        (Edit("intake", "if not is_first:", "if False:"),),
+        (INTAKE + "requests_on_open_connections_count",),
+    ),
+    Weakness(
+        "a refused probe isn't tried again",
+        (Edit("crash_detection", "MAX_TRIES = 2", "MAX_TRIES = 1"),),
+        (NO_CRASH + "a_crash_is_detected_while_some_connections_are_still_open",),
+    ),
     Weakness(
         "parts of prompts are not suspected",
         (Edit("relays", "(content, *list_part_suspects(demand))", "(content,)"),),
