--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -126,7 +126,7 @@
         handlers = WebHandlers(self._on_request, self._on_caller_left)
         options = WebOptions(accept_chunked_bodies=True, answer_half_closed=False)
         self.web = Web(self.limits, poller, handlers, "callers", options).register(self)
-        self.intake = Intake()
+        self.intake = Intake(lambda: self.retries.instances > 1)
         poller.on_wait = self.intake.record_wait
         # Rejected connections that were logged, and when the next are.
         self._logged_rejected, self._log_rejected_at = 0, 0.0
--- a/src/chervilwing/intake.py
+++ b/src/chervilwing/intake.py
@@ -25,9 +25,11 @@
     An event loop that never waits for events is at its limit, whatever part of a
     processor it has. The work that is accepted is estimated by the number of requests
     and the mean time of one, since most of a request's work comes after its first byte.
+    ``has_peers`` returns whether callers can try another instance.
     """
 
-    def __init__(self):
+    def __init__(self, has_peers=lambda: True):
+        self._has_peers = has_peers
         self._window_began = None
         self._waited = self._rejecting = 0.0
         self._requests = 0
@@ -59,7 +61,8 @@
     def accept(self, now):
         """Return whether to accept a new connection."""
         self._drain(now)
-        if self._is_busy and self._backlog > MAX_BACKLOG:
+        full = self._is_busy and self._backlog > MAX_BACKLOG
+        if full and self._has_peers():
             self.rejected += 1
             return False
         self._add_work(now)
--- a/tests/busy_instances.py
+++ b/tests/busy_instances.py
@@ -44,10 +44,14 @@
 
 
 class BusyInstance:
-    """A gateway that takes processor time for each request that it reads."""
+    """A gateway that takes processor time for each request that it reads.
 
-    def __init__(self, request_time=REQUEST_TIME):
+    ``count`` is the number of instances that it knows of, itself included.
+    """
+
+    def __init__(self, request_time=REQUEST_TIME, count=2):
         self.run = GatewayThread(DIALECT, answer, document=make_document())
+        self.run.gateway.retries.set_instances(count)
         self.port = self.run.port
         # Ids of the tries that this instance has read.
         self.read = set()
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -99,6 +99,13 @@
         loop.run(2.0, 2.0 / REQUEST_TIME)
         self.assertGreater(loop.accepted, 0.5 * 2.0 / REQUEST_TIME)
 
+    def test_a_single_instance_rejects_nothing(self):
+        # Guards against callers that have no other instance to try.
+        loop = Simulation()
+        loop.intake = Intake(has_peers=lambda: False)
+        loop.run(5.0, 3.0 / REQUEST_TIME)
+        self.assertEqual(loop.rejected, 0)
+
     def test_requests_on_open_connections_count(self):
         # Guards against new connections that displace what was accepted before.
         intake = Intake()
--- a/tests/weakened_gateway.py
+++ b/tests/weakened_gateway.py
@@ -223,7 +223,7 @@
     ),
     Weakness(
         "connections are accepted whatever time is left",
-        (Edit("intake", "if self._is_busy and", "if False and"),),
+        (Edit("intake", "if full and", "if False and"),),
         (
             INTAKE + "requests_above_the_limit_are_rejected_and_the_others_served_"
             "in_time",
@@ -231,7 +231,7 @@
     ),
     Weakness(
         "connections are rejected below the limit",
-        (Edit("intake", "if self._is_busy and", "if"),),
+        (Edit("intake", "self._is_busy and self._backlog", "self._backlog"),),
         (INTAKE + "nothing_is_rejected_below_the_limit",),
     ),
     Weakness(
