--- a/src/chervilwing/intake.py
+++ b/src/chervilwing/intake.py
@@ -1,9 +1,8 @@
 """Limit on new connections by the processor time that an instance has left.
 
 While most new connections reach one instance, it can't serve all of their requests in
-time. A queue would only make them older. A connection that is closed before anything
-was read may be tried at another instance, whatever its request (RFC 9110, section
-9.2.2, for connections that a server closes without reading).
+time. A queue would only make them older. A request that no instance has read may be
+sent again, whatever its kind: it was never applied (RFC 9110, section 9.2.2).
 """
 
 # Seconds over which the use of the processor is measured.
