Tell withdrawals with the time of the answer, so that exemptions end

Found in a review: a withdrawal was told as an answer of the moment, and its receivers exempt what was answered of late. So instances renewed a part's exemption for each other, and one that was answered once and then crashed upstreams was never barred. The test failed before and passes now.

--- a/src/chervilwing/crash_records.py
+++ b/src/chervilwing/crash_records.py
@@ -269,13 +269,13 @@
 
     def _apply_answer(self, fingerprint, at, now):
         """Apply a report that a request was answered at a time."""
-        if now - at < EXEMPT_FOR:
-            self._withdraw_request(fingerprint, now)
         if at > self._answered.get(fingerprint, -inf):
             self._answered[fingerprint] = at
             keep_latest(self._answered, MAX_ANSWERED)
             if now - at >= EXEMPT_FOR:
                 self._queue_report(Suspicion(fingerprint, ANY), at, now)
+        if now - at < EXEMPT_FOR:
+            self._withdraw_request(fingerprint, now)
 
     def _queue_report(self, suspicion, at, now):
         self._reports[suspicion] = (at, now + REPORT_FOR)
@@ -378,4 +378,6 @@
         self.stored.schedule_rewrite(fingerprint, now)
         # Kept, so that further reports of these crashes have no effect.
         suspect.crashes = dict.fromkeys(suspect.crashes, SuspicionState.WITHDRAWN)
-        self._queue_report(Suspicion(fingerprint, ANY), now, now)
+        # With the time of the answer: as a new one, it would be exempt once more.
+        answered_at = self._answered.get(fingerprint, now)
+        self._queue_report(Suspicion(fingerprint, ANY), answered_at, now)
--- a/tests/test_crash_causes.py
+++ b/tests/test_crash_causes.py
@@ -9,7 +9,14 @@
     list_part_suspects,
     select_causes,
 )
-from chervilwing.crash_records import ANY, CRASH_LIMIT, CrashRecords, CrashReport
+from chervilwing.crash_records import (
+    ANY,
+    CRASH_LIMIT,
+    EXEMPT_FOR,
+    CrashRecords,
+    CrashReport,
+    Suspicion,
+)
 from chervilwing.demands import Demand, PromptPart
 
 
@@ -87,3 +94,20 @@
             records.apply_reports(report, 100.0)
         self.assertFalse(records.is_barred(sound, 100.0))
         self.assertTrue(records.is_barred(bad, 100.0))
+
+    def test_instances_do_not_prolong_an_exemption_for_each_other(self):
+        # Guards against a part that is never barred after one answer, as each instance
+        # takes the withdrawal of another one for a new answer.
+        records, other = CrashRecords("one"), CrashRecords("two")
+        part, now = "a" * 16, 0.0
+        records.clear(part, now)
+        for number in range(CRASH_LIMIT + 2):
+            now += EXEMPT_FOR * 0.9
+            other.prove(Suspicion(part, f"u{number}"), now)
+            for _ in range(2):
+                for report in other.list_reports(now):
+                    records.apply_reports(report, now)
+                for report in records.list_reports(now):
+                    other.apply_reports(report, now)
+        self.assertTrue(records.is_barred(part, now))
+        self.assertTrue(other.is_barred(part, now))
