--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -21,6 +21,7 @@
     """Return a module's name as in EDGE; a package precedes it with a slash."""
     return str(path.relative_to(SOURCE).with_suffix(""))
 
+
 # The modules that use sockets, files, command-line arguments or timers.
 EDGE = {
     "attempts",
