Bound the renewals of all instances' leases together

Each instance renewed a lease of 3 s every 0.9 s, which is 121 calls a second on the platform at 109 instances and 356 at 320. Only a claim to the duties needs so short a lease.

--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -24,6 +24,7 @@
 from .rollouts import DECISIONS, decode_decision
 from .store_calls import Committed, HistoryGone, Page
 from .store_epochs import get_epoch, get_number
+from .store_leases import choose_terms, is_claimant
 from .stored_crashes import CRASHES, decode_crash
 from .stream_versions import VERSIONS, decode_origin
 
@@ -233,12 +234,19 @@
         if mirror is self._instances and mirror.complete:
             self._observe_duty(mirror, now)
             if changed:
-                self._share_allowances(now)
-
-    def _share_allowances(self, now):
-        """Share the limits among all instances, recently lost ones included."""
-        count = max(self._instance_count.count, len(self.list_recent_instances()))
-        self._gateway.allowances.set_instance_count(count, now)
+                # Recently lost instances count too.
+                recent = len(self.list_recent_instances())
+                count = max(self._instance_count.count, recent)
+                self._gateway.allowances.set_instance_count(count, now)
+                self._choose_lease_terms(count)
+
+    def _choose_lease_terms(self, count):
+        """Choose the duration of this instance's lease among ``count`` instances."""
+        centre = self.cfg.data_centre
+        near = [name for name, peer in self.peers.items() if peer.data_centre == centre]
+        name = self.cfg.name
+        claimant = is_claimant(name, [name, *near], self.list_links())
+        self.duty_lease.wanted_terms = choose_terms(self.cfg.lease, count, claimant)
 
     def _store_count(self, now):
         call = self._instance_count.next_call(len(self.list_recent_instances()), now)
@@ -252,9 +260,12 @@
 
     def _receive_duty_reply(self, reply):
         now = read_boottime()
-        fence_before = self.duty_lease.fence(now)
+        fence_before, terms_before = self.duty_lease.fence(now), self.duty_lease.terms
         self.duty_lease.receive(reply, now)
         self._log_duty(fence_before, now)
+        terms = self.duty_lease.terms
+        if terms != terms_before:
+            log_event("lease replaced", seconds=terms.ttl, was=terms_before.ttl)
 
     def _log_duty(self, fence_before, now):
         fence = self.duty_lease.fence(now)
--- a/src/chervilwing/duty_leases.py
+++ b/src/chervilwing/duty_leases.py
@@ -22,10 +22,10 @@
     Unavailable,
 )
 from .store_epochs import get_epoch
+from .store_leases.durations import RENEW_FRACTION, LeaseTerms, is_kept
 
-# Fractions of the lease after which it is renewed, and after which its holder no longer
-# relies on it: the rest covers a call in transit and the drift of two clocks.
-RENEW_FRACTION = 0.3
+# Fraction of the lease after which its holder no longer relies on it: the rest covers a
+# call in transit and the drift of two clocks.
 TRUST_FRACTION = 0.7
 # Mean seconds between two tries after a failure, randomised so that instances don't
 # retry together.
@@ -47,6 +47,10 @@
     instances see it at once; if each claimed the duty, all writes but one would be in
     vain.
 
+    ``wanted_terms`` are the LeaseTerms to change to. Under a longer lease than that of
+    the duties, the instance claims nothing. A lease can't be extended, so that the
+    instance takes another one and writes its record under it; the previous one lapses.
+
     The clock must include suspended time: otherwise a resumed holder would act under a
     lease that lapsed during the suspension.
     """
@@ -61,6 +65,10 @@
         self.claim_delay = 0.0
         self._name = name
         self._ttl = ttl
+        self.wanted_terms = LeaseTerms(ttl, ttl * RENEW_FRACTION)
+        # Terms of the present lease, and those of a lease that is being taken.
+        self.terms = self.wanted_terms
+        self._taken_terms = self.wanted_terms
         self._rng = rng
         self._call = None
         self._trusted_until = float("-inf")
@@ -154,8 +162,9 @@
         return call
 
     def _choose_call(self, now):
-        if self.lease is None:
-            return TakeLease(self._ttl)
+        if self.lease is None or self._must_replace(now):
+            self._taken_terms = self.wanted_terms
+            return TakeLease(self._taken_terms.ttl)
         if now >= self._renew_at:
             return KeepLease(self.lease)
         if not self._lease_confirmed:
@@ -169,8 +178,18 @@
             return Commit(expect=((self.key, 0),), puts=(put,))
         return None
 
+    def _must_replace(self, now):
+        """Return whether to take a lease with other terms.
+
+        The key of a duty that is held is under the present lease. A longer lease can
+        wait until the present one is due for renewal.
+        """
+        if self._fence or is_kept(self.terms, self.wanted_terms):
+            return False
+        return now >= self._renew_at or self.wanted_terms.ttl < self.terms.ttl
+
     def _may_claim(self, now):
-        if not self._vacant or self._fence:
+        if not self._vacant or self._fence or self.terms.ttl > self._ttl:
             self._vacant_since = None
             return False
         if self._vacant_since is None:
@@ -185,11 +204,15 @@
         RECEIVERS[type(reply)](self, reply, sent_at, now)
 
     def _receive_leased(self, reply, sent_at, now):
+        if isinstance(self._call, TakeLease):
+            self.terms = self._taken_terms
+            self._record_written = False
         self.lease = reply.lease
         # The lease counts from the call's arrival at the store. Counting from its
         # sending, which is earlier, is safe.
         self._trusted_until = sent_at + reply.ttl * TRUST_FRACTION
-        self._renew_at = sent_at + reply.ttl * RENEW_FRACTION
+        renew_fraction = self.terms.renew_after / self.terms.ttl
+        self._renew_at = sent_at + reply.ttl * renew_fraction
 
     def _receive_lease_gone(self, reply, sent_at, now):
         self._end_lease()
--- a/tests/test_duty_leases.py
+++ b/tests/test_duty_leases.py
@@ -16,6 +16,8 @@
     Unavailable,
 )
 from chervilwing.store_epochs import make_revision
+from chervilwing.store_leases import choose_terms, is_claimant
+from chervilwing.store_leases.durations import MAX_SHORT_RENEWALS
 
 TTL = 3.0
 
@@ -127,6 +129,57 @@
         self.assertEqual(self.duty.fence(0.5 + TTL), 15)
 
 
+class TestLeaseTerms(DutyCase):
+    """Leases whose duration depends on the number of instances."""
+
+    def test_all_renewals_of_any_number_of_instances_stay_bounded(self):
+        # Guards against leases of hundreds of instances that use up the store's rate.
+        for instances in (1, 8, 19, 70, 109, 320, 1000):
+            claimants = min(instances, 3)
+            rate = sum(
+                count / choose_terms(TTL, instances, claimant).renew_after
+                for claimant, count in ((True, claimants), (False, instances - 3))
+            )
+            with self.subTest(instances=instances):
+                self.assertLess(rate, MAX_SHORT_RENEWALS)
+
+    def test_one_instance_of_each_data_centre_may_claim(self):
+        names = [f"n{number}" for number in range(40)]
+        claimants = [name for name in names if is_claimant(name, names)]
+        self.assertEqual(len(claimants), 1)
+
+    def test_the_registration_moves_to_another_lease_before_the_first_lapses(self):
+        # Guards against an instance that disappears while it changes its lease.
+        self.answer(Leased(7, TTL), 0.0)
+        self.answer(Committed(5), 0.0)
+        self.duty.wanted_terms = long = choose_terms(TTL, 300, claimant=False)
+        self.assertIsNone(self.duty.next_call(0.1))
+        self.assertEqual(self.answer(Leased(8, long.ttl), 1.0), TakeLease(long.ttl))
+        write = self.answer(Committed(6), 1.1)
+        self.assertEqual(write.puts, (("instances/one", b"10.0.0.1:1", 8),))
+        self.assertIsNone(self.duty.next_call(long.renew_after))
+        self.assertEqual(self.duty.next_call(1.0 + long.renew_after), KeepLease(8))
+
+    def test_nothing_is_claimed_under_a_long_lease(self):
+        # Guards against a holder that dies and leaves the duty to nobody for a minute.
+        self.duty.wanted_terms = long = choose_terms(TTL, 300, claimant=False)
+        self.answer(Leased(7, long.ttl), 0.0)
+        self.answer(Committed(5), 0.0)
+        self.duty.observe(None, 5)
+        self.assertIsNone(self.duty.next_call(0.1))
+        self.duty.wanted_terms = choose_terms(TTL, 300, claimant=True)
+        self.assertEqual(self.answer(Leased(8, TTL), 0.2), TakeLease(TTL))
+        self.answer(Committed(6), 0.3)
+        claim = self.answer(Committed(7), 0.4)
+        self.assertEqual(claim.puts, (("duty", b"one/8", 8),))
+
+    def test_a_holder_keeps_the_lease_of_its_duty(self):
+        self.hold()
+        self.duty.wanted_terms = choose_terms(TTL, 300, claimant=False)
+        self.assertEqual(self.answer(Leased(7, TTL), 1.0), KeepLease(7))
+        self.assertEqual(self.duty.fence(1.1), 9)
+
+
 class TestNewEpoch(DutyCase):
     """The store returned from a copy of itself."""
 
--- a/tests/test_duty_leases_randomised.py
+++ b/tests/test_duty_leases_randomised.py
@@ -22,6 +22,7 @@
     TakeLease,
     Unavailable,
 )
+from chervilwing.store_leases import choose_terms
 
 TTL = 3.0
 KEY = "duty"
@@ -44,6 +45,7 @@
         self.item = None
         self.lease_of_item = None
         self.leases = {}
+        self.durations = {}
         self.lease_ids = itertools.count(1)
 
     def expire(self, now):
@@ -60,12 +62,14 @@
         if isinstance(call, TakeLease):
             lease = next(self.lease_ids)
             self.leases[lease] = now + call.ttl
+            self.durations[lease] = call.ttl
             return Leased(lease, call.ttl)
         if isinstance(call, KeepLease):
             if call.lease not in self.leases:
                 return LeaseGone()
-            self.leases[call.lease] = now + TTL
-            return Leased(call.lease, TTL)
+            ttl = self.durations[call.lease]
+            self.leases[call.lease] = now + ttl
+            return Leased(call.lease, ttl)
         return self.commit(call)
 
     def commit(self, call):
@@ -169,6 +173,21 @@
         return self.acts
 
 
+class WorldOfLongLeases(World):
+    """Instances of which two may claim the duty, others than before every few seconds.
+
+    The rest have long leases for their registrations only.
+    """
+
+    def step(self, now):
+        """Choose the instances that may claim, then let every instance act."""
+        first = int(now / 7.0) % len(self.duties)
+        for number, duty in enumerate(self.duties):
+            claimant = (number - first) % len(self.duties) < 2
+            duty.wanted_terms = choose_terms(TTL, 100, claimant)
+        super().step(now)
+
+
 class TestRandomisedRuns(unittest.TestCase):
     """Runs of one kind of world; after the faults the duty is held from a time on."""
 
@@ -205,3 +224,9 @@
                 seconds = {int(now) for now, _, _ in acts}
                 missing = sorted(set(range(self.held_from, int(RUN_SECONDS))) - seconds)
                 self.assertEqual(missing[:1], [])
+
+
+class TestLongLeases(TestRandomisedRuns):
+    """Guards against a duty that is held or lost by an exchange of leases."""
+
+    world = WorldOfLongLeases
