Repeat rejected renewals of long leases slowly

An instance that the store rejects repeated its renewal every half second, and rejected calls count against the store's rate too. A long lease leaves seconds to repeat: a tenth of the lease lies between two tries now.

tests.test_duty_leases passes, with the new test.

--- a/src/chervilwing/duty_leases.py
+++ b/src/chervilwing/duty_leases.py
@@ -30,6 +30,9 @@
 # Mean seconds between two tries after a failure, randomised so that instances don't
 # retry together.
 RETRY_INTERVAL = 0.5
+# Fraction of a long lease between two tries. When the store rejects a third of hundreds
+# of instances for seconds, each rejected call still counts against its rate.
+LONG_RETRY_FRACTION = 0.1
 
 
 class Record(NamedTuple):
@@ -236,7 +239,10 @@
         self._receive_failure(reply, sent_at, now)
 
     def _receive_failure(self, reply, sent_at, now):
-        self._next_call_at = now + RETRY_INTERVAL * self._rng.uniform(0.5, 1.5)
+        interval = RETRY_INTERVAL
+        if self.terms.ttl > self._ttl:
+            interval = max(interval, self.terms.ttl * LONG_RETRY_FRACTION)
+        self._next_call_at = now + interval * self._rng.uniform(0.5, 1.5)
 
 
 RECEIVERS = {
--- a/tests/test_duty_leases.py
+++ b/tests/test_duty_leases.py
@@ -173,6 +173,20 @@
         claim = self.answer(Committed(7), 0.4)
         self.assertEqual(claim.puts, (("duty", b"one/8", 8),))
 
+    def test_a_rejected_renewal_of_a_long_lease_is_repeated_slowly(self):
+        # Guards against instances that the store rejects and that call it ever again.
+        self.duty.wanted_terms = long = choose_terms(TTL, 300, claimant=False)
+        self.answer(Leased(7, long.ttl), 0.0)
+        self.answer(Committed(5), 0.0)
+        self.answer(Unavailable(), long.renew_after)
+        tries, now = 0, long.renew_after
+        while now < long.ttl:
+            now += 0.1
+            if self.duty.next_call(now) is not None:
+                self.duty.receive(Unavailable(), now)
+                tries += 1
+        self.assertIn(tries, range(1, 7))
+
     def test_a_holder_keeps_the_lease_of_its_duty(self):
         self.hold()
         self.duty.wanted_terms = choose_terms(TTL, 300, claimant=False)
