Read the load that upstreams state and learn the pace of each

Answers of the platform's upstreams have X-Server-Load, those of the project's own dialect chervilwing-load: running, waiting, slots and, in some, the current duration of work in per cent. AnswerStatus.load holds it if it is plausible.

The new package upstream_pace keeps, without I/O, what an upstream stated, weighted by age, and the pace learned from its answers relative to a usual upstream of its pool.

--- a/src/chervilwing/dialects.py
+++ b/src/chervilwing/dialects.py
@@ -14,6 +14,7 @@
 
 from .demands import Demand
 from .models import Address
+from .upstream_pace import StatedLoad, read_stated_load
 
 # RFC 9110, section 7.6.1: fields that concern one connection only.
 HOP_BY_HOP = frozenset(
@@ -51,6 +52,8 @@
     together, before it falls over; infinity and None mean the same.
     ``leaving`` means that the upstream is about to end. ``retry_after`` is the time in
     seconds for which it wants no requests from this instance, None if it states none.
+    ``load`` is the load that the upstream states, None if it states none that is
+    plausible.
     """
 
     not_run: bool = False
@@ -59,6 +62,7 @@
     refusals: float | None = None
     leaving: bool = False
     retry_after: float | None = None
+    load: StatedLoad | None = None
 
 
 class AttemptContext(NamedTuple):
@@ -174,6 +178,7 @@
         refusals=read_limit(headers.get("chervilwing-refusal-limit", "inf")),
         leaving=read_flag(headers.get("chervilwing-leaving", "")),
         retry_after=read_retry_after(status, headers),
+        load=read_stated_load(headers.get("chervilwing-load", "")),
     )
 
 
--- a/src/chervilwing/platform/headers.py
+++ b/src/chervilwing/platform/headers.py
@@ -12,6 +12,7 @@
     read_retry_after,
     select_end_to_end,
 )
+from ..upstream_pace import read_stated_load
 
 REQUEST_ID = "x-request-id"
 DEADLINE = "x-deadline-ms"
@@ -35,6 +36,8 @@
 BRITTLE = "server-brittle"
 # Set to 1 in all answers of an upstream that is about to end.
 LEAVING = "server-leaving"
+# Running and waiting calls, slots and, from some upstreams, the pace in per cent.
+LOAD = "x-server-load"
 MISDIRECTED = 421
 LEAST_URGENT = 9
 # Fields that only the gateway may send to an upstream; a caller's are dropped.
@@ -127,6 +130,7 @@
         refusals=read_stated_limit(headers, BRITTLE),
         leaving=read_flag(headers.get(LEAVING, "")),
         retry_after=read_retry_after(status, headers),
+        load=read_stated_load(headers.get(LOAD, "")),
     )
 
 
--- /dev/null
+++ b/src/chervilwing/upstream_pace/__init__.py
@@ -0,0 +1,16 @@
+"""Pace of each upstream of a pool, as stated in its answers and as measured."""
+
+from .pool_paces import PoolPaces
+from .reports import StatedReports, read_reports
+from .stated_loads import StatedLoad, is_plausible, read_stated_load
+from .upstream_paces import UpstreamPace
+
+__all__ = [
+    "PoolPaces",
+    "StatedLoad",
+    "StatedReports",
+    "UpstreamPace",
+    "is_plausible",
+    "read_reports",
+    "read_stated_load",
+]
