Place by the pace of each upstream where upstreams state it

A pool had one rate for all upstreams, so that urgent work was sent to slow ones. PoolBalancer.estimate now multiplies by the pace, stated or learned, whichever is worse, and a pool's rate is learned from samples corrected by it. Plain upstreams' rounds count stated calls that aren't known here. The asking instance reports stated loads to the placer in a third list of PROGRESS, in a datagram of its own, since an earlier release ignores one with three lists.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -175,6 +175,7 @@
         relay.answer = (status, headers)
         answer_status = self._dialect.read_answer_head(status, headers)
         self._record_limit(relay, answer_status)
+        self._record_load(relay, answer_status)
         self._record_notice(relay, answer_status)
         if answer_status.not_run:
             self._retry_not_run(relay, answer_status)
@@ -210,6 +211,15 @@
             name, answer_status.refusals, relay.sent_at, now
         )
 
+    def _record_load(self, relay, answer_status):
+        """Record the load that an answer states for its upstream."""
+        if answer_status.load is not None:
+            now = read_boottime()
+            relay.pool.record_stated_load(
+                relay.upstream_state, answer_status.load, now, now
+            )
+            self._gateway.placing.report_stated(relay, answer_status.load)
+
     def _record_notice(self, relay, answer_status):
         """Record that an answer states that its upstream leaves or wants a pause."""
         if not answer_status.leaving and answer_status.retry_after is None:
--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -13,6 +13,7 @@
 from .hashing import Ring
 from .prompt_caches import PromptCaches
 from .service_times import ServiceTime
+from .upstream_pace import PoolPaces
 from .upstream_states import NO_LOAD, READ_REPORT_TIMEOUT, SentRequest, UpstreamState
 
 # Prompt tokens per second that an engine reads while it also generates; the value used
@@ -72,7 +73,7 @@
     upstream from which it fetches cached tokens, or None. ``lightly_loaded`` is true if
     the upstream has little other work. ``placer`` is as in SentRequest. ``charged`` is
     true if the process that chose the upstream has already charged the request to the
-    upstream's limit.
+    upstream's limit. ``pace`` is the upstream's pace, which ``seconds`` includes.
     """
 
     seconds: float
@@ -82,6 +83,7 @@
     lightly_loaded: bool = False
     placer: str = ""
     charged: bool = False
+    pace: float = 1.0
 
 
 class CachedPrefixes(NamedTuple):
@@ -118,6 +120,7 @@
     def __init__(self, spec, data_centre, rng):
         self.spec = spec
         self.upstream_states = {}
+        self.paces = PoolPaces(self.upstream_states)
         self.caches = PromptCaches()
         self.rate = INITIAL_PREFILL_RATE
         # The prefill rate of lightly loaded engines.
@@ -242,21 +245,26 @@
         ``prefixes`` holds the prompt tokens that each upstream probably has cached.
         """
         load = upstream_state.count(now, placing)
+        pace = self.paces.compute_pace(upstream_state, now)
         if self.spec.engine is None:
             slots = max(1, upstream_state.registration.slots)
-            rounds = (load.requests + 1) / slots
-            seconds = self.service_time.estimate(now) * max(1.0, rounds)
-            return Estimate(seconds, 0)
+            unknown = self.paces.count_unknown_calls(upstream_state, now)
+            rounds = (load.requests + unknown + 1) / slots
+            seconds = self.service_time.estimate(now) * max(1.0, rounds) * pace
+            return Estimate(seconds, 0, pace=pace)
         cached, fetched, source = self._plan_fetch(upstream_state, prefixes)
         prefill = max(0, demand.prompt_tokens - cached - fetched)
         seconds = (load.prefill + prefill) / self.rate
         seconds += FIRST_TOKEN_TIME + FIRST_TOKEN_TIME_PER_REQUEST * load.requests
+        seconds *= pace
         if source is not None:
             seconds += self._estimate_fetch_time(fetched)
         if self._is_full(load, demand):
             seconds += self._estimate_slot_wait(load)
         lightly_loaded = not load.prefill and load.requests < LIGHT_LOAD_REQUESTS
-        return Estimate(seconds, prefill, source, load.prefill, lightly_loaded)
+        return Estimate(
+            seconds, prefill, source, load.prefill, lightly_loaded, pace=pace
+        )
 
     def is_overloaded(self, estimate, shortest_target):
         """Return whether the queue is too long to meet the shortest latency target.
@@ -272,7 +280,7 @@
         if self.spec.engine is None or not estimate.placer:
             return False
         limit = max(MIN_QUEUE_LIMIT, shortest_target * MAX_QUEUE_FRACTION)
-        return estimate.queued_tokens / self.rate > limit
+        return estimate.queued_tokens / self.rate * estimate.pace > limit
 
     def _plan_fetch(self, upstream_state, prefixes):
         """Return the tokens that an upstream has cached, may fetch, and the source."""
@@ -376,15 +384,19 @@
 
     def record_first_byte(self, upstream_state, demand, now):
         """Record an answer's first byte; return whether it is the first such call."""
-        return self._update_speed(
-            upstream_state.own_requests.start(demand.request_id), now
-        )
+        sent = upstream_state.own_requests.start(demand.request_id)
+        return self._update_speed(upstream_state, sent, now)
 
     def record_placed_first_byte(self, upstream_state, key, now):
         """Record the first byte of an answer to another instance's request."""
-        return self._update_speed(upstream_state.placed_requests.start(key), now)
+        sent = upstream_state.placed_requests.start(key)
+        return self._update_speed(upstream_state, sent, now)
 
-    def _update_speed(self, sent, now):
+    def record_stated_load(self, upstream_state, load, at, now):
+        """Record the StatedLoad that an upstream stated at the time ``at``."""
+        self.paces.record_stated(upstream_state, load, at, now)
+
+    def _update_speed(self, upstream_state, sent, now):
         """Update the measured speed from a request whose prompt was just read.
 
         Return False, and change nothing, if ``sent`` is None.
@@ -394,12 +406,13 @@
         elapsed = now - sent.at
         tokens = sent.prefill + sent.queued_tokens
         if self.spec.engine is None:
-            self.service_time.record(elapsed, now)
+            ratio = elapsed / self.service_time.estimate(now)
+            pace = self.paces.record_sample(upstream_state, ratio, now)
+            self.service_time.record(elapsed / pace, now)
         elif tokens >= MIN_MEASURED_TOKENS and elapsed > FIRST_TOKEN_TIME:
-            rate = min(
-                MAX_PREFILL_RATE,
-                max(MIN_PREFILL_RATE, tokens / (elapsed - FIRST_TOKEN_TIME)),
-            )
+            measured = tokens / (elapsed - FIRST_TOKEN_TIME)
+            pace = self.paces.record_sample(upstream_state, self.rate / measured, now)
+            rate = min(MAX_PREFILL_RATE, max(MIN_PREFILL_RATE, measured * pace))
             self.rate = update_average(self.rate, rate)
             if sent.lightly_loaded:
                 self.light_load_rate = update_average(self.light_load_rate, rate)
--- a/src/chervilwing/placement_exchange.py
+++ b/src/chervilwing/placement_exchange.py
@@ -1,7 +1,8 @@
 """Exchange of placement requests between instances, one datagram per message.
 
 An instance asks the placer for the upstream of a request (ASK), receives its choice
-(ANSWER) and reports when placed requests begin and end (PROGRESS).
+(ANSWER) and reports when placed requests begin and end, and what their upstreams stated
+about their load (PROGRESS).
 """
 
 from typing import NamedTuple
@@ -25,6 +26,7 @@
     read_demand,
 )
 from .relays import Relay
+from .upstream_pace import StatedReports, read_reports
 from .upstream_states import UpstreamState
 from .usage import name_process
 
@@ -76,6 +78,7 @@
         # Requests that began and ended since the last report, by placer: two lists of
         # pairs, (number, time of the first byte) and (number, failed).
         self._progress = {}
+        self._stated = StatedReports()
         self._placed = {}
         self._next_expire = 0.0
         gateway.placing = PlacementHooks(
@@ -83,6 +86,7 @@
             self._get_origin,
             self._queue_started,
             self._queue_placed_ended,
+            self._queue_stated,
         )
         datagrams.subscribe(ASK, self._receive_ask)
         datagrams.subscribe(ANSWER, self._receive_answer)
@@ -96,6 +100,7 @@
         for number, item in list(self._pending.items()):
             if now - item.sent_at >= ANSWER_TIMEOUT:
                 self._handle_timeout(number, item, now)
+        self._send_stated(now)
         self._send_progress()
         if now >= self._next_expire:
             self._next_expire = now + EXPIRE_INTERVAL
@@ -230,6 +235,7 @@
             answer.lightly_loaded,
             answer.placer,
             answer.charged,
+            relay.pool.paces.compute_pace(upstream_state, now),
         )
 
     def _queue_ended(self, placement_id, failed=None):
@@ -247,6 +253,26 @@
             self._queue_ended(relay.placement_id, failed)
             relay.placement_id = None
 
+    def _queue_stated(self, relay, load):
+        """Queue what a placed request's upstream stated, if that includes its pace."""
+        if relay.placement_id is None or load.pace is None:
+            return
+        name = relay.upstream_state.registration.name
+        now = read_boottime()
+        if self._stated.add(relay.placement_id.name, name, load, now):
+            self._send_stated(now)
+
+    def _send_stated(self, now):
+        """Send the stated loads, apart from other progress.
+
+        An earlier release ignores a datagram with three lists; the requests in the
+        other two would count as unread and in flight there.
+        """
+        for name, stated in self._stated.take(now).items():
+            peer = self._coordinator.peers.get(name)
+            if peer is not None:
+                self._datagrams.send(PROGRESS, ([], [], stated), peer.address)
+
     def _send_progress(self):
         progress, self._progress = self._progress, {}
         now = read_boottime()
@@ -258,9 +284,14 @@
             ages = [(number, now - at) for number, at in started]
             self._datagrams.send(PROGRESS, (ages, ended), peer.address)
 
-    def _receive_progress(self, address, started, ended):
-        """Record which placed requests of another instance began and ended."""
+    def _receive_progress(self, address, started, ended, stated=()):
+        """Record which placed requests of another instance began and ended.
+
+        ``stated`` is what upstreams stated; an earlier release doesn't send it.
+        """
         now = read_boottime()
+        for report in read_reports(stated):
+            self._record_stated(report, now)
         for number, age in started:
             key = (address, number)
             placed = self._placed.get(key)
@@ -274,6 +305,14 @@
             if placed is not None:
                 placed.pool.record_placed_end(placed.upstream_state, key, failed, now)
 
+    def _record_stated(self, report, now):
+        """Record what an upstream stated in its answer to another instance."""
+        for pool in self._gateway.pools.values():
+            upstream_state = pool.upstream_states.get(report.upstream)
+            if upstream_state is not None:
+                at = now - report.age
+                pool.record_stated_load(upstream_state, report.load, at, now)
+
     def _expire(self, now):
         for pool in self._gateway.pools.values():
             pool.expire_placed(now)
--- a/src/chervilwing/upstream_states.py
+++ b/src/chervilwing/upstream_states.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from .costs import update_average
+from .upstream_pace import UpstreamPace
 
 # Half-life of the failure rate in seconds. Without decay, an upstream that once failed
 # would never be used again. An upstream that passes health checks but fails part of its
@@ -127,11 +128,12 @@
 
     ``own_requests`` holds the requests that this instance has in flight at the
     upstream, ``placed_requests`` those of other instances for which this instance chose
-    the upstream.
+    the upstream. ``pace`` is used only while the pool's upstreams state their pace.
     """
 
     def __init__(self, registration):
         self.registration = registration
+        self.pace = UpstreamPace()
         self.own_requests = InFlightRequests()
         self.placed_requests = InFlightRequests()
         # Load of all other instances at this upstream, the part of it that this
