Send calls elsewhere that wait for a slow upstream, and show the paces

An idempotent call stayed at a plain upstream that had become slow or silent until its deadline. After three times its estimate it is now cancelled and attempted at another upstream, if that one is expected to answer within half of the time passed and the route's attempts and the retry budget allow it. The time waited counts as a sample of the upstream's pace. Only pools with stated paces are affected.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -19,7 +19,8 @@
 )
 from .logs import log_event
 from .registrations import get_process
-from .routing import STREAM
+from .routing import IDEMPOTENT, STREAM
+from .upstream_pace import is_better_elsewhere
 
 HTTP_OK = 200
 MIN_SERVER_ERROR = 500
@@ -427,6 +428,42 @@
             relay.events.restart()
         self._place_again(relay)
 
+    def leave_slow(self, relay, now):
+        """Send an idempotent request elsewhere if its plain upstream is too slow.
+
+        It must not have been answered in part.
+        """
+        call, pool = relay.call, relay.pool
+        if call is None or call.conn.connecting or relay.answer is not None:
+            return
+        if relay.route.kind != IDEMPOTENT or pool.spec.engine is not None:
+            return
+        state, seconds = relay.upstream_state, relay.estimate.seconds
+        if not pool.paces.is_overdue(state, relay.sent_at, seconds, now):
+            return
+        choice = self._gateway.choose_upstream(relay, now)
+        if choice is None or not self._may_retry(relay):
+            return
+        if not is_better_elsewhere(now - relay.sent_at, choice[1].seconds):
+            return
+        log_event(
+            "slow attempt",
+            request=relay.demand.request_id,
+            upstream=state.registration.name,
+            seconds=round(now - relay.sent_at, 3),
+            expected=round(seconds, 3),
+        )
+        # Its answer would have begun even later; without this, an upstream whose calls
+        # all are sent elsewhere would give no sample.
+        if pool.record_first_byte(state, relay.demand, now):
+            self._gateway.placing.report_started(relay)
+        self._gateway.record_answer(relay, failed=True)
+        self._gateway.crash_detection.handle_caller_left(relay, now)
+        relay.may_have_run = True
+        self._count_usage(relay)
+        self.end_attempt(relay, failed=None, cancel=True)
+        self._place_again(relay)
+
     def _abort_attempt(self, relay, detail):
         self._client.cancel(relay.call)
         self._on_failure(relay, UpstreamFailed(detail))
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -55,7 +55,8 @@
 # estimate, plus this many seconds. A faulty version may be several times slower.
 SLOW_FACTOR = 3.0
 SLOW_MARGIN = 0.1
-# Seconds between two log lines about rejected connections.
+# Seconds between two log lines about rejected connections, and between two checks
+# which upstreams became slow.
 LOG_INTERVAL = 1.0
 # Metric label of requests to open routes; no organisation can have this name.
 OPEN_LABEL = "(open)"
@@ -130,6 +131,8 @@
         poller.on_wait = self.intake.record_wait
         # Rejected connections that were logged, and when the next are.
         self._logged_rejected, self._log_rejected_at = 0, 0.0
+        # When the upstreams that became slow are logged next.
+        self._log_slow_at = 0.0
 
     def listen(self, address):
         """Accept callers and return the address that was bound."""
@@ -533,11 +536,14 @@
         """Retry requests that wait for credit; end those past their deadline."""
         now = read_boottime()
         self._log_rejected(now)
+        self._log_slow(now)
         self.detours.end_broken(now)
         self.retry_waiting_requests(now)
         for relay in list(self.relays):
             if now >= relay.deadline:
                 self._expire(relay)
+            elif relay.pool.paces.is_active(now):
+                self._attempts.leave_slow(relay, now)
 
     def _log_rejected(self, now):
         count = self.intake.rejected - self._logged_rejected
@@ -546,6 +552,14 @@
             self._logged_rejected += count
             log_event("connections rejected", count=count)
 
+    def _log_slow(self, now):
+        if now < self._log_slow_at:
+            return
+        self._log_slow_at = now + LOG_INTERVAL
+        for name, pool in self.pools.items():
+            for change in pool.paces.list_changes(now):
+                log_event("upstream pace", pool=name, **change._asdict())
+
     def _expire(self, relay):
         sent = relay.call is not None and relay.call.conn.sent
         if relay.call is not None:
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -204,6 +204,10 @@
             "gateway_connections_rejected": gateway.intake.rejected,
             "gateway_log_lines_dropped": count_dropped_lines(),
         }
+        for name, pool in gateway.pools.items():
+            slowest, mean = pool.paces.summarise(now)
+            gauges[f'gateway_pool_slowest_pace{{pool="{name}"}}'] = round(slowest, 3)
+            gauges[f'gateway_pool_mean_pace{{pool="{name}"}}'] = round(mean, 3)
         return "".join(f"chervilwing_{k} {v}\n" for k, v in gauges.items())
 
     @handler("started", channel="*")
--- a/src/chervilwing/upstream_pace/__init__.py
+++ b/src/chervilwing/upstream_pace/__init__.py
@@ -1,6 +1,6 @@
 """Pace of each upstream of a pool, as stated in its answers and as measured."""
 
-from .pool_paces import PoolPaces
+from .pool_paces import PoolPaces, is_better_elsewhere
 from .reports import StatedReports, read_reports
 from .stated_loads import StatedLoad, is_plausible, read_stated_load
 from .upstream_paces import UpstreamPace
@@ -10,6 +10,7 @@
     "StatedLoad",
     "StatedReports",
     "UpstreamPace",
+    "is_better_elsewhere",
     "is_plausible",
     "read_reports",
     "read_stated_load",
--- a/src/chervilwing/upstream_pace/pool_paces.py
+++ b/src/chervilwing/upstream_pace/pool_paces.py
@@ -22,6 +22,11 @@
 # An answer that took this many times as long as usual says nothing about the pool's
 # rate, whatever its upstream states.
 OUTLIER_FACTOR = 2.0
+# A request without an answer after this many times its estimate is overdue.
+OVERDUE_FACTOR = 3.0
+# An overdue request is sent elsewhere if that is expected to take at most this part of
+# the time that has passed; if all upstreams are slow, more attempts make it worse.
+ELSEWHERE_PART = 0.5
 
 
 class PaceChange(NamedTuple):
@@ -33,6 +38,14 @@
     pace: float
 
 
+def is_better_elsewhere(waited, seconds):
+    """Return whether to send a request again that has waited for some seconds.
+
+    ``seconds`` is its estimate elsewhere.
+    """
+    return seconds <= ELSEWHERE_PART * waited
+
+
 class PoolPaces:
     """Paces of one pool; ``upstream_states`` are its states by upstream name.
 
@@ -96,6 +109,18 @@
             self._compute_own(upstream_state, now),
         )
 
+    def is_overdue(self, upstream_state, sent_at, seconds, now):
+        """Return whether a request waits too long because its upstream is slow.
+
+        ``seconds`` is its estimate. An upstream that has answered others since is not
+        slow unless its pace says so: then only this request takes long.
+        """
+        if not self.is_active(now) or now - sent_at <= OVERDUE_FACTOR * seconds:
+            return False
+        if upstream_state.pace.answered_at < sent_at:
+            return True
+        return self.compute_pace(upstream_state, now) >= SLOW_PACE
+
     def summarise(self, now):
         """Return the slowest and the mean pace of the pool's upstreams."""
         states = self._upstream_states.values()
--- a/src/chervilwing/upstream_pace/upstream_paces.py
+++ b/src/chervilwing/upstream_pace/upstream_paces.py
@@ -80,6 +80,11 @@
         """Return whether there are enough samples to use the learned pace."""
         return self.samples >= MIN_SAMPLES
 
+    @property
+    def answered_at(self):
+        """Return the time of the last answer, minus infinity before the first."""
+        return max(self._stated_at, self._learned_at)
+
     def count_unknown_calls(self, now):
         """Return the stated calls that aren't known here, weighted by their age."""
         return self._unknown_calls * self._weigh(now) if self._unknown_calls else 0
