--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -246,7 +246,10 @@
         near = [name for name, peer in self.peers.items() if peer.data_centre == centre]
         name = self.cfg.name
         claimant = is_claimant(name, [name, *near], self.list_links())
-        self.duty_lease.wanted_terms = choose_terms(self.cfg.lease, count, claimant)
+        terms = choose_terms(self.cfg.lease, count, claimant)
+        self.duty_lease.wanted_terms = terms
+        # Hundreds of instances list a document that is too large for a datagram.
+        self._documents.lists_may_be_stale = terms.ttl > self.cfg.lease
 
     def _store_count(self, now):
         call = self._instance_count.next_call(len(self.list_recent_instances()), now)
--- a/src/chervilwing/mirrors.py
+++ b/src/chervilwing/mirrors.py
@@ -70,6 +70,8 @@
     news. ``unreachable`` is true where the mirror's own last call had no reply.
     ``wait`` is how many seconds a watch waits; it may be changed. ``list_delay`` is for
     how many seconds the news of a leader are waited for after a return of the store.
+    ``lists_may_be_stale`` allows a cheaper list first where a leader has told which
+    revision it must reach.
     """
 
     def __init__(self, prefix, wait, rng, spacing=0.0, compute_hold=hold_nothing):
@@ -86,6 +88,9 @@
         self.unreachable = False
         self.wait = wait
         self.list_delay = 0.0
+        self.lists_may_be_stale = False
+        # The revision that a stale list must have reached, None to list without one.
+        self._required_revision = None
         self._spacing = spacing
         self._rng = rng
         self.revision = None
@@ -118,7 +123,7 @@
         if self._listing is None:
             self._listing = (None, {})
         last = max(self._listing[1], default="")
-        return ListItems(self.prefix, last)
+        return ListItems(self.prefix, last, self._required_revision is not None)
 
     def receive(self, reply, now):
         """Apply the reply to the last call and return the items that changed."""
@@ -136,6 +141,13 @@
             # The store was restored between two pages, or after this one.
             self._listing = None
             return []
+        required, self._required_revision = self._required_revision, None
+        if required is not None and (page.more or page.revision < required):
+            self._listing = None
+            return []
+        if required is not None:
+            # How old the list is isn't known; the leader's next news tell it.
+            sent_at = self.as_of
         # Pages are no snapshot: changes after the first page's revision are watched
         # for.
         first = page.revision if first is None else first
@@ -252,9 +264,12 @@
         if news.items is None:
             # The present items stay meanwhile: another instance may send the changes
             # before the store can be listed.
+            if self.lists_may_be_stale and not self._must_list:
+                self._required_revision = news.revision
             self._must_list = True
             return []
         self._must_list = False
+        self._required_revision = None
         self._listing = None
         if news.seconds_since_regained is not None:
             self.regained_at = max(
--- a/src/chervilwing/platform/store.py
+++ b/src/chervilwing/platform/store.py
@@ -38,6 +38,8 @@
     query = {"prefix": req.prefix}
     if req.after:
         query["after"] = req.after
+    if req.stale:
+        query["serializable"] = 1
     return "GET", f"/-/kv-range?{urlencode(query)}", None
 
 
--- a/src/chervilwing/store_calls.py
+++ b/src/chervilwing/store_calls.py
@@ -16,10 +16,14 @@
 
 
 class ListItems(NamedTuple):
-    """List the items under a prefix whose keys sort after ``after``."""
+    """List the items under a prefix whose keys sort after ``after``.
+
+    A ``stale`` list may be some seconds old. It costs the store less.
+    """
 
     prefix: str
     after: str = ""
+    stale: bool = False
 
 
 class WatchItems(NamedTuple):
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -169,6 +169,24 @@
         changed = self.learning.receive(Page((put("k", 7, b"y"),), 7), 1.4)
         self.assertEqual(len(changed), 1)
 
+    def test_a_stale_list_is_repeated_unless_it_has_what_the_leader_knows(self):
+        # Guards against an old configuration that a cheap, outdated list brings back.
+        mirror, as_of = self.learning, self.learning.as_of
+        mirror.lists_may_be_stale = True
+        self.watch([put("k", 7, b"x" * 90_000)], 7, 1.0)
+        self.apply_news(1.1, 1.1)
+        self.assertEqual(mirror.next_call(1.2), ListItems("a/", stale=True))
+        self.assertEqual(mirror.receive(Page((put("k", 3),), 6), 1.3), [])
+        self.assertEqual(mirror.next_call(1.4), ListItems("a/"))
+        changed = mirror.receive(Page((put("k", 7, b"y"),), 7), 1.5)
+        self.assertEqual((len(changed), mirror.as_of), (1, 1.4))
+        self.watch([put("k", 9, b"x" * 90_000)], 9, 1.6)
+        self.apply_news(1.7, 1.7)
+        mirror.next_call(1.8)
+        self.assertEqual(len(mirror.receive(Page((put("k", 9, b"z"),), 9), 1.9)), 1)
+        self.assertGreater(mirror.as_of, as_of)
+        self.assertLess(mirror.as_of, 1.8)
+
     def test_follower_lists_what_is_too_large_for_news(self):
         # The store drops its history and cuts all watches. The leader recovers first
         # and has a new configuration that doesn't fit into a datagram. A follower that
