Shut down the listener of an upstream that crashes in a test

The test of a stream that a crash ends inside an event closed its listener while a thread waited in accept(). Linux keeps such a listener open until the accept() returns, so that the probe of the upstream connected, and the test saw no suspicion. RawUpstream.close_listener shuts it down first, as close() did; the check and its 10 s stay.

--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -151,7 +151,7 @@
     def test_a_stream_that_a_crash_ends_inside_an_event_is_evidence(self):
         # Guards against a request that crashes one upstream after the other.
         def crash(conn, *request):
-            run.upstreams[0].listener.close()
+            run.upstreams[0].close_listener()
             end_in_order(frame_close(EVENT + PARTS[0]))(conn, *request)
 
         run = self.start(crash)
--- a/tests/upstreams.py
+++ b/tests/upstreams.py
@@ -65,9 +65,20 @@
         """Return how many requests for this path were received."""
         return sum(item[2] == path for item in self.seen)
 
+    def close_listener(self):
+        """Close the listener, so that new connections are refused at once.
+
+        Without the shutdown, a listener that a thread waits for in accept() takes one
+        more connection after its close.
+        """
+        with suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
     def close(self):
         """Close the listener and every connection."""
-        for sock in (self.listener, *self.conns):
+        self.close_listener()
+        for sock in self.conns:
             with suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
             sock.close()
