Decide on admission by urgency without I/O

One bound on the queue for all kinds refused urgent requests in a flood of less urgent ones. FairQueue measures its rates over a selectable time and charges work that is placed without being queued.

--- /dev/null
+++ b/src/chervilwing/pool_admission/room.py
@@ -0,0 +1,53 @@
+"""Room in a pool's engines: what may be sent to them now, by band."""
+
+from typing import NamedTuple
+
+from ..balancing import USABLE_MEMORY_FRACTION
+from ..queues import BANDS
+
+# Seconds of prefill that an engine is sent in advance. Reports of prompts that were
+# read take up to a tick (0.05 s) at the sender and one at the placer; without the next
+# prompt the engine would be idle for that time.
+SENT_IN_ADVANCE = 0.15
+
+
+class Room(NamedTuple):
+    """Capacity of a pool for the deciding instance, in prompt tokens.
+
+    ``rate`` is the number of tokens per second that the engines prefill. ``queued``
+    holds, by band, the tokens that wait in the engines in that and more urgent bands,
+    and ``free`` the tokens that may be sent in addition.
+    """
+
+    rate: float
+    queued: tuple[float, ...]
+    free: tuple[float, ...]
+
+
+def measure_room(pool, now, placing, share=1.0):
+    """Return the Room of a pool, given its PoolBalancer.
+
+    An instance that decides for itself only has a ``share`` of the engines below 1 and
+    counts its own requests; the others have theirs.
+    """
+    states = pool.list_accepting()
+    alone = share < 1.0
+    window = pool.rate * SENT_IN_ADVANCE
+    queued, free = [0.0] * len(BANDS), [0.0] * len(BANDS)
+    usable = 0
+    for state in states:
+        loads = state.count_by_band(now, placing, own=alone)
+        has_slot = _has_slot(pool.spec.engine, state.count(now, placing))
+        usable += has_slot
+        for band, tokens in enumerate(loads):
+            queued[band] += tokens
+            if has_slot and tokens < window:
+                free[band] += window - tokens
+    if alone:
+        free = [max(0.0, usable * window * share - tokens) for tokens in queued]
+    return Room(pool.rate * len(states) * share, tuple(queued), tuple(free))
+
+
+def _has_slot(engine, load):
+    usable_tokens = engine.memory_tokens * USABLE_MEMORY_FRACTION
+    return load.requests < engine.slots and load.tokens < usable_tokens
--- a/src/chervilwing/queues.py
+++ b/src/chervilwing/queues.py
@@ -4,7 +4,7 @@
 from itertools import count
 from typing import NamedTuple
 
-from .rates import Rate
+from .rates import DECAY_TIME, Rate
 from .work import Work
 
 # Priority bands, the most urgent first. Priorities above the last count as the last.
@@ -43,12 +43,14 @@
 class Flow:
     """The queued work of one customer in one band, and its virtual start time."""
 
-    def __init__(self, weight):
+    def __init__(self, weight, decay_time=DECAY_TIME):
         self.weight = weight
         self.start_tag = 0.0
         self.size = 0
         self.cost = 0.0
-        self.served_rate = Rate()
+        # Total cost of the work that has left the queue.
+        self.removed_cost = 0.0
+        self.served_rate = Rate(decay_time)
         self.heaps = {SHORT: [], LONG: []}
         self.active = set()
 
@@ -56,11 +58,11 @@
 class Band:
     """The totals, virtual time and credit of one priority band."""
 
-    def __init__(self):
+    def __init__(self, decay_time=DECAY_TIME):
         self.size = 0
         self.cost = 0.0
         self.weight = 0.0
-        self.served_rate = Rate()
+        self.served_rate = Rate(decay_time)
         self.virtual_time = 0.0
         self.credit = 0.0
 
@@ -78,13 +80,16 @@
 
     Long and short work wait in separate lanes, so that blocked work at the head of one
     lane doesn't block the other.
+
+    ``decay_time`` is that of the measured service rates, in seconds.
     """
 
-    def __init__(self):
+    def __init__(self, decay_time=DECAY_TIME):
+        self._decay_time = decay_time
         self._items = {}
         self._flows = {}
         self._sizes_by_customer = {}
-        self._bands = {band: Band() for band in BANDS}
+        self._bands = {band: Band(decay_time) for band in BANDS}
         self._active = {lane: [] for lane in LANES}
         self._sequence = count()
 
@@ -110,12 +115,9 @@
     def push(self, item, weight, front=False):
         """Add work to its customer's queue, ahead of the rest if ``front``."""
         customer = item.work.customer
-        flow = self._flows.setdefault((customer, item.band), Flow(weight))
-        band = self._bands[item.band]
+        flow = self._start_flow(item, weight)
         if not flow.size:
-            flow.start_tag = max(flow.start_tag, band.virtual_time)
-            flow.weight = weight
-            band.weight += weight
+            self._bands[item.band].weight += weight
         self._items[item.work.request_id] = item
         self._add_to_totals(item, 1)
         sort_key = (not front, item.work.deadline, next(self._sequence))
@@ -132,6 +134,7 @@
             return None
         self._add_to_totals(item, -1)
         flow = self._flows[item.work.customer, item.band]
+        flow.removed_cost += item.cost
         if not flow.size:
             self._bands[item.band].weight -= flow.weight
         return item
@@ -159,6 +162,27 @@
     def dequeue(self, item, now):
         """Remove the item that ``peek`` returned and charge its customer."""
         self.remove(item.work.request_id)
+        self._charge_served(item, now)
+        return item
+
+    def serve_directly(self, item, weight, now):
+        """Charge a customer for work that is placed without being queued."""
+        self._start_flow(item, weight)
+        self._charge_served(item, now)
+
+    def _start_flow(self, item, weight):
+        """Return the item's Flow; an idle one continues at the present virtual time."""
+        key = (item.work.customer, item.band)
+        flow = self._flows.get(key)
+        if flow is None:
+            flow = self._flows[key] = Flow(weight, self._decay_time)
+        if not flow.size:
+            virtual_time = self._bands[item.band].virtual_time
+            flow.start_tag = max(flow.start_tag, virtual_time)
+            flow.weight = weight
+        return flow
+
+    def _charge_served(self, item, now):
         flow = self._flows[item.work.customer, item.band]
         band = self._bands[item.band]
         band.virtual_time = max(band.virtual_time, flow.start_tag)
@@ -171,7 +195,6 @@
                 self._bands[lower_band].credit += (
                     item.cost * GUARANTEED_SHARE[lower_band]
                 )
-        return item
 
     def charge(self, customer, band, cost):
         """Add the cost that the estimate missed to a customer's account."""
@@ -179,6 +202,19 @@
         if flow is not None:
             flow.start_tag = max(0.0, flow.start_tag + cost / flow.weight)
 
+    def count_band(self, band):
+        """Return how many requests of the band are queued."""
+        return self._bands[band].size
+
+    def measure_served(self, band, now):
+        """Return the cost per second that the band was served recently."""
+        return self._bands[band].served_rate.measure(now)
+
+    def get_flow_costs(self, customer, band):
+        """Return a flow's queued cost, and the total cost that has left its queue."""
+        flow = self._flows.get((customer, band))
+        return (flow.cost, flow.removed_cost) if flow else (0.0, 0.0)
+
     def estimate_wait(self, customer, weight, band, cost, total_rate, band_rate, now):
         """Return the seconds that new work would wait for its turn.
 
--- a/src/chervilwing/rates.py
+++ b/src/chervilwing/rates.py
@@ -11,7 +11,8 @@
 class Rate:
     """Estimate the cost per second of a stream of work."""
 
-    def __init__(self):
+    def __init__(self, decay_time=DECAY_TIME):
+        self._decay_time = decay_time
         self._sum = 0.0
         self._updated_at = 0.0
 
@@ -22,10 +23,10 @@
 
     def measure(self, now):
         """Return the current cost per second."""
-        return self._decayed_sum(now) / DECAY_TIME
+        return self._decayed_sum(now) / self._decay_time
 
     def _decayed_sum(self, now):
-        return self._sum * exp(-max(0.0, now - self._updated_at) / DECAY_TIME)
+        return self._sum * exp(-max(0.0, now - self._updated_at) / self._decay_time)
 
 
 class Excess:
