Count the load of upstreams by priority band

Engines read urgent prompts first, so that less urgent prompts in the queue don't delay a request. A Demand with a band is estimated without them; without a band every estimate is as before. Rates aren't learned from requests that more urgent ones may have overtaken.

tests.test_balancing, test_outdated_loads and test_placing_model pass.

--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -340,7 +340,11 @@
             return Estimate(seconds, 0, pace=pace)
         cached, fetched, source = self._plan_fetch(upstream_state, prefixes)
         prefill = max(0, demand.prompt_tokens - cached - fetched)
-        seconds = (load.prefill + prefill) / self.rate
+        queued = load.prefill
+        if demand.band is not None:
+            # Engines read more urgent prompts first.
+            queued -= upstream_state.count_less_urgent(demand.band, placing)
+        seconds = (queued + prefill) / self.rate
         seconds += FIRST_TOKEN_TIME + FIRST_TOKEN_TIME_PER_REQUEST * load.requests
         seconds *= pace
         if source is not None:
@@ -348,9 +352,7 @@
         if self._is_full(load, demand):
             seconds += self._estimate_slot_wait(load)
         lightly_loaded = not load.prefill and load.requests < LIGHT_LOAD_REQUESTS
-        return Estimate(
-            seconds, prefill, source, load.prefill, lightly_loaded, pace=pace
-        )
+        return Estimate(seconds, prefill, source, queued, lightly_loaded, pace=pace)
 
     def is_overloaded(self, estimate, shortest_target):
         """Return whether the queue is too long to meet the shortest latency target.
@@ -497,6 +499,9 @@
             ratio = elapsed / self.service_time.estimate(now)
             pace = self.paces.record_sample(upstream_state, ratio, now)
             self.service_time.record(elapsed / pace, now)
+        elif sent.band and not sent.lightly_loaded:
+            # More urgent prompts that came later may have been read first.
+            return True
         elif tokens >= MIN_MEASURED_TOKENS and elapsed > FIRST_TOKEN_TIME:
             measured = tokens / (elapsed - FIRST_TOKEN_TIME)
             pace = self.paces.record_sample(upstream_state, self.rate / measured, now)
@@ -539,4 +544,5 @@
         now,
         estimate.lightly_loaded,
         placer=estimate.placer,
+        band=demand.band,
     )
--- a/src/chervilwing/demands.py
+++ b/src/chervilwing/demands.py
@@ -17,7 +17,8 @@
     largest number of tokens that may be generated, ``expected_tokens`` the caller's
     estimate, which is often far off. ``last_event`` is the id of the event after which
     a resumed stream continues, and ``resumes`` the id of the request that brought the
-    stream's first event, empty for a new stream.
+    stream's first event, empty for a new stream. ``band`` is the priority band, None
+    where admission by urgency isn't active for the pool.
     """
 
     request_id: str
@@ -28,6 +29,7 @@
     parts: tuple[PromptPart, ...] = ()
     last_event: str = ""
     resumes: str = ""
+    band: int | None = None
 
     @property
     def shared_parts(self):
--- a/src/chervilwing/pool_admission/room.py
+++ b/src/chervilwing/pool_admission/room.py
@@ -32,20 +32,25 @@
     """
     states = pool.list_accepting()
     alone = share < 1.0
-    window = pool.rate * SENT_IN_ADVANCE
     queued, free = [0.0] * len(BANDS), [0.0] * len(BANDS)
-    usable = 0
+    rate = usable_rate = 0.0
     for state in states:
+        speed = pool.rate / pool.paces.compute_pace(state, now)
+        rate += speed
+        if not _has_slot(pool.spec.engine, state.count(now, placing)):
+            window = 0.0
+        else:
+            window = speed * SENT_IN_ADVANCE
+            usable_rate += speed
         loads = state.count_by_band(now, placing, own=alone)
-        has_slot = _has_slot(pool.spec.engine, state.count(now, placing))
-        usable += has_slot
         for band, tokens in enumerate(loads):
             queued[band] += tokens
-            if has_slot and tokens < window:
+            if tokens < window:
                 free[band] += window - tokens
     if alone:
-        free = [max(0.0, usable * window * share - tokens) for tokens in queued]
-    return Room(pool.rate * len(states) * share, tuple(queued), tuple(free))
+        window = usable_rate * SENT_IN_ADVANCE * share
+        free = [max(0.0, window - tokens) for tokens in queued]
+    return Room(rate * share, tuple(queued), tuple(free))
 
 
 def _has_slot(engine, load):
--- a/src/chervilwing/upstream_states.py
+++ b/src/chervilwing/upstream_states.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from .costs import update_average
+from .queues import BANDS
 from .upstream_pace import UpstreamPace
 
 # Half-life of the failure rate in seconds. Without decay, an upstream that once failed
@@ -54,7 +55,8 @@
     little other work. ``placer`` names the process that chose the upstream for other
     instances; it is empty if this instance chose for itself. Without a report, the
     prompt counts as read from ``assumed_read_at`` on, and the request as ended from
-    ``assumed_ended_at`` on.
+    ``assumed_ended_at`` on. ``band`` is the priority band at which the upstream reads
+    the prompt; None, where admission by urgency isn't active, counts as the first.
     """
 
     prefill: int
@@ -66,25 +68,28 @@
     placer: str = ""
     assumed_read_at: float = float("inf")
     assumed_ended_at: float = float("inf")
+    band: int | None = None
 
 
 class InFlightRequests:
     """Requests in flight at one upstream, by key.
 
     ``load`` is their sum, updated with each change: every choice of an upstream reads
-    the loads of all upstreams of the pool.
+    the loads of all upstreams of the pool. ``prefill_by_band`` holds its prompt tokens
+    not yet read by priority band.
     """
 
     def __init__(self, on_change=ignore_change):
         self.sent = {}
         self.load = NO_LOAD
+        self.prefill_by_band = [0] * len(BANDS)
         self._on_change = on_change
 
     def add(self, key, sent):
         """Add a request that is sent to the upstream."""
         self.remove(key)
         self.sent[key] = sent
-        self._add_to_load(1, sent.prefill, sent.tokens)
+        self._add_to_load(1, sent.prefill, sent)
 
     def start(self, key):
         """Mark a request's prompt as read.
@@ -95,14 +100,14 @@
         if sent is None or sent.started:
             return None
         self.sent[key] = sent._replace(started=True)
-        self._add_to_load(0, -sent.prefill, 0)
+        self._add_to_load(0, -sent.prefill, sent)
         return sent
 
     def remove(self, key):
         """Remove a request that has ended."""
         sent = self.sent.pop(key, None)
         if sent is not None:
-            self._add_to_load(-1, 0 if sent.started else -sent.prefill, -sent.tokens)
+            self._add_to_load(-1, 0 if sent.started else -sent.prefill, sent)
 
     def sum_by_placer(self):
         """Return the load by the process that chose the upstream for it."""
@@ -124,8 +129,10 @@
             elif now >= sent.assumed_read_at:
                 self.start(key)
 
-    def _add_to_load(self, requests, prefill, tokens):
-        self.load = add_loads(self.load, UpstreamLoad(requests, prefill, tokens))
+    def _add_to_load(self, requests, prefill, sent):
+        change = UpstreamLoad(requests, prefill, requests * sent.tokens)
+        self.load = add_loads(self.load, change)
+        self.prefill_by_band[sent.band or 0] += prefill
         self._on_change()
 
 
@@ -186,6 +193,33 @@
             return load
         return add_loads(load, self._peer_unplaced if placing else self._peer_load)
 
+    def count_by_band(self, now, placing, own=False):
+        """Return, by band, the prompt tokens to be read in that and more urgent bands.
+
+        With ``own`` only those of this instance and of those for which it chose. The
+        reports of other instances don't tell bands, so that their loads count for all.
+        """
+        reported = 0 if own else self._count_reported(now, placing).prefill
+        counts = []
+        for band in BANDS:
+            reported += self.own_requests.prefill_by_band[band]
+            if placing or own:
+                reported += self.placed_requests.prefill_by_band[band]
+            counts.append(reported)
+        return counts
+
+    def count_less_urgent(self, band, placing):
+        """Return the prompt tokens of less urgent bands, which are read later."""
+        tokens = sum(self.own_requests.prefill_by_band[band + 1 :])
+        if placing:
+            tokens += sum(self.placed_requests.prefill_by_band[band + 1 :])
+        return tokens
+
+    def _count_reported(self, now, placing):
+        if now >= self._peer_until:
+            return NO_LOAD
+        return self._peer_unplaced if placing else self._peer_load
+
     def get_failure_rate(self, now):
         """Return the failure rate from 0 to 1, which decays with time."""
         return self._failure_rate * 0.5 ** (
