Admit requests to engines by urgency

Each request was admitted on its own, with one bound on the queue for all kinds, so that a flood of the least urgent kind or one noisy organisation made urgent requests late. Where a pool's routes have work that can wait, the placer now queues, admits or refuses each request; an instance without a placer decides for itself on its share. Ask and Answer have new fields, which are sent only there.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -249,6 +249,10 @@
             # asked for.
             self._gateway.record_answer(relay, failed=True)
             failed = None
+        elif self._gateway.admissions.is_active(relay.pool):
+            # One refusal only means that the engine had less room than expected.
+            repeated = relay.upstream_state.is_repeated_refusal(read_boottime())
+            failed = True if repeated else None
         self.end_attempt(relay, failed, cancel=True)
         if self._may_retry(relay):
             self._place_again(relay)
--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -77,6 +77,7 @@
     the upstream has little other work. ``placer`` is as in SentRequest. ``charged`` is
     true if the process that chose the upstream has already charged the request to the
     upstream's limit. ``pace`` is the upstream's pace, which ``seconds`` includes.
+    ``unqueued_seconds`` is the estimate without the prompts that are read before.
     """
 
     seconds: float
@@ -87,6 +88,7 @@
     placer: str = ""
     charged: bool = False
     pace: float = 1.0
+    unqueued_seconds: float = 0.0
 
 
 class CachedPrefixes(NamedTuple):
@@ -349,10 +351,19 @@
         seconds *= pace
         if source is not None:
             seconds += self._estimate_fetch_time(fetched)
+        unqueued = seconds - queued / self.rate * pace
         if self._is_full(load, demand):
             seconds += self._estimate_slot_wait(load)
         lightly_loaded = not load.prefill and load.requests < LIGHT_LOAD_REQUESTS
-        return Estimate(seconds, prefill, source, queued, lightly_loaded, pace=pace)
+        return Estimate(
+            seconds,
+            prefill,
+            source,
+            queued,
+            lightly_loaded,
+            pace=pace,
+            unqueued_seconds=unqueued,
+        )
 
     def is_overloaded(self, estimate, shortest_target):
         """Return whether the queue is too long to meet the shortest latency target.
--- a/src/chervilwing/detours.py
+++ b/src/chervilwing/detours.py
@@ -7,6 +7,7 @@
 from .clocks import read_boottime
 from .exceptions import (
     NOT_RUN,
+    RETRY_AFTER,
     ConnectionBroken,
     NoUpstream,
     PathBroken,
@@ -15,9 +16,6 @@
     UpstreamUnreachable,
 )
 
-# Retry-After of refusals, in seconds. Instances learn of a new instance, or of the
-# replacement of an upstream, in about this time.
-RETRY_AFTER = 0.5
 # Seconds that a direct connection may take to open before another upstream is tried.
 # Links between data centres take 1.5 ms; TCP retransmits a lost SYN after one second.
 CONNECT_TIMEOUT = 0.6
--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -5,6 +5,9 @@
 NOT_RUN = "not_run"
 UNKNOWN = "unknown"
 RAN = "ran"
+# Usual Retry-After of refusals, in seconds. Instances learn of a new instance, or of
+# the replacement of an upstream, in about this time.
+RETRY_AFTER = 0.5
 
 
 class Scope(NamedTuple):
@@ -129,6 +132,14 @@
     status, type, title, outcome = 503, "pool-full", "Pool full", NOT_RUN
 
 
+class PoolOverloaded(PoolFull):
+    """The request would start later than its latency target or deadline allows."""
+
+    type, title = "pool-overloaded", "Pool overloaded"
+    # Capacity may be reserved from the stated time on, for a second.
+    retry_jitter = (1.0, 1.0)
+
+
 class PoolLimited(ChervilwingError):
     """All upstreams of the pool have reached the limits that they announced."""
 
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -11,29 +11,22 @@
 from .clocks import STARTED_AT, read_boottime
 from .crash_detection import CrashDetection
 from .crash_records import CrashRecords
-from .detours import RETRY_AFTER, Detours
+from .detours import Detours
 from .exceptions import (
     ChervilwingError,
     DeadlinePassed,
-    NoConfiguration,
-    NotReady,
-    NoUpstream,
-    PoolFull,
-    PoolLimited,
-    PoolPaused,
-    Scope,
-    StaleKeys,
 )
 from .intake import Intake
 from .leaving_upstreams import LeavingUpstreams
 from .logs import log_event, log_request
 from .placer_selection import PlacementHooks
+from .pool_admission import AdmissionControl, Capacity, RequestPath, UpstreamChecks
 from .registrations import Registry, get_process
-from .relays import Relay, describe_refusal, describe_relay
+from .relays import describe_refusal, describe_relay
 from .resumptions import Resumptions
 from .retry_shares import RetryShares
 from .rollouts import Rollouts
-from .routing import RoutingTable, pick_target
+from .routing import RoutingTable
 from .stats import Stats
 from .tunnel_peers import TunnelPeers
 from .upstream_limits import UpstreamLimits
@@ -41,16 +34,6 @@
 from .upstream_pauses import REUSED_NAME_PAUSE, UpstreamPauses
 from .web import Web, WebHandlers, WebOptions
 
-# Seconds after which a caller that reached a stopping instance may try another one.
-STOPPING_RETRY_AFTER = 0.1
-# A request is refused if its estimated time exceeds this part of the time left until
-# its deadline. Estimates err by about a quarter.
-MAX_DEADLINE_PART = 0.9
-# A request waits for its customer's credit at most this many seconds, and at most this
-# part of its latency target. The instances that grant credit answer in milliseconds,
-# also when a second instance has to be asked.
-MAX_CREDIT_WAIT = 0.15
-MAX_CREDIT_WAIT_PART = 0.125
 # An answer counts as slow if its first byte takes longer than this factor times the
 # estimate, plus this many seconds. A faulty version may be several times slower.
 SLOW_FACTOR = 3.0
@@ -93,7 +76,6 @@
         self.allowances = Allowances(cfg.name, cfg.incarnation, STARTED_AT)
         # Called when a request has to wait for its customer's credit.
         self.on_credit_needed = lambda: None
-        self._waiting = []
         self.placing = PlacementHooks()
         self.rollouts = Rollouts()
         self.crashes = CrashRecords(cfg.name)
@@ -122,8 +104,20 @@
         self.crash_detection = CrashDetection(poller, self, client).register(self)
         self._attempts = Attempts(self, client, dialect)
         self._dialect = dialect
-        self._keys_are_fresh = keys_are_fresh
         self._rng = random.Random()
+        self.admissions = AdmissionControl()
+        self.admissions.get_capacity = lambda: Capacity(
+            share=1.0 / self.retries.instances
+        )
+        self._path = RequestPath(
+            self,
+            dialect,
+            keys_are_fresh,
+            self._attempts,
+            self._refuse_waiting,
+            self._rng,
+        )
+        self._publish_path(self._path, UpstreamChecks(self))
         handlers = WebHandlers(self._on_request, self._on_caller_left)
         options = WebOptions(accept_chunked_bodies=True, answer_half_closed=False)
         self.web = Web(self.limits, poller, handlers, "callers", options).register(self)
@@ -134,6 +128,21 @@
         # When the upstreams that became slow are logged next.
         self._log_slow_at = 0.0
 
+    def _publish_path(self, path, checks):
+        """Provide the steps of a request's path that other modules call."""
+        self.needs_admission = path.needs_admission
+        self.place_locally = path.place_locally
+        self.send_to_choice = path.send_to_choice
+        self.refuse_overload = path.refuse_overload
+        self.refund = path.refund
+        self.retry_waiting_requests = path.retry_waiting_requests
+        self.choose_upstream = checks.choose
+        self.check_send = checks.check_send
+        self.make_paused_error = checks.make_paused_error
+        self.make_unavailable_error = checks.make_unavailable_error
+        self.list_excluded_upstreams = checks.list_excluded_upstreams
+        self.list_unavailable_upstreams = checks.list_unavailable_upstreams
+
     def listen(self, address):
         """Accept callers and return the address that was bound."""
         return self.web.listen(address, self.intake)
@@ -148,6 +157,11 @@
         self.resumptions.streams.configure(self.table.resumable, read_boottime())
         for name, spec in self.table.pools.items():
             self.get_or_create_pool(name).spec = spec
+        now = read_boottime()
+        for pool, active in self.admissions.configure(
+            document, self.cfg.admission, now
+        ):
+            log_event("admission by urgency", pool=pool, active=active)
         return True
 
     def put_upstream(self, registration):
@@ -261,29 +275,22 @@
     def _on_request(self, exchange):
         now = read_boottime()
         try:
-            relay = self._admit(exchange, now)
+            relay = self._path.read(exchange, now)
             if self.resumptions.find_origin(relay, now):
-                self._start(relay, now)
+                self._path.start(relay, now)
         except ChervilwingError as exc:
             self._log_and_refuse(exchange, exc)
             return
         exchange.tag = relay
         self.relays.add(relay)
 
-    def _start(self, relay, now):
-        """Charge and place a request, or let it wait for its credit."""
-        if not self._charge_and_place(relay, now):
-            self._waiting.append(relay)
-            self.allowances.add_waiting(relay.organisation, relay.cost)
-            self.on_credit_needed()
-
     def resume_stream(self, relay, origin, now):
         """Go on with a caller's stream, of which ``origin`` is None if unknown."""
         if relay.ended:
             return
         try:
             self.resumptions.bind(relay, origin)
-            self._start(relay, now)
+            self._path.start(relay, now)
         except ChervilwingError as exc:
             self._refuse_waiting(relay, exc)
 
@@ -291,120 +298,6 @@
         log_request(describe_refusal(exchange.req, exc, self._get_document_version()))
         self.refuse(exchange, exc)
 
-    def _admit(self, exchange, now):
-        """Return the Relay of a request, or raise the reason for refusing it."""
-        req = exchange.req
-        if self.draining:
-            raise NotReady(
-                "This instance is stopping.", retry_after=STOPPING_RETRY_AFTER
-            )
-        if self.table is None:
-            raise NoConfiguration(retry_after=RETRY_AFTER)
-        route = self.table.find_route(req.headers.get("host", ""), req.path)
-        organisation = self._find_organisation(route, req)
-        demand = self._dialect.read_demand(req, now, route.time_limit)
-        pool = self.get_or_create_pool(pick_target(route, self._rng.random()))
-        relay = Relay(exchange, route, organisation, pool, demand, now)
-        relay.cost = self._dialect.measure_cost(demand, organisation)
-        relay.rollout_draw = self._rng.random()
-        self.crash_detection.count_request(relay)
-        self.crashes.raise_if_barred(relay.suspects, now)
-        self.detours.raise_if_unreachable(pool, now)
-        return relay
-
-    def _charge_and_place(self, relay, now):
-        """Charge and place a request; return False while its credit is missing."""
-        if not self.allowances.charge(relay.organisation, relay.cost, now):
-            return False
-        relay.charged_at = now
-        if not self.placing.request_placement(relay, now):
-            self._send(relay, self.choose_upstream(relay, now), now)
-        return True
-
-    def choose_upstream(self, relay, now, refused=()):
-        """Return this instance's best (upstream, estimate), or None without one.
-
-        The upstreams in ``refused`` are not chosen.
-        """
-        origin = self.placing.get_origin()
-        exhausted = self.upstream_limits.list_exhausted(relay.pool.upstream_states, now)
-        placing = origin is not None and bool(origin.placer)
-        if placing:
-            self.upstream_limits.request_credit(exhausted, now)
-        exhausted |= self.brittle_upstreams.list_full(relay.pool, now, placing)
-        excluded = exhausted.union(refused) | self.list_excluded_upstreams(relay, now)
-        return relay.pool.choose(relay.demand, excluded, now, origin)
-
-    def check_send(self, relay, choice, now):
-        """Raise unless a request may be sent to the upstream chosen for it.
-
-        Every send of a request passes this check. The upstream's own limit is checked
-        last, because that check consumes its credit.
-        """
-        self.crashes.raise_if_barred(relay.suspects, now)
-        if choice is None:
-            self.resumptions.raise_if_gone(relay)
-            raise self.make_unavailable_error(relay.pool, now)
-        self.detours.raise_if_unreachable(relay.pool, now)
-        upstream_state, estimate = choice
-        if relay.upstream_state is None:
-            self._check_capacity(relay, estimate, now)
-        if estimate.charged:
-            return
-        if not self.upstream_limits.charge(upstream_state.registration.name, now):
-            raise self.make_unavailable_error(relay.pool, now)
-        # What another instance chose, it has charged.
-        if relay.placement_id is not None:
-            return
-        placing = bool(estimate.placer)
-        if not self.brittle_upstreams.charge(relay.pool, upstream_state, now, placing):
-            raise self.make_unavailable_error(relay.pool, now)
-
-    def make_paused_error(self, pool, now):
-        """Return the error for a pool whose upstreams all want no requests, or None."""
-        wait = self.pauses.get_wait(pool.list_accepting(), now)
-        if wait is None:
-            return None
-        return PoolPaused(scope=Scope("pool", pool.spec.name), retry_after=wait)
-
-    def make_unavailable_error(self, pool, now):
-        """Return the error for a request that no upstream of the pool can accept."""
-        error = self.make_paused_error(pool, now)
-        if error is not None:
-            return error
-        scope = Scope("pool", pool.spec.name)
-        names = {state.registration.name for state in pool.list_accepting()}
-        paused = self.pauses.list_paused(pool.upstream_states, now)
-        if any(map(self.brittle_upstreams.is_brittle, names - paused)):
-            return PoolFull(scope=scope, retry_after=RETRY_AFTER)
-        wait = self.upstream_limits.get_retry_after(names - paused)
-        if wait is None:
-            return NoUpstream(scope=scope, retry_after=RETRY_AFTER)
-        return PoolLimited(scope=scope, retry_after=wait)
-
-    def list_excluded_upstreams(self, relay, now):
-        """Return the names of the upstreams to which a request must not be sent.
-
-        A stream that has begun isn't part of a trial.
-        """
-        if relay.origin is not None:
-            return self.list_unavailable_upstreams(relay, now)
-        draw = None if relay.attempts else relay.rollout_draw
-        pool = relay.pool
-        name = pool.spec.name
-        excluded = self.rollouts.list_excluded(name, pool.upstream_states, draw, now)
-        return excluded | self.list_unavailable_upstreams(relay, now)
-
-    def list_unavailable_upstreams(self, relay, now):
-        """Return the names of the upstreams that can't or may not be used now.
-
-        Those were tried, want no requests or have another version.
-        """
-        paused = self.pauses.list_paused(relay.pool.upstream_states, now)
-        excluded = self.detours.list_unreachable(now).union(paused)
-        excluded |= self.resumptions.list_excluded(relay)
-        return excluded | relay.tried_upstreams if excluded else relay.tried_upstreams
-
     def record_answer(self, relay, failed):
         """Record the first byte or failure of an answer for the version's roll-out."""
         pool, version = (
@@ -417,102 +310,16 @@
         slow = elapsed > relay.estimate.seconds * SLOW_FACTOR + SLOW_MARGIN
         self.rollouts.record_answer(pool, version, relay.route.name, failed or slow)
 
-    def place_locally(self, relay, now, refused=False):
-        """Send a request to the best upstream by this instance's own data.
-
-        ``refused`` means that the placer found none, so that brittle ones are full.
-        """
-        excluded = self.brittle_upstreams.list_brittle(relay.pool) if refused else ()
-        choice = self.choose_upstream(relay, now, excluded)
-        self.send_to_choice(relay, choice, now)
-
-    def send_to_choice(self, relay, choice, now):
-        """Send a waiting request to the upstream chosen for it, or refuse it."""
-        try:
-            self._send(relay, choice, now)
-        except ChervilwingError as exc:
-            self._refuse_waiting(relay, exc)
-
     def _refuse_waiting(self, relay, exc):
         """Refuse a waiting request that was not sent to any upstream."""
         relay.ended = True
+        self._path.forget(relay)
         self.relays.discard(relay)
         self._log_and_refuse(relay.exchange, exc)
 
-    def _send(self, relay, choice, now):
-        """Send a request to the chosen upstream, the first time or again.
-
-        Raise if a first send is refused; a refused retry is answered with an error.
-        """
-        if relay.upstream_state is not None:
-            self._attempts.resend(relay, choice)
-            return
-        try:
-            self.check_send(relay, choice, now)
-        except ChervilwingError:
-            self.placing.report_ended(relay, None)
-            self.refund(relay, now)
-            raise
-        relay.pool.record_work(relay.demand, choice[1])
-        self.retries.record_first_attempt(relay.pool.spec.name)
-        self._attempts.send(relay, choice)
-
-    def refund(self, relay, now):
-        """Refund the charge of a request that has not run."""
-        if relay.charged_at is not None:
-            self.allowances.refund(
-                relay.organisation, relay.cost, now - relay.charged_at
-            )
-
-    def retry_waiting_requests(self, now):
-        """Send waiting requests that have credit; refuse those that waited too long."""
-        waiting, self._waiting = self._waiting, []
-        for relay in waiting:
-            try:
-                if not relay.ended and not self._charge_and_place(relay, now):
-                    self._keep_waiting(relay, now)
-                    continue
-            except ChervilwingError as exc:
-                self._refuse_waiting(relay, exc)
-            self.allowances.remove_waiting(relay.organisation, relay.cost)
-
-    def _keep_waiting(self, relay, now):
-        """Leave a request waiting for credit, or raise CustomerLimit."""
-        wait = min(MAX_CREDIT_WAIT, relay.route.latency_target * MAX_CREDIT_WAIT_PART)
-        if now - relay.received_at >= wait:
-            raise self.allowances.make_limit_error(relay.organisation, relay.cost)
-        self._waiting.append(relay)
-
     def _get_document_version(self):
         return self.table.document.version if self.table else 0
 
-    def _find_organisation(self, route, req):
-        """Return the Organisation of the request's key; refuse if keys may be stale.
-
-        An instance that is cut off from the store does not learn that a key was
-        revoked and would go on accepting it. It does not know newly created keys
-        either, so it refuses for now instead of reporting an unknown key.
-        """
-        if not route.open and not self._keys_are_fresh():
-            raise StaleKeys(retry_after=RETRY_AFTER)
-        return self.table.find_organisation(route, req.headers.get("authorization", ""))
-
-    def _check_capacity(self, relay, estimate, now):
-        """Raise PoolFull if the deadline can't be met or the pool is overloaded."""
-        scope = Scope("pool", relay.pool.spec.name)
-        seconds = estimate.seconds
-        hopeless = seconds > (relay.deadline - now) * MAX_DEADLINE_PART
-        shortest_target = self.table.shortest_latency_targets.get(
-            scope.name, float("inf")
-        )
-        # A stream of which its caller has read a part waits for its own version.
-        queued = relay.origin is None and relay.pool.is_overloaded(
-            estimate, shortest_target
-        )
-        if hopeless or queued:
-            relay.pool.record_work(relay.demand, estimate)
-            raise PoolFull(scope=scope, retry_after=min(seconds, RETRY_AFTER * 4))
-
     def refuse(self, exchange, exc):
         """Answer with an error and a Retry-After that is randomised per caller."""
         headers = {}
@@ -539,6 +346,8 @@
         self._log_slow(now)
         self.detours.end_broken(now)
         self.retry_waiting_requests(now)
+        self.admissions.run(self.pools, now)
+        self._log_overload(now)
         for relay in list(self.relays):
             if now >= relay.deadline:
                 self._expire(relay)
@@ -560,6 +369,12 @@
             for change in pool.paces.list_changes(now):
                 log_event("upstream pace", pool=name, **change._asdict())
 
+    def _log_overload(self, now):
+        for pool, admission in self.admissions.update_overload(now):
+            counts = admission.count_recent()
+            active = admission.overload.active
+            log_event("pool overload", pool=pool, active=active, **counts)
+
     def _expire(self, relay):
         sent = relay.call is not None and relay.call.conn.sent
         if relay.call is not None:
@@ -574,6 +389,7 @@
     def close(self, relay, outcome, status, cause=""):
         """Record the end of a request in metrics and log."""
         relay.ended = True
+        self._path.forget(relay)
         self.relays.discard(relay)
         now = read_boottime()
         series = self.stats.select(
--- a/src/chervilwing/gateway_settings.py
+++ b/src/chervilwing/gateway_settings.py
@@ -6,6 +6,7 @@
 
 from .exceptions import BadSetting
 from .models import Address
+from .pool_admission import AUTO, OFF
 from .routing import CallerLimits, PoolSpec
 from .settings import (
     LOG_FORMATS,
@@ -68,6 +69,8 @@
     # Address for other instances that reach upstreams through this one, None to help
     # nobody.
     tunnel_listen: Address | None = None
+    # Whether pools with work that can wait admit requests by urgency: AUTO or OFF.
+    admission: str = AUTO
     # Path of a TOML file with routes and upstreams, used instead of a store.
     routes: str = ""
     # Distinguishes the successive processes of one instance.
@@ -145,6 +148,13 @@
     Field(
         "retry_burst", parse_seconds, "50", "count", "burst of retries of all instances"
     ),
+    Field(
+        "admission",
+        one_of((AUTO, OFF)),
+        AUTO,
+        f"{AUTO}|{OFF}",
+        "admission by urgency where routes have work that can wait",
+    ),
     Field("usage_window", parse_duration, "5", "s", "length of a usage window"),
     Field(
         "buys", parse_flag, "false", "true|false", "order instances according to load"
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -204,6 +204,7 @@
             "gateway_stream_bytes_sent": size,
             "gateway_connections_rejected": gateway.intake.rejected,
             "gateway_log_lines_dropped": count_dropped_lines(),
+            **gateway.admissions.list_figures(),
         }
         for name, pool in gateway.pools.items():
             slowest, mean = pool.paces.summarise(now)
--- a/src/chervilwing/placement_exchange.py
+++ b/src/chervilwing/placement_exchange.py
@@ -5,6 +5,7 @@
 about their load (PROGRESS).
 """
 
+from functools import partial
 from typing import NamedTuple
 
 from circuits.core import BaseComponent, handler
@@ -15,16 +16,25 @@
 from .logs import log_event
 from .placer_selection import (
     ANSWER_TIMEOUT,
+    AVOID_FOR,
+    MAX_ASKED_PLACERS,
+    MAX_TIMEOUTS,
+    RENEWAL_INTERVAL,
     Answer,
     Ask,
     AskRateLimit,
     PlacementHooks,
     PlacementId,
     PlacerSelector,
+    add_admission,
     make_ask,
     order_placers,
+    read_admission_request,
     read_demand,
+    trim_answer,
+    trim_ask,
 )
+from .pool_admission import ADMIT, WAIT, Capacity, Refuse
 from .relays import Relay
 from .upstream_pace import StatedReports, read_reports
 from .upstream_states import UpstreamState
@@ -39,19 +49,32 @@
 
 
 class PendingAsk(NamedTuple):
-    """A request that waits for a placer's answer; ``sent_at`` is in seconds."""
+    """A request that waits for a placer's answer; ``sent_at`` is in seconds.
+
+    ``queued`` is set once the placer keeps the ask, ``answered`` while it has answered
+    the last renewal, and ``missed`` counts those without an answer. ``asked`` names the
+    placers that were asked before.
+    """
 
     relay: Relay
     placer: str
     sent_at: float
+    queued: bool = False
+    answered: bool = False
+    missed: int = 0
+    asked: tuple[str, ...] = ()
 
 
 class PlacedRequest(NamedTuple):
-    """Where another instance's request was placed, and when its deadline passes."""
+    """Where another instance's request was placed, and when its deadline passes.
+
+    ``answer`` is the Answer if the request was admitted, None otherwise.
+    """
 
     pool: PoolBalancer
     upstream_state: UpstreamState
     deadline: float
+    answer: Answer | None = None
 
 
 class Placing(BaseComponent):
@@ -80,6 +103,8 @@
         self._progress = {}
         self._stated = StatedReports()
         self._placed = {}
+        # When other instances last asked this one, by address.
+        self._asked_at = {}
         self._next_expire = 0.0
         gateway.placing = PlacementHooks(
             self._send_ask,
@@ -88,6 +113,7 @@
             self._queue_placed_ended,
             self._queue_stated,
         )
+        gateway.admissions.get_capacity = self._get_capacity
         datagrams.subscribe(ASK, self._receive_ask)
         datagrams.subscribe(ANSWER, self._receive_answer)
         datagrams.subscribe(PROGRESS, self._receive_progress)
@@ -98,8 +124,7 @@
         self._update_ranking()
         self._select_placer(now)
         for number, item in list(self._pending.items()):
-            if now - item.sent_at >= ANSWER_TIMEOUT:
-                self._handle_timeout(number, item, now)
+            self._check_pending(number, item, now)
         self._send_stated(now)
         self._send_progress()
         if now >= self._next_expire:
@@ -128,45 +153,154 @@
 
     def _send_ask(self, relay, now):
         """Ask the placer for a request's upstream; return whether an ask was sent."""
-        target = self._select_placer(now)
-        peer = self._coordinator.peers.get(target)
-        if peer is None:
+        return self._ask(relay, self._select_placer(now), now)
+
+    def _ask(self, relay, target, now, asked=()):
+        if target not in self._coordinator.peers:
             return False
         self._last_number += 1
-        self._pending[self._last_number] = PendingAsk(relay, target, now)
+        item = PendingAsk(relay, target, now, asked=asked)
+        self._pending[self._last_number] = item
+        self._transmit_ask(self._last_number, item, now)
+        return True
+
+    def _transmit_ask(self, number, item, now):
+        """Send an ask, or send it again to renew it."""
+        relay = item.relay
+        peer = self._coordinator.peers.get(item.placer)
+        if peer is None:
+            return
         excluded = self._gateway.list_excluded_upstreams(relay, now)
         # The placer excludes other versions itself: their names might not fit.
         excluded = excluded - self._gateway.resumptions.list_excluded(relay)
-        ask = make_ask(self._last_number, self._cfg, relay, excluded, now)
-        # An instance of an earlier release doesn't know the last field.
-        fields = ask if ask.version is not None else ask[:-1]
-        self._datagrams.send(ASK, fields, peer.address)
-        return True
+        ask = make_ask(number, self._cfg, relay, excluded, now)
+        if ask.priority is not None and self._gateway.needs_admission(relay):
+            ask = add_admission(ask, relay, now)
+        self._datagrams.send(ASK, trim_ask(ask), peer.address)
 
     def _get_origin(self):
         """Return the PlacementOrigin of the choices that this instance makes."""
         places = self._placer == self._cfg.name
         return PlacementOrigin(self._cfg.data_centre, self._key if places else "")
 
+    def _get_capacity(self):
+        """Return what part of a pool this instance decides on.
+
+        The first placer decides on the whole pool. One that takes its place for some
+        instances decides on their shares, because others may do so for the rest.
+        """
+        if self._placer == self._cfg.name == self._placer_names[0]:
+            return Capacity(placing=True)
+        placing = self._placer == self._cfg.name or bool(self._asked_at)
+        deciding = 1 + len(self._asked_at)
+        instances = 1 + len(self._coordinator.peers)
+        return Capacity(placing, min(1.0, deciding / instances))
+
+    def _check_pending(self, number, item, now):
+        """Renew a queued ask in time, and handle one without an answer."""
+        if item.queued and item.relay.ended:
+            self._pending.pop(number)
+            self._queue_ended(PlacementId(number, item.placer))
+        elif not item.answered:
+            if now - item.sent_at >= ANSWER_TIMEOUT:
+                self._handle_timeout(number, item, now)
+        elif now - item.sent_at >= RENEWAL_INTERVAL:
+            self._renew(number, item._replace(answered=False), now)
+
+    def _renew(self, number, item, now):
+        self._pending[number] = item._replace(sent_at=now)
+        self._transmit_ask(number, item, now)
+
     def _handle_timeout(self, number, item, now):
-        """Choose the upstream here after an ask has timed out."""
-        del self._pending[number]
+        """Choose the upstream here after an ask has timed out.
+
+        A request that has yet to be admitted goes to the next placer first, and a
+        renewal is repeated once.
+        """
         self._selector.record_timeout(item.placer, now)
+        if item.queued and item.missed + 1 < MAX_TIMEOUTS:
+            self._renew(number, item._replace(missed=item.missed + 1), now)
+            return
+        del self._pending[number]
         # The ask may have arrived, and only its answer been lost.
         self._queue_ended(PlacementId(number, item.placer))
-        if not item.relay.ended:
+        if not item.relay.ended and not self._ask_next(item, now):
             self._gateway.place_locally(item.relay, now)
 
+    def _ask_next(self, item, now):
+        """Ask the next placer for a request to admit; return whether it was asked."""
+        asked = (*item.asked, item.placer)
+        if item.relay.demand.band is None or len(asked) >= MAX_ASKED_PLACERS:
+            return False
+        if not self._gateway.needs_admission(item.relay):
+            return False
+        names = [name for name in self._placer_names if name not in asked]
+        return self._ask(item.relay, self._selector.choose(names, now), now, asked)
+
     def _receive_ask(self, address, *fields):
-        """Choose an upstream for another instance's request and send the answer."""
+        """Choose an upstream for another instance's request and send the answer.
+
+        Where admission by urgency is active, the request may be queued or refused.
+        """
         now = read_boottime()
         ask = Ask(*fields)
         pool = self._gateway.pools.get(ask.pool)
         key = (address, ask.number)
         # Datagrams may be duplicated; the first copy has placed the request.
-        if pool is None or key in self._placed or not self._rate_limit.allow(now):
+        if pool is None or self._repeat_answer(key, now):
+            return
+        if not self._rate_limit.allow(now):
+            return
+        self._asked_at[address] = now
+        found = self._choose_for(ask, pool, now)
+        admissions = self._gateway.admissions
+        if found is None or ask.target_left is None or not admissions.is_active(pool):
+            self._place(key, ask, found, now)
+            return
+        request = read_admission_request(ask, key, found[1], now)
+        decide_later = partial(self._answer_queued, key, ask, found[1], now)
+        decision = admissions.decide(pool, request, now, decide_later, renewed=True)
+        if decision is ADMIT:
+            self._place(key, ask, found, now)
+            return
+        if decision is not WAIT:
+            pool.record_work(read_demand(ask, now), found[1])
+        self._answer_decision(key, decision)
+
+    def _repeat_answer(self, key, now):
+        """Answer an ask again that waits or was placed; return whether it did."""
+        placed = self._placed.get(key)
+        if placed is not None:
+            if placed.answer is not None:
+                self._datagrams.send(ANSWER, trim_answer(placed.answer), key[0])
+            return True
+        if not self._gateway.admissions.renew(key, now):
+            return False
+        self._asked_at[key[0]] = now
+        self._answer_decision(key, WAIT)
+        return True
+
+    def _answer_decision(self, key, decision):
+        """Answer an ask that waits or is refused."""
+        answer = Answer(key[1], self._cfg.name, self._key)
+        if decision is WAIT:
+            answer = answer._replace(queued=True)
+        else:
+            answer = answer._replace(retry_after=decision.retry_after)
+        self._datagrams.send(ANSWER, trim_answer(answer), key[0])
+
+    def _answer_queued(self, key, ask, estimate, asked_at, decision, now):
+        """Answer an ask that has waited since ``asked_at``."""
+        pool = self._gateway.pools[ask.pool]
+        ask = ask._replace(seconds_left=ask.seconds_left - (now - asked_at))
+        if decision is not ADMIT:
+            pool.record_work(read_demand(ask, now), estimate)
+            self._answer_decision(key, decision)
             return
-        demand = read_demand(ask, now)
+        self._place(key, ask, self._choose_for(ask, pool, now), now)
+
+    def _choose_for(self, ask, pool, now):
+        """Return the upstream and Estimate for an ask, or None."""
         origin = self._get_origin()._replace(data_centre=ask.centre)
         limits = self._gateway.upstream_limits
         exhausted = limits.list_exhausted(pool.upstream_states, now)
@@ -176,19 +310,31 @@
         excluded = exhausted.union(ask.excluded)
         if ask.version is not None:
             excluded |= pool.list_other_versions(ask.version)
-        found = pool.choose(demand, excluded, now, origin)
+        return pool.choose(read_demand(ask, now), excluded, now, origin)
+
+    def _place(self, key, ask, found, now):
+        """Record where an ask's request is placed, and answer with it."""
+        pool = self._gateway.pools[ask.pool]
         answer = Answer(ask.number, self._cfg.name, self._key)
         if found is not None:
             upstream_state, estimate = found
+            limits = self._gateway.upstream_limits
+            placing = bool(self._get_origin().placer)
             name = upstream_state.registration.name
             charged = limits.is_limited(name) and limits.charge(name, now)
-            brittle.charge(pool, upstream_state, now, bool(origin.placer))
+            self._gateway.brittle_upstreams.charge(pool, upstream_state, now, placing)
+            demand = read_demand(ask, now)
             pool.record_placed(key, demand, found, now)
-            self._placed[key] = PlacedRequest(pool, upstream_state, demand.deadline)
             answer = fill_answer(
                 answer, upstream_state, estimate._replace(charged=charged)
             )
-        self._datagrams.send(ANSWER, answer, address)
+            self._placed[key] = PlacedRequest(
+                pool,
+                upstream_state,
+                demand.deadline,
+                None if ask.target_left is None else answer,
+            )
+        self._datagrams.send(ANSWER, trim_answer(answer), key[0])
 
     def _receive_answer(self, address, *fields):
         """Send a request to the upstream that the placer chose.
@@ -201,7 +347,19 @@
         if item is None:
             return
         self._selector.record_answer(answer.name)
+        if answer.queued:
+            self._pending[answer.number] = item._replace(
+                queued=True, answered=True, missed=0
+            )
+            return
+        if answer.retry_after is not None:
+            if not item.relay.ended:
+                refusal = Refuse(answer.retry_after)
+                self._gateway.refuse_overload(item.relay, refusal, now)
+            return
         relay, placement_id = item.relay, PlacementId(answer.number, answer.name)
+        if answer.upstream and relay.demand.band is not None:
+            relay.admitted = True
         found = None if relay.ended else self._read_choice(relay, answer, now)
         if found is not None:
             relay.placement_id = placement_id
@@ -304,6 +462,9 @@
             placed = self._placed.pop(key, None)
             if placed is not None:
                 placed.pool.record_placed_end(placed.upstream_state, key, failed, now)
+            else:
+                self._gateway.admissions.remove(key)
+        self._gateway.admissions.run(self._gateway.pools, now)
 
     def _record_stated(self, report, now):
         """Record what an upstream stated in its answer to another instance."""
@@ -321,6 +482,11 @@
         ]
         for key in expired:
             del self._placed[key]
+        self._asked_at = {
+            address: at
+            for address, at in self._asked_at.items()
+            if now < at + AVOID_FOR
+        }
 
 
 def fill_answer(answer, upstream_state, estimate):
--- a/src/chervilwing/placer_selection.py
+++ b/src/chervilwing/placer_selection.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from .demands import Demand, PromptPart
+from .pool_admission import AdmissionRequest, find_band
 
 # Seconds to wait for an answer. A placer that is cut off or slow delays a request
 # only a little: a round trip takes 3 ms, and the shortest latency target is 150 ms.
@@ -22,6 +23,13 @@
 # requests per second, an unlimited placer would answer all of them too late. An
 # instance that receives no answer asks the first placer of its own data centre.
 ASKS_PER_SECOND = 1000
+# Seconds after which a queued ask is renewed.
+RENEWAL_INTERVAL = 0.2
+# Placers that are asked for one request, before its instance decides alone.
+MAX_ASKED_PLACERS = 2
+# Fields that every release reads.
+BASE_ASK_FIELDS = 8
+BASE_ANSWER_FIELDS = 10
 
 
 class Ask(NamedTuple):
@@ -32,6 +40,11 @@
     counts of the prompt's parts, and ``seconds_left`` is the time to the deadline. The
     upstreams in ``excluded`` must not be chosen, nor those of another version than
     ``version``, if it isn't None.
+
+    The other fields are sent where admission by urgency is active. ``target_left`` is
+    the time until the latency target, None if the request needs no admission, and
+    ``waited`` the time since the caller's request, in seconds. An Ask with the number
+    of a queued one renews it.
     """
 
     number: int
@@ -43,6 +56,11 @@
     seconds_left: float
     excluded: list[str]
     version: str | None = None
+    priority: int | None = None
+    organisation: str = ""
+    target_left: float | None = None
+    fingerprint: str = ""
+    waited: float = 0.0
 
 
 class Answer(NamedTuple):
@@ -50,6 +68,10 @@
 
     ``number`` is that of the Ask, ``name`` the name of the placing instance, and
     ``source`` the name of an upstream; the other fields are those of Estimate.
+
+    Where admission by urgency is active, ``queued`` means that the Ask is kept and has
+    to be renewed, and ``retry_after`` that the request is refused and may be retried
+    after these seconds. A further Answer to the same number follows a queued one.
     """
 
     number: int
@@ -62,6 +84,8 @@
     queued_tokens: int = 0
     lightly_loaded: bool = False
     charged: bool = False
+    queued: bool = False
+    retry_after: float | None = None
 
 
 class PlacementId(NamedTuple):
@@ -90,7 +114,7 @@
 def make_ask(number, cfg, relay, excluded, now):
     """Return the Ask for a request, with the excluded upstreams sorted by name."""
     demand = relay.demand
-    return Ask(
+    ask = Ask(
         number,
         relay.pool.spec.name,
         cfg.data_centre,
@@ -101,6 +125,38 @@
         sorted(excluded),
         relay.origin.version if relay.origin else None,
     )
+    if demand.band is None:
+        return ask
+    return ask._replace(priority=relay.priority)
+
+
+def add_admission(ask, relay, now):
+    """Return the Ask of a request that has yet to be admitted."""
+    waited = now - relay.received_at
+    return ask._replace(
+        organisation=relay.organisation_name,
+        target_left=relay.route.latency_target - waited,
+        fingerprint=relay.fingerprint,
+        waited=waited,
+    )
+
+
+def trim_ask(ask):
+    """Return the fields of an Ask to send; earlier releases don't know the last ones.
+
+    The version is sent only for streams that have begun, and what follows it only where
+    admission by urgency is active.
+    """
+    if ask.priority is not None:
+        return ask
+    return ask[:BASE_ASK_FIELDS] if ask.version is None else ask[: BASE_ASK_FIELDS + 1]
+
+
+def trim_answer(answer):
+    """Return the fields of an Answer to send, the last ones only if they are set."""
+    if answer.queued or answer.retry_after is not None:
+        return answer
+    return answer[:BASE_ANSWER_FIELDS]
 
 
 def read_demand(ask, now):
@@ -113,6 +169,23 @@
         ask.output_tokens,
         ask.output_tokens,
         parts,
+        band=None if ask.priority is None else find_band(ask.priority),
+    )
+
+
+def read_admission_request(ask, key, estimate, now):
+    """Return the AdmissionRequest of an Ask, given its Estimate at an upstream."""
+    return AdmissionRequest(
+        key,
+        find_band(ask.priority),
+        ask.organisation,
+        estimate.prefill,
+        estimate.unqueued_seconds,
+        ask.target_left + ask.waited,
+        now + ask.target_left,
+        now + ask.seconds_left,
+        now - ask.waited,
+        ask.fingerprint,
     )
 
 
--- a/src/chervilwing/pool_admission/control.py
+++ b/src/chervilwing/pool_admission/control.py
@@ -65,7 +65,7 @@
         self._next_run = 0.0
         self._next_drop = 0.0
 
-    def configure(self, document, setting):
+    def configure(self, document, setting, now):
         """Apply a configuration; return pairs of changed pools and whether active."""
         active = find_active_pools(document) if setting == AUTO else frozenset()
         changes = [(name, False) for name in sorted(self.pools.keys() - active)]
@@ -75,7 +75,7 @@
                 self.pools[name] = PoolAdmission()
             else:
                 del self.pools[name]
-                self._admit_all(name)
+                self._admit_all(name, now)
         return changes
 
     def is_active(self, pool):
@@ -89,8 +89,9 @@
     def decide(self, pool, request, now, on_decision, renewed=False):
         """Return the decision on a request to a pool.
 
-        After Wait, ``on_decision`` is called once with Admit or Refuse. If the request
-        is to be ``renewed``, it is dropped after RENEWAL_TIMEOUT without ``renew``.
+        After Wait, ``on_decision`` is called once with Admit or Refuse and the time. If
+        the request is to be ``renewed``, it is dropped after RENEWAL_TIMEOUT without
+        ``renew``.
         """
         name = pool.spec.name
         room = self._measure(pool, now)
@@ -126,7 +127,7 @@
                 continue
             room = self._measure(pools[name], now)
             for key, decision in admission.list_admitted(room, now):
-                self._entries.pop(key).on_decision(decision)
+                self._entries.pop(key).on_decision(decision, now)
 
     def _drop_unrenewed(self, now):
         if now < self._next_drop:
@@ -163,9 +164,9 @@
         capacity = self.get_capacity()
         return measure_room(pool, now, capacity.placing, capacity.share)
 
-    def _admit_all(self, name):
+    def _admit_all(self, name, now):
         """Let the waiting requests of a pool proceed whose admission has ended."""
         for key, entry in list(self._entries.items()):
             if entry.pool == name:
                 del self._entries[key]
-                entry.on_decision(ADMIT)
+                entry.on_decision(ADMIT, now)
--- a/src/chervilwing/pool_admission/pool.py
+++ b/src/chervilwing/pool_admission/pool.py
@@ -67,6 +67,7 @@
         self.overload = OverloadState()
         self.reservations = Reservations()
         self.counts = Counter()
+        self._counted = {}
         self._queue = FairQueue(SERVED_DECAY)
         self._waiting = {}
         self._waiting_since = None
@@ -139,6 +140,14 @@
             self.overload.record(now)
         return self.overload.update(now)
 
+    def count_recent(self):
+        """Return the totals since the last call, and how many requests wait."""
+        names = {name for name, _ in self.counts}
+        totals = {n: sum(self.counts[n, band] for band in BANDS) for n in names}
+        recent = {n: total - self._counted.get(n, 0) for n, total in totals.items()}
+        self._counted = totals
+        return recent | {"waiting": len(self._waiting)}
+
     def _decide_new(self, request, room, now):
         wait = self._estimate_wait(request, room, now)
         if self._is_free(request.band, room):
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -68,6 +68,8 @@
     """
 
     __slots__ = (
+        "admission_key",
+        "admitted",
         "answer",
         "attempts",
         "call",
@@ -155,6 +157,10 @@
         # When the cost was charged, None before that.
         self.charged_at = None
         self.ended = False
+        # Whether the request was admitted to the pool, and its key while it waits for
+        # that at this instance.
+        self.admitted = False
+        self.admission_key = None
 
     @property
     def organisation_name(self):
--- a/src/chervilwing/upstream_states.py
+++ b/src/chervilwing/upstream_states.py
@@ -16,6 +16,10 @@
 # Seconds beyond twice the estimate after which a prompt that another instance sent
 # counts as read without a report, since the datagram that reported it may be lost.
 READ_REPORT_TIMEOUT = 1.0
+# Seconds after a refusal within which a further one counts as a failure, where
+# admission by urgency is active. An upstream that refuses everything looks idle and
+# would be chosen for every request.
+REFUSAL_INTERVAL = 1.0
 
 
 class UpstreamLoad(NamedTuple):
@@ -160,6 +164,7 @@
         self._peer_until = float("-inf")
         self._failure_rate = 0.0
         self._failure_at = 0.0
+        self._refused_at = float("-inf")
 
     @property
     def own_load(self):
@@ -220,6 +225,12 @@
             return NO_LOAD
         return self._peer_unplaced if placing else self._peer_load
 
+    def is_repeated_refusal(self, now):
+        """Record a refusal; return whether another one preceded it just now."""
+        repeated = now < self._refused_at + REFUSAL_INTERVAL
+        self._refused_at = now
+        return repeated
+
     def get_failure_rate(self, now):
         """Return the failure rate from 0 to 1, which decays with time."""
         return self._failure_rate * 0.5 ** (
--- a/tests/placing_fleet.py
+++ b/tests/placing_fleet.py
@@ -16,6 +16,7 @@
 from chervilwing.demands import Demand, PromptPart
 from chervilwing.models import Address
 from chervilwing.placement_exchange import Placing
+from chervilwing.pool_admission import AdmissionControl
 from chervilwing.registrations import Registration
 from chervilwing.resumptions import Resumptions
 from chervilwing.rollouts import Rollouts
@@ -65,6 +66,7 @@
         self.brittle_upstreams = BrittleUpstreams(self.upstream_limits)
         self.rollouts = Rollouts()
         self.resumptions = Resumptions(self)
+        self.admissions = AdmissionControl()
         self.pools = {"engines": PoolBalancer(SPEC, self.cfg.data_centre, fleet.rng)}
         for number in range(engines):
             self.put(f"u{number}", leaving=False)
@@ -124,7 +126,17 @@
     With ``late``, some datagrams take up to 0.2 s.
     """
 
-    def __init__(self, size, engines, seed, lost=0.0, doubled=0.0, late=False):
+    def __init__(
+        self,
+        size,
+        engines,
+        seed,
+        lost=0.0,
+        doubled=0.0,
+        late=False,
+        instance_type=Instance,
+    ):
+        self._instance_type = instance_type
         self.rng = random.Random(seed)
         self.now = 0.0
         self.order = count(1)
@@ -137,7 +149,9 @@
         self.lost_instances = set()
         self._due = []
         self._names = [f"i{number}" for number in range(size)]
-        self.instances = {name: Instance(self, name, engines) for name in self._names}
+        self.instances = {
+            name: instance_type(self, name, engines) for name in self._names
+        }
         for instance in self.instances.values():
             self._introduce(instance)
 
@@ -210,11 +224,15 @@
         """Restart an instance without its state, under a new incarnation."""
         sent = self.instances[name].sent
         engines = len(self.instances[name].pools["engines"].upstream_states)
-        self.instances[name] = Instance(self, name, engines)
+        self.instances[name] = self._instance_type(self, name, engines)
         self.instances[name].sent = sent
         self.lost_instances.add(name)
         self._introduce(self.instances[name])
 
+    def tick(self, name, instance):
+        """Let an instance handle one tick."""
+        instance.placing._on_tick()
+
     def run(self, until):
         """Run events and ticks of all instances until a time in seconds."""
         with mock.patch.object(placement_exchange, "read_boottime", lambda: self.now):
@@ -225,7 +243,7 @@
                     self.now = ticks
                     for name, instance in list(self.instances.items()):
                         if name not in self.dead:
-                            instance.placing._on_tick()
+                            self.tick(name, instance)
                     ticks += TICK
                 elif due < until:
                     self.now, _, action, args = heapq.heappop(self._due)
--- a/tests/weakened_gateway.py
+++ b/tests/weakened_gateway.py
@@ -462,7 +462,7 @@
         "stale keys are accepted",
         (
             Edit(
-                "gateway",
+                "pool_admission/request_path",
                 "if not route.open and not self._keys_are_fresh():",
                 "if False:",
             ),
