Decide which streams are moved and write the calls of a move

Streams of an engine that ends are lost although engines can copy their KV caches. The planner chooses the next stream and its target, and which new stream gets a backup; the state of a move says what follows each answer. Both dialects write the calls and fields, and the engine's configuration says what it offers. Nothing uses them yet.

--- a/src/chervilwing/dialects.py
+++ b/src/chervilwing/dialects.py
@@ -12,8 +12,16 @@
 from math import ceil
 from typing import NamedTuple
 
+from .addresses import format_address
 from .demands import Demand
 from .models import Address
+from .stream_moves.calls import (
+    CallNames,
+    MoveCalls,
+    StreamCopy,
+    format_copy,
+    make_move_calls,
+)
 from .upstream_pace import StatedLoad, read_stated_load
 
 # RFC 9110, section 7.6.1: fields that concern one connection only.
@@ -36,6 +44,21 @@
 
 UNAVAILABLE = 503
 DELAY_SECONDS = re.compile(r"[0-9]+(?:\.[0-9]*)?\Z")
+# The copy from which a request goes on, and the upstream that keeps a copy of a run.
+COPY = "chervilwing-copy"
+BACKUP = "chervilwing-backup"
+# Fields that only the gateway may send to an upstream; a caller's are dropped.
+RESERVED = ("authorization", COPY, BACKUP)
+MOVE_NAMES = CallNames(
+    copy_path="/-/chervilwing-copy",
+    free_path="/-/chervilwing-copies/",
+    report_path="/-/chervilwing-runs",
+    request_id="id",
+    target="target",
+    last="last",
+    handle="handle",
+    runs="runs",
+)
 # Longest time in seconds that an upstream may ask to be left alone; a larger value in a
 # faulty answer would take it out of service for good.
 MAX_RETRY_AFTER = 600.0
@@ -71,6 +94,8 @@
     ``seconds_left`` is the time until the deadline, ``urgency`` a priority (0 is most
     urgent), ``last_event`` the id after which a stream resumes. ``source`` is the
     Address of another upstream from which this one may fetch parts of the prompt.
+    ``copy`` is the StreamCopy from which the request goes on, and ``backup`` the
+    Address of another upstream that keeps a copy of this run.
     """
 
     upstream: str
@@ -79,6 +104,8 @@
     urgency: int | None = None
     last_event: str = ""
     source: Address | None = None
+    copy: StreamCopy | None = None
+    backup: Address | None = None
 
 
 class Dialect(NamedTuple):
@@ -92,6 +119,7 @@
     they match. ``measure_cost`` returns what a request is charged to its organisation's
     allowance.
     ``format_retry_after`` accepts seconds and returns the value of Retry-After.
+    ``moves`` holds the calls about copies of running streams.
     """
 
     read_demand: Callable
@@ -100,6 +128,7 @@
     belongs_to: Callable
     measure_cost: Callable
     format_retry_after: Callable
+    moves: MoveCalls | None = None
 
 
 def select_end_to_end(headers):
@@ -123,11 +152,16 @@
 
 def _write_headers(headers, context):
     fields = select_end_to_end(headers)
-    fields.pop("authorization", None)
+    for name in RESERVED:
+        fields.pop(name, None)
     fields["chervilwing-timeout"] = f"{context.seconds_left:.3f}"
     fields["chervilwing-customer"] = context.organisation
     if context.last_event:
         fields["last-event-id"] = context.last_event
+    if context.copy is not None:
+        fields[COPY] = format_copy(context.copy)
+    if context.backup is not None:
+        fields[BACKUP] = format_address(context.backup)
     return fields
 
 
@@ -204,4 +238,5 @@
     _belongs_to,
     _measure_cost,
     _format_retry_after,
+    make_move_calls(MOVE_NAMES),
 )
--- a/src/chervilwing/events.py
+++ b/src/chervilwing/events.py
@@ -34,11 +34,13 @@
     An upstream may fail in the middle of an event. If the incomplete event were
     relayed, the caller would read it and the next upstream's first event as one, so
     only complete events are relayed. ``last_id`` is the id of the last of them, after
-    which the next upstream resumes. With ``resumable`` false, nothing is held back.
+    which the next upstream resumes, and ``count`` the number of events with an id. With
+    ``resumable`` false, nothing is held back and neither is known.
     """
 
     def __init__(self, resumable=True):
         self.last_id = ""
+        self.count = 0
         self._resumable = resumable
         self._buffer = b""
 
@@ -60,6 +62,7 @@
         ids = EVENT_ID.findall(complete)
         if ids:
             self.last_id = ids[-1].decode("latin-1")
+            self.count += len(ids)
         return complete
 
     def take_rest(self):
--- a/src/chervilwing/gateway_settings.py
+++ b/src/chervilwing/gateway_settings.py
@@ -25,6 +25,8 @@
 
 MS_PER_SECOND = 1000
 MS_SUFFIX = "ms"
+# A part of the gateway is active where upstreams call for it, or nowhere.
+AUTO, OFF = "auto", "off"
 # Environment variable with the path of the settings file. Its lines are
 # VARIABLE=value; an environment variable overrides them.
 FILE_VARIABLE = PREFIX + "SETTINGS"
@@ -38,7 +40,7 @@
     ``leave_bound`` that within which a leaving upstream must stop receiving requests.
     ``link_rate`` is in Mbit/s, and ``heartbeat`` is the interval between renewals of an
     upstream's registration. ``retry_ratio`` and ``retry_burst`` limit the retries of
-    all instances together.
+    all instances together. ``stream_moves`` is AUTO or OFF.
     """
 
     listen: Address
@@ -74,6 +76,7 @@
     incarnation: int = 0
     limits: CallerLimits = CallerLimits()
     plain_pool: PoolSpec = PoolSpec("")
+    stream_moves: str = AUTO
 
 
 def parse_duration(text):
@@ -149,6 +152,13 @@
     Field(
         "buys", parse_flag, "false", "true|false", "order instances according to load"
     ),
+    Field(
+        "stream_moves",
+        one_of((AUTO, OFF)),
+        AUTO,
+        f"{AUTO}|{OFF}",
+        "moves and backups of running streams",
+    ),
     Field(
         "log_format", one_of(LOG_FORMATS), "json", "json|text", "format of log lines"
     ),
--- a/src/chervilwing/platform/documents.py
+++ b/src/chervilwing/platform/documents.py
@@ -74,6 +74,9 @@
         value["kvCapacity"],
         value.get("kvTokenBytes", 0.0),
         value.get("linkMbps", 0.0) * BITS_PER_MEGABIT,
+        value.get("moves", False),
+        value.get("backups", False),
+        value.get("handleTtlS", 0.0),
     )
 
 
--- a/src/chervilwing/platform/headers.py
+++ b/src/chervilwing/platform/headers.py
@@ -12,6 +12,7 @@
     read_retry_after,
     select_end_to_end,
 )
+from ..stream_moves.calls import CallNames, format_copy, make_move_calls
 from ..upstream_pace import read_stated_load
 
 REQUEST_ID = "x-request-id"
@@ -28,6 +29,9 @@
 # The address from which an upstream fetches missing parts of the prompt's KV cache.
 FETCH = "kv-fetch"
 NOT_RUN = "x-not-run"
+# The copy of a run from which a request goes on, and the upstream that keeps a backup.
+COPY = "kv-from"
+BACKUP = "x-kv-backup"
 # Present in answers that come from the upstream itself.
 SIGNATURE = "x-server-stamp"
 # The requests per second that the upstream accepts from all instances together.
@@ -40,6 +44,16 @@
 LOAD = "x-server-load"
 MISDIRECTED = 421
 LEAST_URGENT = 9
+MOVE_NAMES = CallNames(
+    copy_path="/-/kv-move",
+    free_path="/-/kv-handle/",
+    report_path="/-/report",
+    request_id="id",
+    target="target",
+    last="last",
+    handle="handle",
+    runs="runs",
+)
 # Fields that only the gateway may send to an upstream; a caller's are dropped.
 RESERVED = frozenset(
     {
@@ -50,8 +64,8 @@
         "x-expect-version",
         "x-hold",
         "x-pin-ms",
-        "x-kv-backup",
-        "kv-from",
+        BACKUP,
+        COPY,
         FETCH,
         NOT_RUN,
     }
@@ -108,6 +122,10 @@
         fields[FETCH] = format_address(context.source)
     if context.last_event:
         fields[LAST_EVENT] = context.last_event
+    if context.copy is not None:
+        fields[COPY] = format_copy(context.copy)
+    if context.backup is not None:
+        fields[BACKUP] = format_address(context.backup)
     return fields
 
 
@@ -170,4 +188,5 @@
     belongs_to,
     measure_cost,
     format_retry_after,
+    make_move_calls(MOVE_NAMES),
 )
--- a/src/chervilwing/routing.py
+++ b/src/chervilwing/routing.py
@@ -74,13 +74,18 @@
     ``slots`` is the number of concurrent requests, ``memory_tokens`` the tokens that
     fit into the KV cache, ``token_bytes`` the size of a cached token in bytes, and
     ``link_rate`` the bits per second between two engines, 0 if engines can't fetch
-    cached tokens from each other.
+    cached tokens from each other. ``moves`` and ``backups`` say whether engines copy
+    running requests to each other on demand or all the time, and ``handle_ttl`` is how
+    long in seconds they keep a copy that nobody uses.
     """
 
     slots: int
     memory_tokens: int
     token_bytes: float = 0.0
     link_rate: float = 0.0
+    moves: bool = False
+    backups: bool = False
+    handle_ttl: float = 0.0
 
 
 class FleetSpec(NamedTuple):
