Move running streams off leaving engines and back up long ones

An engine with two seconds' notice took its running streams with it. The instance that relays a stream now has it copied to an engine that stays, stops it, and sends the request on with the handle and the last relayed event, in the same answer. Long streams that can't be resumed get a backup, from which they go on after a crash. Nothing changes on the wire unless engines offer this and report their pace.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -20,6 +20,7 @@
 from .logs import log_event
 from .registrations import get_process
 from .routing import IDEMPOTENT, STREAM
+from .stream_moves.mover import Mover
 from .upstream_pace import is_better_elsewhere
 
 HTTP_OK = 200
@@ -66,6 +67,7 @@
         self._detours = gateway.detours
         self._detours.end_attempt = self.end_attempt
         self._detours.leave_path = self.leave_path
+        self.mover = Mover(gateway, self, client, dialect.moves)
 
     def close_idle(self, address):
         """Close the idle connections to an address that is no longer used."""
@@ -89,6 +91,8 @@
         relay.pool.record_sent(upstream_state, relay.demand, estimate, now)
         if relay.attempts > 1:
             self._retries.record_retry(relay.pool.spec.name)
+        if relay.copy is None and self.mover.is_active(relay.pool, now):
+            relay.backup = self.mover.backups.choose(relay, now)
         self._submit(relay, self._detours.choose_first(relay, now), now)
 
     def _submit(self, relay, peer, now):
@@ -127,6 +131,8 @@
             relay.priority,
             relay.events.last_id if relay.events else "",
             relay.estimate.source and relay.estimate.source.registration.address,
+            relay.copy,
+            relay.backup.address if relay.backup and not relay.copy else None,
         )
         max_idle_time = (
             MAX_IDLE_REPEATABLE if route.repeatable else MAX_IDLE_NON_REPEATABLE
@@ -156,7 +162,7 @@
         """Place the requests again that still wait for a connection to a ProcessId."""
         for relay in list(self._gateway.relays):
             call = relay.call
-            if call is None or not call.conn.connecting:
+            if call is None or not call.conn.connecting or self.mover.is_sent_on(relay):
                 continue
             if get_process(relay.upstream_state.registration) == process:
                 self._place_unsent(relay)
@@ -197,8 +203,11 @@
         elif is_stream and not relay.exchange.started:
             if relay.route.resumable:
                 self._gateway.resumptions.begin(relay, read_boottime())
+            self.mover.begin_answer(relay, read_boottime())
             relay.exchange.on_drain = partial(self._on_drain, relay)
             relay.exchange.relay_head(status, drop_hop_by_hop(headers), None)
+        else:
+            self.mover.handle_started(relay)
 
     def _record_limit(self, relay, answer_status):
         """Record the request limit that an answer states for its upstream."""
@@ -244,6 +253,8 @@
         failed = True
         name = relay.upstream_state.registration.name
         self._gateway.brittle_upstreams.record_refusal(name, read_boottime())
+        if self.mover.handle_refused(relay):
+            return
         if answer_status.retry_after:
             # The failure rate would keep requests away for longer than the upstream
             # asked for.
@@ -322,6 +333,11 @@
         self._gateway.on_usage(relay.organisation_name, now - began)
 
     def _on_done(self, relay):
+        if not self.mover.handle_ended_in_order(relay):
+            self.handle_done(relay)
+
+    def handle_done(self, relay):
+        """Finish the answer of an attempt that ended in order, or send it again."""
         status, headers = relay.answer
         self._record_answer_started(relay)
         failed = status >= MIN_SERVER_ERROR
@@ -370,6 +386,8 @@
 
     def _on_failure(self, relay, exc):
         """Retry or give up after an attempt that failed without a complete answer."""
+        if self.mover.handle_failure(relay, exc):
+            return
         log_event(
             "attempt failed",
             request=relay.demand.request_id,
@@ -393,7 +411,11 @@
             self._count_usage(relay)
             self._detours.record_broken(relay, exc, now)
         self._detours.end_failed(relay, exc, now)
-        if relay.ended:
+        self.recover(relay, exc)
+
+    def recover(self, relay, exc):
+        """Continue or retry a request after a failed attempt, or give up."""
+        if relay.ended or self.mover.continue_from_backup(relay, exc):
             return
         if not relay.route.repeatable and relay.may_have_run:
             self.give_up(relay, exc)
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -121,6 +121,7 @@
         self.draining = False
         self.crash_detection = CrashDetection(poller, self, client).register(self)
         self._attempts = Attempts(self, client, dialect)
+        self.mover = self._attempts.mover
         self._dialect = dialect
         self._keys_are_fresh = keys_are_fresh
         self._rng = random.Random()
@@ -163,6 +164,7 @@
             registration.pool, registration.version, read_boottime()
         )
         self.get_or_create_pool(registration.pool).put_upstream(registration)
+        self.mover.handle_leaving(registration, read_boottime())
 
     def remove_upstream(self, name, regained_at):
         """Handle the disappearance of an upstream's registration.
@@ -228,6 +230,7 @@
         registration = self.registry.mark_leaving(process)
         if registration is not None:
             self.get_or_create_pool(registration.pool).put_upstream(registration)
+            self.mover.handle_leaving(registration, now)
         self._attempts.withdraw_unsent(process)
         return True
 
@@ -539,6 +542,7 @@
         self._log_slow(now)
         self.detours.end_broken(now)
         self.retry_waiting_requests(now)
+        self.mover.advance(now)
         for relay in list(self.relays):
             if now >= relay.deadline:
                 self._expire(relay)
@@ -576,6 +580,7 @@
         relay.ended = True
         self.relays.discard(relay)
         now = read_boottime()
+        self.mover.handle_relay_ended(relay, now)
         series = self.stats.select(
             relay.organisation_name or OPEN_LABEL, relay.route.name
         )
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -209,6 +209,8 @@
             slowest, mean = pool.paces.summarise(now)
             gauges[f'gateway_pool_slowest_pace{{pool="{name}"}}'] = round(slowest, 3)
             gauges[f'gateway_pool_mean_pace{{pool="{name}"}}'] = round(mean, 3)
+        for name, value in gateway.mover.count().items():
+            gauges[f"gateway_stream_{name}"] = value
         return "".join(f"chervilwing_{k} {v}\n" for k, v in gauges.items())
 
     @handler("started", channel="*")
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -70,7 +70,11 @@
     __slots__ = (
         "answer",
         "attempts",
+        "backup",
         "call",
+        "continuable",
+        "continued",
+        "copy",
         "charged_at",
         "cost",
         "usage_counted",
@@ -89,11 +93,13 @@
         "buffered_size",
         "limit",
         "may_have_run",
+        "move",
         "organisation",
         "origin",
         "ended",
         "pool",
         "received_at",
+        "refused_targets",
         "route",
         "sent_at",
         "suspects",
@@ -155,6 +161,15 @@
         # When the cost was charged, None before that.
         self.charged_at = None
         self.ended = False
+        # Whether the stream's events are followed, so that it may go on from a copy,
+        # and whether it did so; the copy that the current attempt is to go on from.
+        self.continuable = self.continued = False
+        self.copy = None
+        # The Move of the stream, the engines that refused one, and the registration of
+        # the engine that keeps a backup.
+        self.move = None
+        self.refused_targets = ()
+        self.backup = None
 
     @property
     def organisation_name(self):
@@ -186,9 +201,17 @@
     def start_answer(self, framing, has_events):
         """Prepare for the body of an attempt's answer, which may be a stream."""
         self.framing, self.has_events = framing, has_events
-        if not self.route.resumable:
+        if not (self.route.resumable or self.continuable):
             self.events = EventReader(resumable=False) if has_events else None
 
+    def begin_following(self, run_id):
+        """Follow the events of a stream whose engine knows it by an id, or by None."""
+        if run_id != self.demand.request_id:
+            return
+        if not self.route.resumable:
+            self.events = EventReader()
+        self.continuable = True
+
     def buffer(self, data):
         """Buffer a part of the answer; return False once the buffer is too large."""
         self.buffered.append(data)
--- a/src/chervilwing/retry_shares.py
+++ b/src/chervilwing/retry_shares.py
@@ -28,9 +28,9 @@
         earned = self._owner.cfg.retry_ratio * USABLE_FRACTION
         self._levels[pool] = min(self._capacity(), self._level(pool) + earned)
 
-    def may_retry(self, pool):
-        """Return whether a retry may be sent now."""
-        return self._level(pool) >= 1.0
+    def may_retry(self, pool, planned=0):
+        """Return whether a retry may be sent besides a number of planned ones."""
+        return self._level(pool) >= 1.0 + planned
 
     def record_retry(self, pool):
         """Record a retry, which spends one unit of the share."""
--- /dev/null
+++ b/src/chervilwing/stream_moves/candidates.py
@@ -0,0 +1,51 @@
+"""Engines and streams in the form in which the planner compares them."""
+
+from .planner import Candidate, RunningStream
+
+
+def list_candidates(pool, excluded, now, names=None):
+    """Return the Candidates of a pool that accept requests and aren't excluded.
+
+    ``names`` are the only ones to be considered, None for all.
+    """
+    states = pool.upstream_states
+    found = []
+    for name in states if names is None else names:
+        registration = states[name].registration
+        if registration.leaving or name in excluded:
+            continue
+        load = states[name].count(now)
+        candidate = Candidate(
+            name,
+            registration.data_centre,
+            registration.version,
+            load.requests,
+            load.tokens,
+            # Each running request delays the next one's start by about as much.
+            float(load.requests),
+        )
+        found.append(candidate)
+    return found
+
+
+def make_stream(relay, leaves_at, interval, now):
+    """Return the RunningStream of a request; ``interval`` is its pool's mean.
+
+    The request's own interval counts from its third event on.
+    """
+    registration, demand = relay.upstream_state.registration, relay.demand
+    events = relay.events.count if relay.events else 0
+    if events >= 3:
+        interval = (now - relay.first_byte_at) / (events - 1)
+    return RunningStream(
+        relay,
+        registration.data_centre,
+        relay.upstream_version,
+        relay.priority,
+        demand.prompt_tokens + demand.output_tokens,
+        events,
+        demand.output_tokens,
+        interval,
+        leaves_at,
+        relay.refused_targets,
+    )
--- /dev/null
+++ b/src/chervilwing/stream_moves/mover.py
@@ -0,0 +1,248 @@
+"""Moves of running streams off leaving engines, and their way on from a copy."""
+
+from collections import defaultdict
+
+from ..bodies import CLOSE_FRAMING
+from ..clocks import read_boottime
+from ..exceptions import ConnectionBroken, UpstreamFailed
+from ..gateway_settings import AUTO
+from ..logs import log_event
+from ..registrations import get_process
+from .backups import Backups
+from .candidates import list_candidates, make_stream
+from .move_runner import Move, MoveRunner
+from .move_state import Result
+from .planner import choose_move, list_cut_off
+
+# Seconds left until a request's deadline below which it isn't worth a move.
+MIN_TIME_LEFT = 0.3
+# Targets that may refuse one stream.
+MAX_TARGETS = 2
+
+
+class Mover:
+    """Moves the streams of this instance, one at a time for each leaving engine."""
+
+    def __init__(self, gateway, attempts, client, calls):
+        self._gateway = gateway
+        self._attempts = attempts
+        self._has_calls = calls is not None
+        self._runner = MoveRunner(gateway, attempts, client, calls)
+        self._runner.on_closed = self._begin_after
+        # Leaving engines and when they end, by process.
+        self._leaving = {}
+        self.backups = Backups(gateway)
+
+    def is_active(self, pool, now):
+        """Return whether this part is active for a pool."""
+        engine = pool.spec.engine
+        if engine is None or not self._has_calls:
+            return False
+        if self._gateway.cfg.stream_moves != AUTO:
+            return False
+        return (engine.moves or engine.backups) and pool.paces.is_active(now)
+
+    def handle_leaving(self, registration, now):
+        """Note when a leaving engine ends, and begin to move its streams."""
+        if not registration.leaving or registration.leaves_in is None:
+            return
+        process = get_process(registration)
+        leaves_at = now + registration.leaves_in
+        known = self._leaving.get(process)
+        # A repeated registration may be an old one.
+        if known is not None:
+            leaves_at = min(leaves_at, known[1])
+        self._leaving[process] = registration, leaves_at
+        self._begin_next(registration, leaves_at, now)
+
+    def begin_answer(self, relay, now):
+        """Follow a stream's events from the start of its answer."""
+        if not self.is_active(relay.pool, now):
+            return
+        # An engine knows a run by the id that the caller gave it.
+        relay.begin_following(relay.headers.get("x-request-id"))
+
+    def advance(self, now):
+        """Make the calls that are due, and begin moves; called at each tick."""
+        self._runner.run_due_calls(now)
+        if not self._leaving:
+            return
+        relays = defaultdict(list)
+        for relay in self._gateway.relays:
+            if relay.call is not None:
+                relays[relay.upstream_state.registration.name].append(relay)
+        for process, (registration, leaves_at) in list(self._leaving.items()):
+            if now >= leaves_at:
+                del self._leaving[process]
+            elif registration.name in relays:
+                found = relays[registration.name]
+                self._begin_next(registration, leaves_at, now, found)
+
+    def is_sent_on(self, relay):
+        """Return whether a request's current attempt continues an earlier one."""
+        move = relay.move
+        return move is not None and relay.call is move.sent_call is not None
+
+    def handle_failure(self, relay, exc):
+        """Handle a failed attempt if it belongs to a move; return whether it does."""
+        move = relay.move
+        if move is None or move.state.has_ended:
+            return False
+        if self.is_sent_on(relay):
+            self._runner.handle_send_failure(move, exc)
+            return True
+        if move.may_end_stream:
+            self._runner.handle_closed(move, exc)
+            return True
+        # The engine may have crashed; its stream goes on elsewhere or is lost.
+        move.state.end("lost")
+        return False
+
+    def handle_ended_in_order(self, relay):
+        """Return whether a stream that ended with its connection isn't known whole."""
+        move = relay.move
+        if move is None or relay.framing != CLOSE_FRAMING:
+            return False
+        if not move.may_end_stream:
+            return False
+        move.ended_in_order = True
+        if move.due is not None and move.state.is_continuing:
+            self._runner.run_due(move)
+        return True
+
+    def handle_refused(self, relay):
+        """Handle a refusal of the continued request; return whether it was one."""
+        if not self.is_sent_on(relay) or relay.move.state.has_ended:
+            return False
+        self._attempts.end_attempt(relay, failed=None, cancel=True)
+        self._runner.record(relay.move, Result.NOT_STARTED)
+        return True
+
+    def handle_started(self, relay):
+        """Handle the head of a stream that follows events of an earlier attempt."""
+        if self.is_sent_on(relay):
+            relay.continued = True
+            self._runner.record(relay.move, Result.STARTED)
+
+    def handle_relay_ended(self, relay, now):
+        """Handle a request's end: its copies aren't needed any more."""
+        self.backups.release(relay, now)
+        move = relay.move
+        if move is None or move.state.has_ended:
+            return
+        if move.state.is_continuing or move.due is not None:
+            move.state.end("ended")
+            self._runner.close(move)
+
+    def continue_from_backup(self, relay, exc):
+        """Send a request on from its backup; return whether that was possible.
+
+        Only after a broken connection is the earlier engine known to work on the
+        request no more.
+        """
+        backup = self.backups.find(relay)
+        broken = isinstance(exc, ConnectionBroken) or type(exc) is UpstreamFailed
+        if backup is None or not broken or not self._may_send_on(relay):
+            return False
+        now = read_boottime()
+        move = Move(relay, backup, backup, relay.deadline, now)
+        move.state.use_backup(relay.demand.request_id)
+        move.closed = exc
+        relay.move, relay.backup = move, None
+        self.backups.used += 1
+        log_event(
+            "stream backup used",
+            request=relay.demand.request_id,
+            upstream=relay.upstream_state.registration.name,
+            backup=backup.name,
+            last_event=relay.events.last_id,
+        )
+        self._runner.send(move, backup)
+        return True
+
+    def _may_send_on(self, relay):
+        now = read_boottime()
+        if relay.ended or relay.continued or not relay.continuable:
+            return False
+        if not relay.events.last_id or relay.deadline - now < MIN_TIME_LEFT:
+            return False
+        planned = len(self._runner.moves)
+        return self._gateway.retries.may_retry(relay.pool.spec.name, planned)
+
+    def _begin_next(self, registration, leaves_at, now, relays=None):
+        """Begin the next move from a leaving engine unless one is in progress."""
+        pool = self._gateway.pools.get(registration.pool)
+        if registration.name in self._runner.moves or not self.is_active(pool, now):
+            return
+        if not pool.spec.engine.moves:
+            return
+        streams = [
+            make_stream(relay, leaves_at, self.backups.pace_of(pool).interval, now)
+            for relay in (self._gateway.relays if relays is None else relays)
+            if self._is_movable(relay, registration)
+        ]
+        streams = list_cut_off(streams, now)
+        if not streams:
+            return
+        reserved = [move.target.name for move in self._runner.moves.values()]
+        candidates = list_candidates(pool, self._list_excluded(pool, now), now)
+        candidates = [
+            item._replace(requests=item.requests + reserved.count(item.name))
+            for item in candidates
+        ]
+        found = choose_move(streams, candidates, pool.spec.engine, now)
+        if found is not None:
+            self._begin(*found, registration, now)
+
+    def _list_excluded(self, pool, now):
+        """Return the names of the engines that want or may have no requests."""
+        gateway = self._gateway
+        excluded = gateway.pauses.list_paused(pool.upstream_states, now)
+        exhausted = gateway.upstream_limits.list_exhausted(pool.upstream_states, now)
+        return gateway.detours.list_unreachable(now).union(excluded, exhausted)
+
+    def _is_movable(self, relay, registration):
+        if relay.call is None or relay.upstream_state.registration.name != (
+            registration.name
+        ):
+            return False
+        if len(relay.refused_targets) >= MAX_TARGETS:
+            return False
+        has_move = relay.move is not None and not relay.move.state.has_ended
+        return not has_move and relay.has_events and self._may_send_on(relay)
+
+    def _begin(self, stream, target, registration, now):
+        relay = stream.key
+        state = relay.pool.upstream_states[target.name]
+        move = Move(relay, registration, state.registration, stream.leaves_at, now)
+        relay.move = move
+        log_event(
+            "stream move begun",
+            request=relay.demand.request_id,
+            upstream=registration.name,
+            target=target.name,
+            events=stream.events,
+            expected_events=stream.expected_events,
+            interval=round(stream.interval, 4),
+            tokens=stream.tokens,
+            leaves_in=round(stream.leaves_at - now, 3),
+        )
+        self._runner.begin(move)
+
+    def _begin_after(self, move):
+        """Begin the next move from the same engine."""
+        found = self._leaving.get(get_process(move.source))
+        if found is not None:
+            self._begin_next(*found, read_boottime())
+
+    def count(self):
+        """Return the figures of moves and backups by the last part of their metric."""
+        runner = self._runner
+        failed = {f'moves_failed{{cause="{k}"}}': n for k, n in runner.failed.items()}
+        return {
+            "moves_begun": runner.begun,
+            "moves_completed": runner.completed,
+            **failed,
+            "backups_held": len(self.backups.budget),
+            "backups_used": self.backups.used,
+        }
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -71,6 +71,8 @@
     "sockets",
     "stream_exchange",
     "stores",
+    "stream_moves/move_runner",
+    "stream_moves/mover",
     "ticks",
     "tunnel_exchange",
     "tunnel_server",
