--- a/tests/moving_upstreams.py
+++ b/tests/moving_upstreams.py
@@ -14,6 +14,8 @@
 NOT_RUN = b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 # Seconds for which two engines may work on one request.
 OVERLAP = 0.4
+# Seconds by which a call that hangs is late.
+HANG_TIME = 1.2
 
 
 class Run:
@@ -59,14 +61,15 @@
     """Engine whose streams have as many events as output tokens were requested.
 
     ``faults`` maps "copy", "last" or "report" to what happens once: "lose" loses the
-    call's answer, "refuse" refuses it, "die" ends the engine.
+    call's answer, "hang" delays it, "die" ends the engine. "refuse" maps to whether the
+    last call is refused, or the first.
     """
 
     def __init__(self, shared, pace=0.02, copy_time=0.02):
         self.shared, self.pace, self.copy_time = shared, pace, copy_time
         self.faults = {}
         self.head = EVENTS.removesuffix(b"\r\n") + PACE
-        self.stops, self.backups = {}, {}
+        self.stops, self.backups, self.busy = {}, {}, set()
         self.moves, self.dead = 0, False
         super().__init__(None)
         self.address = f"{HOST}:{self.port}"
@@ -111,7 +114,7 @@
             fault = "last" if call.get("last") else "copy"
             if self.faults.get(fault) == "die":
                 self.die()
-            status, value = self.copy(call)
+            status, value = self.copy_once(call, fault)
             self.meet_fault(fault, conn)
         data = json.dumps(value).encode()
         head = f"HTTP/1.1 {status} x\r\nContent-Length: {len(data)}\r\n\r\n"
@@ -129,6 +132,19 @@
             if run.handles.get(handle):
                 run.handles[handle] = False
 
+    def copy_once(self, call, fault):
+        """Copy a run unless another call does; see ``copy``."""
+        if call["id"] in self.busy:
+            return 409, {}
+        self.busy.add(call["id"])
+        if self.faults.get(fault) == "hang":
+            del self.faults[fault]
+            time.sleep(HANG_TIME)
+        try:
+            return self.copy(call)
+        finally:
+            self.busy.discard(call["id"])
+
     def copy(self, call):
         """Copy a run; return the answer's status and fields."""
         run, stop = self.shared.runs.get(call["id"]), self.stops.get(call["id"])
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -139,6 +139,14 @@
         # Guards against sending on without a handle, and against losing the stream.
         self.assertTrue(self.move_one(last="lose").whole)
 
+    def test_a_last_call_that_hangs(self):
+        # Guards against a send while the engine may still work on the request.
+        (stream,) = self.begin(1)
+        number = self.find_engine(stream)
+        self.upstreams[number].faults = {"last": "hang"}
+        self.leave(number, notice=4.0)
+        self.expect_whole([stream])
+
     def test_a_target_that_refuses_the_copy(self):
         # Guards against giving up after one full engine.
         self.assertTrue(self.move_one(refuse=False).whole)
