Bound backups by age, and finish streams that end with their connection

A backup isn't complete just after a stream's first event, and a prompt that crashes engines as they begin to answer it must not reach the engine with its backup. A request whose engine was stopped may have run, so that its charge isn't refunded at its deadline.

--- a/src/chervilwing/stream_moves/backups.py
+++ b/src/chervilwing/stream_moves/backups.py
@@ -9,6 +9,10 @@
 
 # Engines looked at for one backup: enough that one in another data centre has room.
 MAX_CANDIDATES = 12
+# Seconds since a stream's first event until its backup can be complete: engines send
+# it several times per second. A prompt that crashes engines as they begin to answer it
+# thus isn't sent on to the next one.
+MIN_AGE = 0.25
 
 
 class Backups:
@@ -53,12 +57,14 @@
         excluded = {relay.upstream_state.registration.name, *paused}
         return list_candidates(relay.pool, excluded, now, names)
 
-    def find(self, relay):
+    def find(self, relay, now):
         """Return the Registration of the engine that has a request's backup, or None.
 
-        Without events relayed, nothing tells from where to go on.
+        A stream without events, or one that has just begun, has none.
         """
-        return relay.backup if relay.has_events else None
+        if not relay.has_events or relay.first_byte_at is None:
+            return None
+        return relay.backup if now - relay.first_byte_at >= MIN_AGE else None
 
     def release(self, relay, now):
         """Release a request's backup and learn from its pace."""
--- a/src/chervilwing/stream_moves/move_runner.py
+++ b/src/chervilwing/stream_moves/move_runner.py
@@ -202,7 +202,7 @@
 
     def handle_closed(self, move, exc):
         """Note the end of a stream whose engine was told to stop it."""
-        move.closed = exc
+        move.closed, move.relay.may_have_run = exc, True
         self._attempts.end_attempt(move.relay, failed=None)
         if move.due is not None and move.state.is_continuing:
             self.run_due(move)
--- a/src/chervilwing/stream_moves/mover.py
+++ b/src/chervilwing/stream_moves/mover.py
@@ -140,11 +140,11 @@
         Only after a broken connection is the earlier engine known to work on the
         request no more.
         """
-        backup = self.backups.find(relay)
+        now = read_boottime()
+        backup = self.backups.find(relay, now)
         broken = isinstance(exc, ConnectionBroken) or type(exc) is UpstreamFailed
         if backup is None or not broken or not self._may_send_on(relay):
             return False
-        now = read_boottime()
         move = Move(relay, backup, backup, relay.deadline, now)
         move.state.use_backup(relay.demand.request_id)
         move.closed = exc
--- a/src/chervilwing/stream_moves/planner.py
+++ b/src/chervilwing/stream_moves/planner.py
@@ -78,6 +78,7 @@
 
     def __init__(self):
         self._tokens = {}
+        self._total = 0
 
     def __len__(self):
         return len(self._tokens)
@@ -87,14 +88,15 @@
 
         ``capacity`` is this instance's share of the pool's KV memory.
         """
-        if sum(self._tokens.values()) + tokens > capacity * BACKUP_PART:
+        if self._total + tokens > capacity * BACKUP_PART:
             return False
         self._tokens[key] = tokens
+        self._total += tokens
         return True
 
     def release(self, key):
         """Release what was reserved, if anything."""
-        self._tokens.pop(key, None)
+        self._total -= self._tokens.pop(key, 0)
 
 
 def compute_time_left(stream):
--- a/tests/moving_upstreams.py
+++ b/tests/moving_upstreams.py
@@ -6,7 +6,7 @@
 from contextlib import suppress
 
 from tests.procs import HOST, Caller
-from tests.test_gateway import EVENTS, encode_chunk, reset
+from tests.test_gateway import CHUNKED, EVENTS, encode_chunk, reset
 from tests.upstreams import RawUpstream
 
 # Field by which a pool's upstreams state their pace.
@@ -25,6 +25,7 @@
         self.length = length
         # Times at which each engine's work on it began and ended.
         self.served = []
+        self.done = False
         # Whether a copy can still be used, by handle.
         self.handles = {}
 
@@ -71,6 +72,8 @@
         self.head = EVENTS.removesuffix(b"\r\n") + PACE
         self.stops, self.backups, self.busy = {}, {}, set()
         self.moves, self.dead = 0, False
+        # Whether streams are sent in chunks; events after which they end by themselves.
+        self.chunked, self.ends_after = True, None
         super().__init__(None)
         self.address = f"{HOST}:{self.port}"
         shared.engines[self.address] = self
@@ -149,7 +152,7 @@
         """Copy a run; return the answer's status and fields."""
         run, stop = self.shared.runs.get(call["id"]), self.stops.get(call["id"])
         handle = f"h-{call['id']}-{self.port}"
-        if run is None or (stop is None and handle not in run.handles):
+        if run is None or run.done or (stop is None and handle not in run.handles):
             return 404, {}
         time.sleep(self.copy_time if handle not in run.handles else 0.002)
         target = self.shared.engines[call["target"]]
@@ -183,22 +186,24 @@
         if "kv-from" in fields and not self.take_copy(fields):
             conn.sendall(NOT_RUN)
             return True
-        length = int(fields["x-token-count"].split(",")[1])
+        length = self.ends_after or int(fields["x-token-count"].split(",")[1])
         run = self.shared.runs.setdefault(name, Run(length))
         span = [time.monotonic(), None]
         run.served.append(span)
         stop = self.stops[name] = threading.Event()
         try:
-            conn.sendall(self.head)
+            encode = encode_chunk if self.chunked else bytes
+            conn.sendall(self.head if self.chunked else self.head.replace(CHUNKED, b""))
             for number in range(int(fields.get("last-event-id", 0)) + 1, length + 1):
                 if stop.wait(self.pace) or self.dead:
                     return False
-                conn.sendall(encode_chunk(b"id: %d\ndata: v1\n\n" % number))
+                conn.sendall(encode(b"id: %d\ndata: v1\n\n" % number))
                 backup = self.shared.engines.get(fields.get("x-kv-backup"))
                 if backup is not None:
                     backup.backups[name] = number
-            conn.sendall(b"0\r\n\r\n")
-            return True
+            run.done = True
+            conn.sendall(b"0\r\n\r\n" if self.chunked else b"")
+            return self.chunked
         finally:
             span[1] = time.monotonic()
             if self.stops.get(name) is stop:
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -1,10 +1,12 @@
 """Tests that running streams go on at another engine, from a copy or a backup."""
 
 import threading
+import time
 import unittest
 
 from chervilwing.platform.headers import DIALECT
 from chervilwing.routing import EngineSpec, PoolSpec
+from chervilwing.stream_moves.backups import MIN_AGE
 from tests.gateways import GatewayThread, make_document
 from tests.moving_upstreams import Engines, MovingEngine
 from tests.procs import poll
@@ -147,6 +149,18 @@
         self.leave(number, notice=4.0)
         self.expect_whole([stream])
 
+    def test_streams_that_end_with_their_connection(self):
+        # Guards against a stopped stream that counts as whole, and against the reverse.
+        for ends_after in (None, 30):
+            for upstream in self.upstreams:
+                upstream.chunked, upstream.ends_after = False, ends_after
+            (stream,) = self.begin(1)
+            number = self.find_engine(stream)
+            self.upstreams[number].faults = {"last": "hang"} if ends_after else {}
+            self.leave(number, notice=4.0)
+            self.expect_whole([stream])
+            self.assertEqual(len(stream.events), ends_after or 250)
+
     def test_a_target_that_refuses_the_copy(self):
         # Guards against giving up after one full engine.
         self.assertTrue(self.move_one(refuse=False).whole)
@@ -199,6 +213,7 @@
         # Backups begin once an answer has stated its engine's pace.
         self.begin(1, length=1)
         streams = self.begin(12, length=120)
+        time.sleep(MIN_AGE)
         number = self.find_engine(streams[0])
         self.upstreams[number].die()
         self.expect_whole(streams)
@@ -209,6 +224,7 @@
         self.begin(1, length=1)
         (stream,) = self.begin(1, length=120)
         self.assertTrue(self.gateway.mover.count()["backups_held"])
+        time.sleep(MIN_AGE)
         number = self.find_engine(stream)
         for upstream in self.upstreams:
             upstream.backups = {f"{stream.name}.1": None}
