--- a/src/chervilwing/gateway_settings.py
+++ b/src/chervilwing/gateway_settings.py
@@ -39,7 +39,7 @@
     ``leave_bound`` that within which a leaving upstream must stop receiving requests.
     ``link_rate`` is in Mbit/s, and ``heartbeat`` is the interval between renewals of an
     upstream's registration. ``retry_ratio`` and ``retry_burst`` limit the retries of
-    all instances together.
+    all instances together. ``stream_moves`` is AUTO or OFF.
     """
 
     listen: Address
@@ -77,6 +77,7 @@
     incarnation: int = 0
     limits: CallerLimits = CallerLimits()
     plain_pool: PoolSpec = PoolSpec("")
+    stream_moves: str = AUTO
 
 
 def parse_duration(text):
@@ -159,6 +160,13 @@
     Field(
         "buys", parse_flag, "false", "true|false", "order instances according to load"
     ),
+    Field(
+        "stream_moves",
+        one_of((AUTO, OFF)),
+        AUTO,
+        f"{AUTO}|{OFF}",
+        "moves and backups of running streams",
+    ),
     Field(
         "log_format", one_of(LOG_FORMATS), "json", "json|text", "format of log lines"
     ),
