Expect as many events of a stream as its tokens fill

The planner compared events with output tokens, although an event of the platform's engines holds several tokens (stride). It expected three times the time until a stream's end, moved streams that would have ended in time, and backed up short ones.

tests.test_move_decisions and test_stream_moves pass (27 tests).

--- a/src/chervilwing/platform/documents.py
+++ b/src/chervilwing/platform/documents.py
@@ -77,6 +77,7 @@
         value.get("moves", False),
         value.get("backups", False),
         value.get("handleTtlS", 0.0),
+        value.get("stride", 1),
     )
 
 
--- a/src/chervilwing/routing.py
+++ b/src/chervilwing/routing.py
@@ -76,7 +76,8 @@
     ``link_rate`` the bits per second between two engines, 0 if engines can't fetch
     cached tokens from each other. ``moves`` and ``backups`` say whether engines copy
     running requests to each other on demand or all the time, and ``handle_ttl`` is how
-    long in seconds they keep a copy that nobody uses.
+    long in seconds they keep a copy that nobody uses. An event of a stream holds
+    ``event_tokens`` generated tokens.
     """
 
     slots: int
@@ -86,6 +87,7 @@
     moves: bool = False
     backups: bool = False
     handle_ttl: float = 0.0
+    event_tokens: int = 1
 
 
 class FleetSpec(NamedTuple):
--- a/src/chervilwing/stream_moves/backups.py
+++ b/src/chervilwing/stream_moves/backups.py
@@ -4,7 +4,7 @@
 from math import inf
 
 from ..routing import STREAM
-from .candidates import list_candidates, make_stream
+from .candidates import count_events, list_candidates, make_stream
 from .planner import BackupBudget, Pace, choose_backup
 
 # Engines looked at for one backup: enough that one in another data centre has room.
@@ -38,7 +38,8 @@
         interval = self.pace_of(relay.pool).interval
         self.budget.release(relay)
         stream = make_stream(relay, inf, interval, now)
-        stream = stream._replace(expected_events=relay.demand.expected_tokens)
+        expected = count_events(relay.demand.expected_tokens, engine)
+        stream = stream._replace(expected_events=expected)
         candidates = self._list_candidates(relay, now)
         target = choose_backup(stream, candidates, engine)
         if target is None:
--- a/src/chervilwing/stream_moves/candidates.py
+++ b/src/chervilwing/stream_moves/candidates.py
@@ -1,5 +1,7 @@
 """Engines and streams in the form in which the planner compares them."""
 
+from math import ceil
+
 from .planner import Candidate, RunningStream
 
 
@@ -44,8 +46,13 @@
         relay.priority,
         demand.prompt_tokens + demand.output_tokens,
         events,
-        demand.output_tokens,
+        count_events(demand.output_tokens, relay.pool.spec.engine),
         interval,
         leaves_at,
         relay.refused_targets,
     )
+
+
+def count_events(tokens, engine):
+    """Return the events of this many generated tokens; ``engine`` is an EngineSpec."""
+    return ceil(tokens / max(1, engine.event_tokens))
