Store what tells suspected parts apart for instances that start later

An instance that starts after all others were replaced reads from the store that two parts were in flight at the same crashes, and bars both: it has seen neither answers nor prompts. Where one of them is the first part of many sound requests, these were refused until the suspicions lapsed.

The leader of a group now also writes notes on the candidates: that a part was answered once, or that all requests with it had another part, too. A note is the key of an item without a value, below the prefix and under the lease of the crashes. An older instance reads it as a crash that nobody is suspected of.

--- a/src/chervilwing/crash_causes.py
+++ b/src/chervilwing/crash_causes.py
@@ -5,6 +5,8 @@
 """
 
 from collections import OrderedDict
+from enum import Enum
+from math import inf
 from typing import NamedTuple
 
 from .bounds import keep_latest
@@ -26,6 +28,8 @@
 # crashes, so that the second one has fewer of its own.
 MIN_UNEXPLAINED = 2
 MIN_UNEXPLAINED_ANSWERED = 3
+# Number of latest CrashNotes of other instances that are kept.
+MAX_NOTES = 1024
 
 
 class Suspect(NamedTuple):
@@ -35,6 +39,55 @@
     scope: Scope
 
 
+class SuspicionState(Enum):
+    """State of one request's suspicion of one crash.
+
+    ASSUMED: a connection broke off, and it is not yet known whether the upstream has
+    crashed. PROVED: the upstream has crashed. WITHDRAWN: another upstream has answered
+    the request since, or the crash was deleted from the store.
+    """
+
+    ASSUMED = 1
+    PROVED = 2
+    WITHDRAWN = 3
+
+
+COUNTED_STATES = (SuspicionState.ASSUMED, SuspicionState.PROVED)
+
+
+class SuspectedRequest:
+    """Suspicions of one request.
+
+    ``crashes`` maps each crash's upstream to a SuspicionState. All suspicions count
+    until the time ``until``.
+    """
+
+    __slots__ = ("crashes", "until")
+
+    def __init__(self):
+        self.crashes = {}
+        self.until = inf
+
+    def list_crashes(self):
+        """Return the crashes that the request is suspected of."""
+        return {name for name, state in self.crashes.items() if state in COUNTED_STATES}
+
+    def count(self):
+        """Return the number of crashes that the request is suspected of."""
+        return sum(state in COUNTED_STATES for state in self.crashes.values())
+
+
+class CrashNote(NamedTuple):
+    """What tells a suspected part from the cause, if the crashes don't.
+
+    Every request with the part also has the ``companion``; if that is empty, the part
+    was once answered.
+    """
+
+    part: str
+    companion: str = ""
+
+
 class PartRequests:
     """The number of requests with a part, and the parts that all of them had."""
 
@@ -50,6 +103,22 @@
 
     def __init__(self):
         self._requests = OrderedDict()
+        # CrashNotes with a companion, of instances that may have ended.
+        self._notes = OrderedDict()
+
+    def add_note(self, note):
+        """Add a CrashNote with a companion."""
+        self._notes[note] = None
+        keep_latest(self._notes, MAX_NOTES)
+
+    def list_companions(self, part):
+        """Return the parts that all requests with a part had; empty if these are few.
+
+        The part itself is one of them.
+        """
+        found = self._requests.get(part)
+        enough = found is not None and found.count >= MIN_COUNT
+        return found.companions if enough else frozenset()
 
     def add(self, fingerprints):
         """Count a request with these parts."""
@@ -73,9 +142,11 @@
         comes far more often, as a crashing part is tried again and again.
         """
         own, others = self._requests.get(part), self._requests.get(other)
-        if own is None or others is None or min(own.count, others.count) < MIN_COUNT:
+        if own is None or other in own.companions:
             return False
-        if other in own.companions:
+        if others is None or others.count < MIN_COUNT:
+            return CrashNote(other, part) in self._notes
+        if own.count < MIN_COUNT:
             return False
         return part in others.companions or others.count >= OFTEN * own.count
 
@@ -91,6 +162,16 @@
     )
 
 
+def list_notes(candidates, was_answered, statistics):
+    """Return the CrashNotes that tell some candidates from others."""
+    notes = [CrashNote(part) for part in candidates if was_answered(part)]
+    unanswered = {part for part in candidates if not was_answered(part)}
+    for part in unanswered:
+        found = unanswered & statistics.list_companions(part) - {part}
+        notes.extend(CrashNote(part, companion) for companion in found)
+    return notes
+
+
 def select_causes(crashes, was_answered, is_unlikely):
     """Return the fingerprints that most probably caused the crashes.
 
--- a/src/chervilwing/crash_records.py
+++ b/src/chervilwing/crash_records.py
@@ -10,14 +10,19 @@
 """
 
 from collections import OrderedDict
-from enum import Enum
 from math import inf
 from typing import NamedTuple
 
 from .bounds import keep_latest
-from .crash_causes import PartStatistics, select_causes
+from .crash_causes import (
+    PartStatistics,
+    SuspectedRequest,
+    SuspicionState,
+    list_notes,
+    select_causes,
+)
 from .exceptions import RequestBarred
-from .stored_crashes import StoredCrashes
+from .stored_crashes import DueNotes, StoredCrashes, find_note
 
 # Number of crashes from which a suspected request is barred.
 CRASH_LIMIT = 3
@@ -42,6 +47,8 @@
 # that it didn't cause.
 EXEMPT_FOR = 10.0
 MAX_ANSWERED = 4096
+# Seconds since an answer whose time isn't known; it exempts nothing.
+OLD_ANSWER_AGE = 2 * EXEMPT_FOR
 # Number of upstreams whose crash is kept, and of those whose last answer is kept.
 MAX_UPSTREAMS = 1024
 # Seconds by which a report that an upstream has answered may be late, as datagrams wait
@@ -68,44 +75,6 @@
     age: float
 
 
-class SuspicionState(Enum):
-    """State of one request's suspicion of one crash.
-
-    ASSUMED: a connection broke off, and it is not yet known whether the upstream has
-    crashed. PROVED: the upstream has crashed. WITHDRAWN: another upstream has answered
-    the request since, or the crash was deleted from the store.
-    """
-
-    ASSUMED = 1
-    PROVED = 2
-    WITHDRAWN = 3
-
-
-COUNTED_STATES = (SuspicionState.ASSUMED, SuspicionState.PROVED)
-
-
-class SuspectedRequest:
-    """Suspicions of one request.
-
-    ``crashes`` maps each crash's upstream to a SuspicionState. All suspicions count
-    until the time ``until``.
-    """
-
-    __slots__ = ("crashes", "until")
-
-    def __init__(self):
-        self.crashes = {}
-        self.until = inf
-
-    def list_crashes(self):
-        """Return the crashes that the request is suspected of."""
-        return {name for name, state in self.crashes.items() if state in COUNTED_STATES}
-
-    def count(self):
-        """Return the number of crashes that the request is suspected of."""
-        return sum(state in COUNTED_STATES for state in self.crashes.values())
-
-
 class CrashRecords:
     """Suspicions known to one instance; times are seconds on one clock.
 
@@ -129,6 +98,7 @@
         # The time of the crash of each suspicion to report, and the end of its reports.
         self._reports = {}
         self.stored = StoredCrashes(name, self._count_if_proved)
+        self.due_notes = DueNotes(name, self._list_notes)
 
     def count(self, fingerprint, now):
         """Return the number of crashes that a request is suspected of."""
@@ -219,6 +189,10 @@
         pass that are suspected of the crash.
         """
         before = self.stored.update(key, crash, revision)
+        note = find_note(crash) if crash else None
+        if note is not None:
+            self._apply_note(note, now)
+            return
         found = crash.fingerprints if crash else ()
         for fingerprint in found:
             self._add_proved(Suspicion(fingerprint, crash.upstream), now, now)
@@ -277,6 +251,21 @@
         if now - at < EXEMPT_FOR:
             self._withdraw_request(fingerprint, now)
 
+    def _list_notes(self, now):
+        """Return the CrashNotes by which instances that start later select causes."""
+        return list_notes(
+            self._list_candidates(now),
+            self._answered.__contains__,
+            self.part_statistics,
+        )
+
+    def _apply_note(self, note, now):
+        if note.companion:
+            self.part_statistics.add_note(note)
+        elif note.part not in self._answered:
+            self._answered[note.part] = now - OLD_ANSWER_AGE
+            keep_latest(self._answered, MAX_ANSWERED)
+
     def _queue_report(self, suspicion, at, now):
         self._reports[suspicion] = (at, now + REPORT_FOR)
 
@@ -323,16 +312,22 @@
         if suspect.count() >= CRASH_LIMIT:
             self._often_suspected.add(fingerprint)
 
-    def _list_causes(self, now):
-        """Return the requests that probably caused the crashes."""
+    def _list_candidates(self, now):
+        """Return the crashes by request, of those suspected of CRASH_LIMIT crashes."""
         crashes = {
             item: self._suspects[item].list_crashes()
             for item in self._often_suspected
             if self.count(item, now) >= CRASH_LIMIT
         }
         self._often_suspected = set(crashes)
+        return crashes
+
+    def _list_causes(self, now):
+        """Return the requests that probably caused the crashes."""
         return select_causes(
-            crashes, self._answered.__contains__, self.part_statistics.is_unlikely
+            self._list_candidates(now),
+            self._answered.__contains__,
+            self.part_statistics.is_unlikely,
         )
 
     def _was_answered(self, fingerprint, now):
--- a/src/chervilwing/crash_saver.py
+++ b/src/chervilwing/crash_saver.py
@@ -6,7 +6,7 @@
 from .crash_records import SUSPECTED_FOR
 from .logs import log_event
 from .store_calls import Commit, Committed, Leased, TakeLease
-from .stored_crashes import encode_crash
+from .stored_crashes import NoteWrite, encode_crash
 
 # Seconds after a failed write until the next attempt.
 RETRY_AFTER = 1.0
@@ -28,6 +28,7 @@
         super().__init__()
         self._store = store
         self._stored = gateway.crashes.stored
+        self._notes = gateway.crashes.due_notes
         self._leads = leads
         self._lease = 0
         self._lease_until = 0.0
@@ -47,7 +48,7 @@
             return
         if self._busy or now < self._next_write:
             return
-        write = self._stored.pop_write(now)
+        write = self._stored.pop_write(now) or self._notes.pop_write(now)
         if write is None:
             return
         self._busy = True
@@ -67,20 +68,27 @@
         self._write(write)
 
     def _write(self, write):
+        commit = self._make_commit(write)
+        self._store.submit(commit, lambda reply: self._written(write, reply))
+
+    def _make_commit(self, write):
+        if isinstance(write, NoteWrite):
+            return Commit(puts=tuple((key, b"", self._lease) for key in write.keys))
         key, crash, revision = write
         expect = () if revision is None else ((key, revision),)
         if crash.fingerprints:
             puts = ((key, encode_crash(crash), self._lease),)
-            commit = Commit(expect=expect, puts=puts)
-        else:
-            commit = Commit(expect=expect, deletes=(key,))
-        self._store.submit(commit, lambda reply: self._written(write, reply))
+            return Commit(expect=expect, puts=puts)
+        return Commit(expect=expect, deletes=(key,))
 
     def _written(self, write, reply):
         if not isinstance(reply, Committed):
             self._fail(write, reply)
             return
         self._busy = False
+        if isinstance(write, NoteWrite):
+            log_event("crash notes stored", count=len(write.keys))
+            return
         count = len(write.crash.fingerprints)
         log_event("crash stored", upstream=write.crash.upstream, suspected=count)
 
@@ -90,6 +98,10 @@
         self._busy = False
         self._next_write = now + RETRY_AFTER
         self._lease_until = 0.0
+        if isinstance(write, NoteWrite):
+            self._notes.requeue_write(write)
+            log_event("crash notes not stored", reply=repr(reply))
+            return
         self._stored.requeue_write(write, now)
         upstream = write.crash.upstream
         log_event("crash not stored", upstream=upstream, reply=repr(reply))
--- a/src/chervilwing/stored_crashes.py
+++ b/src/chervilwing/stored_crashes.py
@@ -4,13 +4,18 @@
 value the fingerprints of the suspected requests.
 """
 
+from itertools import islice
 from typing import NamedTuple
 
+from .crash_causes import CrashNote
 from .exceptions import BadConfiguration
 from .fingerprints import RETRY_DIGEST_SIZE
 
 # Prefix of the keys of crashes; the upstream and the writer follow.
 CRASHES = "chervilwing/instances-crashes/"
+# Stands before each fingerprint of a CrashNote, in place of the upstream. Its item has
+# no value: to an older instance it is a crash that nobody is suspected of.
+NOTE_MARK = "~"
 # Seconds until a crash is written, so that the suspicions of other instances are
 # included and most requests that were in flight beside the cause have been answered.
 COLLECT_FOR = 2.0
@@ -24,6 +29,13 @@
 # Seconds for which an instance that doesn't lead its group keeps due writes, as it may
 # become the leader in that time.
 KEEP_DUE_FOR = 3.0
+# Seconds between two checks for new CrashNotes, and after which one is written again:
+# half of the time for which a crash is stored.
+NOTE_INTERVAL = 1.0
+RENEW_NOTE_AFTER = 300.0
+# CrashNotes of one writer in the store, and those of one call.
+MAX_NOTES = 128
+MAX_NOTES_AT_ONCE = 32
 # Requests stored with one crash, so that a crash fits into one datagram.
 MAX_FINGERPRINTS = 128
 # Number of crashes in the store at which no further crashes are added.
@@ -49,6 +61,45 @@
     revision: int | None = None
 
 
+class NoteWrite(NamedTuple):
+    """A write of CrashNotes, whose keys say all."""
+
+    keys: tuple[str, ...]
+
+
+class DueNotes:
+    """CrashNotes that one instance has to write; times are seconds on one clock.
+
+    ``list_notes(now)`` returns those that hold.
+    """
+
+    def __init__(self, name, list_notes):
+        self._name = name
+        self._list_notes = list_notes
+        # The times of the last writes by key.
+        self._written = {}
+        self._next_check = 0.0
+
+    def pop_write(self, now):
+        """Return a NoteWrite that is due now, or None."""
+        if now < self._next_check:
+            return None
+        self._next_check = now + NOTE_INTERVAL
+        self._written = {
+            key: at for key, at in self._written.items() if now - at < RENEW_NOTE_AFTER
+        }
+        keys = (make_note_key(note, self._name) for note in self._list_notes(now))
+        room = min(MAX_NOTES - len(self._written), MAX_NOTES_AT_ONCE)
+        due = tuple(islice((key for key in keys if key not in self._written), room))
+        self._written.update(dict.fromkeys(due, now))
+        return NoteWrite(due) if due else None
+
+    def requeue_write(self, write):
+        """Schedule a failed write again."""
+        for key in write.keys:
+            self._written.pop(key, None)
+
+
 class StoredCrashes:
     """Stored crashes and due writes of one instance; times are seconds on one clock.
 
@@ -180,6 +231,19 @@
     return f"{CRASHES}{upstream}/{writer}"
 
 
+def make_note_key(note, writer):
+    """Return the key under which an instance stores a CrashNote."""
+    return make_key("".join(NOTE_MARK + part for part in note if part), writer)
+
+
+def find_note(crash):
+    """Return the CrashNote of an item that was read as a StoredCrash, or None."""
+    mark, *parts = crash.upstream.split(NOTE_MARK)
+    if mark or crash.fingerprints or not 0 < len(parts) <= len(CrashNote._fields):
+        return None
+    return CrashNote(*parts)
+
+
 def encode_crash(crash):
     """Return the stored value of a crash: its fingerprints as bytes."""
     return b"".join(map(bytes.fromhex, crash.fingerprints))
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -344,6 +344,9 @@
         if node.leader_queries.target is None:
             while (write := node.records.stored.pop_write(self.now)) is not None:
                 self._write(write)
+            notes = node.records.due_notes.pop_write(self.now)
+            for key in notes.keys if notes else ():
+                self._append(key, decode_crash(key, b""))
         else:
             node.records.stored.drop_writes(self.now)
         # An instance that has just started reads the whole store at once.
@@ -361,7 +364,10 @@
         if expected is not None and revisions.get(key) != expected:
             return
         value = encode_crash(crash)
-        crash = decode_crash(key, value) if value else None
+        self._append(key, decode_crash(key, value) if value else None)
+
+    def _append(self, key, crash):
+        """Append a write to the store, or a deletion if ``crash`` is None."""
         at = self.now + self.rng.uniform(*STORE_LAG)
         # Writes are delivered in their order.
         last = self.log[-1][0] if self.log else 0.0
--- a/tests/test_crash_causes.py
+++ b/tests/test_crash_causes.py
@@ -18,6 +18,9 @@
     Suspicion,
 )
 from chervilwing.demands import Demand, PromptPart
+from chervilwing.stored_crashes import CRASHES, decode_crash
+
+SHARED, CAUSE = "a" * 16, "b" * 16
 
 
 def select(crashes, answered=(), statistics=None):
@@ -111,3 +114,48 @@
                     other.apply_reports(report, now)
         self.assertTrue(records.is_barred(part, now))
         self.assertTrue(other.is_barred(part, now))
+
+
+class TestNotes(unittest.TestCase):
+    def start_later(self, writer):
+        """Return the records of an instance that starts with a writer's notes."""
+        records = CrashRecords("two")
+        for key in writer.due_notes.pop_write(0.0).keys:
+            records.apply_stored(key, decode_crash(key, b""), 1, 0.0)
+        for number in range(CRASH_LIMIT):
+            for part in (SHARED, CAUSE):
+                records.prove(Suspicion(part, f"u{number}"), 0.0)
+        return records
+
+    def suspect(self):
+        """Return the records of an instance that suspects two parts equally."""
+        records = CrashRecords("one")
+        for number in range(CRASH_LIMIT):
+            for part in (SHARED, CAUSE):
+                records.prove(Suspicion(part, f"u{number}"), 0.0)
+        return records
+
+    def test_an_instance_that_starts_later_knows_what_all_requests_shared(self):
+        # Guards against a bar on a first part after all that knew that the other part
+        # never came without it have ended.
+        writer = self.suspect()
+        for _ in range(MIN_COUNT):
+            writer.part_statistics.add([SHARED, CAUSE])
+        records = self.start_later(writer)
+        self.assertTrue(records.is_barred(SHARED, 0.0))
+        records.part_statistics.add([SHARED])
+        self.assertFalse(records.is_barred(SHARED, 0.0))
+        self.assertTrue(records.is_barred(CAUSE, 0.0))
+
+    def test_an_instance_that_starts_later_knows_what_was_answered(self):
+        # Guards against a bar on a popular part after a restart of all instances.
+        writer = self.suspect()
+        writer.apply_reports(CrashReport(SHARED, ANY, EXEMPT_FOR), 0.0)
+        records = self.start_later(writer)
+        self.assertFalse(records.is_barred(SHARED, 0.0))
+        self.assertTrue(records.is_barred(CAUSE, 0.0))
+
+    def test_a_note_is_a_crash_of_nobody_to_an_older_instance(self):
+        # Guards against items that an older instance takes for evidence.
+        key = f"{CRASHES}~{SHARED}~{CAUSE}/one"
+        self.assertEqual(decode_crash(key, b"").fingerprints, ())
--- a/tests/weakened_gateway.py
+++ b/tests/weakened_gateway.py
@@ -271,7 +271,7 @@
         "a crash counts only once it is proved",
         (
             Edit(
-                "crash_records",
+                "crash_causes",
                 "SuspicionState.ASSUMED, SuspicionState.PROVED)",
                 "SuspicionState.PROVED,)",
             ),
