Keep measured durations in place of ratios to the pool's rate

As multiples of the pool's rate, paces changed with each change of the rate, which they correct: in the model of tests/outdated_loads.py the expected service time grew without bound once upstreams changed their pace in turn. Paces are now calculated from measured durations of a unit of work and that of the usual upstreams.

A slow answer that its upstream's statement explains counts at once, and two of them more than a slow period apart show a lasting slowness.

The model gets paces, stated loads and plain upstreams.

--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -507,16 +507,18 @@
         elapsed = now - sent.at
         tokens = sent.prefill + sent.queued_tokens
         if self.spec.engine is None:
-            ratio = elapsed / self.service_time.estimate(now)
-            pace = self.paces.record_sample(upstream_state, ratio, now)
+            predicted = self.service_time.estimate(now)
+            pace = self.paces.record_sample(upstream_state, elapsed, predicted, now)
             self.service_time.record(elapsed / pace, now)
         elif sent.band and not sent.lightly_loaded:
             # More urgent prompts that came later may have been read first.
             return True
         elif tokens >= MIN_MEASURED_TOKENS and elapsed > FIRST_TOKEN_TIME:
-            measured = tokens / (elapsed - FIRST_TOKEN_TIME)
-            pace = self.paces.record_sample(upstream_state, self.rate / measured, now)
-            rate = min(MAX_PREFILL_RATE, max(MIN_PREFILL_RATE, measured * pace))
+            rate = tokens / (elapsed - FIRST_TOKEN_TIME)
+            rate *= self.paces.record_sample(
+                upstream_state, 1.0 / rate, 1.0 / self.rate, now
+            )
+            rate = min(MAX_PREFILL_RATE, max(MIN_PREFILL_RATE, rate))
             self.rate = update_average(self.rate, rate)
             if sent.lightly_loaded:
                 self.light_load_rate = update_average(self.light_load_rate, rate)
--- a/src/chervilwing/upstream_pace/pool_paces.py
+++ b/src/chervilwing/upstream_pace/pool_paces.py
@@ -6,22 +6,26 @@
 
 # Seconds after the last statement of a pace for which paces are used.
 ACTIVE_FOR = 10.0
-# Seconds between two calculations of the usual pace and of those of the data centres.
+# Seconds between two calculations of the usual duration and of the slow data centres.
 UPDATE_INTERVAL = 0.2
-# The usual pace is that of the upstream at this part of all, fastest first: half of the
-# upstreams may be slow, and a few fast ones aren't usual.
+# The usual duration is the mean of the upstreams that take little longer than the one
+# at this part of all, fastest first: half of the upstreams may be slow, and a few fast
+# ones aren't usual.
 USUAL_QUANTILE = 0.25
-# Part of the upstreams that must have a learned pace before it replaces the usual one.
+# Part of the upstreams that must have a learned pace before the usual duration is taken
+# from them and not from the pool's rate.
 MIN_LEARNED_PART = 0.25
 # Upstreams with a learned pace from which on a data centre can be slow as a whole.
 MIN_LEARNED_IN_CENTRE = 2
 # An upstream or data centre counts as slow from this pace on, and no more below the
 # second one, so that it isn't logged at each answer.
 SLOW_PACE = 2.0
-NO_LONGER_SLOW_PACE = 1.4
+NO_LONGER_SLOW_PACE = 1.5
 # An answer that took this many times as long as usual says nothing about the pool's
 # rate, whatever its upstream states.
 OUTLIER_FACTOR = 2.0
+# A learned pace below this is taken as usual: those of equal upstreams differ as much.
+MIN_LEARNED_PACE = 1.4
 # A request without an answer after this many times its estimate is overdue.
 OVERDUE_FACTOR = 3.0
 # An overdue request is sent elsewhere if that is expected to take at most this part of
@@ -56,8 +60,11 @@
         self._upstream_states = upstream_states
         self._stated_at = float("-inf")
         self._updated_at = float("-inf")
-        self._usual = USUAL_PACE
-        # Learned paces of the data centres that are slow as a whole.
+        # Duration of a unit of work at a usual upstream, as predicted by the pool's
+        # rate and as measured, None without enough samples.
+        self._predicted = 1.0
+        self._usual = None
+        # Measured durations in the data centres that are slow as a whole.
         self._centres = {}
         # Keys of the upstreams and data centres that count as slow.
         self._slow = set()
@@ -78,10 +85,11 @@
         if not self.is_active(now):
             return USUAL_PACE
         self._update(now)
-        pace = upstream_state.pace
-        return max(
-            USUAL_PACE, pace.compute_stated(now), self._compute_own(upstream_state, now)
-        )
+        stated = upstream_state.pace.compute_stated(now)
+        learned = self._compute_own(upstream_state, now)
+        if learned < MIN_LEARNED_PACE:
+            learned = USUAL_PACE
+        return max(stated, learned)
 
     def count_unknown_calls(self, upstream_state, now):
         """Return the calls at an upstream that it stated and that aren't known here."""
@@ -89,25 +97,22 @@
             return 0
         return upstream_state.pace.count_unknown_calls(now)
 
-    def record_sample(self, upstream_state, ratio, now):
-        """Record measured over predicted time of an answer.
+    def record_sample(self, upstream_state, duration, predicted, now):
+        """Record the measured duration of a unit of work, and the predicted one.
 
         Return the pace by which the sample has to be corrected before it changes the
         pool's rate.
         """
         if not self.is_active(now):
             return USUAL_PACE
+        self._predicted = predicted
         self._update(now)
-        upstream_state.pace.record_sample(
-            ratio, self._get_usual(upstream_state.registration), now
-        )
-        relative = ratio / self._usual
+        usual = self._get_usual(upstream_state.registration)
+        upstream_state.pace.record_sample(duration, usual, now)
+        relative = duration / self._get_usual()
         if relative > OUTLIER_FACTOR:
             return relative
-        return max(
-            upstream_state.pace.compute_stated(now),
-            self._compute_own(upstream_state, now),
-        )
+        return self.compute_pace(upstream_state, now)
 
     def is_overdue(self, upstream_state, sent_at, seconds, now):
         """Return whether a request waits too long because its upstream is slow.
@@ -136,7 +141,8 @@
             return list(self._compare_slow({}))
         self._update(now)
         found = {
-            ("", centre): pace / self._usual for centre, pace in self._centres.items()
+            ("", centre): duration / self._get_usual()
+            for centre, duration in self._centres.items()
         }
         for name, state in self._upstream_states.items():
             centre = state.registration.data_centre
@@ -160,17 +166,22 @@
     def _compute_own(self, upstream_state, now):
         """Return the learned pace of an upstream relative to a usual one."""
         usual = self._get_usual(upstream_state.registration)
-        pace = upstream_state.pace
-        if not pace.is_learned:
-            return usual / self._usual
-        return pace.compute_learned(usual, now) / self._usual
+        if not upstream_state.pace.is_learned:
+            return usual / self._get_usual()
+        return upstream_state.pace.compute_duration(usual, now) / self._get_usual()
+
+    def _get_usual(self, registration=None):
+        """Return the usual duration of a unit of work in an upstream's data centre.
 
-    def _get_usual(self, registration):
-        """Return the pace to which that of an upstream returns without samples."""
-        return self._centres.get(registration.data_centre, self._usual)
+        Without a registration, return that of the pool.
+        """
+        usual = self._predicted if self._usual is None else self._usual
+        if registration is None:
+            return usual
+        return self._centres.get(registration.data_centre, usual)
 
     def _update(self, now):
-        """Calculate the usual pace and find the data centres that are slow."""
+        """Calculate the usual duration and find the data centres that are slow."""
         if now - self._updated_at < UPDATE_INTERVAL:
             return
         self._updated_at = now
@@ -179,15 +190,16 @@
             centre = state.registration.data_centre
             sizes[centre] = sizes.get(centre, 0) + 1
             if state.pace.is_learned:
-                pace = state.pace.compute_learned(
-                    self._get_usual(state.registration), now
-                )
-                learned.setdefault(centre, []).append(pace)
-        paces = sorted(pace for found in learned.values() for pace in found)
-        if len(paces) < max(1.0, MIN_LEARNED_PART * len(self._upstream_states)):
-            self._usual, self._centres = USUAL_PACE, {}
+                usual = self._get_usual(state.registration)
+                duration = state.pace.compute_duration(usual, now)
+                learned.setdefault(centre, []).append(duration)
+        durations = sorted(item for found in learned.values() for item in found)
+        if len(durations) < max(1.0, MIN_LEARNED_PART * len(self._upstream_states)):
+            self._usual, self._centres = None, {}
             return
-        self._usual = paces[int((len(paces) - 1) * USUAL_QUANTILE)]
+        quantile = durations[int((len(durations) - 1) * USUAL_QUANTILE)]
+        usual = [item for item in durations if item <= quantile * MIN_LEARNED_PACE]
+        self._usual = sum(usual) / len(usual)
         self._centres = {
             centre: median
             for centre, found in learned.items()
--- a/src/chervilwing/upstream_pace/upstream_paces.py
+++ b/src/chervilwing/upstream_pace/upstream_paces.py
@@ -13,9 +13,22 @@
 # Weight of a sample in the learned pace: five slow answers of an upstream that states a
 # usual pace show two thirds of its slowness.
 LEARNED_WEIGHT = 0.2
-# A statement explains an answer that took at most this many times as long as stated.
-EXPLAINED_FACTOR = 1.5
-# Bounds of one sample. An instance that was suspended reads all answers late.
+# An answer that took at most this many times as long as an upstream states, or as is
+# usual, agrees with that.
+AGREED_FACTOR = 1.5
+# An answer from which on an upstream is as slow as it states.
+SLOW_FACTOR = 2.0
+# Weight of an answer that shows, as its upstream states, that it is no longer slow.
+RECOVERY_WEIGHT = 0.5
+# Seconds between two slow answers without any other from which on they show a lasting
+# slowness: a slow period of a shared machine takes 0.6 s.
+LASTING_AFTER = 0.7
+# Weight of the later one of those, and the half-life of what it shows: each answer that
+# finds an upstream to be still slow is late.
+LASTING_WEIGHT = 0.8
+LASTING_HALF_LIFE = 4.0
+# Bounds of one sample, as multiples of the usual duration. An instance that was
+# suspended reads all answers late.
 MIN_SAMPLE = 0.1
 MAX_SAMPLE = 20.0
 USUAL_PACE = 1.0
@@ -24,14 +37,18 @@
 class UpstreamPace:
     """State of one upstream's pace; times are seconds on one clock.
 
-    ``stated`` is the latest StatedLoad, None before the first. ``learned`` is the
-    measured duration of work over the one that the pool's rate predicts.
+    ``stated`` is the latest StatedLoad, None before the first. ``duration`` is the
+    measured duration of a unit of work. It isn't kept as a multiple of what the pool's
+    rate predicts: each change of the rate would change the paces and so the rate again.
     """
 
     def __init__(self):
         self.stated = None
-        self.learned = USUAL_PACE
+        self.duration = 0.0
         self.samples = 0
+        self._half_life = LEARNED_HALF_LIFE
+        # Whether the last answer was slow, and whether its upstream stated that.
+        self._was_slow = self._confirmed = False
         self._stated_at = float("-inf")
         # Calls that the statement named beyond those known here at that time.
         self._unknown_calls = 0
@@ -47,38 +64,53 @@
         self.stated, self._stated_at = load, at
         self._unknown_calls = max(0, load.calls - known_calls)
 
-    def record_sample(self, ratio, usual, now):
-        """Record measured over predicted time of an answer that has just begun.
+    def record_sample(self, duration, usual, now):
+        """Record the measured duration of a unit of work whose answer has just begun.
 
-        ``usual`` is the pace of a usual upstream in the same unit.
+        ``usual`` is that of a usual upstream.
         """
-        ratio = min(MAX_SAMPLE, max(MIN_SAMPLE, ratio))
-        learned = self.compute_learned(usual, now)
-        # What has decayed since the last sample is replaced by this one.
-        weight = 1.0 - self._decay(now)
-        stated = usual * self.compute_stated(now)
-        if ratio < learned or ratio > EXPLAINED_FACTOR * stated:
+        duration = min(MAX_SAMPLE * usual, max(MIN_SAMPLE * usual, duration))
+        learned = self.compute_duration(usual, now)
+        slow = duration >= SLOW_FACTOR * usual
+        agreed = duration <= AGREED_FACTOR * usual * self.compute_stated(now)
+        lasting = slow and self._was_slow and now - self._learned_at >= LASTING_AFTER
+        weight = self._weigh_sample(now)
+        if lasting:
+            weight = LASTING_WEIGHT
+        elif not agreed:
             weight = max(weight, LEARNED_WEIGHT)
-        if not self.samples:
-            weight = LEARNED_WEIGHT
-        self.learned = update_average(learned, ratio, weight)
+        elif duration < AGREED_FACTOR * usual < learned:
+            weight = max(weight, RECOVERY_WEIGHT)
+        self.duration = update_average(learned, duration, weight)
+        if lasting or not slow:
+            self._half_life = LASTING_HALF_LIFE if lasting else LEARNED_HALF_LIFE
+        self._was_slow, self._confirmed = slow, slow and agreed
         self.samples += 1
         self._learned_at = now
 
+    def _weigh_sample(self, now):
+        """Return the weight of a sample for the time since the one before."""
+        if not self.samples:
+            return LEARNED_WEIGHT
+        return 1.0 - 0.5 ** ((now - self._learned_at) / LEARNED_HALF_LIFE)
+
     def compute_stated(self, now):
         """Return the stated pace, moved towards the usual one by its age."""
         if self.stated is None or self.stated.pace is None:
             return USUAL_PACE
         return USUAL_PACE + (self.stated.pace - USUAL_PACE) * self._weigh(now)
 
-    def compute_learned(self, usual, now):
-        """Return the learned pace, moved towards ``usual`` by its age."""
-        return usual + (self.learned - usual) * self._decay(now)
+    def compute_duration(self, usual, now):
+        """Return the measured duration, moved towards ``usual`` by its age."""
+        return usual + (self.duration - usual) * self._decay(now)
 
     @property
     def is_learned(self):
-        """Return whether there are enough samples to use the learned pace."""
-        return self.samples >= MIN_SAMPLES
+        """Return whether there are enough samples to use the learned pace.
+
+        A slow answer and a statement that agree need no further ones.
+        """
+        return self.samples >= MIN_SAMPLES or self._confirmed
 
     @property
     def answered_at(self):
@@ -93,4 +125,4 @@
         return 0.5 ** (max(0.0, now - self._stated_at) / STATED_HALF_LIFE)
 
     def _decay(self, now):
-        return 0.5 ** (max(0.0, now - self._learned_at) / LEARNED_HALF_LIFE)
+        return 0.5 ** (max(0.0, now - self._learned_at) / self._half_life)
--- a/tests/outdated_loads.py
+++ b/tests/outdated_loads.py
@@ -2,12 +2,14 @@
 
 Each gateway knows its own requests at once, and the loads of all others only with a
 delay, as in reports through group leaders. With a placer, the first gateway chooses for
-all, and receives reports of begun and ended requests late or not at all.
+all, and receives reports of begun and ended requests late or not at all. Upstreams may
+work at different paces, and state them or others in their answers.
 """
 
 import heapq
 import random
 from collections import deque
+from functools import partial
 from itertools import count
 from typing import NamedTuple
 
@@ -16,6 +18,7 @@
 from chervilwing.models import Address
 from chervilwing.registrations import Registration
 from chervilwing.routing import EngineSpec, PoolSpec
+from chervilwing.upstream_pace import StatedLoad
 from chervilwing.upstream_states import UpstreamLoad
 
 SPEC = PoolSpec("engines", engine=EngineSpec(64, 372_000))
@@ -23,8 +26,8 @@
 ENGINE_RATE = 36_000.0
 TOKEN_SECONDS = 0.009
 SNAPSHOT_INTERVAL = 0.05
-# Seconds until a placer's answer arrives, and until a report of a request's start or
-# end reaches the placer.
+# Seconds until a placer's answer or a stated load arrives, and until a report of a
+# request's start or end reaches the placer.
 ASK_TIME = 0.003
 REPORT_TIME = 0.03
 PLACER = "first"
@@ -66,16 +69,39 @@
 )
 
 
+# Calls of plain upstreams with SERVICE_SLOTS each, and the mean seconds of a call.
+PAGES = PoolSpec("pages")
+SERVICE_SLOTS = 6
+SERVICE_SECONDS = 0.02
+CALLS = (Kind("page", 450.0, (0, 1), (0, 1), 0, 0, 0.12),)
+# Seconds of work between two looks at a pace that changes.
+PACE_STEP = 0.01
+
+
+def work(seconds, start, pace):
+    """Return when some seconds of work at the usual pace end; ``pace`` is by time."""
+    now = start
+    while seconds > 0.0:
+        step = min(seconds, PACE_STEP)
+        now += step * pace(now)
+        seconds -= step
+    return now
+
+
 class Engine:
     """An engine that reads prompts one after the other and caches them forever."""
 
-    def __init__(self, known_parts):
+    first_token = 0.015
+    slots = 64
+
+    def __init__(self, known_parts, pace=None):
         self.free_at = 0.0
         self.parts = set()
         # Parts that any engine of the pool has read, and the tokens of those that this
         # one read although another had them.
         self.known_parts = known_parts
         self.read_again = 0
+        self._pace = pace
 
     def read(self, demand, now):
         """Return when the prompt will have been read."""
@@ -87,25 +113,72 @@
                 self.read_again += part.tokens
             self.parts.add(part.name)
             self.known_parts.add(part.name)
-        self.free_at = max(self.free_at, now) + tokens / ENGINE_RATE
+        start, seconds = max(self.free_at, now), tokens / ENGINE_RATE
+        if self._pace is None:
+            self.free_at = start + seconds
+        else:
+            self.free_at = work(seconds, start, self._pace)
         return self.free_at
 
 
+class Service:
+    """A plain upstream that runs several calls at once, in the order of arrival."""
+
+    first_token = 0.0
+    slots = SERVICE_SLOTS
+
+    def __init__(self, pace, rng):
+        self._free_at = [0.0] * SERVICE_SLOTS
+        self._ends = []
+        self._pace = pace
+        self._rng = rng
+
+    def read(self, demand, now):
+        """Return when the call will have been answered."""
+        start = max(now, self._free_at[0])
+        at = work(SERVICE_SECONDS * self._rng.uniform(0.6, 1.4), start, self._pace)
+        heapq.heapreplace(self._free_at, at)
+        heapq.heappush(self._ends, at)
+        return at
+
+    def count_calls(self, now):
+        """Return the number of calls that run or wait."""
+        while self._ends and self._ends[0] <= now:
+            heapq.heappop(self._ends)
+        return len(self._ends)
+
+
 class Simulation:
     """Gateways and engines under a random load.
 
     ``age`` is the least and greatest age of the other gateways' loads in seconds. With
     a ``placer``, ``lost`` is the fraction of asks and reports that are lost.
+    ``paces`` returns the pace of an engine by its number and the time, ``stated`` what
+    the engine states of it, by the same two and its pace.
     """
 
+    spec, kinds = SPEC, KINDS
+    # Data centres of the engines, in turn; all gateways are in "a".
+    centres = ("a",)
+
     def __init__(
-        self, gateways, engines, age, seed=1, load=1.0, placer=False, lost=0.0
+        self,
+        gateways,
+        engines,
+        age,
+        seed=1,
+        load=1.0,
+        placer=False,
+        lost=0.0,
+        paces=None,
+        stated=lambda number, now, pace: pace,
     ):
         self.rng = random.Random(seed)
-        known_parts = set()
-        self.engines = {f"u{n}": Engine(known_parts) for n in range(engines)}
+        self._paces, self._stated = paces, stated
+        self._known_parts = set()
+        self.engines = {f"u{n}": self._make_engine(n) for n in range(engines)}
         self.pools = [self._make_pool(seed + n) for n in range(gateways)]
-        self.waits = {kind.name: [] for kind in (*KINDS, *SHIFTED)}
+        self.waits = {kind.name: [] for kind in (*self.kinds, *SHIFTED)}
         self._placer = self.pools[0] if placer else None
         self._lost = lost
         self._age = age
@@ -114,11 +187,18 @@
         self._event_numbers = count()
         self._queue = []
 
+    def _make_engine(self, number):
+        return Engine(self._known_parts, self._paces and partial(self._paces, number))
+
     def _make_pool(self, seed):
-        pool = PoolBalancer(SPEC, "a", random.Random(seed))
-        for number, name in enumerate(self.engines):
+        pool = PoolBalancer(self.spec, "a", random.Random(seed))
+        for number, (name, engine) in enumerate(self.engines.items()):
             address = Address("10.0.0.1", number)
-            pool.put_upstream(Registration(name, "engines", address, "a", 64))
+            centre = self.centres[number % len(self.centres)]
+            registration = Registration(
+                name, self.spec.name, address, centre, engine.slots
+            )
+            pool.put_upstream(registration)
         return pool
 
     def run(self, seconds, shift_at=float("inf")):
@@ -127,7 +207,7 @@
         From the second ``shift_at`` on, the work is SHIFTED.
         """
         self._shift_at = shift_at
-        for kind in KINDS:
+        for kind in self.kinds:
             self._push(self.rng.random() / 10, self._arrive, kind)
         for kind in SHIFTED if shift_at < seconds else ():
             self._push(shift_at + self.rng.random() / 10, self._arrive, kind)
@@ -140,7 +220,7 @@
         return {
             kind.name: sum(w <= kind.target for w in self.waits[kind.name])
             / len(self.waits[kind.name])
-            for kind in (*KINDS, *SHIFTED)
+            for kind in (*self.kinds, *SHIFTED)
             if self.waits[kind.name]
         }
 
@@ -194,7 +274,7 @@
         self._push(now + SNAPSHOT_INTERVAL, self._report_loads)
 
     def _arrive(self, now, kind):
-        if kind in KINDS and now >= self._shift_at:
+        if kind in self.kinds and now >= self._shift_at:
             return
         self._push(
             now + self.rng.expovariate(kind.per_second * self._load), self._arrive, kind
@@ -224,7 +304,8 @@
             self._receive_ended(now, upstream_state, demand)
             return
         pool.record_sent(upstream_state, demand, estimate, now)
-        at = self.engines[upstream_state.registration.name].read(demand, now) + 0.015
+        engine = self.engines[upstream_state.registration.name]
+        at = engine.read(demand, now) + engine.first_token
         self.waits[kind.name].append(at + waited - now)
         self._push(at, self._start, pool, upstream_state, demand)
 
@@ -242,7 +323,29 @@
         )
         return pool.upstream_states[name], estimate._replace(source=source)
 
+    def _state_load(self, now, pool, upstream_state):
+        """Give the asker, and later the placer, the load that an answer states."""
+        name = upstream_state.registration.name
+        number = int(name[1:])
+        pace = self._stated(number, now, self._paces(number, now))
+        calls = self._count_calls(name, now)
+        slots = self.engines[name].slots
+        load = StatedLoad(min(calls, slots), max(0, calls - slots), slots, pace)
+        pool.record_stated_load(upstream_state, load, now, now)
+        if self._placer is not None and not self._is_lost():
+            self._push(now + ASK_TIME, self._receive_stated, name, load, now)
+
+    def _receive_stated(self, now, name, load, at):
+        placer_state = self._placer.upstream_states[name]
+        self._placer.record_stated_load(placer_state, load, at, now)
+
+    def _count_calls(self, name, now):
+        """Return the calls at an upstream that it states; engines' are not used."""
+        return 0
+
     def _start(self, now, pool, upstream_state, demand):
+        if self._paces is not None:
+            self._state_load(now, pool, upstream_state)
         pool.record_first_byte(upstream_state, demand, now)
         if self._placer is not None and not self._is_lost():
             self._push(
@@ -264,3 +367,27 @@
         placer_state = self._placer.upstream_states[upstream_state.registration.name]
         self._placer.record_placed_end(placer_state, demand.request_id, None, now)
         self._placer.expire_placed(now)
+
+
+class PlainSimulation(Simulation):
+    """The same gateways in front of plain upstreams."""
+
+    spec, kinds = PAGES, CALLS
+
+    def _make_engine(self, number):
+        return Service(partial(self._paces, number), self.rng)
+
+    def _count_calls(self, name, now):
+        return self.engines[name].count_calls(now)
+
+    def occupy(self, now, name, per_second, until):
+        """Let other callers call an upstream until a time."""
+        if now < until:
+            self.engines[name].read(None, now)
+            later = now + self.rng.expovariate(per_second)
+            self._push(later, self.occupy, name, per_second, until)
+
+    def compute_p95(self):
+        """Return the wait that 95 in 100 calls don't exceed, in seconds."""
+        waits = sorted(self.waits["page"])
+        return waits[int(len(waits) * 0.95)]
