Take slowness as lasting only after two seconds without a usual answer

With 0.7 s, plain upstreams that were slow for two seconds were avoided for seconds after their recovery, while the others had queues.

--- a/src/chervilwing/upstream_pace/upstream_paces.py
+++ b/src/chervilwing/upstream_pace/upstream_paces.py
@@ -20,11 +20,11 @@
 SLOW_FACTOR = 2.0
 # Weight of an answer that shows, as its upstream states, that it is no longer slow.
 RECOVERY_WEIGHT = 0.5
-# Seconds between two slow answers without any other from which on they show a lasting
-# slowness: a slow period of a shared machine takes 0.6 s.
-LASTING_AFTER = 0.7
-# Weight of the later one of those, and the half-life of what it shows: each answer that
-# finds an upstream to be still slow is late.
+# Seconds for which all answers must have been slow to show a lasting slowness: a slow
+# period of a shared machine takes 0.6 s.
+LASTING_AFTER = 2.0
+# Weight of an answer that shows it, and the half-life of what it shows: each answer
+# that finds an upstream to be still slow is late.
 LASTING_WEIGHT = 0.8
 LASTING_HALF_LIFE = 4.0
 # Bounds of one sample, as multiples of the usual duration. An instance that was
@@ -47,8 +47,10 @@
         self.duration = 0.0
         self.samples = 0
         self._half_life = LEARNED_HALF_LIFE
-        # Whether the last answer was slow, and whether its upstream stated that.
-        self._was_slow = self._confirmed = False
+        # Time since which all answers were slow, None if the last one wasn't; whether
+        # its upstream stated that it is slow.
+        self._slow_since = None
+        self._confirmed = False
         self._stated_at = float("-inf")
         # Calls that the statement named beyond those known here at that time.
         self._unknown_calls = 0
@@ -73,7 +75,9 @@
         learned = self.compute_duration(usual, now)
         slow = duration >= SLOW_FACTOR * usual
         agreed = duration <= AGREED_FACTOR * usual * self.compute_stated(now)
-        lasting = slow and self._was_slow and now - self._learned_at >= LASTING_AFTER
+        if not slow or self._slow_since is None:
+            self._slow_since = now if slow else None
+        lasting = slow and now - self._slow_since >= LASTING_AFTER
         weight = self._weigh_sample(now)
         if lasting:
             weight = LASTING_WEIGHT
@@ -84,7 +88,7 @@
         self.duration = update_average(learned, duration, weight)
         if lasting or not slow:
             self._half_life = LASTING_HALF_LIFE if lasting else LEARNED_HALF_LIFE
-        self._was_slow, self._confirmed = slow, slow and agreed
+        self._confirmed = slow and agreed
         self.samples += 1
         self._learned_at = now
 
