Try an upstream that was slow with one request at a time

When the pace of an avoided upstream had decayed, it was sent four to eight requests in the 0.2 s before the first of them showed that it was still slow. What is known of an upstream now loses no weight while a request sent since waits for its answer.

--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -458,6 +458,7 @@
         """Record that this instance sends a request to an upstream."""
         sent = make_sent(demand, estimate, now)
         upstream_state.own_requests.add(demand.request_id, sent)
+        upstream_state.pace.record_sent(now)
         self._record_prompt(upstream_state, demand, now)
 
     def record_placed(self, key, demand, found, now):
@@ -472,6 +473,7 @@
             assumed_ended_at=demand.deadline,
         )
         upstream_state.placed_requests.add(key, sent)
+        upstream_state.pace.record_sent(now)
         self._record_prompt(upstream_state, demand, now)
 
     def _record_prompt(self, upstream_state, demand, now):
--- a/src/chervilwing/upstream_pace/pool_paces.py
+++ b/src/chervilwing/upstream_pace/pool_paces.py
@@ -85,12 +85,25 @@
         if not self.is_active(now):
             return USUAL_PACE
         self._update(now)
+        now = self._get_known_until(upstream_state, now)
         stated = upstream_state.pace.compute_stated(now)
         learned = self._compute_own(upstream_state, now)
         if learned < MIN_LEARNED_PACE:
             learned = USUAL_PACE
         return max(stated, learned)
 
+    def _get_known_until(self, upstream_state, now):
+        """Return the time up to which what is known of an upstream loses weight.
+
+        If a request was sent since the last answer, that answer counts in full until
+        the next one comes. Otherwise an upstream whose pace has decayed would be sent
+        many requests before the first of them shows that it is still slow.
+        """
+        pace = upstream_state.pace
+        if pace.tried_at <= pace.answered_at or not upstream_state.count_sent():
+            return now
+        return pace.answered_at
+
     def count_unknown_calls(self, upstream_state, now):
         """Return the calls at an upstream that it stated and that aren't known here."""
         if not self.is_active(now):
--- a/src/chervilwing/upstream_pace/upstream_paces.py
+++ b/src/chervilwing/upstream_pace/upstream_paces.py
@@ -51,6 +51,8 @@
         # its upstream stated that it is slow.
         self._slow_since = None
         self._confirmed = False
+        # When the first request since the last answer was sent.
+        self.tried_at = float("-inf")
         self._stated_at = float("-inf")
         # Calls that the statement named beyond those known here at that time.
         self._unknown_calls = 0
@@ -98,6 +100,11 @@
             return LEARNED_WEIGHT
         return 1.0 - 0.5 ** ((now - self._learned_at) / LEARNED_HALF_LIFE)
 
+    def record_sent(self, now):
+        """Record that a request was sent to the upstream."""
+        if self.tried_at <= self.answered_at:
+            self.tried_at = now
+
     def compute_stated(self, now):
         """Return the stated pace, moved towards the usual one by its age."""
         if self.stated is None or self.stated.pace is None:
--- a/src/chervilwing/upstream_states.py
+++ b/src/chervilwing/upstream_states.py
@@ -231,6 +231,10 @@
         self._refused_at = now
         return repeated
 
+    def count_sent(self):
+        """Return the number of requests that this instance has sent or placed."""
+        return self.own_load.requests + self.placed_requests.load.requests
+
     def get_failure_rate(self, now):
         """Return the failure rate from 0 to 1, which decays with time."""
         return self._failure_rate * 0.5 ** (
