Estimate waits by the rates that bands and engines really have

Under several times the capacity, requests of the most urgent band were queued too long and came late: its wait was estimated at the whole rate although less urgent bands get their guaranteed shares, and the engines' rate was measured a half too high, because prompts are partly read when another is sent. The rate is now measured over busy periods of an engine, and corrected by what the engines took in while requests wait. A request's own cost no longer counts in its wait, which refused large prompts several times as often.

--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -144,6 +144,8 @@
         self.work = 0.0
         self.peer_work = {}
         self._own_origin = PlacementOrigin(data_centre)
+        # This process, if it has chosen upstreams for all instances.
+        self._placer = None
         self._rng = rng
         # Built on first use: hundreds of upstreams register at once, and rebuilding the
         # ring for each of them would take half a minute of CPU time.
@@ -297,6 +299,7 @@
         placing = bool(origin.placer)
         if self._parts.set_part(origin.part, now) and self.index is not None:
             self.index.mark_all_changed()
+        self._placer = origin.placer or self._placer
         candidates, asked = self._list_candidates(demand, excluded, origin, now)
         if not candidates:
             return None
@@ -539,9 +542,9 @@
             predicted = self.service_time.estimate(now)
             pace = self.paces.record_sample(upstream_state, elapsed, predicted, now)
             self.service_time.record(elapsed / pace, now)
-        elif sent.band and not sent.lightly_loaded:
+        elif sent.band is not None and not sent.lightly_loaded:
             # More urgent prompts that came later may have been read first.
-            return True
+            self._record_reading(upstream_state, sent, now)
         elif tokens >= MIN_MEASURED_TOKENS and elapsed > FIRST_TOKEN_TIME:
             rate = tokens / (elapsed - FIRST_TOKEN_TIME)
             rate *= self.paces.record_sample(
@@ -553,6 +556,22 @@
                 self.light_load_rate = update_average(self.light_load_rate, rate)
         return True
 
+    def _record_reading(self, upstream_state, sent, now):
+        """Update the measured speed by a busy period of an engine.
+
+        Only the process that chose the upstream knows all that the engine has to read.
+        """
+        if sent.placer != self._placer:
+            return
+        own, placed = upstream_state.own_load, upstream_state.placed_requests.load
+        measured = upstream_state.reading_rate.record(
+            sent.prefill, now, own.prefill + placed.prefill
+        )
+        if measured is not None:
+            pace = self.paces.record_sample(upstream_state, self.rate / measured, now)
+            rate = min(MAX_PREFILL_RATE, max(MIN_PREFILL_RATE, measured * pace))
+            self.rate = update_average(self.rate, rate)
+
     def record_placed_end(self, upstream_state, key, failed, now):
         """Record the end of another instance's attempt.
 
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -12,10 +12,7 @@
 from .crash_detection import CrashDetection
 from .crash_records import CrashRecords
 from .detours import Detours
-from .exceptions import (
-    ChervilwingError,
-    DeadlinePassed,
-)
+from .exceptions import ChervilwingError, DeadlinePassed
 from .intake import Intake
 from .leaving_upstreams import LeavingUpstreams
 from .logs import log_event, log_request
--- a/src/chervilwing/pool_admission/control.py
+++ b/src/chervilwing/pool_admission/control.py
@@ -162,7 +162,8 @@
 
     def _measure(self, pool, now):
         capacity = self.get_capacity(pool)
-        return measure_room(pool, now, capacity.placing, capacity.share)
+        scale = self.pools[pool.spec.name].scale
+        return measure_room(pool, now, capacity.placing, capacity.share, scale)
 
     def _admit_all(self, name, now):
         """Let the waiting requests of a pool proceed whose admission has ended."""
--- a/src/chervilwing/pool_admission/pool.py
+++ b/src/chervilwing/pool_admission/pool.py
@@ -5,6 +5,7 @@
 from itertools import count
 from typing import NamedTuple
 
+from ..costs import update_average
 from ..queues import BANDS, GUARANTEED_SHARE, SHORT, FairQueue, QueuedWork
 from ..work import Work
 from .decisions import (
@@ -26,11 +27,13 @@
 # Seconds of uninterrupted waiting after which the measured service rate replaces the
 # engines' estimated one; the measured rate has then adjusted.
 MEASURED_AFTER = 2 * SERVED_DECAY
-# Bounds of the measured service rate, as fractions of the estimated one.
-MIN_MEASURED, MAX_MEASURED = 0.25, 1.5
+# Bounds of the measured service rate, as fractions of the estimated one. A lower bound
+# would send engines too little in advance, which lowers the measured rate further.
+MIN_MEASURED, MAX_MEASURED = 0.4, 1.5
 # A request is refused if it needs more than this part of the time until its latency
-# target or its deadline. Estimates err by about a quarter.
-MAX_TARGET_PART = 0.8
+# target or its deadline. Estimates err by about a quarter, and the order of the queue
+# changes while it waits.
+MAX_TARGET_PART = 0.9
 MAX_DEADLINE_PART = 0.9
 # Parts of the latency target after which a waiting request is reviewed. A refusal must
 # be known within a quarter; later, a request is refused only once its target is lost.
@@ -38,6 +41,10 @@
 # Fewest prompt tokens that a request counts for: an engine step takes its time also if
 # the whole prompt is cached.
 MIN_COST = 50.0
+# Seconds of the pool's capacity that a band is owed of its guaranteed share before more
+# urgent ones wait for it. Less would cost them time at each request, more would delay
+# the band by a large part of its latency target.
+OWED_SECONDS = 0.03
 # All organisations have the same share of a band.
 WEIGHT = 1.0
 
@@ -45,8 +52,8 @@
 class WaitingRequest(NamedTuple):
     """A queued request.
 
-    ``ahead`` is the cost of its flow up to and including it when it was queued, and
-    ``removed`` the cost that had left the flow until then. ``promised`` is set if its
+    ``ahead`` is the cost of its flow when it was queued, and ``removed`` the cost that
+    had left the flow until then. ``promised`` is set if its
     caller returned by reservation.
     """
 
@@ -60,13 +67,17 @@
 class PoolAdmission:
     """Decide which requests to one pool proceed, wait or are refused.
 
-    Times are seconds on one clock. ``counts`` are totals by name and band.
+    Times are seconds on one clock. ``counts`` are totals by name and band. ``scale`` is
+    the measured service rate as a fraction of the estimated one.
     """
 
     def __init__(self):
         self.overload = OverloadState()
         self.reservations = Reservations()
         self.counts = Counter()
+        self.scale = 1.0
+        # Average cost of a request by band.
+        self._typical_costs = [MIN_COST] * len(BANDS)
         self._counted = {}
         self._queue = FairQueue(SERVED_DECAY)
         self._waiting = {}
@@ -86,6 +97,8 @@
         if request.key in self._waiting:
             return WAIT
         request = request._replace(cost=max(MIN_COST, request.cost))
+        typical = self._typical_costs[request.band]
+        self._typical_costs[request.band] = update_average(typical, request.cost)
         told = self.reservations.find(request.fingerprint)
         if told is None:
             return self._decide_new(request, room, now)
@@ -105,11 +118,12 @@
         They are Admit for those that may proceed now, and Refuse for those that are
         refused now; both are removed from the queue.
         """
+        self._measure_scale(room, now)
         decisions = self._review(room, now)
         free = list(room.free)
-        while (item := self._peek(free)) is not None:
+        while (item := self._peek(free, room.rate)) is not None:
             waiting = self._waiting[item.work.request_id]
-            if self._is_lost(waiting, now):
+            if self._is_lost(waiting, room, now):
                 decisions.append(self._displace(waiting, room, now))
                 continue
             self._queue.dequeue(item, now)
@@ -200,9 +214,9 @@
         return Refuse(item.at - now, cause)
 
     def _enqueue(self, request, now, promised=False):
-        cost, removed = self._queue.get_flow_costs(request.organisation, request.band)
+        ahead, removed = self._queue.get_flow_costs(request.organisation, request.band)
         waiting = WaitingRequest(
-            request, cost + request.cost, removed, promised, next(self._sequence)
+            request, ahead, removed, promised, next(self._sequence)
         )
         self._queue.push(make_item(request), WEIGHT, front=promised)
         self._waiting[request.key] = waiting
@@ -231,24 +245,27 @@
             waiting = self._waiting.get(key)
             if waiting is None or waiting.sequence != sequence:
                 continue
-            if self._is_lost(waiting, now) or self._is_displaced(waiting, room, now):
+            if self._is_lost(waiting, room, now) or self._is_displaced(
+                waiting, room, now
+            ):
                 decisions.append(self._displace(waiting, room, now))
             else:
                 self._schedule_review(waiting, now)
         return decisions
 
-    def _is_lost(self, waiting, now):
+    def _is_lost(self, waiting, room, now):
         request = waiting.request
         end = request.deadline if waiting.promised else request.target_at
-        return now + request.prefill_seconds >= end
+        seconds = room.queued[request.band] / max(1.0, room.rate)
+        return now + seconds + request.prefill_seconds >= end
 
     def _is_displaced(self, waiting, room, now):
         request = waiting.request
         if waiting.promised or now > request.received_at + request.latency_target / 4:
             return False
         cost, removed = self._queue.get_flow_costs(request.organisation, request.band)
-        ahead = max(request.cost, waiting.ahead - (removed - waiting.removed))
-        wait = self._estimate_wait(request._replace(cost=ahead - cost), room, now)
+        ahead = max(0.0, waiting.ahead - (removed - waiting.removed))
+        wait = self._estimate_wait(request, room, now, ahead - cost)
         seconds = wait + request.prefill_seconds
         return not self._meets_target(request, seconds, now)
 
@@ -258,39 +275,61 @@
         wait = self._estimate_wait(request, room, now)
         return request.key, self._refuse(request, wait, room, DISPLACED, now)
 
-    def _estimate_wait(self, request, room, now):
-        """Return the seconds until a request of this cost would start at an engine."""
-        rate = max(1.0, self._measure_capacity(room, now))
-        band = request.band
+    def _estimate_wait(self, request, room, now, behind=0.0):
+        """Return the seconds until a request would start at an engine.
+
+        Its flow's queued cost plus ``behind`` is ahead of it. Its own cost counts as
+        that of a typical request, because a fair queue charges it only afterwards:
+        large prompts would otherwise be refused several times as often as others.
+        """
+        rate, band = max(1.0, room.rate), request.band
         urgent = sum(self._queue.measure_served(other, now) for other in BANDS[:band])
         band_rate = max(rate - urgent, rate * GUARANTEED_SHARE[band])
+        # Less urgent bands that wait get their guaranteed shares.
+        band_rate /= 1.0 + sum(
+            GUARANTEED_SHARE[other]
+            for other in BANDS[band + 1 :]
+            if self._queue.count_band(other)
+        )
         queued = room.queued[band] / rate
+        cost = self._typical_costs[band] + behind
         return queued + self._queue.estimate_wait(
-            request.organisation, WEIGHT, band, request.cost, rate, band_rate, now
+            request.organisation, WEIGHT, band, cost, rate, band_rate, now
         )
 
-    def _measure_capacity(self, room, now):
-        """Return the prompt tokens per second that the pool serves.
+    def _measure_scale(self, room, now):
+        """Compare what the engines took in with the estimate, while requests wait.
 
-        While requests wait, that is what the engines took in, which also shows limits
-        other than their speed, such as their slots.
+        The estimate errs because it doesn't see how much of a prompt has been read, and
+        it doesn't know limits other than the speed, such as the engines' slots.
         """
         since = self._waiting_since
         if since is None or now < since + MEASURED_AFTER:
-            return room.rate
+            return
         served = sum(self._queue.measure_served(band, now) for band in BANDS)
-        return min(MAX_MEASURED * room.rate, max(MIN_MEASURED * room.rate, served))
+        scale = served * self.scale / max(1.0, room.rate)
+        self.scale = min(MAX_MEASURED, max(MIN_MEASURED, scale))
 
-    def _peek(self, free):
+    def _peek(self, free, rate):
         """Return the next item for which there is room, or None.
 
         While a less urgent band waits, its prompts in the engines count for all bands:
-        engines would otherwise never read the share that is guaranteed to it.
+        engines read more urgent prompts first, and would otherwise never read the share
+        that is guaranteed to it. The most urgent band waits for that only once another
+        band is owed a part of its share.
         """
         lowest = max((b for b in BANDS if self._queue.count_band(b)), default=None)
-        if lowest is None or free[lowest] <= 0:
+        if lowest is None:
+            return None
+        if free[lowest] > 0:
+            return self._queue.peek((), False)
+        if free[0] <= 0 or any(self._is_owed(band, rate) for band in BANDS):
             return None
-        return self._queue.peek((), False)
+        return self._queue.peek([(band, SHORT) for band in BANDS[1:]], False)
+
+    def _is_owed(self, band, rate):
+        least = rate * OWED_SECONDS
+        return self._queue.count_band(band) and self._queue.get_credit(band) > least
 
 
 def make_item(request):
--- a/src/chervilwing/pool_admission/room.py
+++ b/src/chervilwing/pool_admission/room.py
@@ -24,18 +24,19 @@
     free: tuple[float, ...]
 
 
-def measure_room(pool, now, placing, share=1.0):
+def measure_room(pool, now, placing, share=1.0, scale=1.0):
     """Return the Room of a pool, given its PoolBalancer.
 
     An instance that decides for itself only has a ``share`` of the engines below 1 and
-    counts its own requests; the others have theirs.
+    counts its own requests; the others have theirs. ``scale`` corrects the estimated
+    speed of the engines.
     """
     states = pool.list_part()
     alone = share < 1.0
     queued, free = [0.0] * len(BANDS), [0.0] * len(BANDS)
     rate = usable_rate = 0.0
     for state in states:
-        speed = pool.rate / pool.paces.compute_pace(state, now)
+        speed = pool.rate * scale / pool.paces.compute_pace(state, now)
         rate += speed
         if not _has_slot(pool.spec.engine, state.count(now, placing)):
             window = 0.0
--- a/src/chervilwing/queues.py
+++ b/src/chervilwing/queues.py
@@ -210,6 +210,10 @@
         """Return the cost per second that the band was served recently."""
         return self._bands[band].served_rate.measure(now)
 
+    def get_credit(self, band):
+        """Return the cost that the band is owed of its guaranteed share."""
+        return self._bands[band].credit
+
     def get_flow_costs(self, customer, band):
         """Return a flow's queued cost, and the total cost that has left its queue."""
         flow = self._flows.get((customer, band))
--- a/src/chervilwing/upstream_pace/__init__.py
+++ b/src/chervilwing/upstream_pace/__init__.py
@@ -1,6 +1,7 @@
 """Pace of each upstream of a pool, as stated in its answers and as measured."""
 
 from .pool_paces import PoolPaces, is_better_elsewhere
+from .reading_rate import ReadingRate
 from .reports import StatedReports, read_reports
 from .stated_loads import StatedLoad, is_plausible, read_stated_load
 from .upstream_paces import UpstreamPace
@@ -8,6 +9,7 @@
 __all__ = [
     "PoolPaces",
     "StatedLoad",
+    "ReadingRate",
     "StatedReports",
     "UpstreamPace",
     "is_better_elsewhere",
--- a/src/chervilwing/upstream_states.py
+++ b/src/chervilwing/upstream_states.py
@@ -4,7 +4,7 @@
 
 from .costs import update_average
 from .queues import BANDS
-from .upstream_pace import UpstreamPace
+from .upstream_pace import ReadingRate, UpstreamPace
 
 # Half-life of the failure rate in seconds. Without decay, an upstream that once failed
 # would never be used again. An upstream that passes health checks but fails part of its
@@ -152,6 +152,7 @@
     def __init__(self, registration, on_change=ignore_change):
         self.registration = registration
         self.pace = UpstreamPace()
+        self.reading_rate = ReadingRate()
         self.own_requests = InFlightRequests(on_change)
         self.placed_requests = InFlightRequests(on_change)
         self._on_change = on_change
