Share the choice among several placers above 256 instances

One placer answers 1,000 asks per second, and 320 instances send 11,000. The placer of a request is found by the hash of its prompt's subject. Each placer owns an equal part of a pool's upstreams. With 256 instances or fewer there is one placer as before.

--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -12,8 +12,15 @@
 
 from .costs import update_average
 from .hashing import Ring
-from .placing import MAX_SCORED_UPSTREAMS, CandidateIndex, PeerLoads
-from .placing.candidates import NO_DEMAND
+from .placing import (
+    MAX_SCORED_UPSTREAMS,
+    OTHER_PART_COST,
+    CandidateIndex,
+    PeerLoads,
+    PlacerPart,
+    PoolParts,
+)
+from .placing.candidates import USUAL_DEMAND
 from .prompt_caches import PromptCaches
 from .service_times import ServiceTime
 from .upstream_pace import PoolPaces
@@ -113,10 +120,12 @@
     ``data_centre`` is that of the instance that will send the request.
     ``placer`` is the name of this process if it chooses for all instances, and so knows
     what it has placed; it is empty if the process chooses for itself only.
+    ``part`` is the PlacerPart of one of several placers, None if there is only one.
     """
 
     data_centre: str
     placer: str = ""
+    part: PlacerPart | None = None
 
 
 class PoolBalancer:
@@ -144,6 +153,7 @@
         # Only while the pool is large; see CandidateIndex and PeerLoads.
         self.index = None
         self._peer_loads = None
+        self._parts = PoolParts(self.upstream_states)
 
     @property
     def is_large(self):
@@ -270,6 +280,14 @@
             if not upstream_state.registration.leaving and name not in excluded
         ]
 
+    def list_part(self):
+        """Return the upstreams that accept new requests in this placer's part."""
+        return [
+            state
+            for state in self.list_accepting()
+            if self._parts.owns(state.registration.name)
+        ]
+
     def choose(self, demand, excluded, now, origin=None):
         """Return the best upstream and its Estimate, or None if there is none.
 
@@ -277,6 +295,8 @@
         """
         origin = origin or self._own_origin
         placing = bool(origin.placer)
+        if self._parts.set_part(origin.part, now) and self.index is not None:
+            self.index.mark_all_changed()
         candidates, asked = self._list_candidates(demand, excluded, origin, now)
         if not candidates:
             return None
@@ -285,6 +305,8 @@
         for upstream_state in candidates:
             estimate = self.estimate(upstream_state, demand, now, prefixes, placing)
             score = self._score(upstream_state, estimate, origin.data_centre, now)
+            if not self._parts.owns(upstream_state.registration.name):
+                score += OTHER_PART_COST
             ranked.append((score, len(ranked), estimate))
         _, index, estimate = min(ranked)
         return candidates[index], estimate._replace(placer=origin.placer)
@@ -298,7 +320,11 @@
             return self.list_accepting(excluded), self.upstream_states
         if self.index is None:
             self.index = CandidateIndex(
-                self._rng, self.upstream_states, self.caches, self._estimate_wait
+                self._rng,
+                self.upstream_states,
+                self.caches,
+                self._parts,
+                self._estimate_wait,
             )
         shared = self._list_shared(demand)
         names, holders = self.index.list_candidates(shared, excluded, origin, now)
@@ -310,8 +336,8 @@
         return states, dict.fromkeys(holders + names)
 
     def _estimate_wait(self, upstream_state, now, placing):
-        """Return the seconds by which an upstream delays a request of no size."""
-        estimate = self.estimate(upstream_state, NO_DEMAND, now, placing=placing)
+        """Return the seconds that a usual request would take at an upstream."""
+        estimate = self.estimate(upstream_state, USUAL_DEMAND, now, placing=placing)
         return estimate.seconds + upstream_state.get_failure_rate(now) * FAILURE_COST
 
     def _list_shared(self, demand):
@@ -496,6 +522,7 @@
     def record_stated_load(self, upstream_state, load, at, now):
         """Record the StatedLoad that an upstream stated at the time ``at``."""
         self.paces.record_stated(upstream_state, load, at, now)
+        self._mark_changed(upstream_state.registration.name)
 
     def _update_speed(self, upstream_state, sent, now):
         """Update the measured speed from a request whose prompt was just read.
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -107,7 +107,7 @@
         self._dialect = dialect
         self._rng = random.Random()
         self.admissions = AdmissionControl()
-        self.admissions.get_capacity = lambda: Capacity(
+        self.admissions.get_capacity = lambda pool: Capacity(
             share=1.0 / self.retries.instances
         )
         self._path = RequestPath(
--- a/src/chervilwing/placement_exchange.py
+++ b/src/chervilwing/placement_exchange.py
@@ -34,6 +34,7 @@
     trim_answer,
     trim_ask,
 )
+from .placing import PlacerPart, list_placers, list_pool_placers, rank_by_subject
 from .pool_admission import ADMIT, WAIT, Capacity, Refuse
 from .relays import Relay
 from .upstream_pace import StatedReports, read_reports
@@ -92,6 +93,8 @@
         self._selector = PlacerSelector()
         self._rate_limit = AskRateLimit()
         self._placer_names = [cfg.name]
+        # All placers, by rank; only in a large deployment there are several.
+        self._placers = (cfg.name,)
         self._ranked_version = None
         self._placer = None
         # Numbers start at the incarnation, so that an answer to an earlier process at
@@ -143,6 +146,10 @@
         links = self._coordinator.list_links()
         ranked = rank_leaders([self._cfg.name, *peers], links)
         self._placer_names = order_placers(ranked, same_centre | {self._cfg.name})
+        placers = list_placers(ranked)
+        if len(placers) != len(self._placers):
+            log_event("placers", count=len(placers), was=len(self._placers))
+        self._placers = placers
 
     def _select_placer(self, now):
         target = self._selector.choose(self._placer_names, now)
@@ -151,9 +158,31 @@
             self._placer = target
         return target
 
+    def _select_placer_for(self, relay, now):
+        """Return the placer to ask for a request, or None where none answers."""
+        if len(self._placers) < 2:
+            return self._select_placer(now)
+        return self._selector.choose(self._list_targets(relay), now)
+
+    def _list_targets(self, relay):
+        """Return the names in the order in which a request's upstream is asked for.
+
+        Of several placers, the one for the prompt's subject knows where it is cached.
+        Requests without a subject are spread over all.
+        """
+        if len(self._placers) < 2:
+            return self._placer_names
+        subject = relay.demand.subject or relay.demand.request_id
+        ranked = rank_by_subject(self._list_pool_placers(relay.pool), subject)
+        return list(dict.fromkeys([*ranked, *self._placer_names]))
+
+    def _list_pool_placers(self, pool):
+        count = len(pool.upstream_states)
+        return list_pool_placers(self._placers, pool.spec.name, count)
+
     def _send_ask(self, relay, now):
         """Ask the placer for a request's upstream; return whether an ask was sent."""
-        return self._ask(relay, self._select_placer(now), now)
+        return self._ask(relay, self._select_placer_for(relay, now), now)
 
     def _ask(self, relay, target, now, asked=()):
         if target not in self._coordinator.peers:
@@ -178,17 +207,28 @@
             ask = add_admission(ask, relay, now)
         self._datagrams.send(ASK, trim_ask(ask), peer.address)
 
-    def _get_origin(self):
+    def _get_origin(self, pool=None):
         """Return the PlacementOrigin of the choices that this instance makes."""
-        places = self._placer == self._cfg.name
-        return PlacementOrigin(self._cfg.data_centre, self._key if places else "")
-
-    def _get_capacity(self):
+        own, part = self._cfg.name, None
+        places = self._placer == own
+        if len(self._placers) > 1 and pool is not None:
+            placers = self._list_pool_placers(pool)
+            if own in placers:
+                places, part = True, PlacerPart(placers, own)
+        return PlacementOrigin(self._cfg.data_centre, self._key if places else "", part)
+
+    def _get_capacity(self, pool):
         """Return what part of a pool this instance decides on.
 
-        The first placer decides on the whole pool. One that takes its place for some
-        instances decides on their shares, because others may do so for the rest.
+        The first placer decides on the whole pool, each of several on its part.
+        One that takes its place for some instances decides on their shares, because
+        others may do so for the rest.
         """
+        if len(self._placers) > 1:
+            placers = self._list_pool_placers(pool)
+            if self._cfg.name in placers:
+                # The pool knows its part; only that is measured.
+                return Capacity(placing=True)
         if self._placer == self._cfg.name == self._placer_names[0]:
             return Capacity(placing=True)
         placing = self._placer == self._cfg.name or bool(self._asked_at)
@@ -234,7 +274,8 @@
             return False
         if not self._gateway.needs_admission(item.relay):
             return False
-        names = [name for name in self._placer_names if name not in asked]
+        targets = self._list_targets(item.relay)
+        names = [name for name in targets if name not in asked]
         return self._ask(item.relay, self._selector.choose(names, now), now, asked)
 
     def _receive_ask(self, address, *fields):
@@ -301,7 +342,7 @@
 
     def _choose_for(self, ask, pool, now):
         """Return the upstream and Estimate for an ask, or None."""
-        origin = self._get_origin()._replace(data_centre=ask.centre)
+        origin = self._get_origin(pool)._replace(data_centre=ask.centre)
         limits = self._gateway.upstream_limits
         exhausted = limits.list_exhausted(pool.upstream_states, now)
         limits.request_credit(exhausted, now)
@@ -319,7 +360,7 @@
         if found is not None:
             upstream_state, estimate = found
             limits = self._gateway.upstream_limits
-            placing = bool(self._get_origin().placer)
+            placing = bool(self._get_origin(pool).placer)
             name = upstream_state.registration.name
             charged = limits.is_limited(name) and limits.charge(name, now)
             self._gateway.brittle_upstreams.charge(pool, upstream_state, now, placing)
--- a/src/chervilwing/placer_selection.py
+++ b/src/chervilwing/placer_selection.py
@@ -99,13 +99,13 @@
     """Callbacks from the gateway to the placing component; the defaults do nothing.
 
     ``request_placement`` asks a placer and returns whether it was asked, ``get_origin``
-    returns the PlacementOrigin of choices made here, ``report_started`` and
+    returns the PlacementOrigin of choices made here for a pool, ``report_started`` and
     ``report_ended`` report a placed request's first byte and end, and ``report_stated``
     the StatedLoad of its upstream.
     """
 
     request_placement: Callable = lambda relay, now: False
-    get_origin: Callable = lambda: None
+    get_origin: Callable = lambda pool: None
     report_started: Callable = lambda relay: None
     report_ended: Callable = lambda relay, failed: None
     report_stated: Callable = lambda relay, load: None
--- a/src/chervilwing/placing/candidates.py
+++ b/src/chervilwing/placing/candidates.py
@@ -17,24 +17,29 @@
 LEAST_LOADED = 4
 LEAST_LOADED_NEAR = 3
 RANDOM = 2
+# Random upstreams of other placers' parts, for when the own part is busier.
+RANDOM_OTHERS = 3
 # Seconds within which all waits are computed again, as failure rates and the others'
 # loads change with time alone, and most upstreams at a choice.
 REFRESH_TIME = 2.0
 MAX_REFRESHED = 16
-NO_DEMAND = Demand("", 0.0)
+# The request for which upstreams are ordered. Its size matters only where their paces
+# differ: a slow upstream without any load would otherwise seem to be the best.
+USUAL_DEMAND = Demand("", 0.0, 2000)
 
 
 class CandidateIndex:
     """Upstreams of one pool by estimated wait, and draws of candidates from them.
 
-    ``estimate_wait(state, now, placing)`` returns the seconds that an upstream is
-    expected to make a request wait that has no prompt of its own.
+    ``estimate_wait(state, now, placing)`` returns the seconds that a usual request is
+    expected to take at an upstream until its first byte.
     """
 
-    def __init__(self, rng, upstream_states, caches, estimate_wait):
+    def __init__(self, rng, upstream_states, caches, parts, estimate_wait):
         self._rng = rng
         self._upstream_states = upstream_states
         self._caches = caches
+        self._parts = parts
         self._estimate_wait = estimate_wait
         self._changed = dict.fromkeys(upstream_states)
         self._placing = None
@@ -43,6 +48,8 @@
         # The data centre under which each name is indexed.
         self._centres = {}
         self._names = RandomSet()
+        # The upstreams of other placers' parts.
+        self._others = RandomSet()
         # Names in the order in which their waits are computed again.
         self._rotation = []
         self._refreshed_at = float("-inf")
@@ -50,12 +57,16 @@
         self.scored = self.choices = 0
 
     def __len__(self):
-        return len(self._names)
+        return len(self._centres)
 
     def mark_changed(self, name):
         """Note that an upstream's load, failures or registration changed."""
         self._changed[name] = None
 
+    def mark_all_changed(self):
+        """Note that this placer's part of the pool changed."""
+        self._changed = dict.fromkeys(self._upstream_states)
+
     def list_candidates(self, shared, excluded, origin, now):
         """Return the names to score, and a list of holders of the shared parts.
 
@@ -74,6 +85,7 @@
         if near is not None:
             names += near.draw_least(rng, LEAST_LOADED_NEAR, excluded)
         names += self._names.sample(rng, RANDOM)
+        names += self._others.sample(rng, RANDOM_OTHERS)
         names = [name for name in dict.fromkeys(names) if self._accepts(name, excluded)]
         self.choices += 1
         self.scored += len(names)
@@ -97,7 +109,7 @@
     def _update(self, now, placing):
         """Compute the waits of changed upstreams again, and of some others."""
         if placing != self._placing:
-            # The loads that count differ.
+            # Other loads count.
             self._placing = placing
             self._changed = dict.fromkeys(self._upstream_states)
         for name in self._changed:
@@ -116,11 +128,16 @@
         if state is None or state.registration.leaving:
             self._discard(name)
             return
+        if not self._parts.owns(name):
+            self._discard(name)
+            self._others.add(name)
+            return
         centre = state.registration.data_centre
         if self._centres.get(name, centre) != centre:
             self._discard(name)
         self._centres[name] = centre
         self._names.add(name)
+        self._others.discard(name)
         wait = self._estimate_wait(state, now, self._placing)
         self._order.put(name, wait)
         self._near_orders.setdefault(centre, LoadOrder()).put(name, wait)
@@ -128,6 +145,7 @@
     def _discard(self, name):
         self._order.discard(name)
         self._names.discard(name)
+        self._others.discard(name)
         centre = self._centres.pop(name, None)
         if centre is not None:
             self._near_orders[centre].discard(name)
--- a/src/chervilwing/pool_admission/control.py
+++ b/src/chervilwing/pool_admission/control.py
@@ -55,11 +55,11 @@
 class AdmissionControl:
     """Admission of requests to all pools; times are seconds on one clock.
 
-    ``get_capacity()`` returns this instance's Capacity.
+    ``get_capacity(pool)`` returns this instance's Capacity.
     """
 
     def __init__(self):
-        self.get_capacity = Capacity
+        self.get_capacity = lambda pool: Capacity()
         self.pools = {}
         self._entries = {}
         self._next_run = 0.0
@@ -161,7 +161,7 @@
         return figures
 
     def _measure(self, pool, now):
-        capacity = self.get_capacity()
+        capacity = self.get_capacity(pool)
         return measure_room(pool, now, capacity.placing, capacity.share)
 
     def _admit_all(self, name, now):
--- a/src/chervilwing/pool_admission/room.py
+++ b/src/chervilwing/pool_admission/room.py
@@ -30,7 +30,7 @@
     An instance that decides for itself only has a ``share`` of the engines below 1 and
     counts its own requests; the others have theirs.
     """
-    states = pool.list_accepting()
+    states = pool.list_part()
     alone = share < 1.0
     queued, free = [0.0] * len(BANDS), [0.0] * len(BANDS)
     rate = usable_rate = 0.0
--- a/src/chervilwing/pool_admission/upstream_checks.py
+++ b/src/chervilwing/pool_admission/upstream_checks.py
@@ -22,7 +22,7 @@
 
         The upstreams in ``refused`` are not chosen.
         """
-        origin = self._gateway.placing.get_origin()
+        origin = self._gateway.placing.get_origin(relay.pool)
         exhausted = self._gateway.upstream_limits.list_exhausted(
             relay.pool.upstream_states, now
         )
--- a/tests/admission_fleet.py
+++ b/tests/admission_fleet.py
@@ -66,7 +66,7 @@
         self.path.send_to_choice(relay, found, now)
 
     def choose_upstream(self, relay, now, refused=()):
-        origin = self.placing._get_origin()
+        origin = self.placing._get_origin(relay.pool)
         return relay.pool.choose(relay.demand, refused, now, origin)
 
     def refuse(self, relay, exc):
--- a/tests/outdated_loads.py
+++ b/tests/outdated_loads.py
@@ -15,11 +15,13 @@
 
 from chervilwing.balancing import PlacementOrigin, PoolBalancer
 from chervilwing.demands import Demand, PromptPart
+from chervilwing.hashing import hash_text
 from chervilwing.models import Address
+from chervilwing.placing import PlacerPart
 from chervilwing.registrations import Registration
 from chervilwing.routing import EngineSpec, PoolSpec
 from chervilwing.upstream_pace import StatedLoad
-from chervilwing.upstream_states import UpstreamLoad
+from chervilwing.upstream_states import NO_LOAD, UpstreamLoad, add_loads
 
 SPEC = PoolSpec("engines", engine=EngineSpec(64, 372_000))
 # Prompt tokens per second that an engine reads while it also generates.
@@ -152,7 +154,8 @@
     """Gateways and engines under a random load.
 
     ``age`` is the least and greatest age of the other gateways' loads in seconds. With
-    a ``placer``, ``lost`` is the fraction of asks and reports that are lost.
+    a ``placer``, ``lost`` is the fraction of asks and reports that are lost. With
+    several ``placers``, the first gateways each choose for a part of the subjects.
     ``paces`` returns the pace of an engine by its number and the time, ``stated`` what
     the engine states of it, by the same two and its pace.
     """
@@ -172,6 +175,8 @@
         lost=0.0,
         paces=None,
         stated=lambda number, now, pace: pace,
+        placers=1,
+        parts=True,
     ):
         self.rng = random.Random(seed)
         self._paces, self._stated = paces, stated
@@ -179,7 +184,16 @@
         self.engines = {f"u{n}": self._make_engine(n) for n in range(engines)}
         self.pools = [self._make_pool(seed + n) for n in range(gateways)]
         self.waits = {kind.name: [] for kind in (*self.kinds, *SHIFTED)}
-        self._placer = self.pools[0] if placer else None
+        self._placers = self.pools[:placers] if placer else []
+        names = [f"{PLACER}{number}" for number in range(placers)]
+        self._origins = [
+            PlacementOrigin(
+                "a",
+                name,
+                PlacerPart(tuple(names), name) if placers > 1 and parts else None,
+            )
+            for name in names
+        ]
         self._lost = lost
         self._age = age
         self._load = load
@@ -226,7 +240,7 @@
 
     def count_late(self):
         """Return the fraction of requests that were refused or late."""
-        kinds = (*KINDS, *SHIFTED)
+        kinds = (*self.kinds, *SHIFTED)
         late = sum(w > kind.target for kind in kinds for w in self.waits[kind.name])
         return late / sum(map(len, self.waits.values()))
 
@@ -253,7 +267,7 @@
             for name in self.engines
         }
         placed = [item for pool in self.pools for item in pool.caches.list_recent(now)]
-        self._snapshots.append((now, loads, sums, placed))
+        self._snapshots.append((now, loads, sums, placed, self._sum_unplaced(loads)))
         while now - self._snapshots[0][0] > self._age[1]:
             self._snapshots.popleft()
         for number, pool in enumerate(self.pools):
@@ -263,16 +277,35 @@
             old_enough = [item for item in self._snapshots if now - item[0] >= age]
             if not old_enough:
                 continue
-            _, loads, sums, placed = old_enough[-1]
+            _, loads, sums, placed, unplaced = old_enough[-1]
             pool.add_reported_prompts(placed)
             peer_loads = {
                 name: UpstreamLoad(*(a - b for a, b in zip(total, own, strict=True)))
                 for name, total in sums.items()
                 for own in (loads[number][name],)
             }
-            pool.set_peer_loads(peer_loads, now + 9.0)
+            pool.set_peer_loads(peer_loads, now + 9.0, unplaced.get(number, {}))
         self._push(now + SNAPSHOT_INTERVAL, self._report_loads)
 
+    def _sum_unplaced(self, loads):
+        """Return, for each of several placers, the others' loads it didn't place."""
+        if len(self._placers) < 2:
+            return {}
+        unplaced = {}
+        for number in range(len(self._placers)):
+            origin, found = f"{PLACER}{number}", unplaced.setdefault(number, {})
+            for other, pool in enumerate(self.pools):
+                if other == number:
+                    continue
+                for name, state in pool.upstream_states.items():
+                    if loads[other][name] == NO_LOAD:
+                        continue
+                    by_placer = state.own_requests.sum_by_placer()
+                    for placer, load in by_placer.items():
+                        if placer != origin:
+                            found[name] = add_loads(found.get(name, NO_LOAD), load)
+        return unplaced
+
     def _arrive(self, now, kind):
         if kind in self.kinds and now >= self._shift_at:
             return
@@ -294,36 +327,39 @@
         )
         pool = self.rng.choice(self.pools)
         waited = 0.0
-        if self._placer is None or self._is_lost():
+        placer = None
+        if self._placers and not self._is_lost():
+            placer = hash_text(demand.subject) % len(self._placers)
+        if placer is None:
             upstream_state, estimate = pool.choose(demand, (), now)
         else:
-            upstream_state, estimate = self._ask(pool, demand, now)
+            upstream_state, estimate = self._ask(pool, placer, demand, now)
             waited = ASK_TIME
         if pool.is_overloaded(estimate, SHORTEST_TARGET):
             self.waits[kind.name].append(REFUSED)
-            self._receive_ended(now, upstream_state, demand)
+            self._receive_ended(now, placer, upstream_state, demand)
             return
         pool.record_sent(upstream_state, demand, estimate, now)
         engine = self.engines[upstream_state.registration.name]
         at = engine.read(demand, now) + engine.first_token
         self.waits[kind.name].append(at + waited - now)
-        self._push(at, self._start, pool, upstream_state, demand)
+        self._push(at, self._start, pool, placer, upstream_state, demand)
 
     def _is_lost(self):
         return self.rng.random() < self._lost
 
-    def _ask(self, pool, demand, now):
+    def _ask(self, pool, number, demand, now):
         """Return the placer's choice: the asker's own UpstreamState and Estimate."""
-        origin = PlacementOrigin("a", PLACER)
-        chosen, estimate = self._placer.choose(demand, (), now, origin)
-        self._placer.record_placed(demand.request_id, demand, (chosen, estimate), now)
+        placer, origin = self._placers[number], self._origins[number]
+        chosen, estimate = placer.choose(demand, (), now, origin)
+        placer.record_placed(demand.request_id, demand, (chosen, estimate), now)
         name = chosen.registration.name
         source = (
             estimate.source and pool.upstream_states[estimate.source.registration.name]
         )
         return pool.upstream_states[name], estimate._replace(source=source)
 
-    def _state_load(self, now, pool, upstream_state):
+    def _state_load(self, now, pool, placer, upstream_state):
         """Give the asker, and later the placer, the load that an answer states."""
         name = upstream_state.registration.name
         number = int(name[1:])
@@ -332,41 +368,43 @@
         slots = self.engines[name].slots
         load = StatedLoad(min(calls, slots), max(0, calls - slots), slots, pace)
         pool.record_stated_load(upstream_state, load, now, now)
-        if self._placer is not None and not self._is_lost():
-            self._push(now + ASK_TIME, self._receive_stated, name, load, now)
+        if placer is not None and not self._is_lost():
+            self._push(now + ASK_TIME, self._receive_stated, placer, name, load, now)
 
-    def _receive_stated(self, now, name, load, at):
-        placer_state = self._placer.upstream_states[name]
-        self._placer.record_stated_load(placer_state, load, at, now)
+    def _receive_stated(self, now, placer, name, load, at):
+        pool = self._placers[placer]
+        pool.record_stated_load(pool.upstream_states[name], load, at, now)
 
     def _count_calls(self, name, now):
         """Return the calls at an upstream that it states; engines' are not used."""
         return 0
 
-    def _start(self, now, pool, upstream_state, demand):
+    def _start(self, now, pool, placer, upstream_state, demand):
         if self._paces is not None:
-            self._state_load(now, pool, upstream_state)
+            self._state_load(now, pool, placer, upstream_state)
         pool.record_first_byte(upstream_state, demand, now)
-        if self._placer is not None and not self._is_lost():
-            self._push(
-                now + REPORT_TIME, self._receive_started, upstream_state, demand, now
-            )
+        if placer is not None and not self._is_lost():
+            args = (placer, upstream_state, demand, now)
+            self._push(now + REPORT_TIME, self._receive_started, *args)
         ended = now + demand.output_tokens * TOKEN_SECONDS
-        self._push(ended, self._end, pool, upstream_state, demand)
+        self._push(ended, self._end, pool, placer, upstream_state, demand)
 
-    def _end(self, now, pool, upstream_state, demand):
+    def _end(self, now, pool, placer, upstream_state, demand):
         pool.record_end(upstream_state, demand, False, now)
-        if self._placer is not None and not self._is_lost():
-            self._push(now + REPORT_TIME, self._receive_ended, upstream_state, demand)
-
-    def _receive_started(self, now, upstream_state, demand, at):
-        placer_state = self._placer.upstream_states[upstream_state.registration.name]
-        self._placer.record_placed_first_byte(placer_state, demand.request_id, at)
-
-    def _receive_ended(self, now, upstream_state, demand):
-        placer_state = self._placer.upstream_states[upstream_state.registration.name]
-        self._placer.record_placed_end(placer_state, demand.request_id, None, now)
-        self._placer.expire_placed(now)
+        if placer is not None and not self._is_lost():
+            args = (placer, upstream_state, demand)
+            self._push(now + REPORT_TIME, self._receive_ended, *args)
+
+    def _receive_started(self, now, placer, upstream_state, demand, at):
+        pool = self._placers[placer]
+        placer_state = pool.upstream_states[upstream_state.registration.name]
+        pool.record_placed_first_byte(placer_state, demand.request_id, at)
+
+    def _receive_ended(self, now, placer, upstream_state, demand):
+        pool = self._placers[placer]
+        placer_state = pool.upstream_states[upstream_state.registration.name]
+        pool.record_placed_end(placer_state, demand.request_id, None, now)
+        pool.expire_placed(now)
 
 
 class PlainSimulation(Simulation):
--- a/tests/placing_fleet.py
+++ b/tests/placing_fleet.py
@@ -96,7 +96,7 @@
 
     def choose_upstream(self, relay, now):
         """Choose an upstream here and send the request."""
-        origin = self.placing._get_origin()
+        origin = self.placing._get_origin(relay.pool)
         self.send_to_choice(
             relay, relay.pool.choose(relay.demand, (), now, origin), now
         )
@@ -145,6 +145,8 @@
         self.requests = []
         self.cut_centres = set()
         self.dead = set()
+        # Instances whose datagrams all arrive 0.2 s late.
+        self.slow = set()
         # Instances that were killed or restarted and so lost their requests.
         self.lost_instances = set()
         self._due = []
@@ -180,6 +182,7 @@
         for _ in range(copies):
             if self.rng.random() >= self.lost:
                 delay = self.rng.choice(self.delays)
+                delay += 0.2 if {sender, name} & self.slow else 0.0
                 self.call_later(delay, self._deliver, sender, name, kind, fields)
 
     def _deliver(self, sender, name, kind, fields):
@@ -215,6 +218,11 @@
     def list_living(self):
         return [i for name, i in self.instances.items() if name not in self.dead]
 
+    def list_placers(self):
+        """Return the names of the placers of the pool."""
+        instance = next(iter(self.instances.values()))
+        return instance.placing._list_pool_placers(instance.pools["engines"])
+
     def kill(self, name):
         """Stop an instance permanently."""
         self.dead.add(name)
--- a/tests/test_placing_model.py
+++ b/tests/test_placing_model.py
@@ -9,13 +9,18 @@
 
 SIZES = (8, 67, 320)
 ENGINES = 12
+# Enough for five placers.
+MANY_ENGINES = 200
 SECONDS = 4.0
 PER_SECOND = 60
 
 
-def run_requests(fleet, fault):
-    """Run some seconds of requests with one fault, then wait until all have ended."""
-    names = list(fleet.instances)
+def run_requests(fleet, fault, askers=None):
+    """Run some seconds of requests with one fault, then wait until all have ended.
+
+    ``askers`` are the instances at which requests arrive, all by default.
+    """
+    names = askers or list(fleet.instances)
     for number in range(int(SECONDS * PER_SECOND)):
         fleet.call_later(number / PER_SECOND, fleet.ask, fleet.rng.choice(names))
     fleet.call_later(SECONDS / 3, fault, fleet)
@@ -23,7 +28,7 @@
 
 
 def find_placer(fleet):
-    return next(iter(fleet.instances.values())).placing._placer_names[0]
+    return fleet.list_placers()[0]
 
 
 def cut_centre(fleet):
@@ -118,5 +123,60 @@
                 self.assertLessEqual(instance.unanswered, MAX_TIMEOUTS + 1)
 
 
+def cut_placer(fleet):
+    fleet.cut_centres.add(fleet.get_centre(find_placer(fleet)))
+
+
+def slow_placer(fleet):
+    fleet.slow.add(find_placer(fleet))
+
+
+class TestSeveralPlacers(unittest.TestCase):
+    def make_fleet(self, seed, **faults):
+        """Return a fleet of 320 instances with five placers, and some askers."""
+        fleet = Fleet(320, MANY_ENGINES, seed, **faults)
+        fleet.run(0.1)
+        placers = fleet.list_placers()
+        self.assertEqual(len(placers), 5)
+        return fleet, [name for name in fleet.instances if name not in placers][:6]
+
+    def test_a_faulty_placer_is_abandoned_within_a_few_requests(self):
+        # Each request to a placer that doesn't answer waits for the timeout in vain.
+        for fault in (kill_placer, cut_placer, slow_placer, restart_placer):
+            fleet, askers = self.make_fleet(seed=3)
+            placers = fleet.list_placers()
+            run_requests(fleet, fault, askers)
+            # Beyond a cut data centre there may be several of the placers.
+            cut = [n for n in placers if fleet.get_centre(n) in fleet.cut_centres]
+            for name in askers:
+                if fleet.get_centre(name) in fleet.cut_centres:
+                    continue
+                bound = max(1, len(cut)) * (MAX_TIMEOUTS + 1)
+                with self.subTest(fault=fault.__name__, name=name):
+                    self.assertLessEqual(fleet.instances[name].unanswered, bound)
+
+    def test_each_request_is_sent_once(self):
+        # Placers that change while datagrams are lost, doubled or late must neither
+        # lose a request nor send it to two upstreams.
+        for seed, fault in enumerate((kill_placer, cut_placer, slow_placer)):
+            fleet, askers = self.make_fleet(seed, lost=0.1, doubled=0.1, late=True)
+            run_requests(fleet, fault, askers)
+            sent = Counter(r for i in fleet.instances.values() for r, _ in i.sent)
+            with self.subTest(fault=fault.__name__):
+                requests = [request for _, request in fleet.requests]
+                self.assertEqual(dict(sent), dict.fromkeys(requests, 1))
+
+    def test_a_subject_is_read_by_few_upstreams(self):
+        # If several placers chose for one subject, each would have it read elsewhere.
+        fleet, askers = self.make_fleet(seed=5)
+        run_requests(fleet, lambda fleet: None, askers)
+        found = {
+            (int(request[1:]) % 7, upstream_state.registration.name)
+            for name in askers
+            for request, upstream_state in fleet.instances[name].sent
+        }
+        self.assertLessEqual(len(found), 2 * 7)
+
+
 if __name__ == "__main__":
     unittest.main()
