Show the number of placers and the size of the index

The gauges tell whether a pool is chosen from by the index, how many candidates a choice scores and how many instances place. tests.test_operations, test_docs, test_gateway, test_placing_candidates, test_structure, test_admission_fleet, test_outdated_loads and test_end_to_end passed.

--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -160,6 +160,12 @@
         """Return whether only candidates of the index are scored."""
         return len(self.upstream_states) > MAX_SCORED_UPSTREAMS
 
+    def summarise_index(self):
+        """Return the index's number of upstreams and mean candidates per choice."""
+        if self.index is None:
+            return 0, 0.0
+        return len(self.index), round(self.index.scored / max(1, self.index.choices), 1)
+
     def _mark_changed(self, name):
         if self.index is not None:
             self.index.mark_changed(name)
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -202,6 +202,7 @@
             "gateway_streams_known": len(gateway.resumptions.streams),
             "gateway_stream_datagrams_sent": datagrams,
             "gateway_stream_bytes_sent": size,
+            "gateway_placers": gateway.placing.count_placers(),
             "gateway_connections_rejected": gateway.intake.rejected,
             "gateway_log_lines_dropped": count_dropped_lines(),
             **gateway.admissions.list_figures(),
@@ -210,6 +211,9 @@
             slowest, mean = pool.paces.summarise(now)
             gauges[f'gateway_pool_slowest_pace{{pool="{name}"}}'] = round(slowest, 3)
             gauges[f'gateway_pool_mean_pace{{pool="{name}"}}'] = round(mean, 3)
+            size, scored = pool.summarise_index()
+            gauges[f'gateway_pool_index_size{{pool="{name}"}}'] = size
+            gauges[f'gateway_pool_scored_per_choice{{pool="{name}"}}'] = scored
         for name, value in gateway.mover.count().items():
             gauges[f"gateway_stream_{name}"] = value
         return "".join(f"chervilwing_{k} {v}\n" for k, v in gauges.items())
--- a/src/chervilwing/placement_exchange.py
+++ b/src/chervilwing/placement_exchange.py
@@ -115,6 +115,7 @@
             self._queue_started,
             self._queue_placed_ended,
             self._queue_stated,
+            lambda: len(self._placers),
         )
         gateway.admissions.get_capacity = self._get_capacity
         datagrams.subscribe(ASK, self._receive_ask)
--- a/src/chervilwing/placer_selection.py
+++ b/src/chervilwing/placer_selection.py
@@ -100,8 +100,9 @@
 
     ``request_placement`` asks a placer and returns whether it was asked, ``get_origin``
     returns the PlacementOrigin of choices made here for a pool, ``report_started`` and
-    ``report_ended`` report a placed request's first byte and end, and ``report_stated``
-    the StatedLoad of its upstream.
+    ``report_ended`` report a placed request's first byte and end, ``report_stated`` the
+    StatedLoad of its upstream, and ``count_placers`` returns how many instances choose
+    for others.
     """
 
     request_placement: Callable = lambda relay, now: False
@@ -109,6 +110,7 @@
     report_started: Callable = lambda relay: None
     report_ended: Callable = lambda relay, failed: None
     report_stated: Callable = lambda relay, load: None
+    count_placers: Callable = lambda: 1
 
 
 def make_ask(number, cfg, relay, excluded, now):
