--- a/tests/outdated_loads.py
+++ b/tests/outdated_loads.py
@@ -240,7 +240,7 @@
 
     def count_late(self):
         """Return the fraction of requests that were refused or late."""
-        kinds = (*KINDS, *SHIFTED)
+        kinds = (*self.kinds, *SHIFTED)
         late = sum(w > kind.target for kind in kinds for w in self.waits[kind.name])
         return late / sum(map(len, self.waits.values()))
 
