--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -574,7 +574,9 @@
             sent.prefill, now, own.prefill + placed.prefill
         )
         if measured is not None:
-            pace = self.paces.record_sample(upstream_state, self.rate / measured, now)
+            pace = self.paces.record_sample(
+                upstream_state, 1.0 / measured, 1.0 / self.rate, now
+            )
             rate = min(MAX_PREFILL_RATE, max(MIN_PREFILL_RATE, measured * pace))
             self.rate = update_average(self.rate, rate)
 
