Tell causes of crashes from parts that ran for long beside them

Where all upstreams crash within seconds, before they have answered a part, that part may be in flight at as many crashes as the cause. Both were barred for ten minutes, or two such parts together explained the crashes of the cause, which went on.

A cause crashes its upstream when that begins to answer. So the parts of a request that was in flight a second longer than twice its estimate count as answered once: the instance that sees the crash tells it with the messages for old answers. And of several parts with equal evidence any one may be the only cause: what was never answered is explained only by all of them.

--- a/src/chervilwing/crash_causes.py
+++ b/src/chervilwing/crash_causes.py
@@ -4,7 +4,7 @@
 that their prompts share with it.
 """
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from enum import Enum
 from math import inf
 from typing import NamedTuple
@@ -18,12 +18,18 @@
 # Parts of one prompt that are considered, so that a caller can't add any number of
 # entries to the records.
 MAX_PARTS = 32
+# Parts of prompts in a log line, those of most requests first.
+MAX_LOGGED_PARTS = 24
 # Number of latest parts whose requests are counted.
 MAX_COUNTED_PARTS = 4096
 # Requests with a part from which its statistics count.
 MIN_COUNT = 3
 # Factor by which one part comes more often than another one.
 OFTEN = 5
+# Seconds after the expected begin of an answer, and the factor by which that may be
+# late, from which on a request has run longer than one that crashes its upstream.
+LONG_RUN = 1.0
+ESTIMATE_FACTOR = 2.0
 # Crashes that a further cause has to explain. Two causes may be in flight at the same
 # crashes, so that the second one has fewer of its own.
 MIN_UNEXPLAINED = 2
@@ -88,6 +94,14 @@
     companion: str = ""
 
 
+def describe_parts(in_flight):
+    """Return the shared parts of requests in flight, each with its number of them."""
+    scopes = (suspect.scope for suspects in in_flight for suspect in suspects)
+    counts = Counter(scope.name for scope in scopes if scope.kind == PART_SCOPE)
+    found = counts.most_common(MAX_LOGGED_PARTS)
+    return ",".join(f"{name}:{count}" for name, count in found)
+
+
 class PartRequests:
     """The number of requests with a part, and the parts that all of them had."""
 
@@ -162,6 +176,20 @@
     )
 
 
+def list_long_run(relays, now):
+    """Return the parts of prompts that an upstream has run without crashing on them.
+
+    A cause crashes its upstream when that begins to answer. What has run for longer
+    is in flight at the crash of another one.
+    """
+    return {
+        part.fingerprint
+        for relay in relays
+        if now - relay.sent_at >= LONG_RUN + ESTIMATE_FACTOR * relay.estimate.seconds
+        for part in relay.suspects[1:]
+    }
+
+
 def list_notes(candidates, was_answered, statistics):
     """Return the CrashNotes that tell some candidates from others."""
     notes = [CrashNote(part) for part in candidates if was_answered(part)]
@@ -200,6 +228,13 @@
             key for key in found if not any(is_unlikely(key, other) for other in found)
         ]
         causes.update(selected or found)
-        explained = set().union(*map(left.get, selected or found))
-        left = {key: left[key] - explained for key in left if key not in found}
+        # Any one of them may be the only cause, so that another part is explained only
+        # by all of them; one that was answered once, by any of them.
+        sets = [left[key] for key in selected or found]
+        common, explained = set.intersection(*sets), set.union(*sets)
+        left = {
+            key: left[key] - (explained if was_answered(key) else common)
+            for key in left
+            if key not in found
+        }
     return causes
--- a/src/chervilwing/crash_detection.py
+++ b/src/chervilwing/crash_detection.py
@@ -5,7 +5,7 @@
 instance, whose path is another one.
 """
 
-from collections import Counter, OrderedDict, deque
+from collections import OrderedDict, deque
 from functools import partial
 from typing import NamedTuple
 
@@ -13,7 +13,7 @@
 
 from .bounds import keep_latest
 from .clocks import read_boottime
-from .crash_causes import PART_SCOPE, Suspect
+from .crash_causes import Suspect, describe_parts, list_long_run
 from .crash_records import Suspicion
 from .logs import log_event
 from .sockets import StreamHandlers, Streams
@@ -43,8 +43,6 @@
 MAX_PROBES = 64
 # Number of latest crashed upstreams that are kept.
 MAX_CRASHED = 256
-# Parts of prompts in a log line, those of most requests first.
-MAX_LOGGED_PARTS = 24
 HTTP_OK = 200
 MIN_REDIRECT = 300
 MIN_SERVER_ERROR = 500
@@ -85,14 +83,6 @@
     tries: int = 1
 
 
-def describe_parts(in_flight):
-    """Return the shared parts of requests, each with its number of requests."""
-    scopes = (suspect.scope for suspects in in_flight for suspect in suspects)
-    counts = Counter(scope.name for scope in scopes if scope.kind == PART_SCOPE)
-    found = counts.most_common(MAX_LOGGED_PARTS)
-    return ",".join(f"{name}:{count}" for name, count in found)
-
-
 class CrashDetection(BaseComponent):
     """Suspect the requests in flight at crashed upstreams; see CrashRecords."""
 
@@ -264,6 +254,8 @@
         if len(self._probes) >= MAX_PROBES:
             log_event("upstream not asked", upstream=name, in_flight=len(in_flight))
             return
+        for part in list_long_run(self._list_relays(name), now):
+            self._records.record_survived(part, now)
         suspicions = self._assumed[name] = self._list_suspicions(name, in_flight)
         for suspicion in suspicions:
             self._records.assume(suspicion, now)
--- a/src/chervilwing/crash_records.py
+++ b/src/chervilwing/crash_records.py
@@ -47,7 +47,7 @@
 # that it didn't cause.
 EXEMPT_FOR = 10.0
 MAX_ANSWERED = 4096
-# Seconds since an answer whose time isn't known; it exempts nothing.
+# Seconds since an answer whose time isn't known, so that it exempts nothing.
 OLD_ANSWER_AGE = 2 * EXEMPT_FOR
 # Number of upstreams whose crash is kept, and of those whose last answer is kept.
 MAX_UPSTREAMS = 1024
@@ -208,6 +208,12 @@
         keep_latest(self._answered, MAX_ANSWERED)
         self._withdraw_request(fingerprint, now)
 
+    def record_survived(self, fingerprint, now):
+        """Record that a part was answered at some time, or crashed no upstream."""
+        if fingerprint not in self._answered:
+            self._answered[fingerprint] = now - OLD_ANSWER_AGE
+            keep_latest(self._answered, MAX_ANSWERED)
+
     def list_crashed(self, before):
         """Return the upstreams that are recorded as crashed at or before a time."""
         crashes = self._crashes.items()
@@ -262,9 +268,8 @@
     def _apply_note(self, note, now):
         if note.companion:
             self.part_statistics.add_note(note)
-        elif note.part not in self._answered:
-            self._answered[note.part] = now - OLD_ANSWER_AGE
-            keep_latest(self._answered, MAX_ANSWERED)
+        else:
+            self.record_survived(note.part, now)
 
     def _queue_report(self, suspicion, at, now):
         self._reports[suspicion] = (at, now + REPORT_FOR)
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -9,7 +9,7 @@
 from math import inf
 from typing import NamedTuple
 
-from chervilwing.crash_causes import Suspect
+from chervilwing.crash_causes import LONG_RUN, Suspect
 from chervilwing.crash_records import CrashRecords, Suspicion
 from chervilwing.exceptions import RequestBarred, Scope
 from chervilwing.leader_queries import QUERY_INTERVAL, LeaderQueries, form_groups
@@ -294,6 +294,9 @@
 
     def _suspect(self, item):
         """Suspect a request and its parts of the crash of its engine."""
+        if self.now - item.sent_at >= LONG_RUN:
+            for fingerprint in item.kind.parts:
+                item.node.records.record_survived(fingerprint, self.now)
         for fingerprint in item.fingerprints:
             suspicion = Suspicion(fingerprint, item.engine)
             item.node.records.prove(suspicion, self.now)
--- a/tests/test_crash_causes.py
+++ b/tests/test_crash_causes.py
@@ -1,11 +1,16 @@
 """Selection of the causes of crashes among all that was in flight there."""
 
 import unittest
+from types import SimpleNamespace
 
 from chervilwing.crash_causes import (
+    ESTIMATE_FACTOR,
+    LONG_RUN,
     MIN_COUNT,
     OFTEN,
     PartStatistics,
+    Suspect,
+    list_long_run,
     list_part_suspects,
     select_causes,
 )
@@ -18,6 +23,7 @@
     Suspicion,
 )
 from chervilwing.demands import Demand, PromptPart
+from chervilwing.exceptions import Scope
 from chervilwing.stored_crashes import CRASHES, decode_crash
 
 SHARED, CAUSE = "a" * 16, "b" * 16
@@ -52,6 +58,27 @@
         # Guards against a cause that goes on while its neighbour is barred.
         self.assertEqual(select({"bad": "123", "sound": "123"}), {"bad", "sound"})
 
+    def test_equal_evidence_explains_only_what_all_of_them_explain(self):
+        # Guards against sound parts that together explain the crashes of the cause.
+        causes = select({"sound": "1234", "rare": "2345", "bad": "156"})
+        self.assertIn("bad", causes)
+
+    def test_a_part_that_ran_for_long_is_no_cause_beside_one_that_did_not(self):
+        # Guards against bars on parts that nobody has answered yet when all crash.
+        estimate = SimpleNamespace(seconds=0.5)
+        suspects = [Suspect(name, Scope("part", name)) for name in ("own", SHARED)]
+        relay = SimpleNamespace(sent_at=0.0, estimate=estimate, suspects=suspects)
+        long_run = LONG_RUN + ESTIMATE_FACTOR * estimate.seconds
+        self.assertEqual(list_long_run([relay], long_run - 0.1), set())
+        self.assertEqual(list_long_run([relay], long_run), {SHARED})
+        records = CrashRecords("one")
+        records.record_survived(SHARED, 0.0)
+        for number in range(CRASH_LIMIT):
+            for part in (SHARED, CAUSE):
+                records.prove(Suspicion(part, f"u{number}"), 0.0)
+        self.assertFalse(records.is_barred(SHARED, 0.0))
+        self.assertTrue(records.is_barred(CAUSE, 0.0))
+
     def test_a_part_that_all_crashing_requests_share_with_sound_ones_is_no_cause(self):
         # Guards against a bar on a shared first part, which nobody could lift, since
         # none of its sound requests would be answered.
--- a/tests/weakened_gateway.py
+++ b/tests/weakened_gateway.py
@@ -254,7 +254,13 @@
     ),
     Weakness(
         "a crash with a cause is evidence against the others",
-        (Edit("crash_causes", "left[key] - explained", "left[key]"),),
+        (
+            Edit(
+                "crash_causes",
+                "left[key] - (explained if was_answered(key) else common)",
+                "left[key]",
+            ),
+        ),
         (CAUSES + "what_was_only_beside_the_cause_is_no_cause",),
     ),
     Weakness(
