--- a/src/chervilwing/upstream_pace/__init__.py
+++ b/src/chervilwing/upstream_pace/__init__.py
@@ -1,11 +1,12 @@
 """Pace of each upstream of a pool, as stated in its answers and as measured."""
 
-from .pool_paces import PoolPaces, is_better_elsewhere
+from .pool_paces import PaceChange, PoolPaces, is_better_elsewhere
 from .reports import StatedReports, read_reports
 from .stated_loads import StatedLoad, is_plausible, read_stated_load
 from .upstream_paces import UpstreamPace
 
 __all__ = [
+    "PaceChange",
     "PoolPaces",
     "StatedLoad",
     "StatedReports",
--- a/tests/outdated_loads.py
+++ b/tests/outdated_loads.py
@@ -184,6 +184,8 @@
         self.engines = {f"u{n}": self._make_engine(n) for n in range(engines)}
         self.pools = [self._make_pool(seed + n) for n in range(gateways)]
         self.waits = {kind.name: [] for kind in (*self.kinds, *SHIFTED)}
+        # Time and upstream of each request that was sent.
+        self.sent = []
         self._placers = self.pools[:placers] if placer else []
         names = [f"{PLACER}{number}" for number in range(placers)]
         self._origins = [
@@ -238,6 +240,15 @@
             if self.waits[kind.name]
         }
 
+    @property
+    def placer(self):
+        """Return the state of the first gateway that chooses for all."""
+        return self._placers[0]
+
+    def replace_placer(self, now):
+        """Let another gateway choose for all from now on."""
+        self._placers = [self.pools[-1]]
+
     def count_late(self):
         """Return the fraction of requests that were refused or late."""
         kinds = (*KINDS, *SHIFTED)
@@ -340,6 +351,7 @@
             self._receive_ended(now, placer, upstream_state, demand)
             return
         pool.record_sent(upstream_state, demand, estimate, now)
+        self.sent.append((now, upstream_state.registration.name))
         engine = self.engines[upstream_state.registration.name]
         at = engine.read(demand, now) + engine.first_token
         self.waits[kind.name].append(at + waited - now)
