--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -568,8 +568,10 @@
             sent.prefill, now, own.prefill + placed.prefill
         )
         if measured is not None:
-            pace = self.paces.record_sample(upstream_state, self.rate / measured, now)
-            rate = min(MAX_PREFILL_RATE, max(MIN_PREFILL_RATE, measured * pace))
+            measured *= self.paces.record_sample(
+                upstream_state, 1.0 / measured, 1.0 / self.rate, now
+            )
+            rate = min(MAX_PREFILL_RATE, max(MIN_PREFILL_RATE, measured))
             self.rate = update_average(self.rate, rate)
 
     def record_placed_end(self, upstream_state, key, failed, now):
