Measure the room of a pool once in ten milliseconds

A decision measured it anew, at several microseconds for each upstream. What is admitted in between is taken from the last measurement. The correction of the engines' rate begins after half a second of waiting, so that fewer requests are refused only when their target is lost, and waiting requests are displaced with more margin. Asks that weren't renewed are found without a search.

--- a/src/chervilwing/balancing.py
+++ b/src/chervilwing/balancing.py
@@ -73,6 +73,8 @@
 MIN_FETCHED_TOKENS = 512
 # Seconds until a fetch begins: 4 ms at the engines plus a round trip.
 FETCH_SETUP_TIME = 0.006
+# Weight of a busy period of an engine in the measured rate; it covers many prompts.
+READING_WEIGHT = 0.2
 
 
 class Estimate(NamedTuple):
@@ -572,7 +574,7 @@
                 upstream_state, 1.0 / measured, 1.0 / self.rate, now
             )
             rate = min(MAX_PREFILL_RATE, max(MIN_PREFILL_RATE, measured))
-            self.rate = update_average(self.rate, rate)
+            self.rate = update_average(self.rate, rate, READING_WEIGHT)
 
     def record_placed_end(self, upstream_state, key, failed, now):
         """Record the end of another instance's attempt.
--- a/src/chervilwing/pool_admission/control.py
+++ b/src/chervilwing/pool_admission/control.py
@@ -1,5 +1,6 @@
 """The admission decisions of one instance, for all pools where they are active."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ..queues import BANDS
@@ -16,8 +17,6 @@
 # Seconds without a renewal after which another instance's ask is dropped: three
 # renewals were lost, or the instance is gone.
 RENEWAL_TIMEOUT = 0.6
-# Seconds between two searches for asks that weren't renewed.
-DROP_INTERVAL = 0.2
 # Counted events by band, in the order of the metrics.
 EVENTS = (
     "admitted",
@@ -42,14 +41,10 @@
 
 
 class WaitingEntry(NamedTuple):
-    """A waiting request's pool, and what to call with the decision.
-
-    ``expires_at`` is when it is dropped unless renewed.
-    """
+    """A waiting request's pool, and what to call with the decision."""
 
     pool: str
-    on_decision: object
-    expires_at: float
+    on_decision: Callable
 
 
 class AdmissionControl:
@@ -62,8 +57,11 @@
         self.get_capacity = lambda pool: Capacity()
         self.pools = {}
         self._entries = {}
+        # The Room of each pool and when it was measured.
+        self._rooms = {}
+        # When other instances' requests are dropped unless renewed, earliest first.
+        self._expiries = {}
         self._next_run = 0.0
-        self._next_drop = 0.0
 
     def configure(self, document, setting, now):
         """Apply a configuration; return pairs of changed pools and whether active."""
@@ -94,19 +92,23 @@
         ``renew``.
         """
         name = pool.spec.name
-        room = self._measure(pool, now)
+        room = self._get_room(pool, now)
         decision = self.pools[name].decide(request, room, now)
+        if decision is ADMIT:
+            self._rooms[name] = (room.take(request), self._rooms[name][1])
         if decision is WAIT:
-            expires_at = now + RENEWAL_TIMEOUT if renewed else float("inf")
-            self._entries[request.key] = WaitingEntry(name, on_decision, expires_at)
+            self._entries[request.key] = WaitingEntry(name, on_decision)
+            if renewed:
+                self._expiries[request.key] = now + RENEWAL_TIMEOUT
         return decision
 
     def renew(self, key, now):
         """Keep another instance's waiting request; return whether it waits."""
-        entry = self._entries.get(key)
-        if entry is None:
+        if key not in self._entries:
             return False
-        self._entries[key] = entry._replace(expires_at=now + RENEWAL_TIMEOUT)
+        # Renewed last, expires last.
+        self._expiries.pop(key, None)
+        self._expiries[key] = now + RENEWAL_TIMEOUT
         return True
 
     def remove(self, key):
@@ -128,14 +130,15 @@
             room = self._measure(pools[name], now)
             for key, decision in admission.list_admitted(room, now):
                 self._entries.pop(key).on_decision(decision, now)
+            self._rooms.pop(name, None)
 
     def _drop_unrenewed(self, now):
-        if now < self._next_drop:
-            return
-        self._next_drop = now + DROP_INTERVAL
-        for key, entry in list(self._entries.items()):
-            if now >= entry.expires_at:
-                self.remove(key)
+        while self._expiries:
+            key, expires_at = next(iter(self._expiries.items()))
+            if now < expires_at:
+                return
+            del self._expiries[key]
+            self.remove(key)
 
     def update_overload(self, now):
         """Update all overload states; return the changed ones as (pool, state)."""
@@ -160,10 +163,22 @@
                     figures[key] = admission.counts[event, band]
         return figures
 
+    def _get_room(self, pool, now):
+        """Return the Room of a pool as measured lately, less what was admitted since.
+
+        Measuring takes several microseconds for each upstream.
+        """
+        room, measured_at = self._rooms.get(pool.spec.name, (None, 0.0))
+        if room is None or now >= measured_at + RUN_INTERVAL:
+            return self._measure(pool, now)
+        return room
+
     def _measure(self, pool, now):
         capacity = self.get_capacity(pool)
         scale = self.pools[pool.spec.name].scale
-        return measure_room(pool, now, capacity.placing, capacity.share, scale)
+        room = measure_room(pool, now, capacity.placing, capacity.share, scale)
+        self._rooms[pool.spec.name] = (room, now)
+        return room
 
     def _admit_all(self, name, now):
         """Let the waiting requests of a pool proceed whose admission has ended."""
--- a/src/chervilwing/pool_admission/pool.py
+++ b/src/chervilwing/pool_admission/pool.py
@@ -24,9 +24,9 @@
 # Decay time in seconds of the measured service rates: within the shortest latency
 # targets, a change of the load must show.
 SERVED_DECAY = 1.0
-# Seconds of uninterrupted waiting after which the measured service rate replaces the
-# engines' estimated one; the measured rate has then adjusted.
-MEASURED_AFTER = 2 * SERVED_DECAY
+# Seconds of uninterrupted waiting after which the measured service rate corrects the
+# engines' estimated one; reports of a few prompts more or less don't matter then.
+MEASURED_AFTER = 0.5
 # Bounds of the measured service rate, as fractions of the estimated one. A lower bound
 # would send engines too little in advance, which lowers the measured rate further.
 MIN_MEASURED, MAX_MEASURED = 0.4, 1.5
@@ -35,9 +35,12 @@
 # changes while it waits.
 MAX_TARGET_PART = 0.9
 MAX_DEADLINE_PART = 0.9
+# A waiting request is displaced if it needs more than this part: refusing it later,
+# once its target is lost, is worse for its caller.
+MAX_WAITING_PART = 0.8
 # Parts of the latency target after which a waiting request is reviewed. A refusal must
 # be known within a quarter; later, a request is refused only once its target is lost.
-REVIEWS = (0.125, 0.22)
+REVIEWS = (0.125, 0.2)
 # Fewest prompt tokens that a request counts for: an engine step takes its time also if
 # the whole prompt is cached.
 MIN_COST = 50.0
@@ -81,7 +84,9 @@
         self._counted = {}
         self._queue = FairQueue(SERVED_DECAY)
         self._waiting = {}
+        # Since when requests have always waited, and the cost served since.
         self._waiting_since = None
+        self._served_cost = 0.0
         self._reviews = []
         self._sequence = count()
 
@@ -128,7 +133,7 @@
                 continue
             self._queue.dequeue(item, now)
             del self._waiting[item.work.request_id]
-            self._count_admitted(item.band, waiting.promised)
+            self._count_admitted(waiting.request, waiting.promised)
             decisions.append((item.work.request_id, ADMIT))
             for band in BANDS[item.band :]:
                 free[band] -= item.cost
@@ -197,13 +202,14 @@
 
     def _admit(self, request, now, promised=False):
         self._queue.serve_directly(make_item(request), WEIGHT, now)
-        self._count_admitted(request.band, promised)
+        self._count_admitted(request, promised)
         return ADMIT
 
-    def _count_admitted(self, band, promised):
-        self.counts["admitted", band] += 1
+    def _count_admitted(self, request, promised):
+        self._served_cost += request.cost
+        self.counts["admitted", request.band] += 1
         if promised:
-            self.counts["reservations_kept", band] += 1
+            self.counts["reservations_kept", request.band] += 1
 
     def _refuse(self, request, wait, room, cause, now):
         self.counts[
@@ -223,7 +229,7 @@
         self._schedule_review(waiting, now)
         self.overload.record(now)
         if self._waiting_since is None:
-            self._waiting_since = now
+            self._waiting_since, self._served_cost = now, 0.0
         return WAIT
 
     def _schedule_review(self, waiting, now):
@@ -267,7 +273,7 @@
         ahead = max(0.0, waiting.ahead - (removed - waiting.removed))
         wait = self._estimate_wait(request, room, now, ahead - cost)
         seconds = wait + request.prefill_seconds
-        return not self._meets_target(request, seconds, now)
+        return seconds > (request.target_at - now) * MAX_WAITING_PART
 
     def _displace(self, waiting, room, now):
         request = waiting.request
@@ -306,7 +312,10 @@
         since = self._waiting_since
         if since is None or now < since + MEASURED_AFTER:
             return
-        served = sum(self._queue.measure_served(band, now) for band in BANDS)
+        if now < since + 2 * SERVED_DECAY:
+            served = self._served_cost / (now - since)
+        else:
+            served = sum(self._queue.measure_served(band, now) for band in BANDS)
         scale = served * self.scale / max(1.0, room.rate)
         self.scale = min(MAX_MEASURED, max(MIN_MEASURED, scale))
 
--- a/src/chervilwing/pool_admission/room.py
+++ b/src/chervilwing/pool_admission/room.py
@@ -23,6 +23,13 @@
     queued: tuple[float, ...]
     free: tuple[float, ...]
 
+    def take(self, request):
+        """Return the Room that is left after a request was admitted."""
+        band, cost = request.band, request.cost
+        queued = (*self.queued[:band], *(item + cost for item in self.queued[band:]))
+        free = (*self.free[:band], *(item - cost for item in self.free[band:]))
+        return self._replace(queued=queued, free=free)
+
 
 def measure_room(pool, now, placing, share=1.0, scale=1.0):
     """Return the Room of a pool, given its PoolBalancer.
@@ -35,12 +42,14 @@
     alone = share < 1.0
     queued, free = [0.0] * len(BANDS), [0.0] * len(BANDS)
     rate = usable_rate = 0.0
+    paced = pool.paces.is_active(now)
+    engine, speed = pool.spec.engine, pool.rate * scale
     for state in states:
-        speed = pool.rate * scale / pool.paces.compute_pace(state, now)
+        if paced:
+            speed = pool.rate * scale / pool.paces.compute_pace(state, now)
         rate += speed
-        if not _has_slot(pool.spec.engine, state.count(now, placing)):
-            window = 0.0
-        else:
+        window = 0.0
+        if _has_slot(engine, state.count(now, placing)):
             window = speed * SENT_IN_ADVANCE
             usable_rate += speed
         loads = state.count_by_band(now, placing, own=alone)
--- a/tests/pool_admission_load.py
+++ b/tests/pool_admission_load.py
@@ -226,7 +226,13 @@
         kind, organisation, demand, first, *_ = item
         self._record(kind, organisation, demand, first, now - first <= kind.target)
         if now > demand.deadline:
-            self._push(now, self._receive_ended, chosen, demand)
-        self._push(now + REPORT_TIME, self._receive_started, chosen, demand, now)
+            self._push(now, self._report_ended, chosen, demand)
+        self._push(now + REPORT_TIME, self._report_started, chosen, demand, now)
         ended = now + demand.output_tokens * TOKEN_SECONDS
-        self._push(ended + REPORT_TIME, self._receive_ended, chosen, demand)
+        self._push(ended + REPORT_TIME, self._report_ended, chosen, demand)
+
+    def _report_started(self, now, chosen, demand, at):
+        self.pool.record_placed_first_byte(chosen, demand.request_id, at)
+
+    def _report_ended(self, now, chosen, demand):
+        self.pool.record_placed_end(chosen, demand.request_id, None, now)
