--- a/src/chervilwing/stream_moves/candidates.py
+++ b/src/chervilwing/stream_moves/candidates.py
@@ -4,6 +4,10 @@
 
 from .planner import Candidate, RunningStream
 
+# Events for which the mean interval of a pool's streams counts in that of one stream:
+# after two or three events one late event would triple its expected time.
+PRIOR_EVENTS = 10
+
 
 def list_candidates(pool, excluded, now, names=None):
     """Return the Candidates of a pool that accept requests and aren't excluded.
@@ -33,12 +37,13 @@
 def make_stream(relay, leaves_at, interval, now):
     """Return the RunningStream of a request; ``interval`` is its pool's mean.
 
-    The request's own interval counts from its third event on.
+    That counts like PRIOR_EVENTS of the request's own.
     """
     registration, demand = relay.upstream_state.registration, relay.demand
     events = relay.events.count if relay.events else 0
-    if events >= 3:
-        interval = (now - relay.first_byte_at) / (events - 1)
+    if events >= 2:
+        elapsed = now - relay.first_byte_at + PRIOR_EVENTS * interval
+        interval = elapsed / (PRIOR_EVENTS + events - 1)
     return RunningStream(
         relay,
         registration.data_centre,
