Test the reports of stated loads, and pools that state no pace

The placer hears a stated pace; an earlier release loses no starts and ends; without a stated pace PROGRESS has two lists, and choices, estimates and rates are the same.

--- a/tests/test_upstream_pace.py
+++ b/tests/test_upstream_pace.py
@@ -4,8 +4,11 @@
 import unittest
 
 from chervilwing.dialects import PLAIN
+from chervilwing.placement_exchange import PROGRESS
 from chervilwing.platform.headers import DIALECT
 from chervilwing.upstream_pace import StatedLoad, read_reports, read_stated_load
+from tests.placing_fleet import Fleet
+from tests.test_balancing import ENGINES, make_demand, make_pool
 
 SIGNED = {"x-server-stamp": "s"}
 # None of these can be a load: wrong counts, signs, other characters, absurd sizes.
@@ -69,5 +72,85 @@
         self.assertEqual([report.upstream for report in read_reports(fields)], ["u0"])
 
 
+class TestProgress(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet(3, 4, seed=1)
+        self.fleet.run(0.2)
+        self.sent = []
+        deliver = self.fleet.deliver_later
+
+        def record(sender, kind, fields, address):
+            if kind == PROGRESS:
+                self.sent.append(fields)
+            deliver(sender, kind, fields, address)
+
+        self.fleet.deliver_later = record
+
+    def state_loads(self, load):
+        """Let the upstreams of all instances' requests state a load; return them."""
+        for instance in self.fleet.list_living():
+            instance.placing._queue_started = self._make_queue(instance, load)
+        for number in range(30):
+            self.fleet.call_later(number * 0.01, self.fleet.ask, f"i{number % 3}")
+        self.fleet.run(1.0)
+        placer = self.fleet.instances[self.fleet.list_living()[0].placing._placer]
+        return placer.pools["engines"].upstream_states.values()
+
+    def _make_queue(self, instance, load):
+        queue = instance.placing._queue_started
+
+        def state(relay):
+            state = instance.pools["engines"].upstream_states["u0"]
+            relay.upstream_state = state
+            instance.placing._queue_stated(relay, load)
+            queue(relay)
+
+        return state
+
+    def test_the_placer_hears_a_stated_pace(self):
+        # It would send the requests of all instances to an upstream that has told only
+        # the askers that it is slow.
+        states = self.state_loads(StatedLoad(1, 0, 64, 2.5))
+        self.assertIn(2.5, [s.pace.stated and s.pace.stated.pace for s in states])
+
+    def test_an_earlier_release_loses_no_starts_and_ends(self):
+        # It ignores a datagram with three lists, so that the requests in the other two
+        # would count as in flight there until their deadlines.
+        self.state_loads(StatedLoad(1, 0, 64, 2.5))
+        with_loads = [fields for fields in self.sent if len(fields) > 2]
+        self.assertTrue(with_loads)
+        for started, ended, _ in with_loads:
+            self.assertEqual((list(started), list(ended)), ([], []))
+        self.fleet.instances["i0"].placing._receive_progress("i1", [], [])
+
+    def test_without_a_pace_no_byte_changes(self):
+        # Fleets whose upstreams state only their load must not pay for a part that
+        # they don't use.
+        self.state_loads(StatedLoad(1, 0, 64))
+        self.assertTrue(self.sent)
+        self.assertTrue(all(len(fields) == 2 for fields in self.sent))
+
+
+class TestInactivePools(unittest.TestCase):
+    def test_without_a_pace_choices_and_estimates_are_the_same(self):
+        # A pool that states only its load would change its behaviour.
+        chosen = []
+        for load in (None, StatedLoad(60, 30, 64)):
+            pool, found = make_pool(ENGINES), []
+            for number in range(60):
+                now = number * 0.1
+                demand = make_demand(f"r{number}", (f"o{number}", 4000))
+                state, estimate = pool.choose(demand, (), now)
+                found.append((state.registration.name, estimate, pool.rate))
+                pool.record_sent(state, demand, estimate, now)
+                if load is not None:
+                    pool.record_stated_load(state, load, now, now)
+                slow = 3 if state.registration.name == "u0" else 1
+                pool.record_first_byte(state, demand, now + 0.2 * slow)
+                pool.record_end(state, demand, False, now + 0.3)
+            chosen.append(found)
+        self.assertEqual(*chosen)
+
+
 if __name__ == "__main__":
     unittest.main()
