--- a/src/chervilwing/placing/candidates.py
+++ b/src/chervilwing/placing/candidates.py
@@ -118,12 +118,13 @@
             self._put(name, now)
         self._changed.clear()
         part = min(1.0, (now - self._refreshed_at) / REFRESH_TIME)
-        count = int(len(self._names) * part)
-        for _ in range(max(1, min(MAX_REFRESHED, count))):
+        count = int(len(self._upstream_states) * part)
+        if count:
+            self._refreshed_at = now
+        for _ in range(min(MAX_REFRESHED, count)):
             if not self._rotation:
                 self._rotation = list(self._upstream_states)
             self._put(self._rotation.pop(), now)
-        self._refreshed_at = now
 
     def _put(self, name, now):
         state = self._upstream_states.get(name)
--- a/src/chervilwing/prompt_caches.py
+++ b/src/chervilwing/prompt_caches.py
@@ -80,11 +80,9 @@
         that is recorded implies that those before it are cached too.
         """
         cached = self._parts.get(upstream, ())
-        tokens = sum(part.tokens for part in parts)
-        for part in reversed(parts):
-            if part.name in cached:
-                return tokens
-            tokens -= part.tokens
+        for count in range(len(parts), 0, -1):
+            if parts[count - 1].name in cached:
+                return sum([part.tokens for part in parts[:count]])
         return 0
 
     def _add_part(self, upstream, name, tokens, memory_tokens):
