--- a/bench/placing.py
+++ b/bench/placing.py
@@ -57,8 +57,8 @@
 AGE = (0.3, 0.9)
 QUALITY_INTRO = f"""## Choices by the index against scoring all
 
-Written by `python -m bench.placing quality`: the model of `tests/outdated_loads.py` with
-one placer, from cold caches, {ENGINES_PER_LOAD} engines for 201 requests per
+Written by `python -m bench.placing quality`: the model of `tests/outdated_loads.py`
+with one placer, from cold caches, {ENGINES_PER_LOAD} engines for 201 requests per
 second. Late is the fraction of late or refused requests, read again the prompt
 tokens for each request that an engine read although another had them cached."""
 
