--- a/src/chervilwing/upstream_states.py
+++ b/src/chervilwing/upstream_states.py
@@ -203,15 +203,17 @@
         """Return, by band, the prompt tokens to be read in that and more urgent bands.
 
         With ``own`` only those of this instance and of those for which it chose. The
-        reports of other instances don't tell bands, so that their loads count for all.
+        reports of other instances don't tell bands. Their loads count for the least
+        urgent band only: in an overload, most of what waits belongs to it.
         """
-        reported = 0 if own else self._count_reported(now, placing).prefill
-        counts = []
+        tokens, counts = 0, []
         for band in BANDS:
-            reported += self.own_requests.prefill_by_band[band]
+            tokens += self.own_requests.prefill_by_band[band]
             if placing or own:
-                reported += self.placed_requests.prefill_by_band[band]
-            counts.append(reported)
+                tokens += self.placed_requests.prefill_by_band[band]
+            counts.append(tokens)
+        if not own:
+            counts[-1] += self._count_reported(now, placing).prefill
         return counts
 
     def count_less_urgent(self, band, placing):
