Count requests without an outcome as late in the model of admission

Those that were still queued at the end were left out, which made the curves without admission look better than they are.

--- a/tests/pool_admission_load.py
+++ b/tests/pool_admission_load.py
@@ -87,6 +87,8 @@
         self.read_tokens, self.told = 0, []
         self._scale, self._returns = scale, returns
         self._states = {}
+        # Requests without an outcome so far, by id.
+        self._open = {}
         self._first_tries = {}
         self._origin = PlacementOrigin("a", PLACER)
 
@@ -98,6 +100,8 @@
         while self._queue and self._queue[0][0] <= seconds:
             now, _, action, args = heapq.heappop(self._queue)
             action(now, *args)
+        for item in list(self._open.values()):
+            self._record(*item, False)
 
     def measure(self, of=lambda outcome: True, start=0.0, end=float("inf")):
         """Return the fraction in time of the requests sent between two times."""
@@ -136,6 +140,7 @@
             f"r{number}", now + kind.deadline, tokens, kind.output, kind.output, parts,
             band=kind.priority,
         )  # fmt: skip
+        self._open[demand.request_id] = (kind, organisation, demand, now)
         self._try(now, kind, organisation, demand, now, 0)
 
     def _try(self, now, kind, organisation, demand, first, tries):
@@ -191,6 +196,7 @@
         self._push(now + wait, self._try, kind, organisation, demand, first, tries + 1)
 
     def _record(self, kind, organisation, demand, first, in_time):
+        del self._open[demand.request_id]
         self.outcomes.append(
             Outcome(kind.name, organisation, demand.prompt_tokens, first, in_time)
         )
