--- a/bench/placing.py
+++ b/bench/placing.py
@@ -12,6 +12,7 @@
 from chervilwing import balancing
 from chervilwing.balancing import PlacementOrigin, PoolBalancer
 from chervilwing.demands import Demand, PromptPart
+from chervilwing.hashing import Ring, make_points
 from chervilwing.models import Address
 from chervilwing.registrations import Registration
 from chervilwing.routing import EngineSpec, PoolSpec
@@ -33,7 +34,6 @@
 SEED = 5
 # Choices a second of one placer.
 RATE = 1000
-REPORT_INTERVAL = 0.4
 ALL = 10**9
 INTRO = f"""## Cost of a choice in large pools
 
@@ -42,7 +42,8 @@
 them ({CHOICES_OF_ALL} where all are scored) after {WARM_UP:,} that fill the record of
 cached parts, with {IN_FLIGHT} requests in flight for each upstream; the others' loads
 change before every {RATE // 10}th. The start is the first choice in a pool that was
-just registered: it builds the index. The last column is a loop of 100 squares at the
+just registered, which builds the index; the ring is built where an instance first
+chooses for itself. The last column is a loop of 100 squares at the
 same time, for the speed of the machine."""
 # Size of a pool, simulated seconds and seeds of each comparison.
 COMPARED = (
@@ -148,6 +149,14 @@
         return (process_time() - begun) * 1e6
 
 
+def time_ring(size):
+    """Return the microseconds of building the ring of names that are new to it."""
+    make_points.cache_clear()
+    begun = process_time()
+    Ring([f"u{number}" for number in range(size)])
+    return (process_time() - begun) * 1e6
+
+
 def time_loop():
     """Return the microseconds of a loop that shows the speed of the machine."""
     begun = process_time()
@@ -161,13 +170,14 @@
     rows = []
     for size in SIZES:
         times = [time_choice(size, limit) for limit in (ALL, 0)]
-        times.append(time_start(size))
+        times += [time_start(size), time_ring(size)]
         rows.append((size, *(f"{item:.0f}" for item in times), f"{time_loop():.1f}"))
     heads = (
         "upstreams",
         "all scored, µs",
         "with the index, µs",
         "start, µs",
+        "ring, µs",
         "loop, µs",
     )
     return f"{INTRO}\n\n{format_table(heads, rows)}"
