Check which fields of asks and answers are sent

tests.test_placer_selection, test_gateway, test_admission_fleet and test_admission_gateways were run.

--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -108,12 +108,7 @@
             share=1.0 / self.retries.instances
         )
         self._path = RequestPath(
-            self,
-            dialect,
-            keys_are_fresh,
-            self._attempts,
-            self._refuse_waiting,
-            self._rng,
+            self, dialect, keys_are_fresh, self._attempts, self._refuse_waiting
         )
         self._publish_path(self._path, UpstreamChecks(self))
         handlers = WebHandlers(self._on_request, self._on_caller_left)
--- a/src/chervilwing/pool_admission/request_path.py
+++ b/src/chervilwing/pool_admission/request_path.py
@@ -4,6 +4,7 @@
 at this instance, and for room in the queue of the placer or of this instance.
 """
 
+import random
 from functools import partial
 from itertools import count
 
@@ -34,17 +35,17 @@
 class RequestPath:
     """Take requests from their parsed heads to an upstream, a queue or a refusal.
 
-    ``refuse(relay, exc)`` answers a request that was not sent to any upstream;
-    ``send(relay, choice)`` sends the first attempt, ``resend`` a later one.
+    ``refuse(relay, exc)`` answers a request that was not sent to any upstream, and
+    ``attempts`` sends requests to upstreams.
     """
 
-    def __init__(self, gateway, dialect, keys_are_fresh, attempts, refuse, rng):
+    def __init__(self, gateway, dialect, keys_are_fresh, attempts, refuse):
         self._gateway = gateway
         self._dialect = dialect
         self._keys_are_fresh = keys_are_fresh
         self._attempts = attempts
         self._refuse = refuse
-        self._rng = rng
+        self._rng = random.Random()
         # Requests that wait for credit: those to pools where admission by urgency is
         # active by key, in the order of ``_credit_queue``, and all others.
         self._credit_queue = CreditQueue()
--- a/tests/test_placer_selection.py
+++ b/tests/test_placer_selection.py
@@ -6,9 +6,13 @@
     ASKS_PER_SECOND,
     AVOID_FOR,
     MAX_TIMEOUTS,
+    Answer,
+    Ask,
     AskRateLimit,
     PlacerSelector,
     order_placers,
+    trim_answer,
+    trim_ask,
 )
 
 RANKED = ["c1", "a1", "b1", "c2", "a2", "b2"]
@@ -38,6 +42,20 @@
         self.assertIsNone(self.selector.choose([], 0.0))
 
 
+class TestFields(unittest.TestCase):
+    def test_fields_of_admission_are_sent_only_where_it_is_active(self):
+        # An earlier release ignores a message with more fields than it knows.
+        ask = Ask(1, "p", "a", 10, 5, [], 1.0, [])
+        self.assertEqual(len(trim_ask(ask)), 8)
+        self.assertEqual(len(trim_ask(ask._replace(version="v"))), 9)
+        self.assertEqual(trim_ask(ask._replace(priority=0)), ask._replace(priority=0))
+        answer = Answer(1, "n", "k", "u", charged=True)
+        self.assertEqual(len(trim_answer(answer)), 10)
+        for changes in ({"queued": True}, {"retry_after": 0.0}):
+            changed = answer._replace(**changes)
+            self.assertEqual(trim_answer(changed), changed)
+
+
 class TestAskRateLimit(unittest.TestCase):
     def test_answered_asks_per_second_are_limited(self):
         # Under thousands of asks per second, all answers would come too late. Asks
