--- a/tests/test_admission_fleet.py
+++ b/tests/test_admission_fleet.py
@@ -86,6 +86,17 @@
             with self.subTest(fault=fault):
                 self.assertGreaterEqual(measure(fleet, 0), 0.95)
 
+    def test_urgent_requests_are_in_time_at_any_number_of_instances(self):
+        # An order within each instance alone loses its effect with their number.
+        for size in (1, 67, 320):
+            fleet = UrgentFleet(size, ENGINES, seed=1)
+            flood(fleet)
+            with self.subTest(size=size):
+                urgent, bulk = measure(fleet, 0), measure(fleet, 2)
+                self.assertGreaterEqual(urgent, 0.95)
+                # An eighth of the requests are urgent.
+                self.assertGreaterEqual(bulk, (urgent / 8 + bulk * 7 / 8) / 4)
+
     def test_nothing_is_left_in_queues_and_books(self):
         # Asks whose callers or instances are gone would wait forever.
         for fault, fleet in self.run_faults(lost=0.05, late=True):
