Weaken the changed lines in the tests of guards

Two lines that the weakened copies replace were changed by pace and moves, so that the copies would have been refused as not weakened.

--- a/tests/weakened_gateway.py
+++ b/tests/weakened_gateway.py
@@ -203,7 +203,14 @@
     ),
     Weakness(
         "requests that wait for a connection stay",
-        (Edit("attempts", "if call is None or not call.conn.connecting:", "if True:"),),
+        (
+            Edit(
+                "attempts",
+                "if call is None or not call.conn.connecting or "
+                "self.mover.is_sent_on(relay):",
+                "if True:",
+            ),
+        ),
         (PAUSED + "requests_that_wait_for_a_connection_are_placed_again",),
     ),
     Weakness(
@@ -677,7 +684,7 @@
         (
             Edit(
                 "balancing",
-                "return estimate.queued_tokens / self.rate > limit",
+                "return estimate.queued_tokens / self.rate * estimate.pace > limit",
                 "return False",
             ),
         ),
