Read the part of a deadline from where admission has it

bench.experiment used gateway.MAX_DEADLINE_PART, which moved to the package pool_admission; tests.test_experiment failed with an AttributeError and passes.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -17,9 +17,9 @@
 import numpy as np
 import typer
 
-from chervilwing import gateway
 from chervilwing.balancing import PlacementOrigin, PoolBalancer
 from chervilwing.demands import Demand
+from chervilwing.pool_admission import pool as admission
 from chervilwing.routing import EngineSpec, PoolSpec
 from chervilwing.sizing import InstanceKind, Sizing
 from chervilwing.upstream_states import NO_LOAD, add_loads
@@ -188,7 +188,7 @@
         found = self._choose(pool, caller, now)
         if found is not None:
             pool.record_work(caller.demand, found[1])
-            if found[1].seconds <= (caller.ends_at - now) * gateway.MAX_DEADLINE_PART:
+            if found[1].seconds <= (caller.ends_at - now) * admission.MAX_DEADLINE_PART:
                 self._send(pool, caller, found)
                 return
         # A caller retries a refused request once.
