Move the streams of reclaimed engines that state no time

A registration that is repeated after that time begins no second notice.

tests.test_stream_moves and test_move_decisions pass (28 tests); the new test has twelve streams of which those of the reclaimed engine end whole elsewhere.

--- a/src/chervilwing/stream_moves/mover.py
+++ b/src/chervilwing/stream_moves/mover.py
@@ -18,6 +18,11 @@
 MIN_TIME_LEFT = 0.3
 # Targets that may refuse one stream.
 MAX_TARGETS = 2
+# Part of the bound on leaving upstreams that is left when this instance learns of one.
+USABLE_NOTICE = 0.8
+# Seconds for which an engine is remembered that should have ended, so that a repeated
+# registration begins no second notice.
+REMEMBERED_FOR = 30.0
 
 
 class Mover:
@@ -44,10 +49,16 @@
 
     def handle_leaving(self, registration, now):
         """Note when a leaving engine ends, and begin to move its streams."""
-        if not registration.leaving or registration.leaves_in is None:
+        if not registration.leaving:
+            return
+        leaves_in = registration.leaves_in
+        if leaves_in is None and registration.reclaimable:
+            # A reclaimed engine that states no time serves for at least this bound.
+            leaves_in = self._gateway.cfg.leave_bound * USABLE_NOTICE
+        if leaves_in is None:
             return
         process = get_process(registration)
-        leaves_at = now + registration.leaves_in
+        leaves_at = now + leaves_in
         known = self._leaving.get(process)
         # A repeated registration may be an old one.
         if known is not None:
@@ -72,9 +83,9 @@
             if relay.call is not None:
                 relays[relay.upstream_state.registration.name].append(relay)
         for process, (registration, leaves_at) in list(self._leaving.items()):
-            if now >= leaves_at:
+            if now >= leaves_at + REMEMBERED_FOR:
                 del self._leaving[process]
-            elif registration.name in relays:
+            elif now < leaves_at and registration.name in relays:
                 found = relays[registration.name]
                 self._begin_next(registration, leaves_at, now, found)
 
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -61,9 +61,9 @@
         registration = self.run_gateway.make_registration(f"u{number}", port, **fields)
         self.gateway.put_upstream(registration)
 
-    def leave(self, number, notice=NOTICE):
+    def leave(self, number, notice=NOTICE, **fields):
         """Announce that an engine ends after a notice, and let it end."""
-        self.put(number, leaving=True, leaves_in=notice)
+        self.put(number, leaving=True, **(fields or {"leaves_in": notice}))
         timer = threading.Timer(notice, self.upstreams[number].die)
         timer.start()
         self.addCleanup(timer.cancel)
@@ -142,6 +142,13 @@
         self.assertGreaterEqual(whole, 0.95 * len(streams))
         self.assertGreater(self.gateway.mover.count()["moves_completed"], 0)
 
+    def test_streams_of_a_reclaimed_engine_that_states_no_time_end_whole(self):
+        # Guards against waiting for a time that many platforms don't state.
+        streams = self.begin(12)
+        self.leave(0, reclaimable=True)
+        self.expect_whole(streams)
+        self.assertGreater(self.gateway.mover.count()["moves_completed"], 0)
+
     def test_a_stream_that_ends_before_its_engine_stays(self):
         # Guards against charges for moves that save nothing.
         # They take 0.8 s.
