Keep the duration of leases in the store of the duty drills

The base class of the simulated store renews a lease by its duration since leases differ in it, and the drills' store didn't keep it: 160 failures with KeyError. tests.test_duty_drills passes (4 tests).

--- a/tests/test_duty_drills.py
+++ b/tests/test_duty_drills.py
@@ -54,6 +54,7 @@
         if not isinstance(call, KeepLease) and hasattr(call, "ttl"):
             self.next_lease += 1
             self.leases[self.next_lease] = now + call.ttl
+            self.durations[self.next_lease] = call.ttl
             return Leased(self.next_lease, call.ttl)
         reply = super().carry_out(call, now)
         if isinstance(reply, Committed):
