Bound lease renewals only where a setting asks for it

Long leases keep instances that are gone registered for longer, and earlier deployments above 18 instances had them too, though nothing in their settings asks for it.

--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -246,7 +246,7 @@
         near = [name for name, peer in self.peers.items() if peer.data_centre == centre]
         name = self.cfg.name
         claimant = is_claimant(name, [name, *near], self.list_links())
-        terms = choose_terms(self.cfg.lease, count, claimant)
+        terms = choose_terms(self.cfg.lease, count, claimant, self.cfg.lease_renewals)
         self.duty_lease.wanted_terms = terms
         # Hundreds of instances list a document that is too large for a datagram.
         self._documents.lists_may_be_stale = terms.ttl > self.cfg.lease
--- a/src/chervilwing/gateway_settings.py
+++ b/src/chervilwing/gateway_settings.py
@@ -78,6 +78,14 @@
     limits: CallerLimits = CallerLimits()
     plain_pool: PoolSpec = PoolSpec("")
     stream_moves: str = AUTO
+    # Renewals per second that all instances together may make of their leases, None for
+    # any number.
+    lease_renewals: float | None = None
+
+
+def parse_optional_rate(text):
+    """Return a finite number above 0, or None for empty text."""
+    return parse_seconds(text) if text else None
 
 
 def parse_duration(text):
@@ -119,6 +127,13 @@
     Field("cloud", parse_optional_address, "", "HOST:PORT", "the platform's API"),
     Field("routes", str, "", "path", "TOML file used instead of a store"),
     Field("lease", parse_duration, "3", "s", "until a dead instance's lease expires"),
+    Field(
+        "lease_renewals",
+        parse_optional_rate,
+        "",
+        "count",
+        "lease renewals per second of all instances, empty for any number",
+    ),
     Field("store_timeout", parse_duration, "1", "s", "timeout of a call to the store"),
     Field("drain_timeout", parse_duration, "8", "s", "time for a planned stop"),
     Field(
--- a/src/chervilwing/store_leases/durations.py
+++ b/src/chervilwing/store_leases/durations.py
@@ -13,11 +13,9 @@
 RENEW_FRACTION = 0.3
 # Fraction of a long lease after which it is renewed. The rest leaves seconds to retry.
 LONG_RENEW_FRACTION = 0.7
-# Renewals a second of all instances together up to which all leases are short.
-MAX_SHORT_RENEWALS = 20.0
-# Renewals a second of all long leases together. Two watching leaders make about eleven
-# calls a second and the claimants of three data centres three; the sum is below twenty.
-LONG_RENEWALS = 6.0
+# Part of the allowed renewals that long leases use; the rest is for claimants, of which
+# there is one for each data centre.
+LONG_PART = 0.6
 # Instances of each data centre that keep a short lease, so that they may claim the
 # duties. Another one follows when the registration of the first has lapsed.
 CLAIMANTS_PER_CENTRE = 1
@@ -42,16 +40,18 @@
     return name in rank_leaders(centre_names, links)[:CLAIMANTS_PER_CENTRE]
 
 
-def choose_terms(short_ttl, instances, claimant):
+def choose_terms(short_ttl, instances, claimant, renewals=None):
     """Return the LeaseTerms of one instance.
 
     ``short_ttl`` is the duration of a lease under which duties are held, ``instances``
     the number of all instances, and ``claimant`` whether this one may claim duties.
+    ``renewals`` is how many renewals a second all instances together may make, None
+    for any number.
     """
     short = LeaseTerms(short_ttl, short_ttl * RENEW_FRACTION)
-    if claimant or instances / short.renew_after <= MAX_SHORT_RENEWALS:
+    if claimant or not renewals or instances / short.renew_after <= renewals:
         return short
-    interval = instances / LONG_RENEWALS
+    interval = instances / (renewals * LONG_PART)
     return LeaseTerms(max(short_ttl, interval / LONG_RENEW_FRACTION), interval)
 
 
