Watch the store where a leader's news stay behind

By reading the code: a reply holds 1,200 bytes of changes, about four registrations, and a follower queries once a tick (0.05 s) while more are left out, so that 300 changes take some four seconds. Meanwhile the leader's knowledge counts as fresh, and the follower makes no call on the store.

A follower that has been behind for half a second counts as uninformed now and watches the store itself, which returns all changes in one call. Smaller waves are followed as before.

The new test fails without the change; tests.test_leader_queries passes.

--- a/src/chervilwing/leader_queries.py
+++ b/src/chervilwing/leader_queries.py
@@ -31,6 +31,10 @@
 MAX_MISSES = 2
 # Seconds for which an instance that failed isn't queried again.
 AVOID_SECONDS = 3.0
+# Seconds for which replies may leave out later changes until this instance counts as
+# uninformed. A reply has a few changes and there are twenty queries a second: when some
+# hundred upstreams leave at once, the last of them would be known after four seconds.
+MAX_BACKLOG_TIME = 0.5
 # A reply's knowledge counts as fresh only if it is younger, by this many seconds, than
 # the bound within which a change must be applied. If a leader loses the store, the next
 # query detects it, and 0.3 s remain to query the store and apply its answer.
@@ -109,6 +113,8 @@
         self.target = None
         # Whether the last reply had fresh knowledge of the store.
         self.fresh = False
+        # Since when each reply has left out later changes, None if the last didn't.
+        self.behind_since = None
         self._preferred = None
         self._pending = None
         self._misses = 0
@@ -127,6 +133,7 @@
         if target != self.target:
             self.target, self._pending, self._misses = target, None, 0
             self.fresh = False
+            self.behind_since = None
             self._next_query_at = now
         return target
 
@@ -158,8 +165,14 @@
             return None
         query, self._pending, self._misses = self._pending, None, 0
         self.fresh = age <= self._max_age
-        if more:
-            self._next_query_at = now
+        if not more:
+            self.behind_since = None
+            return query
+        self._next_query_at = now
+        if self.behind_since is None:
+            self.behind_since = now
+        if now - self.behind_since >= MAX_BACKLOG_TIME:
+            self.fresh = False
         return query
 
     def avoid_target(self, now):
--- a/src/chervilwing/report_exchange.py
+++ b/src/chervilwing/report_exchange.py
@@ -187,7 +187,7 @@
         if self._fallback.choose(candidates, now) is None:
             return False
         self._query(FALLBACK, self._fallback, now)
-        return self._fallback.fresh
+        return self._fallback.fresh and self._fallback.behind_since is None
 
     def _list_fallbacks(self, names, leader, now):
         """Return the names that may know the store's state: the group and the queriers.
--- a/tests/test_leader_queries.py
+++ b/tests/test_leader_queries.py
@@ -5,6 +5,7 @@
 
 from chervilwing.leader_queries import (
     AVOID_SECONDS,
+    MAX_BACKLOG_TIME,
     MAX_FRESH_AGE,
     MAX_GROUP_SIZE,
     QUERY_INTERVAL,
@@ -78,6 +79,16 @@
             self.queries.receive(number, age, False, now)
         return target
 
+    def test_a_follower_that_stays_behind_counts_as_uninformed(self):
+        # Guards against upstreams that get requests for seconds after they have said
+        # that they leave: some hundred left at once, and a reply holds a few of them.
+        self.queries.choose(["one"], 0.0)
+        for step in range(12):
+            now = 0.05 * step
+            number = self.queries.next_query(now)
+            self.queries.receive(number, 0.0, step < 11, now)
+            self.assertEqual(self.queries.fresh, now < MAX_BACKLOG_TIME or step == 11)
+
     def test_first_ranked_instance_is_queried(self):
         self.assertEqual(self.exchange(["one", "two"], 0.0), "one")
         self.assertIsNone(self.queries.choose([], 0.1))
