--- a/review/3/run.py
+++ b/review/3/run.py
@@ -12,6 +12,7 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from standins import (  # noqa: E402
+    CONTACT_S,
     HOST,
     Gateway,
     Platform,
@@ -123,6 +124,7 @@
     runs = lambda: sum(len(worker.ran) for worker in workers)
     try:
         await asyncio.gather(*(gateway.start() for gateway in gateways))
+        await asyncio.sleep(CONTACT_S)
         if trouble():
             record.add(f"another writer writes {FOREIGN_KEY}: {FOREIGN[:20]}...")
             platform.write({FOREIGN_KEY: FOREIGN})
--- a/review/standins.py
+++ b/review/standins.py
@@ -24,6 +24,8 @@
 REASON = "Status"
 HEAD_END = b"\r\n\r\n"
 START_TIMEOUT = 20.0
+# ``contactMs`` of a small deployment in seconds: a machine is in touch after that time.
+CONTACT_S = 3.0
 # A script runs for 120 seconds at most.
 MAX_SECONDS = 110.0
 
