Read TROUBLE in each review case's own script

Cause: the scripts asked a function of standins.py, so that no case's folder read TROUBLE itself. Change: run.py of each case reads it; the function is gone.

--- a/review/3/run.py
+++ b/review/3/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import sys
 import time
@@ -9,6 +10,8 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
+# Whether the disruption is made.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 sys.path.insert(0, str(FOLDER.parent))
 
 from standins import (  # noqa: E402
@@ -21,7 +24,6 @@
     read_body,
     read_head,
     run_case,
-    trouble,
 )
 
 HOSTNAME = "docs.example"
@@ -125,7 +127,7 @@
     try:
         await asyncio.gather(*(gateway.start() for gateway in gateways))
         await asyncio.sleep(CONTACT_S)
-        if trouble():
+        if TROUBLE:
             record.add(f"another writer writes {FOREIGN_KEY}: {FOREIGN[:20]}...")
             platform.write({FOREIGN_KEY: FOREIGN})
         share = await measure(record, gateways, runs, 3.0, numbers)
--- a/review/standins.py
+++ b/review/standins.py
@@ -30,11 +30,6 @@
 MAX_SECONDS = 110.0
 
 
-def trouble():
-    """Return whether the disruption is to be made."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
     """The record of a case: what was sent, answered and run, one line each."""
 
