Reject each unreadable item of the store with BadConfiguration

Callers saw: after an entry of another program under servers/ whose bytes are deeply nested JSON, each gateway that started later answered 503 (no-upstream) to every request, while its readiness check answered 200.

Cause: the readers of stored items convert only some errors of their decoders. msgspec raises RecursionError on deep nesting, and the division of a whole number of over 308 digits raises OverflowError. Either one left read_registration, ended the loop in Coordinator._apply_changes and was reported as a failed call. The mirror had already recorded the whole list as applied, so that the items after the entry never took effect.

Change: DECODE_ERRORS names what decoders raise on data of another program. All readers of followed items use it: registrations, documents, orders, decisions, origins of streams, peers. The last five had the same gap. Whole numbers of a registration are bounded by what a double holds exactly, as a larger one of "slots" would raise in each later choice of an upstream.

--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -8,6 +8,18 @@
 # Usual Retry-After of refusals, in seconds. Instances learn of a new instance, or of
 # the replacement of an upstream, in about this time.
 RETRY_AFTER = 0.5
+# What decoders raise on data of another program. Besides ValueError, of which json's
+# and msgspec's errors are subclasses, there is RecursionError for deep nesting,
+# OverflowError for numbers that a float can't hold, and the rest for values of an
+# unexpected type.
+DECODE_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 class Scope(NamedTuple):
--- a/src/chervilwing/instance_records.py
+++ b/src/chervilwing/instance_records.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from .addresses import format_address, parse_address
-from .exceptions import BadConfiguration
+from .exceptions import DECODE_ERRORS, BadConfiguration
 from .models import Address
 
 # Store keys that the instances write: running instances, and the holder of the duties.
@@ -35,5 +35,5 @@
         if not isfinite(peer.link):
             raise ValueError("the link rate is not a finite number")
         return peer
-    except ValueError as exc:
-        raise BadConfiguration(f"{key}: {exc}") from exc
+    except DECODE_ERRORS as exc:
+        raise BadConfiguration(f"{key}: {type(exc).__name__} {exc}") from exc
--- a/src/chervilwing/platform/documents.py
+++ b/src/chervilwing/platform/documents.py
@@ -6,7 +6,7 @@
 
 from ..addresses import parse_address
 from ..coordination import StoreLayout
-from ..exceptions import BadConfiguration
+from ..exceptions import DECODE_ERRORS, BadConfiguration
 from ..registrations import Registration
 from ..rollouts import RolloutOrder
 from ..routing import (
@@ -33,6 +33,10 @@
 # Seconds, for routes without a time limit: the longest deadline of the platform's
 # callers.
 DEFAULT_TIME_LIMIT = 30.0
+# Integers that a double holds exactly (RFC 8259, section 6). A larger one would raise
+# an OverflowError wherever it is converted.
+MAX_INTEGER = 2**53 - 1
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 
 
 def read_route(value):
@@ -132,7 +136,7 @@
             tuple(map(read_organisation, value.get("tenants") or ())),
             read_limits(value["limits"]),
         )
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as exc:
+    except DECODE_ERRORS as exc:
         raise BadConfiguration(f"{key}: {type(exc).__name__} {exc}") from exc
 
 
@@ -150,13 +154,13 @@
     address: str
     zone: str
     version: str
-    slots: Annotated[int, msgspec.Meta(ge=0)]
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
     state: Literal["ready", "draining"]
     coldLeftMs: float
-    seq: int
+    seq: Integer
     spot: bool = False
     leaves_ms: float | None = None
-    born: int = 0
+    born: Integer = 0
 
 
 REGISTRATION_DECODER = msgspec.json.Decoder(RegistrationEntry)
@@ -184,7 +188,7 @@
             started_at=entry.born / MS_PER_S,
             version=entry.version,
         )
-    except (msgspec.DecodeError, ValueError) as exc:
+    except DECODE_ERRORS as exc:
         raise BadConfiguration(f"{key}: {type(exc).__name__} {exc}") from exc
 
 
@@ -210,8 +214,8 @@
         return None
     try:
         order = ROLLOUT_DECODER.decode(data)
-    except msgspec.DecodeError as exc:
-        raise BadConfiguration(f"{key}: {exc}") from exc
+    except DECODE_ERRORS as exc:
+        raise BadConfiguration(f"{key}: {type(exc).__name__} {exc}") from exc
     pool = key.removeprefix(ROLLOUT_ORDER_PREFIX)
     return RolloutOrder(pool, order.target, order.durationS)
 
--- a/src/chervilwing/rollouts.py
+++ b/src/chervilwing/rollouts.py
@@ -14,7 +14,7 @@
 import msgspec
 from msgspec.structs import replace
 
-from .exceptions import BadConfiguration
+from .exceptions import DECODE_ERRORS, BadConfiguration
 from .instance_reports import add_growth
 from .store_calls import Commit
 from .store_epochs import get_epoch, get_number
@@ -121,8 +121,8 @@
     """Return the Decision stored under a key, or raise BadConfiguration."""
     try:
         decision = msgspec.json.decode(data, type=Decision)
-    except msgspec.DecodeError as exc:
-        raise BadConfiguration(f"{key}: {exc}") from exc
+    except DECODE_ERRORS as exc:
+        raise BadConfiguration(f"{key}: {type(exc).__name__} {exc}") from exc
     if decision.state not in NEXT_STATES:
         raise BadConfiguration(f"{key}: unknown state {decision.state}")
     return decision
--- a/src/chervilwing/stream_versions.py
+++ b/src/chervilwing/stream_versions.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from .exceptions import BadConfiguration
+from .exceptions import DECODE_ERRORS, BadConfiguration
 from .hashing import Ring
 
 # Prefix of the keys under which the store holds the versions that streams may have
@@ -67,8 +67,8 @@
     """Return the Origin stored under a key, or raise BadConfiguration."""
     try:
         return msgspec.json.decode(data, type=Origin)
-    except msgspec.DecodeError as exc:
-        raise BadConfiguration(f"{key}: {exc}") from exc
+    except DECODE_ERRORS as exc:
+        raise BadConfiguration(f"{key}: {type(exc).__name__} {exc}") from exc
 
 
 class StreamVersions:
