Apply the other items of the store if one fails

Callers saw: the same 503s as for an unreadable entry, and requests to a worker whose draining entry came in the same answer of the store.

Cause: Coordinator._apply_changes handles the items that a mirror returns in one loop. The mirror has recorded them as applied by then, so that an exception for one item loses those that follow until each is written again. The line "answer handler" names neither the item nor what was lost, and is followed by "store lost" although the store answered.

Change: an exception in the handling of one item is logged with its key and the traceback's locations ("item not applied") and counted. It isn't repeated: the same item would fail again. What couldn't be read is counted too, beside its line "item ignored".

Why it works: it holds for each path that returns changes (lists, watches, news of a leader, items whose hold has ended), whatever the exception.

Measured: the new test fails without the change (ZeroDivisionError from put_upstream ends the list), and passes with it.

--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -20,7 +20,7 @@
     decode_peer,
     encode_peer,
 )
-from .logs import log_event
+from .logs import log_event, log_failure
 from .rollouts import DECISIONS, decode_decision
 from .store_calls import Committed, HistoryGone, Page
 from .store_epochs import get_epoch, get_number
@@ -88,6 +88,9 @@
         self.peers = {}
         # Incremented with each change of the peers.
         self.peers_version = 0
+        # Items that couldn't be decoded, and those whose handling failed.
+        self.ignored_items = 0
+        self.failed_items = 0
 
     def keys_are_fresh(self):
         """Return whether the knowledge of keys is fresh enough to accept them."""
@@ -230,7 +233,7 @@
 
     def _apply_changes(self, mirror, apply, changed, now):
         for item in changed:
-            apply(item, now)
+            self._apply_item(apply, item, now)
         if mirror is self._instances and mirror.complete:
             self._observe_duty(mirror, now)
             if changed:
@@ -240,6 +243,15 @@
                 self._gateway.allowances.set_instance_count(count, now)
                 self._choose_lease_terms(count)
 
+    def _apply_item(self, apply, item, now):
+        try:
+            apply(item, now)
+        except Exception as exc:
+            # The mirror returns each change once. Raised further, the exception would
+            # lose all changes that follow.
+            self.failed_items += 1
+            log_failure("item not applied", exc, key=item.key)
+
     def _choose_lease_terms(self, count):
         """Choose the duration of this instance's lease among ``count`` instances."""
         centre = self.cfg.data_centre
@@ -338,6 +350,7 @@
         try:
             return read(item.key, item.value)
         except BadConfiguration as exc:
+            self.ignored_items += 1
             log_event("item ignored", key=item.key, detail=exc.detail)
             return None
 
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -187,6 +187,8 @@
             "gateway_keys_age_seconds": round(self._coordinator.compute_keys_age(), 3),
             "gateway_store_epoch": self._store.epochs.current,
             "gateway_store_revision": min(get_number(item or 0) for item in revisions),
+            "gateway_store_items_ignored": self._coordinator.ignored_items,
+            "gateway_store_items_failed": self._coordinator.failed_items,
             "gateway_lease_seconds": round(self._coordinator.duty_lease.terms.ttl, 3),
             "gateway_fence": self._coordinator.duty_lease.fence(now) or 0,
             "gateway_usage_heard": self._usage_parts.count_reported(),
--- a/tests/test_unreadable_items.py
+++ b/tests/test_unreadable_items.py
@@ -6,6 +6,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from loguru import logger
 
 from chervilwing.coordination import Coordinator
 from chervilwing.exceptions import BadConfiguration
@@ -159,7 +160,7 @@
 class TestFollowedItems(unittest.TestCase):
     def setUp(self):
         self.store, self.gateway = SilentStore(), Mock()
-        self.registered = {}
+        self.registered, self.failing = {}, set()
         self.gateway.put_upstream = self.put_upstream
         self.coordinator = Coordinator(
             make_settings(), self.store, SOURCES, self.gateway
@@ -167,6 +168,8 @@
         self.coordinator.make_due_calls()
 
     def put_upstream(self, registration):
+        if registration.name in self.failing:
+            raise ZeroDivisionError
         self.registered[registration.name] = registration
 
     def list_registrations(self, *items):
@@ -185,6 +188,7 @@
         bad = Item(REGISTRATION_PREFIX + "b", UNREADABLE, 4)
         self.list_registrations(put_entry("a", 3), bad, put_entry("c", 5))
         self.assertEqual(list(self.registered), ["a", "c"])
+        self.assertEqual(self.coordinator.ignored_items, 1)
 
     def test_a_leaving_upstream_is_seen_beside_an_unreadable_entry(self):
         """Guards against requests to an upstream whose draining entry was lost."""
@@ -202,6 +206,18 @@
         self.coordinator.apply_news(news, 0.0, 1.0)
         self.assertTrue(self.registered["a"].leaving)
 
+    def test_other_items_take_effect_if_one_cannot_be_applied(self):
+        """Guards against a fault in handling one item that loses all later ones."""
+        self.failing = {"b"}
+        lines = []
+        sink = logger.add(lambda message: lines.append(message.record), level="ERROR")
+        self.addCleanup(logger.remove, sink)
+        self.list_registrations(*(put_entry(name, 3) for name in "abc"))
+        self.assertEqual(list(self.registered), ["a", "c"])
+        self.assertEqual(self.coordinator.failed_items, 1)
+        self.assertEqual([line["message"] for line in lines], ["item not applied"])
+        self.assertEqual(lines[0]["extra"]["key"], REGISTRATION_PREFIX + "b")
+
 
 class TestRestart(PlatformCase):
     def test_restarted_gateways_serve_beside_an_unreadable_entry(self):
