Read replies and stored values of any shape without an untyped error

What callers of these decoders saw: a reply of the store, of an engine or of the cloud that is nested deeply or has another shape raised RecursionError or AttributeError past the decoder's own failure. A malformed notice was read again at each watch, so that no later notice was announced; one item whose value isn't base64 made a whole list fail; one stored usage count that can't be read kept the window from being reported.

Each decoder listed the errors that are usual, and in a list one bad entry ended the reading.

Change: the decoders use DECODE_ERRORS. Stored counts are checked against a type, so that a text in place of a number doesn't fail later in the sum.

--- a/src/chervilwing/answers.py
+++ b/src/chervilwing/answers.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from .exceptions import UpstreamFailed
+from .exceptions import DECODE_ERRORS, UpstreamFailed
 
 EVENT_END = b"\n\n"
 DATA = b"data: "
@@ -105,7 +105,7 @@
             return
         try:
             event = read_event(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except DECODE_ERRORS as exc:
             raise UpstreamFailed("An event could not be decoded.") from exc
         if event.get("attempt") != self._attempt:
             return
--- a/src/chervilwing/buyer.py
+++ b/src/chervilwing/buyer.py
@@ -6,6 +6,7 @@
 from circuits.core import BaseComponent, handler
 
 from .connections import Call
+from .exceptions import DECODE_ERRORS
 from .fleets import FleetPlanner, Machine, Situation
 from .logs import log_event
 from .messages import ABSENT, Found, Missing, Read, StoreCall, Write, Written
@@ -146,7 +147,7 @@
             if isinstance(reply, Found):
                 try:
                     purchases = decode_purchases(reply.value)
-                except (ValueError, TypeError):
+                except DECODE_ERRORS:
                     log_event("purchases unreadable", key=task.key)
                     return
                 self._write_purchases(task, purchases, reply.version)
@@ -290,7 +291,7 @@
                 )
                 for row in value["prices"]
             )
-        except (KeyError, TypeError, ValueError):
+        except DECODE_ERRORS:
             # Keep the previous prices.
             return
 
--- a/src/chervilwing/caches.py
+++ b/src/chervilwing/caches.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from .connections import Call, CallHandlers
+from .exceptions import DECODE_ERRORS
 
 EXPORT_PATH = "/v1/kv/export"
 IMPORT_PATH = "/v1/kv/import"
@@ -90,7 +91,7 @@
     """Return the exported cache in a body, or None if it can't be decoded."""
     try:
         return read_exported(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/chervilwing/clients.py
+++ b/src/chervilwing/clients.py
@@ -18,6 +18,7 @@
 from .documents import CONFIG_KEY, HISTORY_PREFIX
 from .edits import Done, make_history_key
 from .exceptions import (
+    DECODE_ERRORS,
     NOT_RUN,
     ChervilwingError,
     PlatformDown,
@@ -95,7 +96,7 @@
 def _decode_object(address, response):
     try:
         payload = json.loads(response.body or b"{}")
-    except ValueError:
+    except DECODE_ERRORS:
         payload = None
     if not 200 <= response.status < 300:
         detail = payload.get("detail", "") if isinstance(payload, dict) else ""
--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -331,14 +331,14 @@
     def _apply_document(self, item, now):
         if item.value is None:
             return
-        order = self._read(self._sources.read_order, item)
+        order = self.read_item(self._sources.read_order, item)
         if order is not None:
             self._gateway.rollouts.put_order(order, item.revision)
             log_event(
                 "rollout ordered", revision=get_number(item.revision), **order._asdict()
             )
             return
-        document = self._read(self._sources.read_document, item)
+        document = self.read_item(self._sources.read_document, item)
         if document is not None and self._gateway.configure(document):
             log_event(
                 "configuration in force",
@@ -346,7 +346,8 @@
                 revision=get_number(item.revision),
             )
 
-    def _read(self, read, item):
+    def read_item(self, read, item):
+        """Return ``read(key, value)`` of an item, or None if that is invalid."""
         try:
             return read(item.key, item.value)
         except BadConfiguration as exc:
@@ -364,7 +365,7 @@
                 revision=get_number(item.revision),
             )
             return
-        found = self._read(self._sources.read_registration, item)
+        found = self.read_item(self._sources.read_registration, item)
         if found is None:
             # Another writer overwrote the item; it is no longer a valid registration.
             self._gateway.remove_upstream_now(name)
@@ -395,7 +396,7 @@
             self._apply_crash(item, now)
             return
         if item.key.startswith(VERSIONS):
-            origin = None if item.value is None else self._read(decode_origin, item)
+            origin = None if item.value is None else self.read_item(decode_origin, item)
             self._gateway.resumptions.streams.put_stored(item.key, origin)
             return
         self._apply_peer(item)
@@ -403,14 +404,14 @@
         self._gateway.retries.set_instances(1 + len(self.peers))
 
     def _apply_decision(self, item):
-        decision = None if item.value is None else self._read(decode_decision, item)
+        decision = None if item.value is None else self.read_item(decode_decision, item)
         pool = item.key.removeprefix(DECISIONS)
         self._gateway.rollouts.put_decision(pool, decision, item.revision)
         if decision is not None:
             log_event("rollout decided", pool=pool, **msgspec.structs.asdict(decision))
 
     def _apply_crash(self, item, now):
-        crash = None if item.value is None else self._read(decode_crash, item)
+        crash = None if item.value is None else self.read_item(decode_crash, item)
         self._gateway.crashes.apply_stored(item.key, crash, item.revision, now)
 
     def _set_watch_wait(self):
@@ -425,7 +426,7 @@
         if not item.key.startswith(INSTANCES) or name == self.cfg.name:
             return
         self.peers_version += 1
-        peer = None if item.value is None else self._read(decode_peer, item)
+        peer = None if item.value is None else self.read_item(decode_peer, item)
         if peer is None:
             self.peers.pop(name, None)
         else:
--- a/src/chervilwing/embedded.py
+++ b/src/chervilwing/embedded.py
@@ -15,7 +15,7 @@
 from circuits.core import BaseComponent, handler
 
 from .documents import CONFIG_KEY, hash_key, serialise
-from .exceptions import BadRequest, NotFound
+from .exceptions import DECODE_ERRORS, BadRequest, NotFound
 from .models import (
     MODEL,
     SERVICE,
@@ -42,7 +42,7 @@
     """Return the JSON value in a request's body, or raise BadRequest."""
     try:
         return json.loads(exchange.req.body or b"{}")
-    except ValueError as exc:
+    except DECODE_ERRORS as exc:
         raise BadRequest("The body is not valid JSON.") from exc
 
 
--- a/src/chervilwing/loads.py
+++ b/src/chervilwing/loads.py
@@ -6,6 +6,7 @@
 from circuits.core import BaseComponent, handler
 
 from .connections import Call
+from .exceptions import DECODE_ERRORS
 from .models import MODEL
 from .stores import collect_json_response
 
@@ -77,7 +78,7 @@
             # ``as_of`` is in Unix seconds of the upstream's clock.
             age = max(0.0, time.time() - float(value["as_of"]))
             load = [int(value[key]) for key in ("running", "waiting", "slots")]
-        except (KeyError, TypeError, ValueError):
+        except DECODE_ERRORS:
             return
         scheduler.mark_up(name)
         scheduler.report_load(name, *load, now - age, now)
--- a/src/chervilwing/notices.py
+++ b/src/chervilwing/notices.py
@@ -5,6 +5,7 @@
 from circuits.core import BaseComponent, handler
 
 from .connections import Call
+from .exceptions import DECODE_ERRORS
 from .gossip import UPSTREAM, Notice
 from .logs import log_event
 from .models import MODEL, Address, Upstream
@@ -25,7 +26,7 @@
     """Return the Upstream that a row of the instance list adds to a pool, or None."""
     try:
         return read_upstream(row) if row.get("pool") else None
-    except (KeyError, TypeError, ValueError):
+    except DECODE_ERRORS:
         # A malformed row must not prevent reading the others.
         return None
 
@@ -43,6 +44,11 @@
     )
 
 
+def read_notice(row):
+    """Return the number, instance and deadline in Unix seconds of a notice."""
+    return int(row["seq"]), str(row["instance"]), float(row["deadline"])
+
+
 class Notices(BaseComponent):
     """Take leaving upstreams out of service and gossip their notices.
 
@@ -101,9 +107,14 @@
         if status != 200 or not isinstance(value, dict):
             self._notice_due = time.monotonic() + RETRY_DELAY
             return
-        for row in value.get("notices", ()):
-            self._last_seq = max(self._last_seq, int(row["seq"]))
-            self.announce_leaving(str(row["instance"]), float(row["deadline"]))
+        for row in value.get("notices") or ():
+            try:
+                seq, name, deadline = read_notice(row)
+            except DECODE_ERRORS:
+                log_event("notice ignored")
+                continue
+            self._last_seq = max(self._last_seq, seq)
+            self.announce_leaving(name, deadline)
 
     def announce_leaving(self, name, deadline):
         """Gossip and apply that an upstream leaves by ``deadline`` (Unix seconds)."""
@@ -126,7 +137,9 @@
         if status != 200 or not isinstance(value, dict):
             return
         listed = {}
-        for row in value.get("instances", ()):
+        for row in value.get("instances") or ():
+            if not isinstance(row, dict):
+                continue
             if row.get("state") == LEAVING:
                 self._apply_notice(str(row.get("name")), 0.0)
             upstream = read_listed_upstream(row)
--- a/src/chervilwing/platform/store.py
+++ b/src/chervilwing/platform/store.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..connections import Call
+from ..exceptions import DECODE_ERRORS
 from ..store_calls import (
     Changes,
     Commit,
@@ -88,10 +89,21 @@
 
 def read_item(value, epoch):
     """Return the Item of an entry of ``items`` or ``events``."""
-    data = None if value.get("deleted") else base64.b64decode(value.get("value") or "")
+    data = None if value.get("deleted") else read_value(value.get("value"))
     return Item(value["key"], data, make_revision(epoch, value["revision"]))
 
 
+def read_value(text):
+    """Return the bytes of an item's base64 text, none if it can't be decoded.
+
+    No reader accepts an empty value, so that only this item is left out.
+    """
+    try:
+        return base64.b64decode(text or "")
+    except DECODE_ERRORS:
+        return b""
+
+
 def decode_page(req, value, epoch):
     """Return the Page in the reply to a ListItems call."""
     items = tuple(read_item(item, epoch) for item in value["items"])
@@ -136,7 +148,7 @@
         return Unavailable(f"status {status}")
     try:
         return read(req, msgspec.json.decode(body) if body else {}, epoch)
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as exc:
+    except DECODE_ERRORS as exc:
         return Unavailable(f"unreadable: {type(exc).__name__}")
 
 
--- a/src/chervilwing/purchases.py
+++ b/src/chervilwing/purchases.py
@@ -44,7 +44,7 @@
 
 
 def decode_purchases(text):
-    """Return the stored purchases; raise ValueError or TypeError if invalid."""
+    """Return the stored purchases; raise one of DECODE_ERRORS if invalid."""
     return tuple(Purchase(*purchase) for purchase in json.loads(text))
 
 
--- a/src/chervilwing/segments.py
+++ b/src/chervilwing/segments.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from .claim_keys import ClaimKey, Place
+from .exceptions import DECODE_ERRORS
 
 CLAIM = "claim"
 SETTLE = "settle"
@@ -106,7 +107,7 @@
             key: _decode_claim(*fields) for key, fields in found["claims"].items()
         }
         return Segment(int(found["slot"]), claims)
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except DECODE_ERRORS:
         return Segment(UNREADABLE_SLOT, {})
 
 
--- a/src/chervilwing/stores.py
+++ b/src/chervilwing/stores.py
@@ -5,7 +5,7 @@
 from urllib.parse import quote, urlencode
 
 from .connections import Call, CallHandlers
-from .exceptions import PathSilent
+from .exceptions import DECODE_ERRORS, PathSilent
 from .messages import (
     ABSENT,
     Found,
@@ -96,7 +96,7 @@
     try:
         value = json.loads(body) if body else {}
         return reply(req, value, partial(date_version, epoch))
-    except (ValueError, KeyError, TypeError):
+    except DECODE_ERRORS:
         return Unanswered()
 
 
@@ -184,7 +184,7 @@
     def on_body(status, body):
         try:
             value = json.loads(body) if body else None
-        except ValueError:
+        except DECODE_ERRORS:
             status, value = 0, None
         reply(status, value)
 
--- a/src/chervilwing/stream_moves/calls.py
+++ b/src/chervilwing/stream_moves/calls.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from ..addresses import format_address
+from ..exceptions import DECODE_ERRORS
 from ..models import Address
 from .move_state import Result
 
@@ -115,7 +116,7 @@
     """Return a JSON object, an empty one if the body holds none."""
     try:
         value = json.loads(body)
-    except ValueError:
+    except DECODE_ERRORS:
         return {}
     return value if isinstance(value, dict) else {}
 
--- a/src/chervilwing/usage.py
+++ b/src/chervilwing/usage.py
@@ -2,7 +2,11 @@
 
 import json
 from collections import Counter
-from typing import NamedTuple
+from typing import Annotated, NamedTuple, NotRequired, TypedDict
+
+import msgspec
+
+from .exceptions import DECODE_ERRORS, BadConfiguration
 
 # Key of the last report, followed by all instances: in a restored store the report may
 # be missing, and its window must not be counted again.
@@ -25,6 +29,22 @@
     epoch: int = 0
 
 
+# Counts and windows are sent to other instances; msgpack encodes 64 bits at most.
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
+class StoredReport(TypedDict):
+    """The fields of a Report as stored."""
+
+    window: Count
+    counts: dict[str, Count]
+    epoch: NotRequired[Count]
+
+
+COUNTS_DECODER = msgspec.json.Decoder(dict[str, dict[str, Count]])
+REPORT_DECODER = msgspec.json.Decoder(StoredReport)
+
+
 class UsageCounter:
     """Counts of this process; times are Unix seconds, ``length`` a window's seconds."""
 
@@ -148,9 +168,9 @@
     return json.dumps(counts, sort_keys=True).encode()
 
 
-def decode_counts(value):
-    """Return counts by process from the store's bytes."""
-    return json.loads(value)
+def decode_counts(key, value):
+    """Return counts by process from the store's bytes, or raise BadConfiguration."""
+    return _decode(COUNTS_DECODER, key, value)
 
 
 def encode_report(report):
@@ -158,7 +178,13 @@
     return json.dumps(report._asdict()).encode()
 
 
-def decode_report(value):
-    """Return the Report of the store's bytes."""
-    value = json.loads(value)
-    return Report(value["window"], value["counts"], value.get("epoch", 0))
+def decode_report(key, value):
+    """Return the Report of the store's bytes, or raise BadConfiguration."""
+    return Report(**_decode(REPORT_DECODER, key, value))
+
+
+def _decode(decoder, key, value):
+    try:
+        return decoder.decode(value)
+    except DECODE_ERRORS as exc:
+        raise BadConfiguration(f"{key}: {type(exc).__name__} {exc}") from exc
--- a/src/chervilwing/usage_reports.py
+++ b/src/chervilwing/usage_reports.py
@@ -56,7 +56,8 @@
 
     ``is_storing`` returns whether this instance stores; otherwise it only reports its
     counts to another one that does. ``read_shared`` returns the item of SHARED_REPORT
-    that is in force, or None.
+    that is in force, or None, and ``read_item(read, item)`` what ``read`` makes of an
+    item, None if that is invalid.
     """
 
     channel = "usage-parts"
@@ -66,6 +67,7 @@
         self.counter = UsageCounter(cfg.usage_window)
         self.is_storing = lambda: True
         self.read_shared = lambda: None
+        self.read_item = lambda read, item: read(item.key, item.value)
         self._shared_item = self._shared_report = None
         self._store = store
         self._agreed_time = agreed_time
@@ -96,7 +98,7 @@
         item = self.read_shared()
         if item != self._shared_item:
             self._shared_item = item
-            self._shared_report = decode_report(item.value) if item else None
+            self._shared_report = item and self.read_item(decode_report, item)
         return self._shared_report
 
     def read_time(self):
@@ -205,6 +207,7 @@
         self._cloud = cloud
         self._coordinator = coordinator
         self._parts = parts
+        parts.read_item = coordinator.read_item
         self._fence = None
         self._report_read = False
         self._revision = 0
@@ -265,7 +268,7 @@
         self._revision = found[0].revision if found else 0
         known, self._report = self._report, None
         if found:
-            self._report = decode_report(found[0].value)
+            self._report = self._coordinator.read_item(decode_report, found[0])
         self._report_stored, self._report_sent = True, False
         self._report_read = True
         self._adopt(known)
@@ -288,7 +291,7 @@
             return
         for item in reply.items:
             window = item.key.removeprefix(PARTS).partition("/")[0]
-            if int(window) <= self._report.window:
+            if window.isdecimal() and int(window) <= self._report.window:
                 self._obsolete_keys.append(item.key)
 
     def _next_window(self):
@@ -318,7 +321,10 @@
         if not isinstance(reply, Page):
             self._retry_later()
             return
-        stored = merge_counts(decode_counts(item.value) for item in reply.items)
+        parts = [
+            self._coordinator.read_item(decode_counts, item) for item in reply.items
+        ]
+        stored = merge_counts(part for part in parts if part is not None)
         reported = self._parts.find(window)
         unstored = {name: reported[name] for name in reported if name not in stored}
         missing = self._coordinator.list_recent_instances() - list_instance_names(
