Bound the whole numbers in header fields and stored texts

Callers saw: a request whose X-Token-Count, X-Deadline-Ms or prompt parts hold a number of hundreds of digits ended in an internal failure; a stored instance count or an epoch of that size would fail in each use of it.

Cause: the texts were converted if they consisted of digits. int() raises ValueError on over 4,300 digits, a division raises OverflowError on over 308, and msgpack doesn't encode over 64 bits.

Change: read_number reads up to 15 digits, and None for anything else, which each of these readers already treats as not stated.

Measured: the new test fails on the former code for 16, 400 and 5,000 digits, and passes now.

--- a/src/chervilwing/instance_count.py
+++ b/src/chervilwing/instance_count.py
@@ -6,6 +6,7 @@
 count outlives the registrations.
 """
 
+from .decimals import read_number
 from .store_calls import Commit
 
 COUNT = "chervilwing/instances-count"
@@ -31,7 +32,7 @@
         """Apply the stored item; an unreadable count is taken as 0."""
         self._revision = 0 if item.value is None else item.revision
         text = (item.value or b"").decode("latin-1")
-        self.count = int(text) if text.isdecimal() else 0
+        self.count = read_number(text) or 0
 
     def next_call(self, seen, now):
         """Return the write that is due, given the instances seen now, or None."""
--- a/src/chervilwing/platform/headers.py
+++ b/src/chervilwing/platform/headers.py
@@ -3,6 +3,7 @@
 import uuid
 
 from ..addresses import format_address
+from ..decimals import read_number
 from ..demands import Demand, PromptPart
 from ..dialects import (
     AnswerStatus,
@@ -74,34 +75,33 @@
 
 def read_numbers(text, count):
     """Return ``count`` integers of a comma-separated list, zeros if it is malformed."""
-    parts = text.split(",")
-    if len(parts) != count or not all(part.strip().isdecimal() for part in parts):
+    numbers = tuple(read_number(part.strip()) for part in text.split(","))
+    if len(numbers) != count or None in numbers:
         return (0,) * count
-    return tuple(int(part) for part in parts)
+    return numbers
 
 
 def read_parts(text):
     """Return the PromptParts of ``ID:TOKENS,...``."""
     pairs = (entry.strip().partition(":") for entry in text.split(",") if entry)
-    return tuple(
-        PromptPart(name, int(tokens)) for name, _, tokens in pairs if tokens.isdecimal()
-    )
+    parts = (PromptPart(name, read_number(tokens)) for name, _, tokens in pairs)
+    return tuple(part for part in parts if part.tokens is not None)
 
 
 def read_demand(req, now, time_limit):
     """Return the Demand of a request; ``time_limit`` is its route's, in seconds."""
     headers = req.headers
-    deadline_ms = headers.get(DEADLINE, "")
-    seconds = int(deadline_ms) / 1000 if deadline_ms.isdecimal() else time_limit
+    deadline_ms = read_number(headers.get(DEADLINE, ""))
+    seconds = time_limit if deadline_ms is None else deadline_ms / 1000
     prompt, output = read_numbers(headers.get(TOKEN_COUNT, ""), 2)
-    hint = headers.get(LENGTH_HINT, "")
+    hint = read_number(headers.get(LENGTH_HINT, ""))
     return Demand(
         # Requests without an id still need a unique one in the gateway.
         headers.get(REQUEST_ID) or uuid.uuid4().hex,
         now + min(seconds, time_limit),
         prompt,
         output,
-        int(hint) if hint.isdecimal() else output,
+        output if hint is None else hint,
         read_parts(headers.get(PROMPT_PREFIX, "")),
         headers.get(LAST_EVENT, ""),
         headers.get(RESUMES, ""),
--- a/src/chervilwing/store_epochs.py
+++ b/src/chervilwing/store_epochs.py
@@ -6,6 +6,8 @@
 ordered and any revision tells which history it belongs to.
 """
 
+from .decimals import read_number
+
 # Bits of a revision that hold the store's number. Epochs up to 8191 leave revisions
 # exact in a double, in which a JSON parser may read them.
 NUMBER_BITS = 40
@@ -41,8 +43,7 @@
 
 def read_epoch(headers, field):
     """Return the epoch that a reply's header field states, 0 if it states none."""
-    text = headers.get(field, "")
-    return int(text) if text.isascii() and text.isdecimal() else 0
+    return read_number(headers.get(field, "")) or 0
 
 
 class StoreEpochs:
--- a/tests/test_unreadable_replies.py
+++ b/tests/test_unreadable_replies.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest.mock import Mock
 
+import msgpack
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -11,10 +12,19 @@
 from chervilwing.answers import Answer
 from chervilwing.caches import parse_exported
 from chervilwing.exceptions import BadConfiguration, UpstreamFailed
+from chervilwing.instance_count import InstanceCount
 from chervilwing.messages import Grant, Read, Unanswered, Watch, Write
 from chervilwing.notices import Notices
+from chervilwing.parsers import HttpRequest
 from chervilwing.platform import store as platform_store
-from chervilwing.platform.headers import DIALECT
+from chervilwing.platform.headers import (
+    DEADLINE,
+    DIALECT,
+    LENGTH_HINT,
+    PROMPT_PREFIX,
+    TOKEN_COUNT,
+)
+from chervilwing.platform.store import EPOCH_HEADER
 from chervilwing.store_calls import (
     Commit,
     Item,
@@ -24,6 +34,7 @@
     Unavailable,
     WatchItems,
 )
+from chervilwing.store_epochs import read_epoch
 from chervilwing.usage import decode_counts, decode_report
 from tests.test_unreadable_items import FIELD_VALUES, FUZZ, list_paths, replace_field
 
@@ -118,6 +129,24 @@
             self.assertIsInstance(reply, Unavailable)
             self.assertIsInstance(stores.decode(Read("k"), 200, body), Unanswered)
 
+    def test_numbers_of_any_length_are_read_or_left_out(self):
+        """Guards against a request that fails where its numbers are converted."""
+        for digits in (4, 15, 16, 400, 5000):
+            number = "9" * digits
+            headers = {name: number for name in (DEADLINE, LENGTH_HINT)}
+            headers |= {TOKEN_COUNT: f"{number},{number}", EPOCH_HEADER: number}
+            headers[PROMPT_PREFIX] = f"p:{number}, q:4"
+            req = HttpRequest("POST", "/", "", headers, b"", True)
+            with self.subTest(digits):
+                demand = DIALECT.read_demand(req, 0.0, 2.0)
+                self.assertEqual(demand.deadline, 2.0)
+                self.assertIn(("q", 4), demand.parts)
+                msgpack.packb(demand)
+                self.assertLess(float(read_epoch(headers, EPOCH_HEADER)), 1e15)
+                count = InstanceCount()
+                count.observe(Item("k", number.encode(), 4))
+                self.assertLess(float(count.count), 1e15)
+
     def test_notices_after_a_malformed_one_are_announced(self):
         """Guards against a malformed notice that hides all later ones for good."""
         dispatcher = Mock()
