Bound what an upstream may send besides its answer

Callers saw: a safe request whose upstream goes on with interim heads, trailer lines or answers to another request waited until its deadline, although other upstreams were free. A caller's own trailer lines were read until the limit of time.

Cause: heads, chunk lines and bodies are bounded one by one. Interim heads, trailers and skipped answers were bounded each by itself, never together.

Change: interim heads count towards the limit of the head, and there are at most 100; a trailer has 64 KiB at most; 16 answers to earlier calls and 4 MiB of them are skipped. Beyond a limit the bytes are no answer, so that the connection is closed and a safe request is sent to another upstream.

--- a/src/chervilwing/bodies.py
+++ b/src/chervilwing/bodies.py
@@ -11,6 +11,8 @@
 # Stricter than int(), which also accepts signs, underscores and a 0x prefix.
 CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;.*)?\Z")
 CHUNK_LINE_LIMIT = 8192
+# Bytes of all trailer lines of one body. Their sender could go on with them for ever.
+TRAILER_LIMIT = 65536
 # Bytes in which decode_single_chunk looks for the end of the size line: 15 hex digits
 # and the CRLF fit.
 SHORT_LINE_LIMIT = 18
@@ -74,6 +76,7 @@
     def __init__(self):
         self._buffer = bytearray()
         self._remaining = 0
+        self._trailer_size = 0
         self._step = self._read_size
         self.complete = False
 
@@ -141,5 +144,10 @@
 
     def _read_trailer(self, parts):
         line = self._pop_line()
-        self.complete = line == b""
-        return bool(line)
+        if line is None:
+            return False
+        self._trailer_size += len(line) + len(CRLF)
+        if self._trailer_size > TRAILER_LIMIT:
+            raise BadRequest("The trailer is too long.")
+        self.complete = not line
+        return True
--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -48,6 +48,10 @@
 # whether the request ran. The margin covers the network delay and a late timer at the
 # upstream.
 IDLE_MARGIN = 0.5
+# Answers to earlier calls, and bytes of their bodies, that are skipped before a call's
+# own answer. An upstream may send them without end.
+MAX_SKIPPED_ANSWERS = 16
+MAX_SKIPPED_BYTES = 4 * 1024 * 1024
 # Failure types and the outcomes reported to the scheduler; the first match counts.
 FAILURE_OUTCOMES = (
     (PathSilent, PATH_SILENT),
@@ -127,6 +131,8 @@
         "head_delivered",
         "last_activity",
         "paused",
+        "skipped_answers",
+        "skipped_bytes",
     )
 
     def __init__(self, call, handlers, now):
@@ -138,6 +144,8 @@
         self.head_delivered = False
         self.last_activity = now
         self.paused = False
+        self.skipped_answers = 0
+        self.skipped_bytes = 0
 
 
 def encode_call(call):
@@ -365,10 +373,12 @@
             return
         state.last_activity = conn.last_activity = time.monotonic()
         try:
-            body = state.reader.feed(data)
+            body = self._skip_earlier_answers(state, state.reader.feed(data))
         except BadRequest as exc:
             self._fail(state, str(exc))
             return
+        if body is None:
+            return
         try:
             self._deliver(state, body)
         except Exception as exc:
@@ -385,11 +395,24 @@
             UpstreamFailed("The answer was not handled: internal error.")
         )
 
-    def _deliver(self, state, body):
+    def _skip_earlier_answers(self, state, body):
+        """Return the bytes that belong to the call's own answer, None if none do.
+
+        Raise BadRequest if the answers to earlier calls don't end.
+        """
         while self._is_for_earlier_call(state):
+            state.skipped_bytes += len(body)
+            if state.skipped_bytes > MAX_SKIPPED_BYTES:
+                raise BadRequest("The answer to an earlier call is too long.")
             if not state.reader.complete:
-                return
+                return None
+            state.skipped_answers += 1
+            if state.skipped_answers > MAX_SKIPPED_ANSWERS:
+                raise BadRequest("Too many answers to earlier calls.")
             body = self._read_next_answer(state)
+        return body
+
+    def _deliver(self, state, body):
         if not state.head_delivered and state.reader.head is not None:
             state.head_delivered = True
             state.handlers.head(*state.reader.head)
--- a/src/chervilwing/parsers.py
+++ b/src/chervilwing/parsers.py
@@ -41,8 +41,11 @@
 BODILESS_STATUSES = (204, 304)
 SWITCHING_PROTOCOLS = 101
 HTTP_OK = 200
-# Bytes; without this limit an upstream that never ends its head would fill the memory.
+# Bytes of an answer's head with all interim heads before it, and the number of those.
+# Without a limit, an upstream that never ends its head would fill the memory, and one
+# that goes on with 100 Continue would keep its request until the deadline.
 ANSWER_HEAD_LIMIT = 65536
+MAX_INTERIM_HEADS = 100
 
 
 class HttpRequest(NamedTuple):
@@ -294,6 +297,8 @@
     def __init__(self, method="GET"):
         self._bodiless = method == "HEAD"
         self._head_buffer = b""
+        self._interim_size = 0
+        self._interim_heads = 0
         self._body = None
         self._keep_alive = False
         self.head = None
@@ -342,15 +347,24 @@
         while self._body is None:
             head, end, rest = self._head_buffer.partition(HEAD_END)
             size = min(len(head), len(HTTP_1_PREFIX))
-            if len(head) > ANSWER_HEAD_LIMIT or head[:size] != HTTP_1_PREFIX[:size]:
+            too_long = self._interim_size + len(head) > ANSWER_HEAD_LIMIT
+            if too_long or head[:size] != HTTP_1_PREFIX[:size]:
                 raise BadRequest("The answer is not HTTP.")
             if not end:
                 return b""
             self._head_buffer = rest
             self._parse_head(head)
+            if self._body is None:
+                self._record_interim_head(head)
         self._head_buffer = b""
         return rest
 
+    def _record_interim_head(self, head):
+        self._interim_size += len(head) + len(HEAD_END)
+        self._interim_heads += 1
+        if self._interim_heads > MAX_INTERIM_HEADS:
+            raise BadRequest("The answer has too many interim heads.")
+
     def _parse_head(self, head):
         """Parse one head; ignore a head with a status from 100 to 199.
 
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,124 @@
+"""Upstreams that send bytes which are no answer, until their connection is closed."""
+
+import threading
+import time
+import unittest
+
+from chervilwing.platform.headers import DIALECT
+from tests.gateways import GatewayThread, make_document
+from tests.procs import Caller, poll
+from tests.test_gateway import CHUNKED, SIGNED, encode_chunk
+
+SEND_TIMEOUT = 4.0
+PIECE_BYTES = 16384
+OTHER = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: other\r\n"
+# What an upstream sends first and then again and again.
+HEADS = {
+    "a line without an end": (b"HTTP/1.1 200 ", b"x"),
+    "no line of HTTP": (b"", b"x"),
+    "header lines": (SIGNED, b"a: b\r\n"),
+    "a header value": (SIGNED + b"a: ", b"b"),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "interim answers with fields": (
+        b"",
+        b"HTTP/1.1 103 Early Hints\r\nLink: %b\r\n\r\n" % (b"x" * 5000),
+    ),
+}
+BODIES = {
+    "a chunk size": (SIGNED + CHUNKED + b"\r\n", b"0"),
+    "a chunk extension": (SIGNED + CHUNKED + b"\r\n1;", b"x"),
+    "bytes beyond a chunk": (SIGNED + CHUNKED + b"\r\n1\r\n", b"x"),
+    "trailer lines": (
+        SIGNED + CHUNKED + b"\r\n" + encode_chunk(b"ok") + b"0\r\n",
+        b"a: b\r\n",
+    ),
+    "bytes beyond the length": (SIGNED + b"Content-Length: 2\r\n\r\nok", b"x"),
+    "a body without the signature": (b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+    "a body of a request that has not run": (
+        b"HTTP/1.1 503 No\r\nX-Not-Run: 1\r\n\r\n",
+        b"x",
+    ),
+    "answers to another request": (b"", OTHER + b"Content-Length: 2\r\n\r\nno"),
+    "the body of an answer to another request": (OTHER + b"\r\n", b"x"),
+}
+
+
+class EndlessUpstream:
+    """Script of an upstream that sends a start, then pieces until it is cut off."""
+
+    def __init__(self, start, piece):
+        self.start = start
+        self.piece = piece * max(1, PIECE_BYTES // len(piece))
+        self.began = 0
+        self.cut = 0
+
+    def __call__(self, conn, method, path, body):
+        """Send until the connection is closed, or for SEND_TIMEOUT."""
+        until = time.monotonic() + SEND_TIMEOUT
+        self.began += 1
+        try:
+            conn.sendall(self.start)
+            while time.monotonic() < until:
+                conn.sendall(self.piece)
+        except OSError:
+            self.cut += 1
+            raise
+
+
+def answer(conn, method, path, body):
+    """Answer with the signature."""
+    conn.sendall(SIGNED + b"Content-Length: 2\r\n\r\nok")
+
+
+class TestEndlessAnswers(unittest.TestCase):
+    def start(self, kind):
+        self.upstream = EndlessUpstream(*kind)
+        run = GatewayThread(DIALECT, self.upstream, answer, document=make_document())
+        self.addCleanup(run.close)
+        return run
+
+    def check(self, kinds):
+        for name, kind in kinds.items():
+            with self.subTest(name):
+                run = self.start(kind)
+                for number in range(6):
+                    began = time.monotonic()
+                    found = run.call("GET", "/page/x", X_Request_Id=f"r-{number}")
+                    self.assertEqual((found.status, found.body), (200, b"ok"))
+                    self.assertLess(time.monotonic() - began, 1.0)
+                self.assertGreater(self.upstream.began, 0)
+                poll(lambda: self.upstream.cut == self.upstream.began, 2.0)
+
+    def test_a_head_without_end_is_cut_and_the_request_sent_elsewhere(self):
+        """Guards against requests that read an endless head until their deadline."""
+        self.check(HEADS)
+
+    def test_a_body_without_end_is_cut_and_the_request_sent_elsewhere(self):
+        """Guards against requests that read an endless body until their deadline."""
+        self.check(BODIES)
+
+    def test_a_chunked_request_without_end_is_refused(self):
+        """Guards against a caller whose trailers fill the memory of an instance."""
+        run = GatewayThread(DIALECT, answer, document=make_document())
+        self.addCleanup(run.close)
+        with Caller(run.port) as caller:
+            caller.send(
+                b"POST /page/x HTTP/1.1\r\nHost: a.example\r\n"
+                b"Authorization: Bearer k1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+            )
+            thread = threading.Thread(target=self.send_trailers, args=(caller,))
+            thread.start()
+            self.assertEqual(caller.read_answer().status, 400)
+            thread.join()
+
+    def send_trailers(self, caller):
+        until = time.monotonic() + SEND_TIMEOUT
+        try:
+            while time.monotonic() < until:
+                caller.send(b"a: b\r\n" * 100)
+        except OSError:
+            return
+
+
+if __name__ == "__main__":
+    unittest.main()
