Relay large answers of every status directly once their head is sent

Callers saw: an answer of over 512 KiB with a status other than 200 had its head a second time in the middle of its body, and the next request on the connection read the rest of it. The memory for such an answer grew with it, whatever the pace of its caller.

Cause: Attempts._on_data passed data on only if the status is 200. After _start_unbuffered had sent the head of another status, data went into the buffer again, and when that was full the head was sent again.

Change: whether data is passed on follows from whether the answer has been started, which _on_head guarantees to be this attempt's. The buffered part is passed on the same way, so that a congested caller pauses the upstream at once.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -289,10 +289,9 @@
 
     def _on_data(self, relay, data):
         self._record_answer_started(relay)
-        status, headers = relay.answer
         if relay.has_events:
             data = relay.events.feed(data)
-        if status == HTTP_OK and relay.exchange.started:
+        if relay.exchange.started:
             self._forward(relay, data)
         elif not relay.buffer(data):
             self._start_unbuffered(relay)
@@ -314,7 +313,7 @@
         relay.exchange.relay_head(
             status, drop_hop_by_hop(headers), None if length is None else int(length)
         )
-        relay.exchange.write(relay.take_buffered())
+        self._forward(relay, relay.take_buffered())
 
     def _record_answer_started(self, relay):
         if relay.first_byte_at is None:
