End a planned stop only when callers have read their answers

Callers saw: after a SIGTERM the process ended with code 0 while answers of finished requests waited in its buffers for callers that read slowly. Their connections ended short of the announced length, also for unsafe requests, which had run.

Cause: a relay ends when its answer is handed to the caller's connection. GatewayDaemon._advance_stop ended the process when no relay was left, and closing the socket discards what waits in Conn.pending.

Change: the stop also waits for callers with unwritten bytes, and for those whose connection closes, which takes two seconds after the last byte at most.

--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -291,9 +291,14 @@
                 self._store.submit(call, lambda reply: None)
         if self._tunnels.count() and elapsed < self.cfg.drain_timeout * HELP_PART:
             return
-        if not self.gateway.relays and self._usage_parts.is_idle():
-            log_event("stopped", cut=0)
-            self.root.stop()
+        if self.gateway.relays or not self._usage_parts.is_idle():
+            return
+        # A relay ends when its answer is buffered, which its caller may read slowly.
+        unread = self.gateway.web.count_unread()
+        if unread and elapsed < self.cfg.drain_timeout:
+            return
+        log_event("stopped", cut=unread)
+        self.root.stop()
 
 
 PATH_HANDLERS = {
--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -274,6 +274,10 @@
         """Return the number of connected callers."""
         return len(self._callers)
 
+    def count_unread(self):
+        """Return the number of callers that have not read all of their answers yet."""
+        return sum(1 for conn in self._callers if conn.pending or conn.lingering)
+
     @handler("tick", channel="*")
     def _on_tick(self):
         """Close connections that are idle, send too slowly or have stopped reading.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,10 +2,13 @@
 
 import json
 import signal
+import socket
 import sys
+import time
 import unittest
 from contextlib import suppress
 
+from chervilwing.relays import MAX_BUFFERED_BYTES
 from tests.fakes.control import HOST
 from tests.procs import Caller, Processes, call, call_json, poll
 from tests.upstreams import RawUpstream
@@ -366,6 +369,57 @@
         self.assertEqual(gateway.popen.wait(10), 0)
         self.assertNotIn("chervilwing/instances/one", self.platform.record()["keys"])
 
+    def start_slow_answers(self, gateway, size, count=1):
+        """Return a caller whose answers of some bytes each wait to be read."""
+        body = bytes(size)
+
+        def answer_large(conn, method, path, data):
+            head = b"HTTP/1.1 201 Created\r\nX-Server-Stamp: s\r\nContent-Length: %d"
+            conn.sendall(head % size + b"\r\n\r\n" + body)
+
+        self.upstream.script = answer_large
+        caller = Caller(gateway.port)
+        self.addCleanup(caller.close)
+        caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16384)
+        req = (
+            b"GET /page/x HTTP/1.1\r\nHost: a.example\r\n"
+            b"Authorization: Bearer k1\r\n\r\n"
+        )
+        caller.send(req * count)
+        caller.read_until(b"\r\n\r\n")
+        return caller
+
+    def test_a_planned_stop_waits_for_callers_that_read_slowly(self):
+        """Guards against answers that a stop cuts though their requests have run."""
+        gateway = self.start("one", drain_lag="0.1")
+        size = 900_000
+        caller = self.start_slow_answers(gateway, size)
+        gateway.popen.terminate()
+        poll(lambda: not self.is_ready(gateway))
+        left = size
+        while left:
+            piece = min(left, 50_000)
+            caller.read_bytes(piece)
+            left -= piece
+            time.sleep(0.1)
+        # The process must not wait for a caller that has read everything.
+        with self.assertRaises(EOFError):
+            caller.read_bytes(1)
+        caller.close()
+        self.assertEqual(gateway.popen.wait(2), 0)
+
+    def test_a_planned_stop_ends_although_a_caller_reads_nothing(self):
+        """Guards against a caller that holds a stopping process for ever."""
+        gateway = self.start("one", drain_lag="0.1", drain_timeout="3")
+        # The gateway buffers each answer whole, so that both requests are over at once;
+        # the kernel has no room for the second one.
+        self.start_slow_answers(gateway, MAX_BUFFERED_BYTES, count=2)
+        poll(lambda: len(self.upstream.seen) == 2)
+        began = time.monotonic()
+        gateway.popen.terminate()
+        self.assertEqual(gateway.popen.wait(5), 0)
+        self.assertGreater(time.monotonic() - began, 2.9)
+
     def test_sighup_does_not_end_the_gateway(self):
         gateway = self.start("one")
         gateway.signal(signal.SIGHUP)
