Send nothing after the head of an answer without a body

Callers saw: the answer to HEAD on an event stream was followed by the end of chunks, which the caller reads where its next answer begins.

Cause: the head of a stream is relayed without a length whatever the method, and the end of chunks follows any answer without a length. Whether an answer has a body was asked for whole answers only.

Change: an exchange knows from the method and the status whether its answer has a body; neither pieces nor an end of chunks are written without one. The answer to HEAD states the length only if the upstream states it, where it said 0 before.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -18,6 +18,7 @@
     UpstreamFailed,
 )
 from .logs import log_event
+from .parsers import read_length
 from .registrations import get_process
 from .routing import IDEMPOTENT, STREAM
 from .stream_moves.mover import Mover
@@ -308,10 +309,9 @@
     def _start_unbuffered(self, relay):
         """Start relaying a body that is too large to be buffered."""
         status, headers = relay.answer
-        length = headers.get("content-length")
         relay.exchange.on_drain = partial(self._on_drain, relay)
         relay.exchange.relay_head(
-            status, drop_hop_by_hop(headers), None if length is None else int(length)
+            status, drop_hop_by_hop(headers), read_length(headers)
         )
         self._forward(relay, relay.take_buffered())
 
@@ -380,7 +380,7 @@
             length = len(body)
             if exchange.req.method == "HEAD":
                 # The answer to HEAD states the length of a body that is not sent.
-                length = int(headers.get("content-length", 0))
+                length = read_length(headers)
             exchange.relay_head(status, drop_hop_by_hop(headers), length)
         exchange.finish(body)
         self._gateway.close(
--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -51,6 +51,7 @@
         "finished",
         "on_drain",
         "has_length",
+        "bodiless",
         "_web",
         "_conn",
         "tag",
@@ -63,6 +64,7 @@
         self.disconnected = False
         self.on_drain = None
         self.has_length = False
+        self.bodiless = req.method == "HEAD"
         self.tag = None
         self._web = web
         self._conn = conn
@@ -86,7 +88,7 @@
             status, fields | (headers or {}) | self._make_connection_field()
         )
         self.started = True
-        bodiless = status in BODILESS_STATUSES or self.req.method == "HEAD"
+        bodiless = status in BODILESS_STATUSES or self.bodiless
         self._write(data if bodiless else data + body)
         self._end()
 
@@ -124,13 +126,17 @@
     def relay_head(self, status, headers, length):
         """Send the head of an answer with the upstream's own header fields.
 
-        ``length`` is the body's length in bytes, or None if it is not known.
+        ``length`` is the body's length in bytes, or None if it is not known. Without a
+        body, none is sent of what follows (RFC 9112, section 6.3).
         """
         self.has_length = length is not None
-        if self.has_length:
-            framing = (
-                {} if status in BODILESS_STATUSES else {"Content-Length": str(length)}
-            )
+        self.bodiless = self.bodiless or status in BODILESS_STATUSES
+        if status in BODILESS_STATUSES:
+            framing = {}
+        elif self.has_length:
+            framing = {"Content-Length": str(length)}
+        elif self.bodiless:
+            framing = {}
         elif self.req.accepts_chunks:
             framing = {"Transfer-Encoding": "chunked"}
         else:
@@ -143,13 +149,14 @@
     def write(self, data):
         """Send one piece of the body."""
         # An empty chunk would end the body.
-        if data:
+        if data and not self.bodiless:
             self._write(self._frame(data))
 
     def finish(self, data=b""):
         """Send the last piece of the body, if any, and end the answer."""
-        end = CHUNKED_END if self.req.accepts_chunks and not self.has_length else b""
-        self._write((self._frame(data) if data else b"") + end)
+        self.write(data)
+        if self.req.accepts_chunks and not self.has_length and not self.bodiless:
+            self._write(CHUNKED_END)
         self._end()
 
     def _frame(self, data):
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -89,6 +89,37 @@
                 self.assertEqual(caller.buffer, b"")
 
 
+class TestBodiless(WholeCase):
+    def test_nothing_follows_the_head_of_an_answer_without_a_body(self):
+        """Guards against an end of chunks where the next answer begins."""
+        events = b"Content-Type: text/event-stream\r\n"
+        chunked = b"Transfer-Encoding: chunked\r\n"
+        fields = (b"", events, chunked, events + chunked, b"Content-Length: 700\r\n")
+        requests = [("HEAD", status) for status in STATUSES]
+        requests += [("POST", 204), ("POST", 304), ("HEAD", 204)]
+        run = self.start(None)
+        for field, (method, status) in itertools.product(fields, requests):
+            head = b"HTTP/1.1 %d Any\r\nX-Server-Stamp: s\r\n" % status
+            run.upstreams[0].script = lambda conn, *rest, data=head + field: (
+                conn.sendall(data + b"\r\n")
+            )
+            with self.subTest(field=field, method=method, status=status):
+                self.check_bodiless(run, method, status)
+
+    def check_bodiless(self, run, method, status):
+        """Send two requests on one connection and read their heads."""
+        with Caller(run.port) as caller:
+            for path in ("/page/x", "/quote/x"):
+                caller.send(
+                    f"{method} {path} HTTP/1.1\r\nHost: a.example\r\n"
+                    "Authorization: Bearer k1\r\nContent-Length: 0\r\n\r\n".encode()
+                )
+                self.assertEqual(caller.read_head()[0], status)
+            caller.sock.settimeout(0.05)
+            with self.assertRaises(TimeoutError):
+                caller.fill()
+
+
 class TestSlowReaders(WholeCase):
     def test_a_slow_reader_slows_the_upstream_at_any_status(self):
         """Guards against large error answers that are read into the memory."""
