Bound an event that is held back until its end

Callers saw: a resumable stream whose upstream sends an event without an end got nothing more until its deadline, although other upstreams could go on with it.

Cause: EventReader keeps the bytes of an incomplete event, so that another upstream can go on after the last whole one, without a limit. It also looks for the end in all of them at each read, which takes quadratic time.

Change: over 1 MiB, the limit of chervilwingd's events, the attempt fails and the stream goes on at another upstream after the last whole event.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -291,7 +291,11 @@
     def _on_data(self, relay, data):
         self._record_answer_started(relay)
         if relay.has_events:
-            data = relay.events.feed(data)
+            try:
+                data = relay.events.feed(data)
+            except UpstreamFailed as exc:
+                self._abort_attempt(relay, exc.detail)
+                return
         if relay.exchange.started:
             self._forward(relay, data)
         elif not relay.buffer(data):
--- a/src/chervilwing/events.py
+++ b/src/chervilwing/events.py
@@ -2,6 +2,8 @@
 
 import re
 
+from .exceptions import UpstreamFailed
+
 EVENT_STREAM = "text/event-stream"
 # A line ends with CRLF, LF or CR, and an empty line ends an event (WHATWG HTML, section
 # 9.2.5).
@@ -13,6 +15,8 @@
 # Bytes of an incomplete event that are kept if nothing is held back; without a limit an
 # upstream that never ends an event would fill the memory.
 MAX_KEPT_BYTES = 65536
+# Bytes of an incomplete event that is held back until its end.
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 def is_event_stream(status, headers):
@@ -50,7 +54,10 @@
         return not BETWEEN_EVENTS.match(self._buffer)
 
     def feed(self, data):
-        """Return the bytes to be relayed: the events that these bytes complete."""
+        """Return the bytes to be relayed: the events that these bytes complete.
+
+        Raise UpstreamFailed if an event that is held back is too long.
+        """
         read = self._buffer + data
         end = find_last_end(read)
         complete, self._buffer = read[:end], read[end:]
@@ -59,6 +66,8 @@
                 # Enough to find the end of the event: some content and a line end.
                 self._buffer = b"x" + self._buffer[-len(b"\r\n\r") :]
             return data
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise UpstreamFailed("An event is too long.")
         ids = EVENT_ID.findall(complete)
         if ids:
             self.last_id = ids[-1].decode("latin-1")
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,7 +7,7 @@
 from chervilwing.platform.headers import DIALECT
 from tests.gateways import GatewayThread, make_document
 from tests.procs import Caller, poll
-from tests.test_gateway import CHUNKED, SIGNED, encode_chunk
+from tests.test_gateway import CHUNKED, EVENTS, SIGNED, encode_chunk, make_event
 
 SEND_TIMEOUT = 4.0
 PIECE_BYTES = 16384
@@ -97,6 +97,26 @@
         """Guards against requests that read an endless body until their deadline."""
         self.check(BODIES)
 
+    def test_a_stream_goes_on_elsewhere_after_an_event_without_end(self):
+        """Guards against an endless event that is held back in the memory."""
+        start = EVENTS + make_event(1) + encode_chunk(b"id: 2\ndata: ")
+        self.upstream = EndlessUpstream(start, encode_chunk(b"x" * PIECE_BYTES))
+
+        def resume(conn, method, path, body):
+            first = int(run.upstreams[1].heads[-1][1].get("last-event-id", 0)) + 1
+            events = b"".join(make_event(number) for number in range(first, 5))
+            conn.sendall(EVENTS + events + b"0\r\n\r\n")
+
+        run = GatewayThread(DIALECT, self.upstream, resume, document=make_document())
+        self.addCleanup(run.close)
+        expected = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 5))
+        for number in range(6):
+            began = time.monotonic()
+            found = run.call("POST", "/quote/x", X_Request_Id=f"r-{number}")
+            self.assertEqual((found.body, found.whole), (expected, True))
+            self.assertLess(time.monotonic() - began, 1.0)
+        self.assertGreater(self.upstream.began, 0)
+
     def test_a_chunked_request_without_end_is_refused(self):
         """Guards against a caller whose trailers fill the memory of an instance."""
         run = GatewayThread(DIALECT, answer, document=make_document())
