Report an address that can't be connected to as a failed connection

Callers saw: with one entry whose address is an IPv6 one, the connections of some callers were closed without an answer.

Cause: Streams.dial opens sockets of one family, and connect_ex raises gaierror for an address of another one or of an unknown interface. That leaves the handler of the caller's connection. A connect that fails at once without raising was left to the poller, which reports no error for it.

Change: the family follows from the address; both failures are reported as a failed connection at the next tick, like a missing file descriptor, so that nothing was sent and the request goes to another upstream.

Measured: 60 requests of 12 callers at once for each of 8 addresses. The IPv6 ones with nobody there closed callers unanswered on the former code (EOFError); all are answered 200 now. Huge and negative figures of an entry were harmless before and stay so by test.

--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -68,6 +68,23 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
+def get_family(address):
+    """Return the family of the sockets for an Address."""
+    return socket.AF_INET6 if ":" in address.host else socket.AF_INET
+
+
+def begin_connect(sock, address):
+    """Begin to connect; return the OSError if that fails at once, or None.
+
+    The poller reports nothing useful of a socket whose connecting has not begun.
+    """
+    try:
+        code = sock.connect_ex(address)
+    except OSError as exc:
+        return exc
+    return None if code in (0, *WOULD_BLOCK) else OSError(code, "connect failed")
+
+
 class StreamHandlers(NamedTuple):
     """Callbacks for the events of a connection."""
 
@@ -186,25 +203,30 @@
 
         With a Tunnel it leads through another instance.
         """
+        target = address if tunnel is None else tunnel.peer.address
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock = socket.socket(get_family(target), socket.SOCK_STREAM)
         except OSError as exc:
             return self._fail_later(address, exc)
         configure_socket(sock)
         set_path_timeout(sock)
+        error = begin_connect(sock, target)
+        if error is not None:
+            sock.close()
+            return self._fail_later(address, error)
         conn = Conn(sock, address, connecting=True)
         conn.tunnel = tunnel
         self._conns[sock] = conn
-        sock.connect_ex(address if tunnel is None else tunnel.peer.address)
         self._watch(conn, reading=False, writing=True)
         return conn
 
     def _fail_later(self, address, exc):
         """Return a connection that is reported closed at the next tick.
 
-        Without a free file descriptor no socket can be created. Raised here, the error
-        would abort the handling of the request, whose caller would wait forever.
-        Reported as a failed connection, the request is refused as not run.
+        Without a free file descriptor no socket can be created, and an address may be
+        one that can't be connected to. Raised here, the error would abort the handling
+        of the request, whose caller would wait forever. Reported as a failed
+        connection, the request is sent elsewhere or refused as not run.
         """
         conn = Conn(object(), address, connecting=True)
         self._failed_dials.append((conn, exc))
--- a/tests/test_unreadable_items.py
+++ b/tests/test_unreadable_items.py
@@ -1,7 +1,9 @@
 """Items of the store that another program wrote and that can't be decoded."""
 
 import json
+import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 from unittest.mock import Mock
 
 from hypothesis import given, settings
@@ -21,14 +23,15 @@
     read_order,
     read_registration,
 )
+from chervilwing.platform.headers import DIALECT
 from chervilwing.rollouts import DECISIONS, decode_decision
 from chervilwing.store_calls import Changes, Item, ListItems, Page, WatchItems
 from chervilwing.store_epochs import StoreEpochs
 from chervilwing.stored_crashes import CRASHES, decode_crash
 from chervilwing.stream_versions import VERSIONS, decode_origin
-from tests.gateways import make_settings
+from tests.gateways import GatewayThread, make_document, make_settings
 from tests.procs import poll
-from tests.test_platform import DOCUMENT, ENTRY, PlatformCase
+from tests.test_platform import DOCUMENT, ENTRY, PlatformCase, answer
 
 # A fixed number of examples from a fixed seed, so that each run is the same.
 FUZZ = settings(max_examples=200, derandomize=True, deadline=None, database=None)
@@ -131,6 +134,69 @@
                 read_registration(REGISTRATION_PREFIX + "i-1", data)
 
 
+# Addresses of entries at which nobody can be reached.
+UNREACHABLE = (
+    "[::1]:80",
+    "[fe80::1]:80",
+    "[fe80::1%none]:80",
+    "[::ffff:127.0.0.1]:1",
+    "127.0.0.1:0",
+    "0.0.0.0:1",
+    "255.255.255.255:80",
+    "224.0.0.1:80",
+)
+# Entries that are valid but unusual; each names an upstream of its pool.
+UNUSUAL = ({"slots": 2**53 - 1}, {"slots": 0}, {"leaves_ms": -5}, {"leaves_ms": 1e300})
+
+
+CALLERS = 12
+
+
+def answer_late(conn, method, path, body):
+    """Answer after a while, so that requests run side by side."""
+    time.sleep(0.02)
+    answer(conn, method, path, body)
+
+
+class TestUnusableEntries(unittest.TestCase):
+    def start(self):
+        run = GatewayThread(DIALECT, answer_late, document=make_document())
+        self.addCleanup(run.close)
+        return run
+
+    def register(self, run, **fields):
+        """Add the upstream of an entry that has the other upstream's version."""
+        data = json.dumps(ENTRY | {"version": ""} | fields).encode()
+        run.gateway.put_upstream(read_registration(REGISTRATION_PREFIX + "x", data))
+
+    def check(self, run):
+        """Send requests of several callers at once, so that each upstream is chosen."""
+
+        def call(number):
+            return run.call("GET", "/page/x", X_Request_Id=f"r-{number}").status
+
+        with ThreadPoolExecutor(CALLERS) as pool:
+            statuses = list(pool.map(call, range(5 * CALLERS)))
+        self.assertEqual(set(statuses), {200})
+
+    def test_requests_go_elsewhere_if_an_entry_cannot_be_reached(self):
+        """Guards against callers whose connection is closed without an answer."""
+        for address in UNREACHABLE:
+            run = self.start()
+            with self.subTest(address):
+                self.register(run, address=address)
+                self.check(run)
+
+    def test_unusual_figures_of_an_entry_fail_no_request(self):
+        """Guards against figures that fail where an upstream is chosen."""
+        for fields in UNUSUAL:
+            run = self.start()
+            with self.subTest(**fields):
+                address = f"127.0.0.1:{run.upstreams[0].port}"
+                self.register(run, address=address, **fields)
+                self.check(run)
+
+
 UNREADABLE = b'{"note":' + b"[" * 1200
 
 
