Ignore registrations whose name no header field can hold

Cause: an upstream's name is the rest of its key, which any program may write, and is sent to it in a header field. A line end in it would add fields to each request sent there; other characters can't be encoded.

Change: a name must be visible ASCII, else the entry is ignored.

Measured: the new test fails for each of five names on the former code.

--- a/src/chervilwing/platform/documents.py
+++ b/src/chervilwing/platform/documents.py
@@ -1,5 +1,6 @@
 """Decoding of the platform's stored documents into the gateway's own types."""
 
+import re
 from typing import Annotated, Literal
 
 import msgspec
@@ -36,6 +37,8 @@
 # Integers that a double holds exactly (RFC 8259, section 6). A larger one would raise
 # an OverflowError wherever it is converted.
 MAX_INTEGER = 2**53 - 1
+# Names of upstreams: they are sent in a header field.
+NAME = re.compile(r"[!-~]+\Z")
 Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 
 
@@ -176,8 +179,11 @@
     """
     try:
         entry = REGISTRATION_DECODER.decode(data)
+        name = key.removeprefix(REGISTRATION_PREFIX)
+        if not NAME.match(name):
+            raise ValueError("the name is not visible ASCII")
         return Registration(
-            name=key.removeprefix(REGISTRATION_PREFIX),
+            name=name,
             pool=entry.service,
             address=parse_address(entry.address),
             data_centre=entry.zone,
--- a/tests/test_unreadable_items.py
+++ b/tests/test_unreadable_items.py
@@ -196,6 +196,13 @@
                 self.register(run, address=address, **fields)
                 self.check(run)
 
+    def test_a_name_that_no_header_field_can_hold_names_no_upstream(self):
+        """Guards against bytes of a key that end up in the head of a request."""
+        data = json.dumps(ENTRY | ADDRESS).encode()
+        for name in ("", "a b", "a\r\nX: y", "\u20ac", "a\x00"):
+            with self.subTest(name), self.assertRaises(BadConfiguration):
+                read_registration(REGISTRATION_PREFIX + name, data)
+
 
 UNREADABLE = b'{"note":' + b"[" * 1200
 
