Leave upstreams whose answers don't end, and read large ones in turns

Callers saw: with one of three upstreams that answers with a body without an end, a tenth of the requests were cut at their deadline for as long as the upstream was registered, also while its health check is good. Others found their new connections reset, as the event loop never waited.

Cause: at a deadline an upstream is blamed only if it has sent nothing, so that an answer without an end counted as neither success nor failure. And such an answer is read as fast as it comes, so that the loop is always busy.

Change: at a deadline, an answer of over 4 MiB counts as a failure, unless it has a length and waits for its caller. Beyond 4 MiB, all such answers of a process together are read for half of the time; each goes on at the next tick, so that they take turns.

No reset was seen here on the former code either, so that this part isn't shown by a run.

--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -10,6 +10,7 @@
 from circuits.core import BaseComponent, handler
 
 from .addresses import format_address
+from .bodies import LENGTH_FRAMING
 from .clocks import read_boottime
 from .exceptions import (
     NOT_RUN,
@@ -52,6 +53,11 @@
 # own answer. An upstream may send them without end.
 MAX_SKIPPED_ANSWERS = 16
 MAX_SKIPPED_BYTES = 4 * 1024 * 1024
+# Bytes from which on an answer counts as large, and the part of their time in which the
+# large answers of a process are read. An answer without end would otherwise keep the
+# event loop busy until its deadline, and new connections would be rejected meanwhile.
+LARGE_ANSWER = 4 * 1024 * 1024
+LARGE_ANSWERS_PART = 0.5
 # Failure types and the outcomes reported to the scheduler; the first match counts.
 FAILURE_OUTCOMES = (
     (PathSilent, PATH_SILENT),
@@ -131,6 +137,7 @@
         "head_delivered",
         "last_activity",
         "paused",
+        "received",
         "skipped_answers",
         "skipped_bytes",
     )
@@ -144,9 +151,18 @@
         self.head_delivered = False
         self.last_activity = now
         self.paused = False
+        self.received = 0
         self.skipped_answers = 0
         self.skipped_bytes = 0
 
+    def has_large_answer(self):
+        """Return whether its answer is large, and isn't a sized one read slowly.
+
+        If such a call ends at a deadline, its answer may have no end.
+        """
+        sized = self.reader.framing == LENGTH_FRAMING
+        return self.received > LARGE_ANSWER and not (sized and self.paused)
+
 
 def encode_call(call):
     """Return the head and the body of the request as bytes."""
@@ -182,6 +198,11 @@
         self._idle: dict[Address, list] = defaultdict(list)
         self._active: set[CallState] = set()
         self._probes: dict[Address, CallState] = {}
+        # Calls whose large answers are not read until the next tick, and the seconds
+        # left for such answers until then.
+        self._deferred: set[CallState] = set()
+        self._large_time_left = 0.0
+        self._ticked_at = time.monotonic()
         # When bytes last arrived over a direct connection, by read_boottime().
         self.received_at = float("-inf")
         handlers = StreamHandlers(self._opened, self._received, self._closed)
@@ -231,7 +252,8 @@
             return
         state.paused = False
         state.last_activity = time.monotonic()
-        self._streams.resume(state.conn)
+        if state not in self._deferred:
+            self._streams.resume(state.conn)
 
     def close_idle(self, address):
         """Close all idle connections to an address."""
@@ -271,6 +293,7 @@
         either; without a timeout the caller would wait forever.
         """
         now = time.monotonic()
+        self._resume_large(now)
         for state in list(self._active):
             if state.finished or not self._is_silent(state, now):
                 continue
@@ -283,6 +306,16 @@
             elif probe is None:
                 self._probe(state.call, now)
 
+    def _resume_large(self, now):
+        """Read deferred answers again, for a part of the time until the next tick."""
+        self._large_time_left = LARGE_ANSWERS_PART * (now - self._ticked_at)
+        self._ticked_at = now
+        deferred, self._deferred = self._deferred, set()
+        for state in deferred:
+            state.last_activity = now
+            if not state.paused:
+                self._streams.resume(state.conn)
+
     def _is_silent(self, state, now):
         call = state.call
         connecting = state.conn.connecting
@@ -372,6 +405,15 @@
             self._streams.drop(conn)
             return
         state.last_activity = conn.last_activity = time.monotonic()
+        state.received += len(data)
+        self._read(state, data)
+        if state.received > LARGE_ANSWER and not state.finished:
+            self._large_time_left -= time.monotonic() - state.last_activity
+            if self._large_time_left <= 0.0:
+                self._deferred.add(state)
+                self._streams.pause(conn)
+
+    def _read(self, state, data):
         try:
             body = self._skip_earlier_answers(state, state.reader.feed(data))
         except BadRequest as exc:
@@ -484,3 +526,4 @@
         state.finished = True
         state.conn.state = None
         self._active.discard(state)
+        self._deferred.discard(state)
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -374,8 +374,8 @@
     def _expire(self, relay):
         sent = relay.call is not None and relay.call.conn.sent
         if relay.call is not None:
-            blamed = sent and relay.answer is None
-            blamed = blamed and not self.paths.is_doubtful(read_boottime())
+            blamed = relay.answer is None or relay.call.has_large_answer()
+            blamed = sent and blamed and not self.paths.is_doubtful(read_boottime())
             failed = True if blamed and relay.call.conn.tunnel is None else None
             self.crash_detection.handle_caller_left(relay, read_boottime())
             self._attempts.end_attempt(relay, failed, cancel=True)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -3,13 +3,22 @@
 import threading
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from functools import partial
+from unittest.mock import patch
 
+from chervilwing.connections import LARGE_ANSWER
 from chervilwing.platform.headers import DIALECT
 from tests.gateways import GatewayThread, make_document
 from tests.procs import Caller, poll
 from tests.test_gateway import CHUNKED, EVENTS, SIGNED, encode_chunk, make_event
 
 SEND_TIMEOUT = 4.0
+CALLERS = 20
+# Requests a second.
+RATE = 25.0
+REQUEST = b"GET /page/x HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer k1\r\n\r\n"
 PIECE_BYTES = 16384
 OTHER = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Request-Id: other\r\n"
 # What an upstream sends first and then again and again.
@@ -117,6 +126,56 @@
             self.assertLess(time.monotonic() - began, 1.0)
         self.assertGreater(self.upstream.began, 0)
 
+    def test_an_upstream_whose_answers_do_not_end_is_left(self):
+        """Guards against requests that go to such an upstream until its removal."""
+        for framing in (CHUNKED, b""):
+            piece = encode_chunk(b"x" * 1000) if framing else b"x"
+            self.upstream = EndlessUpstream(SIGNED + framing + b"\r\n", piece)
+            run = GatewayThread(
+                DIALECT, self.upstream, answer, answer, document=make_document()
+            )
+            self.addCleanup(run.close)
+            with self.subTest(framing), ThreadPoolExecutor(CALLERS) as pool:
+                self.began = time.monotonic()
+                endings = list(pool.map(partial(self.call_short, run), range(80)))
+                # A third of the requests would be 26.
+                self.assertLess(self.upstream.began, 12)
+                self.assertEqual(endings.count(200), 80 - self.upstream.began)
+
+    def call_short(self, run, number):
+        """Send a request at its time; return its status, 0 if the answer was cut."""
+        time.sleep(max(0.0, self.began + number / RATE - time.monotonic()))
+        with Caller(run.port) as caller:
+            caller.send(REQUEST.replace(b"/page/", b"/short/"))
+            status, headers = caller.read_head()
+            if "content-length" in headers:
+                return status
+            # Caller keeps all that it reads, which takes quadratic time.
+            with suppress(ConnectionError):
+                while caller.sock.recv(1 << 20):
+                    continue
+            return 0
+
+    def test_a_large_answer_that_is_read_in_turns_arrives_whole(self):
+        """Guards against a deferred answer that is never read again."""
+        body = bytes(LARGE_ANSWER + 2_000_000)
+
+        def answer_large(conn, method, path, data):
+            conn.sendall(SIGNED + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+
+        run = GatewayThread(DIALECT, answer_large, document=make_document())
+        self.addCleanup(run.close)
+        with patch("chervilwing.connections.LARGE_ANSWERS_PART", 0.0):
+            with Caller(run.port) as caller:
+                for _ in range(2):
+                    caller.send(REQUEST)
+                    caller.read_until(b"\r\n\r\n")
+                    size = len(caller.buffer)
+                    caller.buffer = b""
+                    while size < len(body):
+                        size += len(caller.sock.recv(1 << 20))
+                    self.assertEqual(size, len(body))
+
     def test_a_chunked_request_without_end_is_refused(self):
         """Guards against a caller whose trailers fill the memory of an instance."""
         run = GatewayThread(DIALECT, answer, document=make_document())
