--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,12 +1,14 @@
 """Tests of gateway processes with a fake platform: outages, lost writes, freezes."""
 
 import json
+import os
 import signal
 import socket
 import sys
 import time
 import unittest
 from contextlib import suppress
+from pathlib import Path
 
 from chervilwing.relays import MAX_BUFFERED_BYTES
 from tests.fakes.control import HOST
@@ -360,6 +362,12 @@
         self.assertIn("chervilwing_gateway_configuration_version 3", text)
 
 
+def read_processor_time(pid):
+    """Return the seconds of processor time that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 class TestStops(PlatformCase):
     def test_a_planned_stop_reports_not_ready_and_cuts_no_request(self):
         gateway = self.start("one", drain_lag="0.5")
@@ -426,6 +434,21 @@
         self.assertEqual(self.call(gateway), 200)
         self.assertIsNone(gateway.popen.poll())
 
+    def test_sighup_does_not_end_a_gateway_that_starts(self):
+        """Guards against a change of the settings that ends a starting process."""
+        entry = Path(__file__).resolve().parent.parent / "deploy" / "entry.py"
+        argv = [sys.executable, str(entry), "--name=one", f"--listen={HOST}:0"]
+        argv += [f"--ready-listen={HOST}:0", f"--beacon-listen={HOST}:0"]
+        argv += [f"--store={HOST}:{self.platform.port}", "--data-centre=a"]
+        process = self.procs.run(argv)
+        # Python itself starts within this time of the processor.
+        poll(lambda: read_processor_time(process.popen.pid) > 0.12)
+        until = time.monotonic() + 2.0
+        while time.monotonic() < until:
+            process.signal(signal.SIGHUP)
+            time.sleep(0.02)
+        self.assertIsNone(process.popen.poll())
+
     def test_a_bad_setting_ends_the_gateway_with_a_message(self):
         argv = [sys.executable, "-m", "chervilwing.platform"]
         argv += ["--name=one", "--lease=soon"]
