Keep an empty query of a request's target

Callers saw: GET /x? reached the upstream as GET /x.

Cause: the target is put together again from path and query, and an empty query was taken for none.

Change: a request knows whether its target has a query.

Measured: the new test fails for /a? and /? without the change.

--- a/src/chervilwing/dispatch.py
+++ b/src/chervilwing/dispatch.py
@@ -387,8 +387,8 @@
         path = "/" + path
         target = directory.find_service(customer, name, req.method, unquote(path))
         session = self._open(exchange, target, read_request_id(req.headers))
-        query = f"?{req.query}" if req.query else ""
-        session.run = Forward(session, quote(path, safe="/%~:@!$&'()*+,;=") + query)
+        path = quote(path, safe="/%~:@!$&'()*+,;=") + req.query_suffix
+        session.run = Forward(session, path)
         if self.claimant is None or target.idempotent or KEY_HEADER not in req.headers:
             self._offer(session)
             return
--- a/src/chervilwing/parsers.py
+++ b/src/chervilwing/parsers.py
@@ -51,7 +51,8 @@
 class HttpRequest(NamedTuple):
     """One whole request; header names are in lower case.
 
-    ``accepts_chunks`` says whether its sender can read chunked answers.
+    ``accepts_chunks`` says whether its sender can read chunked answers, and
+    ``has_query`` whether its target has a query, which may be empty.
     """
 
     method: str
@@ -61,11 +62,17 @@
     body: bytes
     keep_alive: bool
     accepts_chunks: bool = True
+    has_query: bool = False
 
     @property
     def target(self):
         """Return the path and the query as sent in the request line."""
-        return f"{self.path}?{self.query}" if self.query else self.path
+        return self.path + self.query_suffix
+
+    @property
+    def query_suffix(self):
+        """Return the query with its question mark, or an empty text without one."""
+        return f"?{self.query}" if self.query or self.has_query else ""
 
 
 class HttpHead(NamedTuple):
@@ -179,7 +186,10 @@
     keep = is_persistent(version, headers)
     accepts_chunks = version == (1, 1)
     method = parser.get_method()
-    return HttpRequest(method, path, query, headers, b"", keep, accepts_chunks), body
+    req = HttpRequest(
+        method, path, query, headers, b"", keep, accepts_chunks, b"?" in target
+    )
+    return req, body
 
 
 def make_request_body(version, headers):
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -168,6 +168,13 @@
                 (req,) = read_requests(make_head(target=target))
                 self.assertEqual((req.path, req.query), (path, query))
 
+    def test_a_target_is_sent_on_as_it_came(self):
+        """Guards against an empty query that is dropped on the way."""
+        for target in (b"/a", b"/a?", b"/a??", b"/a?b", b"/?"):
+            with self.subTest(target=target):
+                (req,) = read_requests(make_head(target=target))
+                self.assertEqual(req.target.encode(), target)
+
     def test_persistence_follows_version_and_header(self):
         for version, field, expected in (
             (b"HTTP/1.1", b"", True),
