Send no waiting request whose caller has left

What upstreams saw: where admission by urgency is active, a request that waited for its organisation's credit was sent although its caller had left meanwhile, and nothing ended the run.

Cause: the requests that get credit were taken from the queue before those that had ended were removed from it.

Change: requests that have ended leave the queue first, so that their credit goes to others.

Measured: the new test sends both requests on the former code, and only that of the caller who stayed now.

--- a/src/chervilwing/pool_admission/request_path.py
+++ b/src/chervilwing/pool_admission/request_path.py
@@ -144,19 +144,24 @@
             self._gateway.allowances.remove_waiting(relay.organisation, relay.cost)
 
     def _retry_by_priority(self, now):
+        for key, relay in list(self._waiting_by_key.items()):
+            if relay.ended:
+                self._stop_waiting(key)
         charge = lambda key: self._charge(self._waiting_by_key[key], now)
         for key in self._credit_queue.take(charge, now):
             relay = self._waiting_by_key.pop(key)
             self._place_waiting(relay, now)
             self._gateway.allowances.remove_waiting(relay.organisation, relay.cost)
         for key, relay in list(self._waiting_by_key.items()):
-            if not relay.ended and not self._has_waited_long(relay, now):
-                continue
-            del self._waiting_by_key[key]
-            self._credit_queue.remove(key, relay.organisation_name)
-            if not relay.ended:
+            if self._has_waited_long(relay, now):
                 self._refuse(relay, self._make_limit_error(relay))
-            self._gateway.allowances.remove_waiting(relay.organisation, relay.cost)
+                self._stop_waiting(key)
+
+    def _stop_waiting(self, key):
+        """Remove a request from the queue for credit without sending it."""
+        relay = self._waiting_by_key.pop(key)
+        self._credit_queue.remove(key, relay.organisation_name)
+        self._gateway.allowances.remove_waiting(relay.organisation, relay.cost)
 
     def _must_queue(self, relay):
         """Return whether as urgent requests of the organisation wait for credit."""
--- a/tests/test_pool_admission.py
+++ b/tests/test_pool_admission.py
@@ -1,6 +1,7 @@
 """Admission by urgency: decisions on single requests."""
 
 import unittest
+from unittest.mock import Mock
 
 from chervilwing.pool_admission import (
     AUTO,
@@ -11,6 +12,7 @@
     CreditQueue,
     PoolAdmission,
     Refuse,
+    RequestPath,
     Room,
     Wait,
     find_active_pools,
@@ -178,3 +180,32 @@
         taken = queue.take(lambda key: key != "large", 0.0)
         self.assertEqual(taken, ["other"])
         self.assertEqual(queue.take(lambda key: True, 0.1), ["large", "small"])
+
+
+class TestRequestPath(unittest.TestCase):
+    def test_a_request_whose_caller_left_while_it_waited_is_not_sent(self):
+        """Guards against work for callers that have left before they had credit."""
+        gateway, refuse = Mock(), Mock()
+        gateway.allowances.charge.return_value = False
+        gateway.placing.request_placement.return_value = True
+        path = RequestPath(gateway, Mock(), Mock(), Mock(), refuse)
+        route = Mock(latency_target=2.0)
+        relays = [
+            Mock(
+                organisation_name="one", cost=1.0, priority=0, route=route, ended=False
+            )
+            for _ in range(2)
+        ]
+        for relay in relays:
+            relay.received_at = 0.0
+            relay.demand._replace.return_value = Mock(band=0)
+            path.start(relay, 0.0)
+        relays[0].ended = True
+        gateway.allowances.charge.return_value = True
+        path.retry_waiting_requests(0.01)
+        sent = [call.args[0] for call in gateway.placing.request_placement.mock_calls]
+        self.assertEqual(sent, [relays[1]])
+        # The second request queued behind the first one without a try.
+        self.assertEqual(gateway.allowances.charge.call_count, 2)
+        self.assertEqual(gateway.allowances.remove_waiting.call_count, 2)
+        refuse.assert_not_called()
