Write the end of a chunked answer with its last piece

The fix for answers without a body had split the last write in two, one more call of the kernel for each stream. Also resume the connection of a large answer that ends while its reading is deferred: a paused one could be kept for the next call.

Measured: tests of answers, connections and the gateway pass.

--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -526,4 +526,7 @@
         state.finished = True
         state.conn.state = None
         self._active.discard(state)
-        self._deferred.discard(state)
+        if state in self._deferred:
+            # The next call on the connection must be read at once.
+            self._deferred.remove(state)
+            self._streams.resume(state.conn)
--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -154,9 +154,10 @@
 
     def finish(self, data=b""):
         """Send the last piece of the body, if any, and end the answer."""
-        self.write(data)
-        if self.req.accepts_chunks and not self.has_length and not self.bodiless:
-            self._write(CHUNKED_END)
+        chunked = self.req.accepts_chunks and not self.has_length
+        if not self.bodiless:
+            end = CHUNKED_END if chunked else b""
+            self._write((self._frame(data) if data else b"") + end)
         self._end()
 
     def _frame(self, data):
