--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -56,7 +56,7 @@
 # Bytes from which on an answer counts as large, and the part of their time in which the
 # large answers of a process are read. An answer without end would otherwise keep the
 # event loop busy until its deadline, and new connections would be rejected meanwhile.
-LARGE_ANSWER = 4 * 1024 * 1024
+LARGE_ANSWER = 1024 * 1024
 LARGE_ANSWERS_PART = 0.5
 # Failure types and the outcomes reported to the scheduler; the first match counts.
 FAILURE_OUTCOMES = (
