--- a/src/chervilwing/platform/store.py
+++ b/src/chervilwing/platform/store.py
@@ -96,7 +96,8 @@
 def read_value(text):
     """Return the bytes of an item's base64 text, none if it can't be decoded.
 
-    No reader accepts an empty value, so that only this item is left out.
+    Readers of documents and registrations reject an empty value, so that only this
+    item is left out.
     """
     try:
         return base64.b64decode(text or "")
