--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -11,6 +11,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -24,6 +25,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 TEMPLATE = ROOT / "src/chervilwing/platform/settings.template"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def find_port():
@@ -61,6 +63,8 @@
         self.calls = []
         handler = type("Handler", (StoreHandler,), {"store": self})
         self.server = ThreadingHTTPServer((HOST, 0), handler)
+        # Connections that are reset when a gateway is killed are no error.
+        self.server.handle_error = lambda request, address: None
         self.server.daemon_threads = True
         self.port = self.server.server_address[1]
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
@@ -201,6 +205,13 @@
         self.reply(200, {})
 
 
+def reset(conn):
+    """Reset a connection, also where a file made of it is still open."""
+    with suppress(OSError):
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        os.close(conn.detach())
+
+
 def read_head(file):
     """Return the start line and the fields of one message, or None at the end."""
     line = file.readline().decode("latin-1").rstrip("\r\n")
@@ -223,12 +234,24 @@
         self.name, self.serve = name, serve
         self.listener = socket.create_server((HOST, 0), backlog=128)
         self.port = self.listener.getsockname()[1]
+        self.conns = set()
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self):
-        while True:
-            conn = self.listener.accept()[0]
-            threading.Thread(target=self._handle, args=(conn,), daemon=True).start()
+        with suppress(OSError):
+            while True:
+                conn = self.listener.accept()[0]
+                self.conns.add(conn)
+                args = (conn,)
+                threading.Thread(target=self._handle, args=args, daemon=True).start()
+
+    def crash(self):
+        """Refuse new connections and reset the open ones."""
+        with suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for conn in list(self.conns):
+            reset(conn)
 
     def _handle(self, conn):
         count = 0
@@ -260,6 +283,86 @@
     return "\r\n".join(lines).encode() + body
 
 
+class Run:
+    """Work of one engine on one request; times are seconds, ``ended`` None before."""
+
+    def __init__(self, name, engine, source):
+        self.name, self.engine, self.source = name, engine, source
+        self.began, self.ended = time.monotonic(), None
+        self.loses_answer = False
+
+
+class Engines:
+    """Engines, one in each of ``zones``, that keep backups of each other's runs.
+
+    A stream has ``events`` events, one each ``interval`` seconds. ``lose(run)`` returns
+    after how many events a run's connection is reset while the engine works on it to
+    its end, None if it isn't.
+    """
+
+    def __init__(self, store, record, zones, events, interval, lose=lambda run: None):
+        self.runs, self.workers = [], {}
+        self.events, self._interval = events, interval
+        self._record, self._lose = record, lose
+        # The engine that keeps the backup of each request, and engines by address.
+        self._copies, self._addresses = {}, {}
+        for number, zone in enumerate(zones, 1):
+            name = f"i-{number}"
+            worker = self.workers[name] = Worker(name, self._make_serve(name))
+            self._addresses[f"{HOST}:{worker.port}"] = name
+            worker.register(store, "llm", zone, slots=64)
+
+    def list_copied_to(self, engine):
+        """Return the requests of which an engine keeps a backup."""
+        return [name for name, kept in self._copies.items() if kept == engine]
+
+    def _make_serve(self, engine):
+        return lambda conn, fields, count: self._serve(engine, conn, fields)
+
+    def _serve(self, engine, conn, fields):
+        name, source = fields["x-request-id"], fields.get("kv-from")
+        head = f"X-Request-Id: {name}\r\nX-Server-Load: 1,0,64,100\r\n"
+        if source and self._copies.get(name) != engine:
+            self._record(f"{engine} has no copy of {name}")
+            refusal = f"HTTP/1.1 503 No\r\nX-Not-Run: 1\r\n{head}Content-Length: 0"
+            conn.sendall(f"{refusal}\r\n\r\n".encode())
+            return
+        if fields.get("x-kv-backup"):
+            self._copies[name] = self._addresses[fields["x-kv-backup"]]
+        first = int(fields.get("last-event-id") or 0) + 1
+        run = Run(name, engine, source)
+        self.runs.append(run)
+        kept = f"Kv-From {source}, backup at {self._copies.get(name)}"
+        self._record(f"{engine} runs {name} from event {first}, {kept}")
+        lost_after = None if source else self._lose(run)
+        with suppress(OSError):
+            conn.sendall(
+                f"HTTP/1.1 200 OK\r\n{head}X-Server-Stamp: {engine}.{name}\r\n"
+                "Content-Type: text/event-stream\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n".encode()
+            )
+            self._generate(run, conn, first, lost_after)
+        run.ended = time.monotonic()
+        self._record(f"{engine} has ended its work on {name}")
+
+    def _generate(self, run, conn, first, lost_after):
+        """Send the events; go on without a connection once the answer is lost.
+
+        Without a loss, a request whose connection has closed is dropped.
+        """
+        for number in range(first, self.events + 1):
+            time.sleep(self._interval)
+            event = f"id: {number}\ndata: {run.name} {number}\n\n".encode()
+            if number == lost_after:
+                self._record(f"{run.engine} resets {run.name} and works on")
+                run.loses_answer = True
+                reset(conn)
+            if not run.loses_answer:
+                conn.sendall(b"%x\r\n%b\r\n" % (len(event), event))
+        if not run.loses_answer:
+            conn.sendall(b"0\r\n\r\n")
+
+
 class Gateway:
     """One gateway process, started with the command of the deploy file."""
 
@@ -360,6 +463,65 @@
         conn.close()
 
 
+# A service of engines that keep backups, and a route to it for streams that can't be
+# resumed, like those of andesur-flota.
+ENGINE_SERVICE = {
+    "name": "llm",
+    "healthPath": "/health",
+    "maxConns": 360,
+    "engine": {
+        "slots": 64,
+        "kvCapacity": 373010,
+        "kvTokenBytes": 327680,
+        "linkMbps": 370000,
+        "moves": True,
+        "backups": True,
+        "handleTtlS": 4,
+        "stride": 3,
+    },
+}
+STREAM_ROUTE = {
+    "name": "chat",
+    "host": "a.example",
+    "prefix": "/chat/",
+    "kind": "streaming",
+    "timeoutMs": 15000,
+    "sloMs": 400,
+    "gapTargetMs": 250,
+    "priority": 2,
+    "service": "llm",
+    "attempts": 1,
+    "sticky": True,
+}
+TENANTS = [{"name": "insurer", "apiKeys": ["key1"]}]
+
+
+def call_stream(number, events, port, record):
+    """Send one request for a stream and record how many events are answered."""
+    name = f"chat-{number}"
+    fields = {
+        "X_Model": "m",
+        "X_Token_Count": f"543,{events * 3}",
+        "X_Deadline_Ms": "15000",
+        "X_Prompt_Prefix": f"5c1e07a2:103,{number:08x}:440",
+    }
+    answer = send(port, name, "/chat/x", body=b"hello", timeout=20, **fields)
+    status, _, body = answer
+    record(f"client gets {status} for {name} with {body.count(b'id:')} events")
+    return answer
+
+
+def start_streams(count, spacing, events, port, record):
+    """Send requests for streams, so many seconds apart; return their threads."""
+    threads = []
+    for number in range(count):
+        args = (number, events, port, record)
+        threads.append(threading.Thread(target=call_stream, args=args))
+        threads[-1].start()
+        time.sleep(spacing)
+    return threads
+
+
 def main(folder, run):
     """Run a case in a temporary folder and exit with its result.
 
