Read TROUBLE in the folder of each case

The shared stand-ins read it, so that review/6 named it nowhere. Each case now reads it itself and passes it on; what is played is unchanged.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -5,6 +5,7 @@
 not all workers drop a request when its connection closes.
 """
 
+import os
 import sys
 import threading
 import time
@@ -93,4 +94,4 @@
     return broken > 0
 
 
-main(FOLDER, run)
+main(FOLDER, run, os.environ.get("TROUBLE", "1") != "0")
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -522,16 +522,16 @@
     return threads
 
 
-def main(folder, run):
+def main(folder, run, trouble):
     """Run a case in a temporary folder and exit with its result.
 
     ``run(record, temporary, gateways, trouble)`` returns whether the rule was broken;
-    it adds each Gateway that it starts to ``gateways``.
+    it adds each Gateway that it starts to ``gateways``. Without ``trouble`` it leaves
+    the disruption out.
     """
     signal.signal(signal.SIGTERM, lambda *args: sys.exit(2))
     record, gateways = Record(folder), []
     temporary = tempfile.mkdtemp()
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         broken = run(record, temporary, gateways, trouble)
         record(f"trouble {trouble}: the rule was {'broken' if broken else 'kept'}")
