End an engine's run before its request goes on elsewhere

What callers saw: nothing; their streams were whole.

Cause: the end of a connection counted as the end of the run behind it. Evidence: between the lines `attempt failed` (ECONNRESET) and `stream backup used` lie some milliseconds and no call; the stand-in's record shows the first engine at work to its last event. Resumable streams that are sent again, moves left without an answer to their last call and requests sent on from a copy that broke off before their head took the same conclusion.

Change: a request to an engine whose connection broke off, or was closed here, is noted as open there. It is sent nowhere before the engine was told to stop the run (it then goes on from that copy), has reported that it doesn't run it, in a report asked for 0.5 s after the break or later, or is reached by nobody. Without a result in 1.5 s the answer is cut. The report's list form is read, and a refused connection has a type of its own, which tests.test_connections now expects where it expected the more general one.

Why it works: both calls are answered by the engine itself, and a process that accepts no connections and that other instances don't reach either has ended. An engine that nobody can ask gets no second one beside it.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -417,25 +417,36 @@
             relay.may_have_run = True
             self._count_usage(relay)
             self._detours.record_broken(relay, exc, now)
+            self.mover.record_open_run(relay, exc)
         self._detours.end_failed(relay, exc, now)
         self.recover(relay, exc)
 
     def recover(self, relay, exc):
-        """Continue or retry a request after a failed attempt, or give up."""
-        if relay.ended or self.mover.continue_from_backup(relay, exc):
-            return
-        if not relay.route.repeatable and relay.may_have_run:
-            self.give_up(relay, exc)
+        """Continue or retry a request after a failed attempt, or give up.
+
+        Engines that may still work on it are told to stop first.
+        """
+        if relay.ended:
             return
-        if relay.exchange.started and not relay.route.resumable:
+        has_backup = self.mover.may_use_backup(relay, exc)
+        if not has_backup and not self._may_resend(relay):
             self.give_up(relay, exc)
-            return
-        if relay.route.resumable:
-            relay.events.restart()
-        if self._may_retry(relay):
+        elif relay.open_runs:
+            self.mover.end_open_run(relay, exc)
+        elif has_backup:
+            self.mover.continue_from_backup(relay, exc)
+        else:
+            if relay.route.resumable:
+                relay.events.restart()
             self._place_again(relay)
-            return
-        self.give_up(relay, exc)
+
+    def _may_resend(self, relay):
+        """Return whether a request may be sent again after a failed attempt."""
+        if relay.may_have_run and not relay.route.repeatable:
+            return False
+        if relay.exchange.started and not relay.route.resumable:
+            return False
+        return self._may_retry(relay)
 
     def leave_path(self, relay):
         """Send a request again whose connection is silent, unless that is unsafe.
--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -17,6 +17,7 @@
     UNKNOWN,
     BadRequest,
     ConnectionBroken,
+    ConnectionRefused,
     PathBroken,
     PathSilent,
     PathUnavailable,
@@ -512,7 +513,9 @@
             self._fail(state, str(exc), TUNNEL_FAILURES[type(exc)])
             return
         reason = f": {errno.errorcode.get(exc.errno, exc.errno)}" if exc else ""
-        self._fail(state, f"The connection broke off{reason}.", ConnectionBroken)
+        refused = isinstance(exc, ConnectionRefusedError)
+        exc_type = ConnectionRefused if refused else ConnectionBroken
+        self._fail(state, f"The connection broke off{reason}.", exc_type)
 
     def _fail(self, state, detail, exc_type=UpstreamFailed):
         conn = state.conn
--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -206,6 +206,10 @@
     """The connection to an upstream closed before the answer was complete."""
 
 
+class ConnectionRefused(ConnectionBroken):
+    """Nothing accepts connections at an upstream's address."""
+
+
 class PathSilent(UpstreamSilent):
     """An upstream is silent on old connections but answers on a new one."""
 
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -95,6 +95,7 @@
         "buffered_size",
         "limit",
         "may_have_run",
+        "open_runs",
         "move",
         "organisation",
         "origin",
@@ -171,6 +172,8 @@
         # and whether it did so; the copy that the current attempt is to go on from.
         self.continuable = self.continued = False
         self.copy = None
+        # Registrations of the engines that may still work on the request.
+        self.open_runs = ()
         # The Move of the stream, the engines that refused one, and the registration of
         # the engine that keeps a backup.
         self.move = None
--- a/src/chervilwing/stream_moves/calls.py
+++ b/src/chervilwing/stream_moves/calls.py
@@ -10,6 +10,8 @@
 from .move_state import Result
 
 JSON_FIELDS = {"content-type": "application/json"}
+# Results by status of a report call, where a server doesn't know its path or method.
+REPORT_FAILURES = dict.fromkeys((404, 405, 501), Result.NOT_OFFERED)
 # Results by status of a copy call whose answer has no handle.
 RESULTS = {404: Result.NO_RUN, 409: Result.BUSY, 503: Result.REFUSED}
 
@@ -66,7 +68,7 @@
     the ``last`` one; ``write_free`` accepts a handle; ``write_report`` accepts nothing.
     Each returns an EngineCall. ``read_copy`` accepts an answer's status and body and
     returns a CopyAnswer. ``read_report`` accepts a request id too, and returns whether
-    its run is RUNNING or STOPPED, or LOST if the answer doesn't tell.
+    its run is RUNNING or STOPPED, LOST if the answer doesn't tell, or NOT_OFFERED.
     """
 
     write_copy: Callable
@@ -105,7 +107,7 @@
     def read_report(status, body, request_id):
         runs = _read_object(body).get(names.runs)
         if status != 200 or not isinstance(runs, list | dict):
-            return Result.LOST
+            return REPORT_FAILURES.get(status, Result.LOST)
         ids = {_read_run(item, names.request_id) for item in runs}
         return Result.RUNNING if request_id in ids else Result.STOPPED
 
@@ -122,5 +124,7 @@
 
 
 def _read_run(item, field):
-    """Return the request id of an entry of the report: a text or an object."""
+    """Return the request id of an entry of the report: a text, a list or an object."""
+    if isinstance(item, list):
+        return str(item[0]) if item else ""
     return str(item.get(field)) if isinstance(item, dict) else str(item)
--- a/src/chervilwing/stream_moves/move_runner.py
+++ b/src/chervilwing/stream_moves/move_runner.py
@@ -6,10 +6,12 @@
 
 from ..clocks import read_boottime
 from ..connections import Call, CallHandlers
-from ..exceptions import ChervilwingError, ConnectionBroken
+from ..detours import TUNNEL_TIMEOUT
+from ..exceptions import NOT_RUN, ChervilwingError, ConnectionBroken, PathBroken
 from ..logs import log_event
 from ..registrations import get_process
 from .calls import StreamCopy
+from .engine_checks import EngineChecks
 from .move_state import Action, MoveState, Result, Step
 
 # Seconds that a connection for a call may take to open, and that the last call may
@@ -18,8 +20,10 @@
 STOP_TIMEOUT = 1.0
 # Shortest timeout in seconds of a copy call, whatever is left of the notice.
 MIN_COPY_TIMEOUT = 0.3
-# Seconds until a call is repeated.
+# Seconds until a call is repeated. After a broken connection, this doubles each time.
 REPEAT_INTERVAL = 0.05
+# Seconds by which an engine's report may be out of date.
+MAX_REPORT_AGE = 0.5
 # Seconds to wait for the events that a stopped engine sent before its answer. The
 # stream usually ends before the answer; what isn't read by then is generated again.
 DRAIN_TIME = 0.05
@@ -31,9 +35,9 @@
 class Move:
     """One move of one request: its state, engines and times in seconds.
 
-    ``closed`` is the failure with which the stream ended while the engine was told to
-    stop it. ``ended_in_order`` is set if it closed its connection in order instead,
-    which may also be the whole stream's end.
+    ``closed`` is the failure with which the stream ended, while the engine was told to
+    stop it or, with ``after_break``, before that. ``ended_in_order`` is set if it
+    closed its connection in order instead, which may also be the whole stream's end.
     """
 
     def __init__(self, relay, source, target, leaves_at, now):
@@ -44,6 +48,7 @@
         self.state = MoveState(leaves_at)
         self.began_at = self.stopped_at = now
         self.closed = None
+        self.after_break = False
         self.ended_in_order = False
         self.due_at, self.due = inf, None
         # The call of the continued request, None before that.
@@ -59,8 +64,9 @@
 class MoveRunner:
     """Runs the moves of this instance.
 
-    ``moves`` holds those in progress by the name of the leaving engine. ``on_closed``
-    is called with each Move that has ended.
+    ``moves`` holds those in progress by the name of the leaving engine, and ``ending``
+    those that began after a broken connection. ``on_closed`` is called with each other
+    Move that has ended.
     """
 
     def __init__(self, gateway, attempts, client, calls):
@@ -69,7 +75,11 @@
         self._client = client
         self._calls = calls
         self.on_closed = lambda move: None
+        self._engine_checks = EngineChecks(gateway, client)
         self.moves = {}
+        self.ending = set()
+        # How the runs ended whose connections broke off, by the result that showed it.
+        self.ended = Counter()
         self.begun = self.completed = 0
         self.failed = Counter()
 
@@ -79,9 +89,15 @@
         self.begun += 1
         self._act(move, move.state.begin())
 
+    def begin_ending(self, move, step):
+        """Begin a move with a step after a broken connection."""
+        move.after_break = True
+        self.ending.add(move)
+        self._act(move, move.state.begin_ending(step))
+
     def run_due_calls(self, now):
         """Make the calls that were put off until now."""
-        for move in list(self.moves.values()):
+        for move in [*self.moves.values(), *self.ending]:
             if now >= move.due_at:
                 self.run_due(move)
 
@@ -91,8 +107,17 @@
     def record(self, move, result, handle=""):
         """Apply a result and do what follows from it."""
         action = move.state.record(result, handle, read_boottime())
+        if move.state.run_ended:
+            process, relay = get_process(move.source), move.relay
+            relay.open_runs = tuple(
+                item for item in relay.open_runs if get_process(item) != process
+            )
         self._act(move, action)
 
+    def _repeat(self, move, action):
+        doublings = move.state.calls - 2 if move.after_break else 0
+        self._delay(move, action, REPEAT_INTERVAL * 2**doublings)
+
     def _delay(self, move, action, seconds):
         move.due_at, move.due = read_boottime() + seconds, action
 
@@ -120,17 +145,20 @@
         def handle_answer(status, body):
             self._handle_answer(move, *self._calls.read_copy(status, body))
 
-        self._call(move.source.address, call, timeout, handle_answer)
+        self._call(move, call, timeout, handle_answer)
 
     def _ask(self, move):
-        request_id = move.relay.demand.request_id
+        request_id, asked_at = move.relay.demand.request_id, read_boottime()
 
         def handle_answer(status, body):
             result = self._calls.read_report(status, body, request_id)
+            is_old = asked_at - move.began_at < MAX_REPORT_AGE
+            if result is Result.STOPPED and move.after_break and is_old:
+                # The report may be older than the run.
+                result = Result.LOST
             self._handle_answer(move, result)
 
-        call = self._calls.write_report()
-        self._call(move.source.address, call, STOP_TIMEOUT, handle_answer)
+        self._call(move, self._calls.write_report(), STOP_TIMEOUT, handle_answer)
 
     def _handle_answer(self, move, result, handle=""):
         """Apply an answer, or free the copy if the request needs it no more."""
@@ -141,22 +169,35 @@
             return
         self.record(move, result, handle)
 
-    def _call(self, address, call, timeout, on_answer):
-        """Make a call; an answer without a result has the status 0."""
+    def _handle_unanswered(self, move, exc):
+        """Apply the failure of a call, which may show that the engine has ended."""
+
+        def handle_result(gone):
+            self._handle_answer(move, Result.GONE if gone else Result.LOST)
+
+        self._engine_checks.check(move.source, exc, handle_result)
+
+    def _call(self, move, call, timeout, on_answer, on_failed=None):
+        """Make a call to a move's source."""
+        name, now = move.source.name, read_boottime()
+        peer = None
+        if self._gateway.paths.needs_detour(name):
+            peer = self._gateway.tunnel_peers.choose(now)
         parts, answered = [], []
         handlers = CallHandlers(
             head=lambda status, headers: answered.append(status),
             data=parts.append,
             done=lambda: on_answer(answered[0], b"".join(parts)),
-            failed=lambda exc: on_answer(0, b""),
+            failed=on_failed or partial(self._handle_unanswered, move),
         )
         call = Call(
-            address,
+            move.source.address,
             *call,
-            connect_timeout=CONNECT_TIMEOUT,
+            connect_timeout=CONNECT_TIMEOUT if peer is None else TUNNEL_TIMEOUT,
             silence_timeout=timeout,
             probe_if_silent=False,
             max_idle_time=MAX_IDLE,
+            via=peer,
         )
         self._client.submit(call, handlers)
 
@@ -217,24 +258,46 @@
             outcome=exc.outcome,
             detail=exc.detail,
         )
+        self.record_open_run(relay, exc)
         self._attempts.end_attempt(relay, failed=True)
         self.record(move, Result.NOT_STARTED)
 
+    def record_open_run(self, relay, exc):
+        """Record that an engine may still work on a request after a failed attempt.
+
+        A request without an id of its caller's can't be named to the engine, and one
+        behind a lost tunnel isn't reached.
+        """
+        has_id = relay.headers.get("x-request-id") == relay.demand.request_id
+        if exc.outcome == NOT_RUN or isinstance(exc, PathBroken) or not has_id:
+            return
+        relay.open_runs += (relay.upstream_state.registration,)
+
     def _leave(self, move):
         """End a move; a stream that was stopped counts as failed."""
-        relay = move.relay
-        relay.refused_targets += (move.target.name,)
+        relay, state = move.relay, move.state
+        if not move.after_break or state.cause == Result.NOT_STARTED.value:
+            relay.refused_targets += (move.target.name,)
         self.close(move)
         if move.sent_call is None and not move.ended_in_order and relay.call:
             return
-        if move.ended_in_order and move.state.cause == Result.NO_RUN.value:
+        if move.ended_in_order and state.cause == Result.NO_RUN.value:
             self._attempts.handle_done(relay)
             return
         if relay.call is not None:
             self._attempts.end_attempt(relay, failed=None, cancel=True)
         relay.may_have_run = True
         exc = move.closed or ConnectionBroken("The stream ended during its move.")
-        self._attempts.recover(relay, exc)
+        if state.run_ended:
+            self._attempts.recover(relay, exc)
+        elif not move.after_break:
+            relay.open_runs += (move.source,)
+            self._attempts.recover(relay, exc)
+        elif state.cause == Result.NOT_OFFERED.value and relay.route.repeatable:
+            relay.open_runs = ()
+            self._attempts.recover(relay, exc)
+        else:
+            self._attempts.give_up(relay, exc)
 
     def close(self, move):
         """Remove a move from those in progress, and free a copy that wasn't used."""
@@ -243,11 +306,12 @@
         state, now = move.state, read_boottime()
         is_backup = move.source is move.target
         if state.cause and state.handle and not is_backup:
-            call = self._calls.write_free(state.handle)
-            address = move.source.address
-            self._call(address, call, STOP_TIMEOUT, lambda status, body: None)
+            self._free_copy(move)
         if is_backup:
             return
+        if move.after_break:
+            self._close_ending(move)
+            return
         if state.cause:
             self.failed[state.cause] += 1
         else:
@@ -264,17 +328,34 @@
         )
         self.on_closed(move)
 
+    def _close_ending(self, move):
+        """Record how a run ended whose connection broke off."""
+        self.ending.discard(move)
+        result = move.state.cause or "continued"
+        self.ended[result] += 1
+        log_event(
+            "earlier run ended" if move.state.run_ended else "earlier run not ended",
+            request=move.relay.demand.request_id,
+            upstream=move.source.name,
+            result=result,
+            calls=move.state.calls,
+            seconds=round(read_boottime() - move.began_at, 4),
+        )
+
+    def _free_copy(self, move):
+        """Free a copy at both engines; its time limit does so if the call fails."""
+        call = self._calls.write_free(move.state.handle)
+        ignore = lambda *args: None
+        self._call(move, call, STOP_TIMEOUT, ignore, ignore)
+
 
 ACTIONS = {
     Action.COPY: MoveRunner._copy,
-    Action.COPY_LATER: partial(
-        MoveRunner._delay, action=Action.COPY, seconds=REPEAT_INTERVAL
-    ),
+    Action.COPY_LATER: partial(MoveRunner._repeat, action=Action.COPY),
     Action.STOP: MoveRunner._stop,
-    Action.STOP_LATER: partial(
-        MoveRunner._delay, action=Action.STOP, seconds=REPEAT_INTERVAL
-    ),
+    Action.STOP_LATER: partial(MoveRunner._repeat, action=Action.STOP),
     Action.ASK: MoveRunner._ask,
+    Action.ASK_LATER: partial(MoveRunner._repeat, action=Action.ASK),
     Action.SEND_TO_TARGET: MoveRunner._send_to_target,
     Action.SEND_TO_SOURCE: MoveRunner._send_to_target,
     Action.SEND_NOW: MoveRunner._send_now,
--- a/src/chervilwing/stream_moves/move_state.py
+++ b/src/chervilwing/stream_moves/move_state.py
@@ -1,15 +1,27 @@
-"""State of one move: receives the results of its calls and says the next one."""
+"""State of one move: receives the results of its calls and says the next one.
+
+A move begins while the stream runs, or after its connection broke off: the engine may
+then still work on the request, which must not go on elsewhere before that has ended.
+"""
 
 from enum import Enum
 from math import inf
 
 
 class Step(Enum):
-    """What a move waits for: a call's answer, or that of the continued request."""
+    """What a move waits for: a call's answer, or that of the continued request.
+
+    After a broken connection a move begins with ENDING if the stream can go on from the
+    copy of its run, with DISCARDING if it can't, and with CHECKING if the engine can
+    only be asked whether it still works on the request.
+    """
 
     COPYING = "copying"
     STOPPING = "stopping"
     ASKING = "asking"
+    ENDING = "ending"
+    DISCARDING = "discarding"
+    CHECKING = "checking"
     AT_TARGET = "at_target"
     AT_SOURCE = "at_source"
     ENDED = "ended"
@@ -19,8 +31,9 @@
     """Result of a call or of sending the request on.
 
     KEPT is a refusal after which the source still has the copy. LOST means that the
-    outcome is unknown. NOT_STARTED means that an engine didn't continue the run, and
-    that the handle still is unused or refused by every other engine.
+    outcome is unknown, GONE that nobody reaches the engine any more, and NOT_OFFERED
+    that it doesn't know the call. NOT_STARTED means that an engine didn't continue the
+    run, and that the handle still is unused or refused by every other engine.
     """
 
     COPIED = "copied"
@@ -29,6 +42,8 @@
     NO_RUN = "no_run"
     BUSY = "busy"
     LOST = "lost"
+    GONE = "gone"
+    NOT_OFFERED = "not_offered"
     RUNNING = "running"
     STOPPED = "stopped"
     STARTED = "started"
@@ -43,6 +58,7 @@
     STOP = "stop"
     STOP_LATER = "stop_later"
     ASK = "ask"
+    ASK_LATER = "ask_later"
     SEND_TO_TARGET = "send_to_target"
     SEND_TO_SOURCE = "send_to_source"
     SEND_NOW = "send_now"
@@ -67,26 +83,49 @@
     # Whether the run has stopped or not, only the same call returns its handle.
     (Step.ASKING, Result.RUNNING): (Step.STOPPING, Action.STOP_LATER),
     (Step.ASKING, Result.STOPPED): (Step.STOPPING, Action.STOP_LATER),
+    (Step.ENDING, Result.COPIED): (Step.AT_TARGET, Action.SEND_TO_TARGET),
+    (Step.ENDING, Result.KEPT): (Step.AT_SOURCE, Action.SEND_TO_SOURCE),
+    (Step.ENDING, Result.REFUSED): (Step.ENDING, Action.STOP_LATER),
+    (Step.ENDING, Result.BUSY): (Step.ENDING, Action.STOP_LATER),
+    (Step.ENDING, Result.LOST): (Step.ENDING, Action.STOP_LATER),
+    (Step.DISCARDING, Result.REFUSED): (Step.DISCARDING, Action.STOP_LATER),
+    (Step.DISCARDING, Result.BUSY): (Step.DISCARDING, Action.STOP_LATER),
+    (Step.DISCARDING, Result.LOST): (Step.DISCARDING, Action.STOP_LATER),
+    (Step.CHECKING, Result.RUNNING): (Step.CHECKING, Action.ASK_LATER),
+    (Step.CHECKING, Result.LOST): (Step.CHECKING, Action.ASK_LATER),
     (Step.AT_TARGET, Result.STARTED): (Step.ENDED, Action.DONE),
     (Step.AT_TARGET, Result.NOT_STARTED): (Step.AT_SOURCE, Action.SEND_TO_SOURCE),
     (Step.AT_SOURCE, Result.STARTED): (Step.ENDED, Action.DONE),
 }
-REPEATED = {Action.COPY_LATER, Action.STOP_LATER, Action.ASK}
+REPEATED = {Action.COPY_LATER, Action.STOP_LATER, Action.ASK, Action.ASK_LATER}
+
+# Results after which the source doesn't work on the request any more, by step.
+STOPPED = (Result.COPIED, Result.KEPT, Result.NO_RUN, Result.GONE)
+RUN_ENDS = {
+    Step.COPYING: (Result.NO_RUN, Result.GONE),
+    Step.STOPPING: STOPPED,
+    Step.ASKING: (Result.GONE,),
+    Step.ENDING: STOPPED,
+    Step.DISCARDING: STOPPED,
+    Step.CHECKING: (Result.STOPPED, Result.GONE),
+}
 
 
 class MoveState:
     """State of one move.
 
     ``handle`` names the copy once an answer has stated it. ``cause`` is the result that
-    ended the move without success, empty otherwise.
+    ended the move without success, empty otherwise. ``run_ended`` is set once the
+    source is known not to work on the request any more, and ``calls`` counts the calls.
     """
 
     def __init__(self, give_up_at=inf):
         self.step = Step.COPYING
         self.handle = ""
         self.cause = ""
+        self.run_ended = False
+        self.calls = 1
         self._give_up_at = give_up_at
-        self._calls = 1
 
     @property
     def is_stopping(self):
@@ -107,9 +146,14 @@
         """Return the first Action."""
         return Action.COPY
 
+    def begin_ending(self, step):
+        """Begin with a step after a broken connection; return the first Action."""
+        self.step = step
+        return Action.ASK if step is Step.CHECKING else Action.STOP
+
     def use_backup(self, handle):
         """Begin where the engine that keeps a backup takes the place of the source."""
-        self.step, self.handle = Step.AT_SOURCE, handle
+        self.step, self.handle, self.run_ended = Step.AT_SOURCE, handle, True
 
     def record(self, result, handle="", now=0.0):
         """Apply a Result and return the next Action.
@@ -118,10 +162,11 @@
         at which the source ends.
         """
         self.handle = handle or self.handle
+        self.run_ended = self.run_ended or result in RUN_ENDS.get(self.step, ())
         step, action = TRANSITIONS.get((self.step, result), (Step.ENDED, Action.LEAVE))
         if action in REPEATED:
-            self._calls += 1
-            if self._calls > MAX_CALLS or now >= self._give_up_at:
+            self.calls += 1
+            if self.calls > MAX_CALLS or now >= self._give_up_at:
                 step, action = Step.ENDED, Action.LEAVE
         if action is Action.LEAVE:
             self.cause = result.value
--- a/src/chervilwing/stream_moves/mover.py
+++ b/src/chervilwing/stream_moves/mover.py
@@ -11,13 +11,16 @@
 from .backups import Backups
 from .candidates import list_candidates, make_stream
 from .move_runner import Move, MoveRunner
-from .move_state import Result
-from .planner import choose_move, list_cut_off
+from .move_state import Result, Step
+from .planner import choose_move, choose_target, list_cut_off
 
 # Seconds left until a request's deadline below which it isn't worth a move.
 MIN_TIME_LEFT = 0.3
 # Targets that may refuse one stream.
 MAX_TARGETS = 2
+# Seconds for which an engine is asked to end a run whose connection broke off. Callers
+# give up a stream after a pause of two seconds.
+MAX_ENDING_TIME = 1.5
 # Part of the bound on leaving upstreams that is left when this instance learns of one.
 USABLE_NOTICE = 0.8
 # Seconds for which an engine is remembered that should have ended, so that a repeated
@@ -145,17 +148,60 @@
             move.state.end("ended")
             self._runner.close(move)
 
-    def continue_from_backup(self, relay, exc):
-        """Send a request on from its backup; return whether that was possible.
+    def record_open_run(self, relay, exc):
+        """Record that an engine may still work on a request after a failed attempt."""
+        if self._has_calls and relay.pool.spec.engine is not None:
+            self._runner.record_open_run(relay, exc)
+
+    def end_open_run(self, relay, exc):
+        """End the run of an earlier attempt, whose connection's end doesn't show that.
 
-        Only after a broken connection is the earlier engine known to work on the
-        request no more.
+        The request goes on from the copy of that run, or is recovered again once the
+        run is known to have ended. If that can't be found out, it is given up.
         """
+        now, source = read_boottime(), relay.open_runs[0]
+        target = self._choose_copy_target(relay, source, now)
+        may_go_on = not relay.continued and len(relay.refused_targets) < MAX_TARGETS
+        if target is None:
+            step = Step.CHECKING
+        elif may_go_on and relay.events is not None and relay.events.last_id:
+            step = Step.ENDING
+        else:
+            step = Step.DISCARDING
+        until = min(relay.deadline, now + MAX_ENDING_TIME)
+        move = relay.move = Move(relay, source, target, until, now)
+        move.closed = exc
+        self._runner.begin_ending(move, step)
+
+    def _choose_copy_target(self, relay, source, now):
+        """Return the Registration of an engine to which a run may be copied, or None.
+
+        The call that stops a run names one, with or without room.
+        """
+        pool, engine = relay.pool, relay.pool.spec.engine
+        if not engine.moves or self._gateway.cfg.stream_moves != AUTO:
+            return None
+        if relay.backup is not None and relay.backup.name != source.name:
+            return relay.backup
+        interval = self.backups.pace_of(pool).interval
+        stream = make_stream(relay, relay.deadline, interval, now)
+        candidates = self.backups.list_candidates(relay, now)
+        candidates = [item for item in candidates if item.name != source.name]
+        target = choose_target(stream, candidates, engine) or next(
+            iter(candidates), None
+        )
+        return target and pool.upstream_states[target.name].registration
+
+    def may_use_backup(self, relay, exc):
+        """Return whether a request may be sent on from its backup after a failure."""
+        broken = isinstance(exc, ConnectionBroken) or type(exc) is UpstreamFailed
+        has_backup = self.backups.find(relay, read_boottime()) is not None
+        return broken and has_backup and self._may_send_on(relay)
+
+    def continue_from_backup(self, relay, exc):
+        """Send a request on from its backup."""
         now = read_boottime()
         backup = self.backups.find(relay, now)
-        broken = isinstance(exc, ConnectionBroken) or type(exc) is UpstreamFailed
-        if backup is None or not broken or not self._may_send_on(relay):
-            return False
         move = Move(relay, backup, backup, relay.deadline, now)
         move.state.use_backup(relay.demand.request_id)
         move.closed = exc
@@ -169,7 +215,6 @@
             last_event=relay.events.last_id,
         )
         self._runner.send(move, backup)
-        return True
 
     def _may_send_on(self, relay):
         now = read_boottime()
@@ -250,10 +295,12 @@
         """Return the figures of moves and backups by the last part of their metric."""
         runner = self._runner
         failed = {f'moves_failed{{cause="{k}"}}': n for k, n in runner.failed.items()}
+        ended = {f'runs_ended{{result="{k}"}}': n for k, n in runner.ended.items()}
         return {
             "moves_begun": runner.begun,
             "moves_completed": runner.completed,
             **failed,
             "backups_held": len(self.backups.budget),
             "backups_used": self.backups.used,
+            **ended,
         }
--- a/tests/moving_upstreams.py
+++ b/tests/moving_upstreams.py
@@ -63,7 +63,9 @@
 
     ``faults`` maps "copy", "last" or "report" to what happens once: "lose" loses the
     call's answer, "hang" delays it, "die" ends the engine. "refuse" maps to whether the
-    last call is refused, or the first.
+    last call is refused, or the first. After ``resets_after`` events of a new stream it
+    resets the connection and works on; while ``silent_calls`` is set, it resets those
+    of calls. Its report is ``report_lag`` seconds old.
     """
 
     def __init__(self, shared, pace=0.02, copy_time=0.02):
@@ -74,6 +76,8 @@
         self.moves, self.dead = 0, False
         # Whether streams are sent in chunks; events after which they end by themselves.
         self.chunked, self.ends_after = True, None
+        self.resets_after, self.silent_calls, self.report_lag = None, False, 0.0
+        self.spans = []
         super().__init__(None)
         self.address = f"{HOST}:{self.port}"
         shared.engines[self.address] = self
@@ -106,11 +110,14 @@
 
     def answer_call(self, conn, method, path, body):
         """Answer a call about copies."""
+        if self.silent_calls:
+            reset(conn)
+            return
         if method == "DELETE":
             self.free(path.rpartition("/")[2])
             status, value = 200, {}
         elif path == "/-/report":
-            status, value = 200, {"runs": list(self.stops)}
+            status, value = 200, {"runs": self.list_runs()}
             self.meet_fault("report", conn)
         else:
             call = json.loads(body)
@@ -123,6 +130,13 @@
         head = f"HTTP/1.1 {status} x\r\nContent-Length: {len(data)}\r\n\r\n"
         conn.sendall(head.encode() + data)
 
+    def list_runs(self):
+        """Return the runs of some time ago, in the form of the platform's report."""
+        at = time.monotonic() - self.report_lag
+        spans = [(name, began, ended) for name, (began, ended) in self.spans]
+        names = [n for n, began, ended in spans if began <= at < (ended or at + 1)]
+        return [[name, 800, 1, 1] for name in names]
+
     def meet_fault(self, kind, conn):
         """Lose the answer of a call if the test wants it."""
         if self.faults.get(kind) == "lose":
@@ -190,6 +204,7 @@
         run = self.shared.runs.setdefault(name, Run(length))
         span = [time.monotonic(), None]
         run.served.append(span)
+        self.spans.append((name, span))
         stop = self.stops[name] = threading.Event()
         try:
             encode = encode_chunk if self.chunked else bytes
@@ -197,7 +212,10 @@
             for number in range(int(fields.get("last-event-id", 0)) + 1, length + 1):
                 if stop.wait(self.pace) or self.dead:
                     return False
-                conn.sendall(encode(b"id: %d\ndata: v1\n\n" % number))
+                if number == self.resets_after and "kv-from" not in fields:
+                    reset(conn)
+                if conn.fileno() >= 0:
+                    conn.sendall(encode(b"id: %d\ndata: v1\n\n" % number))
                 backup = self.shared.engines.get(fields.get("x-kv-backup"))
                 if backup is not None:
                     backup.backups[name] = number
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -11,6 +11,7 @@
     NOT_RUN,
     UNKNOWN,
     ConnectionBroken,
+    ConnectionRefused,
     PathSilent,
     UpstreamFailed,
     UpstreamSilent,
@@ -197,7 +198,7 @@
             self.check_failure(recorder, kind, UNKNOWN)
         port = upstream.port
         upstream.close()
-        self.check_failure(self.call(port), ConnectionBroken, NOT_RUN)
+        self.check_failure(self.call(port), ConnectionRefused, NOT_RUN)
 
     def test_idle_connections_of_a_silent_path_are_closed(self):
         # A middlebox has dropped the state of all open connections; new ones work.
--- a/tests/test_move_decisions.py
+++ b/tests/test_move_decisions.py
@@ -19,7 +19,7 @@
     list_cut_off,
 )
 from chervilwing.stream_moves.calls import CopyAnswer, StreamCopy
-from chervilwing.stream_moves.move_state import MAX_CALLS
+from chervilwing.stream_moves.move_state import MAX_CALLS, Step
 
 ENGINE = EngineSpec(4, 1000, 1000.0, 8e6, moves=True, backups=True)
 # Its copy takes 0.1 s, and 0.2 s to another data centre.
@@ -68,6 +68,31 @@
             with self.subTest(results=results):
                 self.expect(results, last, cause)
 
+    def test_a_run_counts_as_ended_only_once_that_is_known(self):
+        # Guards against two engines at work after a broken connection.
+        ending, checking = Step.ENDING, Step.CHECKING
+        for step, results, last, run_ended in (
+            (ending, (Result.COPIED,), Action.SEND_TO_TARGET, True),
+            (ending, (Result.KEPT,), Action.SEND_TO_SOURCE, True),
+            (ending, (Result.NO_RUN,), Action.LEAVE, True),
+            (ending, (Result.LOST, Result.GONE), Action.LEAVE, True),
+            (ending, (Result.LOST,), Action.STOP_LATER, False),
+            (ending, (Result.BUSY,), Action.STOP_LATER, False),
+            (ending, (Result.REFUSED,), Action.STOP_LATER, False),
+            (Step.DISCARDING, (Result.COPIED,), Action.LEAVE, True),
+            (Step.DISCARDING, (Result.KEPT,), Action.LEAVE, True),
+            (Step.DISCARDING, (Result.LOST,), Action.STOP_LATER, False),
+            (checking, (Result.RUNNING,), Action.ASK_LATER, False),
+            (checking, (Result.LOST,), Action.ASK_LATER, False),
+            (checking, (Result.STOPPED,), Action.LEAVE, True),
+            (checking, (Result.NOT_OFFERED,), Action.LEAVE, False),
+        ):
+            with self.subTest(step=step, results=results):
+                state = MoveState()
+                state.begin_ending(step)
+                actions = [state.record(result, "h") for result in results]
+                self.assertEqual((actions[-1], state.run_ended), (last, run_ended))
+
     def test_a_move_ends_although_no_call_does(self):
         # Guards against calls for ever, and beyond the end of the source.
         state, actions = play(*[Result.BUSY] * MAX_CALLS)
@@ -149,6 +174,10 @@
         self.assertEqual(read(200, b'{"runs": ["r"]}', "r"), Result.RUNNING)
         self.assertEqual(read(200, b'{"runs": [{"id": "r"}]}', "r"), Result.RUNNING)
         self.assertEqual(read(200, b'{"runs": ["q"]}', "r"), Result.STOPPED)
+        listed = b'{"runs": [["r", 800, 3, 1], []]}'
+        self.assertEqual(read(200, listed, "r"), Result.RUNNING)
+        self.assertEqual(read(200, listed, "q"), Result.STOPPED)
+        self.assertEqual(read(404, b"", "r"), Result.NOT_OFFERED)
         for status, body in ((200, b"{}"), (503, b'{"runs": []}'), (0, b"")):
             self.assertEqual(read(status, body, "r"), Result.LOST)
 
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -31,6 +31,15 @@
         super()._add(chunk)
         self.times.append(time.monotonic())
 
+    def read(self, caller, count=None):
+        super().read(caller, count)
+        self.ended_at = time.monotonic()
+
+    @property
+    def ended_after(self):
+        """Return the seconds from the last chunk to the end of the answer."""
+        return self.ended_at - self.times[-1]
+
     @property
     def longest_pause(self):
         """Return the longest time in seconds between two chunks."""
--- a/tests/test_stream_moves_randomised.py
+++ b/tests/test_stream_moves_randomised.py
@@ -1,4 +1,4 @@
-"""Random series of notices, crashes, kills and lost answers under moved streams.
+"""Random series of notices, crashes, kills and lost answers under running streams.
 
 Run more seeds by hand: python -m tests.test_stream_moves_randomised COUNT FIRST
 """
@@ -19,6 +19,7 @@
 SEEDS = (1,)
 ENGINES = 5
 STEPS = 7
+ACTIONS = ("leave", "leave", "leave", "crash", "kill", "freeze", "reset", "reset")
 CALLERS = 24
 # Seconds of notice; streams take up to 3 s.
 NOTICES = (0.5, 1.0, 2.0)
@@ -142,7 +143,7 @@
 
     def run_step(self):
         """Disturb one engine or instance."""
-        action = self.rng.choice(("leave", "leave", "leave", "crash", "kill", "freeze"))
+        action = self.rng.choice(ACTIONS)
         name = self.rng.choice(list(self.gateways))
         engine = self.rng.choice(list(self.upstreams))
         if action == "leave":
@@ -151,6 +152,9 @@
         elif action == "crash":
             self.end(engine, self.upstreams.pop(engine))
             self.add_engine()
+        elif action == "reset":
+            # It works on after its connections were reset.
+            self.upstreams[engine].resets_after = self.rng.choice((1, 10, 30))
         elif action == "kill":
             self.killed = True
             self.gateways[name].kill()
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -71,6 +71,7 @@
     "sockets",
     "stream_exchange",
     "stores",
+    "stream_moves/engine_checks",
     "stream_moves/move_runner",
     "stream_moves/mover",
     "ticks",
