Copy a broken run only to an engine of its version

The call that stops a run names a target, and where no engine had room for the copy, any other engine was named. A copy that was taken all the same would have gone on there, at whichever version.

--- a/src/chervilwing/stream_moves/backups.py
+++ b/src/chervilwing/stream_moves/backups.py
@@ -40,7 +40,7 @@
         stream = make_stream(relay, inf, interval, now)
         expected = count_events(relay.demand.expected_tokens, engine)
         stream = stream._replace(expected_events=expected)
-        candidates = self.list_candidates(relay, now)
+        candidates = self._list_candidates(relay, now)
         target = choose_backup(stream, candidates, engine)
         if target is None:
             return None
@@ -50,7 +50,7 @@
             return None
         return relay.pool.upstream_states[target.name].registration
 
-    def list_candidates(self, relay, now):
+    def _list_candidates(self, relay, now):
         """Return a few random engines other than the request's own."""
         names = list(relay.pool.upstream_states)
         names = random.sample(names, min(MAX_CANDIDATES, len(names)))
--- a/src/chervilwing/stream_moves/mover.py
+++ b/src/chervilwing/stream_moves/mover.py
@@ -161,10 +161,9 @@
         """
         now, source = read_boottime(), relay.open_runs[0]
         target = self._choose_copy_target(relay, source, now)
-        may_go_on = not relay.continued and len(relay.refused_targets) < MAX_TARGETS
         if target is None:
             step = Step.CHECKING
-        elif may_go_on and relay.events is not None and relay.events.last_id:
+        elif self._may_use_copy(relay):
             step = Step.ENDING
         else:
             step = Step.DISCARDING
@@ -173,10 +172,17 @@
         move.closed = exc
         self._runner.begin_ending(move, step)
 
+    def _may_use_copy(self, relay):
+        """Return whether a request may go on from a copy of its run."""
+        if relay.continued or len(relay.refused_targets) >= MAX_TARGETS:
+            return False
+        return relay.events is not None and bool(relay.events.last_id)
+
     def _choose_copy_target(self, relay, source, now):
         """Return the Registration of an engine to which a run may be copied, or None.
 
-        The call that stops a run names one, with or without room.
+        The call that stops a run names one, with or without room. It has the version of
+        the run, which may go on there.
         """
         pool, engine = relay.pool, relay.pool.spec.engine
         if not engine.moves or self._gateway.cfg.stream_moves != AUTO:
@@ -185,11 +191,10 @@
             return relay.backup
         interval = self.backups.pace_of(pool).interval
         stream = make_stream(relay, relay.deadline, interval, now)
-        candidates = self.backups.list_candidates(relay, now)
-        candidates = [item for item in candidates if item.name != source.name]
-        target = choose_target(stream, candidates, engine) or next(
-            iter(candidates), None
-        )
+        excluded = self._list_excluded(pool, now) | {source.name}
+        candidates = list_candidates(pool, excluded, now)
+        same = [item for item in candidates if item.version == stream.version]
+        target = choose_target(stream, same, engine) or next(iter(same), None)
         return target and pool.upstream_states[target.name].registration
 
     def may_use_backup(self, relay, exc):
--- a/tests/test_open_runs.py
+++ b/tests/test_open_runs.py
@@ -85,6 +85,28 @@
         self.assertGreater(self.count_ended("gone"), 0)
 
 
+class TestVersions(BrokenCase):
+    # No engine has room for a copy.
+    engine = OFFERED._replace(memory_tokens=1000)
+    engines = 4
+
+    def test_a_stream_goes_on_at_its_version_where_no_engine_has_room(self):
+        # Guards against going on from a copy at an engine of another version.
+        versions = ("v1", "v1", "v2", "v2")
+        for number, version in enumerate(versions):
+            self.put(number, version=version)
+        for _ in range(4):
+            stream = self.run_broken(QUOTE)
+            self.assertTrue(stream.whole, stream.numbers[-3:])
+            name = f"{stream.name}.1"
+            found = {
+                version
+                for version, upstream in zip(versions, self.upstreams, strict=True)
+                if name in dict(upstream.spans)
+            }
+            self.assertEqual(len(found), 1)
+
+
 class TestAsked(BrokenCase):
     engine = OFFERED._replace(moves=False)
 
