Begin resumable streams only at versions that the store holds

Cause: an instance that starts infers a stream's version where registrations and the store leave one possibility. A version got streams two seconds after its registration, but was stored only after that.

Change: versions are announced in the store when they register. No resumable stream begins at a version that an instance doesn't find there, unless the store has taken no write of it for four seconds. Older instances read announced versions as possible ones.

Why it works: what an instance that starts reads from the store has every version at which a stream began, so that one possibility is the right one.

--- a/src/chervilwing/pool_admission/upstream_checks.py
+++ b/src/chervilwing/pool_admission/upstream_checks.py
@@ -91,13 +91,14 @@
         """
         if relay.origin is not None:
             return self.list_unavailable_upstreams(relay, now)
-        draw = None if relay.attempts else relay.rollout_draw
+        unannounced = self._gateway.resumptions.list_unannounced(relay, now)
+        draw = None if relay.attempts or unannounced else relay.rollout_draw
         pool = relay.pool
         name = pool.spec.name
         excluded = self._gateway.rollouts.list_excluded(
             name, pool.upstream_states, draw, now
         )
-        return excluded | self.list_unavailable_upstreams(relay, now)
+        return excluded | unannounced | self.list_unavailable_upstreams(relay, now)
 
     def list_unavailable_upstreams(self, relay, now):
         """Return the names of the upstreams that can't or may not be used now.
--- a/src/chervilwing/resumptions.py
+++ b/src/chervilwing/resumptions.py
@@ -5,6 +5,9 @@
 
 # Retry-After in seconds of callers whose streams aren't known here now.
 UNKNOWN_RETRY_AFTER = 0.5
+# Seconds until a version is used that the store doesn't hold: its upstreams may be the
+# only ones while the store accepts no writes.
+MAX_ANNOUNCEMENT_WAIT = 4.0
 
 
 class Resumptions:
@@ -76,6 +79,25 @@
             return frozenset(relay.pool.upstream_states)
         return relay.pool.list_other_versions(origin.version)
 
+    def list_unannounced(self, relay, now):
+        """Return the names of the upstreams at which a new stream may not begin yet."""
+        if relay.origin is not None or not relay.route.resumable:
+            return frozenset()
+        pool, rollouts = self._find_pool(relay), self._gateway.rollouts
+        unannounced = self.streams.list_unannounced(pool)
+        if not unannounced:
+            return frozenset()
+        versions = {
+            version
+            for version in unannounced
+            if rollouts.compute_age(pool, version, now) < MAX_ANNOUNCEMENT_WAIT
+        }
+        return frozenset(
+            name
+            for name, state in relay.pool.upstream_states.items()
+            if state.registration.version in versions
+        )
+
     def raise_if_gone(self, relay):
         """Raise VersionGone if only upstreams of other versions take requests."""
         if relay.origin is None or not relay.pool.list_accepting():
--- a/src/chervilwing/rollouts.py
+++ b/src/chervilwing/rollouts.py
@@ -273,12 +273,16 @@
         The first version that an instance sees is not new, unless it started when a
         second one did.
         """
-        seen = self._seen.get(pool, {})
-        if now - seen.get(version, now) >= UNKNOWN_VERSION_WAIT:
+        if self.compute_age(pool, version, now) >= UNKNOWN_VERSION_WAIT:
             return False
+        seen = self._seen.get(pool, {})
         known = [item for item in seen if self.is_known(pool, item)]
         return version not in (known or list(seen)[:1])
 
+    def compute_age(self, pool, version, now):
+        """Return for how many seconds a version has been known here."""
+        return now - self._seen.get(pool, {}).get(version, now)
+
     def put_order(self, order, revision):
         """Store an operator's order, unless a newer order for its pool is known.
 
--- a/src/chervilwing/stream_versions.py
+++ b/src/chervilwing/stream_versions.py
@@ -16,6 +16,9 @@
 # Prefix of the keys under which the store holds the versions that streams may have
 # begun at; a digest follows.
 VERSIONS = "chervilwing/instances-versions/"
+# The same for versions that some instances may not know yet. They are written before
+# the first stream begins there.
+ANNOUNCED = VERSIONS + "announced/"
 # Bytes of the digests of versions and of requests' ids, which may be long.
 DIGEST_SIZE = 12
 # A caller's tries take at most this many times the time limit of its route.
@@ -47,10 +50,10 @@
     return LIFE_FACTOR * route.time_limit
 
 
-def make_key(origin):
+def make_key(origin, prefix=VERSIONS):
     """Return the store's key of a version that streams may have begun at."""
     text = f"{origin.pool}\0{origin.version}".encode()
-    return VERSIONS + blake2b(text, digest_size=DIGEST_SIZE).hexdigest()
+    return prefix + blake2b(text, digest_size=DIGEST_SIZE).hexdigest()
 
 
 def make_stream_id(request_id):
@@ -81,11 +84,15 @@
     def __init__(self, list_registered):
         self._list_registered = list_registered
         self.are_fresh = lambda: True
+        # Whether the store is to hold a version before a stream begins there.
+        self.are_announced = False
         self._entries = OrderedDict()
         # Streams that no other instance was told of, as the keys of a dict.
         self._untold = {}
         # Origins in the store by key.
         self.stored = {}
+        # Registered versions and those of them that the store lacks, by pool.
+        self._unannounced = {}
         # Until when streams of the versions that were registered may be taken up.
         self._seen = {}
         # When the pools of each route last changed, by host and prefix.
@@ -111,6 +118,7 @@
 
     def put_stored(self, key, origin):
         """Apply a version stored under a key, None if it was deleted."""
+        self._unannounced.clear()
         if origin is None:
             self.stored.pop(key, None)
         else:
@@ -120,6 +128,26 @@
         """Return whether the store holds a version of a pool."""
         return make_key(Origin(pool, version)) in self.stored
 
+    def is_announced(self, pool, version):
+        """Return whether the store holds a version, known to all instances or not."""
+        key = make_key(Origin(pool, version), ANNOUNCED)
+        return key in self.stored or self.is_stored(pool, version)
+
+    def list_unannounced(self, pool):
+        """Return the versions of a pool at which no stream may begin yet.
+
+        If all instances ended, nobody could tell that a stream had begun there.
+        """
+        if not self.are_announced:
+            return frozenset()
+        versions = self._list_registered(pool)
+        known = self._unannounced.get(pool)
+        if known is not None and known[0] == versions:
+            return known[1]
+        found = frozenset(v for v in versions if not self.is_announced(pool, v))
+        self._unannounced[pool] = versions, found
+        return found
+
     def observe(self, routes, now):
         """Remember which versions are registered in the pools of these routes."""
         for route in routes:
--- a/src/chervilwing/version_keeper.py
+++ b/src/chervilwing/version_keeper.py
@@ -5,9 +5,10 @@
 from .clocks import read_boottime
 from .logs import log_event
 from .store_calls import Commit, Committed, Conflict
-from .stream_versions import Origin, encode_origin, get_life, make_key
+from .stream_versions import ANNOUNCED, Origin, encode_origin, get_life, make_key
 
-# Seconds between two checks. A version gets requests two seconds after it is known.
+# Seconds between two checks. A version usually gets requests two seconds after it is
+# known, and is announced before that.
 CHECK_INTERVAL = 0.5
 RETRY_AFTER = 1.0
 # Versions in one write.
@@ -34,6 +35,7 @@
         self._next_check = 0.0
         # When each stored version was first seen without an upstream, by key.
         self._unused_since = {}
+        gateway.resumptions.streams.are_announced = True
 
     @handler("tick", channel="*")
     def _on_tick(self):
@@ -51,19 +53,21 @@
             self._store.submit(commit, self._finish)
 
     def _list_used(self, table, now):
-        """Return the Origins that new streams may have now, by key.
+        """Return the Origins that new streams may have now or soon, by key.
 
-        A version is stored once other instances know it, as their registrations show.
+        A version is announced at once, and stored as one that all instances know when
+        their registrations show that.
         """
         pools = {target.pool for route in table.resumable for target in route.targets}
-        states = self._gateway.pools
-        used = {
+        states, rollouts = self._gateway.pools, self._gateway.rollouts
+        origins = [
             Origin(pool, version)
             for pool in pools & states.keys()
             for version in states[pool].list_versions()
-            if not self._gateway.rollouts.is_new(pool, version, now)
-        }
-        return {make_key(origin): origin for origin in used}
+        ]
+        used = {make_key(origin, ANNOUNCED): origin for origin in origins}
+        known = (item for item in origins if not rollouts.is_new(*item, now))
+        return used | {make_key(origin): origin for origin in known}
 
     def _make_commit(self, used, now):
         """Return the Commit of the next change, or None."""
--- a/tests/fakes/platform.py
+++ b/tests/fakes/platform.py
@@ -35,10 +35,12 @@
     def __init__(self, options):
         # ``report_no_events``: watches report no events. ``lose_writes``: this many
         # writes are carried out, but their answers are lost. ``refuse_calls``: all
-        # calls to the store but the operator's are refused. ``state_era``: replies
+        # calls to the store but the operator's are refused, ``refuse_writes``: only
+        # conditional writes. ``state_era``: replies
         # state the store's era.
         self.switches = Switches(
             refuse_calls=False,
+            refuse_writes=False,
             silent=False,
             lose_writes=0,
             report_no_events=False,
@@ -178,6 +180,8 @@
 @apply_faults
 async def commit(state, request):
     """Write items if the expected revisions match."""
+    if state.switches["refuse_writes"]:
+        return reply({"error": "busy"}, UNAVAILABLE)
     body = await read_json(request)
     expected = {row["key"]: row["revision"] for row in body.get("ifRev", ())}
     actual = {key: state.items.get(key, {}).get("revision", 0) for key in expected}
--- a/tests/stream_fleet.py
+++ b/tests/stream_fleet.py
@@ -21,7 +21,7 @@
 from chervilwing.rollouts import Rollouts
 from chervilwing.routing import STREAM, PoolSpec, Route, Target
 from chervilwing.stream_exchange import StreamExchange
-from chervilwing.stream_versions import Origin, get_life, make_key
+from chervilwing.stream_versions import ANNOUNCED, Origin, get_life, make_key
 
 CENTRES = ("a", "b", "c")
 ROUTE = Route("q", "h", "/", STREAM, (Target("web"),), time_limit=4.0, resumable=True)
@@ -29,8 +29,10 @@
 TICK = 0.05
 # Greatest age in seconds of fresh knowledge of the registrations.
 FRESH_FOR = 2.0
-# Seconds until a leader has stored a version, and until an instance knows a change.
+# Seconds until a leader has stored a version, until it has announced it, which a store
+# that refuses writes delays, and until an instance knows a change.
 STORED_AFTER = 2.5
+ANNOUNCED_AFTER = (0.3, 0.7, 3.5)
 KNOWN_AFTER = (0.01, 0.3, 1.0)
 MAX_TRIES = 4
 
@@ -67,8 +69,8 @@
         self.exchange = StreamExchange(cfg, self, self.coordinator, self)
         for name in sorted(fleet.upstreams):
             self.put_upstream(name, fleet.upstreams[name])
-        for key, origin in fleet.stored.items():
-            self.resumptions.streams.put_stored(key, origin)
+        self.resumptions.streams.are_announced = True
+        self.follow_store(fleet.stored)
 
     def subscribe(self, kind, handler):
         self.handlers[kind] = handler
@@ -82,6 +84,12 @@
     def is_fresh(self):
         return self.fleet.now - self.known_at <= FRESH_FOR
 
+    def follow_store(self, stored):
+        """Learn what the store holds of the versions."""
+        streams = self.resumptions.streams
+        for key in stored.keys() ^ streams.stored.keys():
+            streams.put_stored(key, stored.get(key))
+
     def put_upstream(self, name, version):
         """Learn of an upstream, or of its end if it has no version."""
         if version is None:
@@ -188,6 +196,7 @@
             self.call_later(
                 self.rng.choice(KNOWN_AFTER), self._learn, instance, name, version
             )
+        self.call_later(self.rng.choice(ANNOUNCED_AFTER), self._announce)
         self.call_later(STORED_AFTER, self._store)
 
     def _learn(self, instance, name, version):
@@ -198,6 +207,12 @@
         if self.upstreams.get(name) == version:
             self.instances[instance].put_upstream(name, version)
 
+    def _announce(self):
+        """Announce the registered versions, as a leader does."""
+        for version in self.upstreams.values():
+            origin = Origin("web", version)
+            self.stored[make_key(origin, ANNOUNCED)] = origin
+
     def _store(self):
         """Store the versions in use, as a leader does, and delete old ones."""
         used = {Origin("web", version) for version in self.upstreams.values()}
@@ -238,6 +253,7 @@
             refused = instance.rollouts.list_excluded("web", states, drawn, self.now)
         else:
             refused = instance.resumptions.list_excluded(relay)
+        refused = refused | instance.resumptions.list_unannounced(relay, self.now)
         names = sorted(instance.pool.upstream_states.keys() - refused)
         name = self.rng.choice(names) if names else None
         if name not in self.upstreams:
@@ -280,7 +296,7 @@
         for name in self.list_serving():
             instance = self.instances[name]
             if name not in self.blind:
-                instance.resumptions.streams.stored = dict(self.stored)
+                instance.follow_store(self.stored)
             if name not in self.blind and not self.behind[name]:
                 instance.known_at = self.now
             instance.exchange._on_tick()
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -4,7 +4,8 @@
 import time
 import unittest
 
-from chervilwing.stream_versions import VERSIONS
+from chervilwing.rollouts import UNKNOWN_VERSION_WAIT
+from chervilwing.stream_versions import ANNOUNCED, VERSIONS
 from tests.gateways import make_document
 from tests.procs import HOST, call, poll
 from tests.test_gateway import GatewayCase
@@ -297,10 +298,36 @@
         # None of the first version's streams can be taken up any more.
         poll(lambda: self.list_stored() == 1, 15)
 
+    def test_a_version_that_was_withdrawn_while_all_were_down(self):
+        # Guards against streams of a version that only instances which ended knew.
+        gateways = self.start_all("one", "two")
+        poll(lambda: self.list_stored() == 1)
+        self.platform.fault(refuse_writes=True)
+        names = ("w-0", "w-1")
+        for name in names:
+            new = self.make_upstream("v2", hold_after=2)
+            new.release.clear()
+            self.addCleanup(new.close)
+            self.register(name, version="v2", address=f"{HOST}:{new.port}")
+        # A version that isn't in the store gets requests when it has been known for two
+        # seconds, but no streams that may be taken up.
+        time.sleep(UNKNOWN_VERSION_WAIT + 0.3)
+        streams = [item for gateway in gateways for item in self.begin(gateway, 6)]
+        for gateway in gateways:
+            gateway.kill()
+        self.operate(deletes=[f"servers/{name}" for name in names])
+        self.platform.fault(refuse_writes=False)
+        self.release_all()
+        three = self.start("three")
+        for stream in streams:
+            poll(lambda stream=stream: stream.take_up(three.port) == 200, 3.0)
+            self.expect_gone_on(stream)
+
     def list_stored(self):
-        """Return how many versions the store holds."""
+        """Return how many versions the store holds as known to all instances."""
         keys = self.platform.record()["keys"]
-        return sum(key.startswith(VERSIONS) for key in keys)
+        keys = [key for key in keys if key.startswith(VERSIONS)]
+        return sum(not key.startswith(ANNOUNCED) for key in keys)
 
 
 if __name__ == "__main__":
