--- a/tests/test_statements_randomised.py
+++ b/tests/test_statements_randomised.py
@@ -15,7 +15,7 @@
 from chervilwing.models import Address
 from chervilwing.platform.headers import DIALECT
 from chervilwing.registrations import Registration, get_process
-from tests.gateways import make_document, make_settings
+from tests.gateways import ROUTES, make_document, make_settings
 from tests.upstreams import Loop
 
 SEEDS = 10
@@ -91,6 +91,7 @@
         demand = Demand("r", self.now + 5.0)
         relay = SimpleNamespace(
             pool=pool,
+            route=ROUTES[0],
             demand=demand,
             attempts=0,
             rollout_draw=1.0,
