--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -442,7 +442,7 @@
 
     def _may_resend(self, relay):
         """Return whether a request may be sent again after a failed attempt."""
-        if relay.may_have_run and not relay.route.repeatable:
+        if not relay.route.repeatable and relay.may_have_run:
             return False
         if relay.exchange.started and not relay.route.resumable:
             return False
