Say ready only when resumable streams can begin

Callers saw 503 for each resumable stream in the first 0.3 to 0.6 s after an instance of a fresh fleet had said that it was ready.

Cause: no resumable stream begins at a version that the store doesn't hold. After the first start of all instances it holds none, the leader looks for missing versions each half second, and readiness didn't wait for them. A check that came before the instance led its group also cost a whole interval.

Now readiness waits, once after a start and for at most the 4 s after which a version is used anyway, until each pool with upstreams has a version that a stream may begin at; and the first check that can write is made at once. Later versions don't take an instance out of service.

--- a/src/chervilwing/coordination.py
+++ b/src/chervilwing/coordination.py
@@ -21,6 +21,7 @@
     encode_peer,
 )
 from .logs import log_event, log_failure
+from .resumptions import MAX_ANNOUNCEMENT_WAIT
 from .rollouts import DECISIONS, decode_decision
 from .store_calls import Committed, HistoryGone, Page
 from .store_epochs import get_epoch, get_number
@@ -91,6 +92,10 @@
         # Items that couldn't be decoded, and those whose handling failed.
         self.ignored_items = 0
         self.failed_items = 0
+        # When the configuration and the upstreams were first known, and whether
+        # resumable streams could begin since.
+        self._known_since = None
+        self._streams_may_begin = False
 
     def keys_are_fresh(self):
         """Return whether the knowledge of keys is fresh enough to accept them."""
@@ -122,7 +127,25 @@
     def ready(self):
         """Return whether requests can be served."""
         known = self._gateway.table is not None and self._registrations.complete
-        return known and self.keys_are_fresh()
+        return known and self.keys_are_fresh() and self._may_begin_streams()
+
+    def _may_begin_streams(self):
+        """Return whether resumable streams can begin; once true, it stays so.
+
+        After the first start of all instances, the versions of the upstreams aren't
+        stored yet, and each resumable stream would be refused. A store that takes no
+        writes must not keep the instance out of service.
+        """
+        if self._streams_may_begin:
+            return True
+        now = read_boottime()
+        if self._known_since is None:
+            self._known_since = now
+        waited = now - self._known_since >= MAX_ANNOUNCEMENT_WAIT
+        self._streams_may_begin = waited or (
+            self._instances.complete and self._gateway.resumptions.streams.may_begin()
+        )
+        return self._streams_may_begin
 
     @property
     def passive(self):
--- a/src/chervilwing/stream_versions.py
+++ b/src/chervilwing/stream_versions.py
@@ -148,6 +148,15 @@
         self._unannounced[pool] = versions, found
         return found
 
+    def may_begin(self):
+        """Return whether a stream may begin in each pool that has upstreams."""
+        pools = {pool for names, _ in self._targets.values() for pool in names}
+        versions = ((self._list_registered(pool), pool) for pool in pools)
+        return all(
+            not known or set(known) - self.list_unannounced(pool)
+            for known, pool in versions
+        )
+
     def observe(self, routes, now):
         """Remember which versions are registered in the pools of these routes."""
         for route in routes:
--- a/src/chervilwing/version_keeper.py
+++ b/src/chervilwing/version_keeper.py
@@ -43,10 +43,10 @@
         streams, table = self._gateway.resumptions.streams, self._gateway.table
         if self._busy or now < self._next_check or table is None:
             return
-        self._next_check = now + CHECK_INTERVAL
         if not self._leads() or not streams.are_fresh():
             self._unused_since.clear()
             return
+        self._next_check = now + CHECK_INTERVAL
         commit = self._make_commit(self._list_used(table, now), now)
         if commit is not None:
             self._busy = True
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -255,6 +255,16 @@
         self.expect_gone_on(stream)
 
 
+class TestFirstStart(VersionsCase):
+    versions = ("v1", "v1")
+
+    def test_an_instance_is_ready_only_when_streams_can_begin(self):
+        # Guards against refused streams at an instance that has just said it is ready.
+        gateway = self.start("one")
+        for _ in range(40):
+            self.expect_gone_on(self.begin_whole(gateway))
+
+
 class TestOneVersion(VersionsCase):
     versions = ("v1", "v1")
     time_limit_ms = 2000
