Send a large body to an upstream without copying it

Cause: encode_call() joined the head and the body, so that each request with a body of 4 MiB held 8 MiB until its upstream had read it, for each attempt anew.

Now the head and the body are written one after the other; the body is the same object that is kept for a retry. Bodies up to 16 KiB still go out with their head in one write.

--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -59,6 +59,8 @@
 # event loop busy until its deadline, and new connections would be rejected meanwhile.
 LARGE_ANSWER = 1024 * 1024
 LARGE_ANSWERS_PART = 0.5
+# Bytes of a request's body that are sent in one write with its head.
+MAX_JOINED_BODY = 16384
 # Failure types and the outcomes reported to the scheduler; the first match counts.
 FAILURE_OUTCOMES = (
     (PathSilent, PATH_SILENT),
@@ -165,14 +167,14 @@
         return self.received > LARGE_ANSWER and not (sized and self.paused)
 
 
-def encode_call(call):
-    """Return the head and the body of the request as bytes."""
+def encode_call_head(call):
+    """Return the head of the request as bytes."""
     lines = [f"{call.method} {call.path} HTTP/1.1"]
     lines.append(f"Host: {call.host or format_address(call.address)}")
     if call.body or call.method not in BODILESS_METHODS:
         lines.append(f"Content-Length: {len(call.body)}")
     lines += [f"{name}: {value}" for name, value in call.headers.items()]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + call.body
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
 def read_idle_limit(headers):
@@ -222,9 +224,18 @@
         state.conn = conn
         self._active.add(state)
         if not call.connect_only:
-            self._streams.send(conn, encode_call(call))
+            self._send(conn, call)
         return state
 
+    def _send(self, conn, call):
+        head = encode_call_head(call)
+        if len(call.body) <= MAX_JOINED_BODY:
+            self._streams.send(conn, head + call.body)
+            return
+        # A copy of each large body would double the memory that it takes.
+        self._streams.send(conn, head)
+        self._streams.send(conn, call.body)
+
     def cancel(self, state):
         """Abort the call, close its connection and run none of its callbacks.
 
