Give all callers of a process one account of memory

What callers saw: 120 of them sending bodies of 4 MiB ended a gateway within a second, whether they asked for a route, for none, or for the readiness check; so did 100 with chunks that don't end and 1,000 that asked for large answers and read nothing. 120 bodies that stop half-way came within 7 MiB of it. chervilwingd ended the same way.

Cause: each connection had limits of its own and nothing bounded their sum. A body was received before its request was looked at, and kept in pieces and copies; heads of 2,300 fields take forty times their size once decoded; an answer was buffered up to 256 KiB for each caller, then 64 KiB, and as much again and more in the kernel for its upstream.

Change: a process has one CallerMemory. A body is begun only with room for the whole of it, and is refused at once otherwise (503 instance-full, not run). A request that can't be served is refused from its head, before its body and before 100 Continue. Heads are charged by their fields, answers by what isn't read. Small requests keep 40 % of the room. While room is short, bodies and answers that make no progress give way. The kernel's receive buffers are part of the account: 8 KiB for a caller, also before it is accepted, 64 KiB for a body with a reservation.

tests.test_web's slow sender now asks for a path that exists, with a key: for the former one the refusal no longer waits for the body.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -298,7 +298,7 @@
                 return
         if relay.exchange.started:
             self._forward(relay, data)
-        elif not relay.buffer(data):
+        elif not relay.buffer(data) or not relay.may_buffer():
             self._start_unbuffered(relay)
 
     def _forward(self, relay, data):
--- a/src/chervilwing/claimant.py
+++ b/src/chervilwing/claimant.py
@@ -8,11 +8,11 @@
 from .claim_keys import ClaimKey, ClaimSettings
 from .claims import ClaimGranted, ClaimRecorded, ClaimRefused, Ledger
 from .exceptions import NOT_RUN
+from .exchanges import JSON_TYPE, PROBLEM_TYPE
 from .fingerprints import make_fingerprint
 from .messages import Forward, StoreCall
 from .response_heads import encode_problem
 from .segments import Ask, Outcome, Verdict
-from .web import JSON_TYPE, PROBLEM_TYPE
 
 KEY_HEADER = "idempotency-key"
 
--- a/src/chervilwing/daemon.py
+++ b/src/chervilwing/daemon.py
@@ -18,6 +18,7 @@
 from . import embedded, settings
 from .admin import Admin
 from .buyer import Buyer
+from .caller_budget import CallerBudget
 from .claimant import Claimant
 from .connections import Client
 from .dispatch import Dispatcher
@@ -27,6 +28,7 @@
 from .gossip_settings import MembershipSettings
 from .loads import LoadPoller
 from .logs import log_event, set_up_logs
+from .machines import read_machine_limits
 from .membership import Membership
 from .models import Address
 from .notices import Notices
@@ -34,16 +36,21 @@
 from .peers import Peers
 from .pollers import DirectPoller
 from .reconnects import Reconnects
+from .request_reader import ReaderOptions
 from .stats import Stats
 from .stores import Store
 from .ticks import tick
-from .web import Web, WebHandlers
+from .web import Web, WebHandlers, WebOptions
 
 # Seconds between ticks, and thus how late a deadline is noticed at most. With 10 ticks
 # a second all components together stay within the 1.2 % of a core that the control
 # plane may use.
 TICK = 0.1
 
+# A model call's body is in memory as it came, as the decoded prompt, and as the body of
+# the call to the engine, in which characters can take more bytes.
+BODY_COPIES = 4
+
 
 class Daemon(BaseComponent):
     """Own all components of one entry instance."""
@@ -75,9 +82,19 @@
         stats = Stats(self.cfg.stats_pairs)
         self._dispatch = Dispatcher(self.cfg, self._client, stats).register(self)
         handlers = WebHandlers(
-            self._dispatch.handle_request, self._dispatch.handle_disconnect
+            self._dispatch.handle_request,
+            self._dispatch.handle_disconnect,
+            self._dispatch.refuse,
+        )
+        budget = self._budget = CallerBudget(read_machine_limits(self.cfg))
+        options = WebOptions(
+            reader=ReaderOptions(
+                check_head=self._dispatch.check_head, copies=BODY_COPIES
+            )
         )
-        self._web = Web(self.cfg, self._poller, handlers).register(self)
+        self._web = Web(
+            self.cfg, self._poller, handlers, options=options, budget=budget
+        ).register(self)
         self._address = self._web.listen(self.cfg.listen)
 
     def _join_peers(self):
--- a/src/chervilwing/dispatch.py
+++ b/src/chervilwing/dispatch.py
@@ -21,6 +21,7 @@
     NoUpstream,
     Scope,
 )
+from .exchanges import answer_failures
 from .fingerprints import make_fingerprint
 from .forwards import Forward
 from .generations import Generation
@@ -32,7 +33,6 @@
 from .sessions import Session
 from .stats import NO_CUSTOMER
 from .upstream_pauses import REUSED_NAME_PAUSE
-from .web import answer_failures
 from .work import CANCELLED, LEAVING
 
 SERVICES_PATH = "/services/"
@@ -260,16 +260,29 @@
                 NoUpstream(f"{name} was removed.", scope=scope, retry_after=1.0)
             )
 
+    def check_head(self, req):
+        """Raise the reason for refusing a request whose body isn't received yet."""
+        self._find_route(req)
+        if not req.path.startswith(ADMIN_PATH):
+            self._require_ready().find_customer(req.headers)
+
+    def refuse(self, exchange, exc):
+        """Record and answer a request that ``check_head`` or the web server refuses."""
+        self._record_refusal(exchange, exc)
+        exchange.answer_problem(exc)
+
     def _serve(self, exchange):
-        req = exchange.req
+        self._find_route(exchange.req)(exchange)
+
+    def _find_route(self, req):
+        """Return the function that serves a request, or raise NotFound."""
         method = "GET" if req.method == "HEAD" else req.method
         serve = self._routes.get((method, req.path))
         if serve is not None:
-            serve(exchange)
-        elif req.path.startswith(SERVICES_PATH):
-            self._forward(exchange)
-        else:
-            raise NotFound(f"No route for {req.method} {req.path}.")
+            return serve
+        if req.path.startswith(SERVICES_PATH):
+            return self._forward
+        raise NotFound(f"No route for {req.method} {req.path}.")
 
     def _require_ready(self):
         if self.directory is None:
--- a/src/chervilwing/embedded.py
+++ b/src/chervilwing/embedded.py
@@ -16,6 +16,7 @@
 
 from .documents import CONFIG_KEY, hash_key, serialise
 from .exceptions import DECODE_ERRORS, BadRequest, NotFound
+from .exchanges import EVENTS_TYPE, answer_failures
 from .models import (
     MODEL,
     SERVICE,
@@ -30,7 +31,7 @@
     Upstream,
     WorkClass,
 )
-from .web import EVENTS_TYPE, Web, WebHandlers, answer_failures
+from .web import Web, WebHandlers
 
 # Seconds between two tokens; callers are promised at most 63 ms.
 TOKEN_INTERVAL = 0.03
--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -138,6 +138,12 @@
     outcome = NOT_RUN
 
 
+class InstanceFull(ChervilwingError):
+    """This instance has no memory left for the request."""
+
+    status, type, title, outcome = 503, "instance-full", "Instance full", NOT_RUN
+
+
 class PoolFull(ChervilwingError):
     """The pool has no capacity to finish more work by its deadline."""
 
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -8,6 +8,7 @@
 from .attempts import Attempts
 from .balancing import PoolBalancer
 from .brittle_upstreams import BrittleUpstreams
+from .caller_budget import CallerBudget
 from .clocks import STARTED_AT, read_boottime
 from .crash_detection import CrashDetection
 from .crash_records import CrashRecords
@@ -16,10 +17,12 @@
 from .intake import Intake
 from .leaving_upstreams import LeavingUpstreams
 from .logs import log_event, log_request
+from .machines import read_machine_limits
 from .placer_selection import PlacementHooks
 from .pool_admission import AdmissionControl, Capacity, RequestPath, UpstreamChecks
 from .registrations import Registry, get_process
 from .relays import describe_refusal, describe_relay
+from .request_reader import ReaderOptions
 from .resumptions import Resumptions
 from .retry_shares import RetryShares
 from .rollouts import Rollouts
@@ -111,9 +114,15 @@
             self, dialect, keys_are_fresh, self._attempts, self._refuse_waiting
         )
         self._publish_path(self._path, UpstreamChecks(self))
-        handlers = WebHandlers(self._on_request, self._on_caller_left)
-        options = WebOptions(accept_chunked_bodies=True, answer_half_closed=False)
-        self.web = Web(self.limits, poller, handlers, "callers", options).register(self)
+        handlers = WebHandlers(
+            self._on_request, self._on_caller_left, self._log_and_refuse
+        )
+        reader = ReaderOptions(chunked=True, check_head=self._check_head)
+        options = WebOptions(answer_half_closed=False, reader=reader)
+        self.budget = CallerBudget(read_machine_limits(cfg))
+        self.web = Web(
+            self.limits, poller, handlers, "callers", options, self.budget
+        ).register(self)
         self.intake = Intake(lambda: self.retries.instances > 1)
         poller.on_wait = self.intake.record_wait
         # Rejected connections that were logged, and when the next are.
@@ -267,6 +276,10 @@
             self.pools[name] = pool
         return pool
 
+    def _check_head(self, req):
+        """Raise the reason for refusing a request whose body isn't received yet."""
+        self._path.check_head(req)
+
     def _on_request(self, exchange):
         now = read_boottime()
         try:
--- a/src/chervilwing/gateway_settings.py
+++ b/src/chervilwing/gateway_settings.py
@@ -11,6 +11,7 @@
 from .settings import (
     LOG_FORMATS,
     LOG_LEVELS,
+    MACHINE_FIELDS,
     PREFIX,
     Field,
     Program,
@@ -81,6 +82,10 @@
     # Renewals per second that all instances together may make of their leases, None for
     # any number.
     lease_renewals: float | None = None
+    # MiB of memory and file descriptors that this process may use, None for those of
+    # its machine.
+    memory_limit: int | None = None
+    descriptor_limit: int | None = None
 
 
 def parse_optional_rate(text):
@@ -182,6 +187,7 @@
         f"{AUTO}|{OFF}",
         "moves and backups of running streams",
     ),
+    *MACHINE_FIELDS,
     Field(
         "log_format", one_of(LOG_FORMATS), "json", "json|text", "format of log lines"
     ),
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -26,6 +26,7 @@
 from .pollers import DirectPoller
 from .report_exchange import ReportExchange
 from .reports import CONTENT_TYPE, render_metrics
+from .request_reader import ReaderOptions
 from .rollout_duty import RolloutDuty
 from .routing import CallerLimits
 from .settings import HELP_FLAGS, render_help
@@ -38,13 +39,15 @@
 from .usage import SHARED_REPORT
 from .usage_reports import UsageParts, UsageReporter
 from .version_keeper import VersionKeeper
-from .web import Web, WebHandlers
+from .web import Web, WebHandlers, WebOptions
 
 # Seconds between ticks. Time limits, scheduled calls and the detection of silent
 # connections are late by at most this.
 TICK = 0.05
 # Part of the time for a planned stop in which other instances' tunnels may end.
 HELP_PART = 0.8
+# Connections to the port for readiness checks, and to that for metrics.
+MAX_CHECKERS = 256
 # Seconds between two reads of the settings file, which may change without a signal.
 RELOAD_INTERVAL = 2.0
 
@@ -155,7 +158,17 @@
             if address is None:
                 continue
             limits = CurrentLimits(CallerLimits())
-            web = Web(limits, poller, handlers, f"{name}-callers").register(self)
+            options = WebOptions(
+                max_callers=MAX_CHECKERS, reader=ReaderOptions(skips_bodies=True)
+            )
+            web = Web(
+                limits,
+                poller,
+                handlers,
+                f"{name}-callers",
+                options,
+                self.gateway.budget,
+            ).register(self)
             self._listen_ports[f"{name}_port"] = web.listen(address).port
 
     def _serve(self, exchange):
@@ -206,6 +219,8 @@
             "gateway_stream_bytes_sent": size,
             "gateway_placers": gateway.placing.count_placers(),
             "gateway_connections_rejected": gateway.intake.rejected,
+            "gateway_caller_bytes": gateway.budget.memory.used,
+            "gateway_caller_refusals": gateway.budget.memory.refused,
             "gateway_log_lines_dropped": count_dropped_lines(),
             **gateway.admissions.list_figures(),
         }
--- a/src/chervilwing/generations.py
+++ b/src/chervilwing/generations.py
@@ -7,8 +7,8 @@
 from .answers import Answer
 from .connections import Call, CallHandlers, get_attempt_outcome
 from .exceptions import NOT_RUN, Scope, UpstreamFailed
+from .exchanges import EVENTS_TYPE
 from .handoffs import State
-from .web import EVENTS_TYPE
 from .work import BUSY, CANCELLED, FAILED, OK
 
 COMPLETIONS_PATH = "/v1/completions"
--- a/src/chervilwing/held_requests.py
+++ b/src/chervilwing/held_requests.py
@@ -25,6 +25,10 @@
     def abort(self):
         """Do nothing."""
 
+    def may_buffer(self, size):
+        """Return True: what is kept without a caller has limits of its own."""
+        return True
+
 
 class HeldRequest:
     """State of one request whose caller may reconnect.
--- a/src/chervilwing/parsers.py
+++ b/src/chervilwing/parsers.py
@@ -12,7 +12,7 @@
 from circuits.web.parsers import HttpParser
 
 from .bodies import ChunkedBody, SizedBody
-from .exceptions import BadRequest, LengthRequired, TooLarge
+from .exceptions import BadRequest, LengthRequired
 
 REQUEST = 0
 RESPONSE = 1
@@ -209,80 +209,6 @@
     return ChunkedBody()
 
 
-class RequestReader:
-    """Split a byte stream into requests, and buffer the bytes of the next one."""
-
-    def __init__(self, cfg, chunked=False):
-        self._cfg = cfg
-        self._chunked = chunked
-        self._buffer = bytearray()
-        self._req = None
-        self._body = None
-        self._body_parts = []
-        self._size = 0
-
-    @property
-    def idle(self):
-        """Return whether no byte of the next request has been received."""
-        return not self._buffer and self._req is None
-
-    @property
-    def expects_continue(self):
-        """Return whether the sender waits for 100 Continue before it sends the body."""
-        if (
-            self._req is None
-            or self._size
-            or self._buffer
-            or not self._req.accepts_chunks
-        ):
-            return False
-        return self._req.headers.get("expect", "").lower() == "100-continue"
-
-    def feed(self, data):
-        """Buffer bytes; ``pop_request`` enforces the size limits."""
-        self._buffer += data
-
-    def pop_request(self):
-        """Return the next whole request, or None if it is still incomplete."""
-        if self._req is None and not self._parse_head():
-            return None
-        self._decode_body()
-        if not self._body.complete:
-            return None
-        req, self._req = self._req, None
-        self._buffer[:0] = self._body.rest
-        body = b"".join(self._body_parts)
-        return req._replace(body=body)
-
-    def _decode_body(self):
-        part = self._body.decode(bytes(self._buffer))
-        self._buffer.clear()
-        self._body_parts.append(part)
-        self._size += len(part)
-        self._check_size(self._size)
-
-    def _check_size(self, size):
-        if size > self._cfg.body_limit:
-            raise TooLarge(f"The body is over {self._cfg.body_limit} bytes.")
-
-    def _parse_head(self):
-        # Some senders put an empty line before a request (RFC 9112, section 2.2).
-        while self._buffer.startswith(CRLF):
-            del self._buffer[: len(CRLF)]
-        limit = self._cfg.head_limit
-        end = self._buffer.find(HEAD_END)
-        if (len(self._buffer) if end < 0 else end) > limit:
-            raise TooLarge(f"The head is over {limit} bytes.")
-        if end < 0:
-            return False
-        head = bytes(self._buffer[:end])
-        del self._buffer[: end + len(HEAD_END)]
-        self._req, self._body = read_request_head(head, self._chunked)
-        self._check_size(read_length(self._req.headers) or 0)
-        self._body_parts, self._size = [], 0
-        return True
-
-
 def make_response_body(status, headers, bodiless):
     """Return the decoder for an answer's body, or raise BadRequest.
 
--- a/src/chervilwing/pool_admission/request_path.py
+++ b/src/chervilwing/pool_admission/request_path.py
@@ -57,14 +57,7 @@
         """Return the Relay of a request, or raise the reason for refusing it."""
         req = exchange.req
         gateway = self._gateway
-        if gateway.draining:
-            raise NotReady(
-                "This instance is stopping.", retry_after=STOPPING_RETRY_AFTER
-            )
-        if gateway.table is None:
-            raise NoConfiguration(retry_after=RETRY_AFTER)
-        route = gateway.table.find_route(req.headers.get("host", ""), req.path)
-        organisation = self._find_organisation(route, req)
+        route, organisation = self.check_head(req)
         demand = self._dialect.read_demand(req, now, route.time_limit)
         pool = gateway.get_or_create_pool(pick_target(route, self._rng.random()))
         relay = Relay(exchange, route, organisation, pool, demand, now)
@@ -75,6 +68,21 @@
         gateway.detours.raise_if_unreachable(pool, now)
         return relay
 
+    def check_head(self, req):
+        """Return a request's Route and Organisation, or raise the reason for refusing.
+
+        Needs no body, so that none is received for a request that can't be served.
+        """
+        gateway = self._gateway
+        if gateway.draining:
+            raise NotReady(
+                "This instance is stopping.", retry_after=STOPPING_RETRY_AFTER
+            )
+        if gateway.table is None:
+            raise NoConfiguration(retry_after=RETRY_AFTER)
+        route = gateway.table.find_route(req.headers.get("host", ""), req.path)
+        return route, self._find_organisation(route, req)
+
     def start(self, relay, now):
         """Charge and place a request, or let it wait for its credit."""
         if self._is_active(relay):
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -227,6 +227,10 @@
         self.buffered_size += len(data)
         return self.buffered_size <= MAX_BUFFERED_BYTES
 
+    def may_buffer(self):
+        """Return whether there is memory for the buffered part of the answer."""
+        return self.exchange.may_buffer(self.buffered_size)
+
     def take_buffered(self):
         """Return the buffered bytes and clear the buffer."""
         data, self.buffered, self.buffered_size = b"".join(self.buffered), [], 0
--- a/src/chervilwing/settings.py
+++ b/src/chervilwing/settings.py
@@ -58,6 +58,8 @@
     stats_pairs: int
     loads_at_once: int
     operator_key_hash: str
+    memory_limit: int | None = None
+    descriptor_limit: int | None = None
 
 
 class Field(NamedTuple):
@@ -139,6 +141,11 @@
     return value
 
 
+def parse_optional_limit(text):
+    """Return a number above 0, rounded down, or None for empty text."""
+    return max(1, int(parse_seconds(text))) if text else None
+
+
 def one_of(choices):
     """Return a parser that accepts only the given choices."""
 
@@ -150,6 +157,23 @@
     return parse
 
 
+# What a process may use of its machine.
+MACHINE_FIELDS = (
+    Field(
+        "memory_limit",
+        parse_optional_limit,
+        "",
+        "MiB",
+        "memory of this process; empty: the machine's, at most 300",
+    ),
+    Field(
+        "descriptor_limit",
+        parse_optional_limit,
+        "",
+        "count",
+        "file descriptors of this process; empty: the system's limit",
+    ),
+)
 FIELDS = (
     Field(
         "listen",
@@ -313,6 +337,7 @@
     Field(
         "operator_key_hash", parse_digest, "", "digest", "SHA-256 of the operators' key"
     ),
+    *MACHINE_FIELDS,
 )
 FIELDS_BY_NAME = {field.name: field for field in FIELDS}
 
--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -11,6 +11,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any, NamedTuple
 
 from circuits.core import BaseComponent, handler
@@ -21,7 +22,9 @@
 
 READ_SIZE = 65536
 ACCEPTS_PER_EVENT = 64
-BACKLOG = 1024
+# Connections that wait to be accepted. Beyond it, opening packets are dropped and sent
+# again a second later.
+BACKLOG = 4096
 # Bytes buffered for a slow reader above which its sender must pause, and the level at
 # which the sender may continue. They bound the memory for stalled readers: 590 streams
 # of 64 KB stay under 40 MB, and a node has 128 MB for the control plane.
@@ -39,18 +42,21 @@
 # Linux gives up on unanswered probes after TCP_USER_TIMEOUT, whatever their number, so
 # that both must say the same.
 PATH_TIMEOUT_MS = 1000 * KEEPALIVE_SECONDS * (1 + KEEPALIVE_PROBES)
+# Bytes of the kernel's receive buffer of a dialled connection. While it isn't read, as
+# its caller reads slowly, that is what this process holds for it.
+RECEIVE_BUFFER_SIZE = 32768
 # Values of SO_LINGER: a reset, which discards what wasn't sent yet; an end in order.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 ORDERLY_CLOSE = struct.pack("ii", 0, 0)
 WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINPROGRESS)
 
 
-def configure_socket(sock):
+def configure_socket(sock, receive_buffer=RECEIVE_BUFFER_SIZE):
     """Make a new socket non-blocking and set its buffer sizes and TCP_NODELAY."""
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER_SIZE)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER_SIZE)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
 
 
 def set_path_timeout(sock):
@@ -95,6 +101,27 @@
     # Called when the peer has closed its sending half. If it returns True, this side
     # may still send; otherwise the connection is closed.
     half_closed: Callable[["Conn"], bool] = lambda conn: False
+    # Called with the bytes that were read and discarded from a closing connection.
+    discarded: Callable[["Conn", int], None] = lambda conn, size: None
+
+
+class Acceptance(NamedTuple):
+    """Which connections a listener accepts.
+
+    ``intake`` may reject new connections while the processor is busy, None for never.
+    ``make_place`` is called before one is accepted and returns whether there is room
+    for it. ``receive_buffer`` is in bytes: what the kernel may hold of each connection,
+    also before it is accepted.
+    """
+
+    intake: Any = None
+    make_place: Callable[[], bool] = lambda: True
+    receive_buffer: int = KERNEL_BUFFER_SIZE
+
+
+ACCEPT_ALL = Acceptance()
+# What is read from closing connections; its content doesn't matter.
+DISCARDED = bytearray(READ_SIZE)
 
 
 class Conn:
@@ -117,6 +144,7 @@
         "paused",
         "pending",
         "pending_size",
+        "progress_at",
         "reading",
         "resets",
         "sent",
@@ -141,6 +169,8 @@
         self.paused = False
         self.pending = deque()
         self.pending_size = 0
+        # Monotonic time at which pending data was last written, or began to wait.
+        self.progress_at = 0.0
         self.reading = False
         self.writing = False
         # Whether it is reset if it closes before all data has been written.
@@ -172,17 +202,19 @@
         self._conns: dict[socket.socket, Conn] = {}
         self._listener: socket.socket | None = None
         self._listener_paused = False
-        self._intake = None
+        self._acceptance = ACCEPT_ALL
         self._failed_dials: list[tuple[Conn, OSError]] = []
 
-    def listen(self, address, intake=None):
+    def listen(self, address, acceptance=ACCEPT_ALL):
         """Accept connections and return the address that was bound.
 
-        With an Intake, connections beyond its limit are reset before they are read.
+        Connections that an Acceptance rejects are reset before they are read.
         """
-        self._intake = intake
+        self._acceptance = acceptance
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit it, and already have it before they are accepted.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, acceptance.receive_buffer)
         sock.setblocking(False)
         sock.bind(address)
         sock.listen(BACKLOG)
@@ -242,7 +274,9 @@
         sent = self._try_send(conn, data)
         if sent < len(data):
             self._watch(conn, conn.reading, writing=True)
-            self._buffer_data(conn, memoryview(data)[sent:])
+            rest = memoryview(data)[sent:]
+            # A view would keep all of the data in memory for a small rest of it.
+            self._buffer_data(conn, bytes(rest) if sent > len(rest) else rest)
 
     def pause(self, conn):
         """Stop reading, so that TCP flow control slows the peer down."""
@@ -324,7 +358,17 @@
         except OSError as exc:
             self.drop(conn, exc)
 
+    def widen(self, conn, size):
+        """Let the kernel receive up to ``size`` bytes that aren't read yet."""
+        if conn.sock in self._conns:
+            conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+            # Otherwise the window stays within the buffer that the listener had.
+            with suppress(OSError):
+                conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_WINDOW_CLAMP, size)
+
     def _buffer_data(self, conn, data):
+        if not conn.pending:
+            conn.progress_at = time.monotonic()
         conn.pending.append(data)
         conn.pending_size += len(data)
 
@@ -370,6 +414,9 @@
     def _on_readable(self, conn):
         # A readable event for a paused connection means that the peer has closed it.
         try:
+            if conn.closing:
+                self._discard(conn)
+                return
             data = conn.sock.recv(READ_SIZE)
         except OSError as exc:
             if exc.errno not in WOULD_BLOCK:
@@ -379,9 +426,19 @@
             self._read_tunnel(conn, data)
         elif not data:
             self._end_reading(conn)
-        elif not conn.closing:
+        else:
             self._callbacks.received(conn, data)
 
+    def _discard(self, conn):
+        """Read into nothing, so that the peer can send on and read its answer."""
+        size = conn.sock.recv_into(DISCARDED)
+        if size:
+            self._callbacks.discarded(conn, size)
+        elif conn.tunnel is not None:
+            self.drop(conn, conn.tunnel.make_closed_error())
+        else:
+            self._end_reading(conn)
+
     def _read_tunnel(self, conn, data):
         """Handle bytes from the other end of a tunnel, none if it has closed."""
         tunnel = conn.tunnel
@@ -427,22 +484,24 @@
                 if exc.errno not in WOULD_BLOCK:
                     self._pause_listener()
                 return
-            if self._intake is not None and self._reject_excess(sock):
+            if self._reject_excess(sock):
                 continue
-            configure_socket(sock)
+            configure_socket(sock, self._acceptance.receive_buffer)
             conn = Conn(sock, Address(*address), connecting=False)
             self._conns[sock] = conn
             self._watch(conn, reading=True, writing=False)
             self._callbacks.opened(conn)
 
     def _reject_excess(self, sock):
-        """Reset a new connection if the intake doesn't accept it; return whether."""
+        """Reset a new connection that isn't accepted; return whether it was reset."""
+        intake, make_place, _ = self._acceptance
         began = time.monotonic()
-        if self._intake.accept(began):
+        if (intake is None or intake.accept(began)) and make_place():
             return False
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         sock.close()
-        self._intake.record_rejecting(time.monotonic() - began)
+        if intake is not None:
+            intake.record_rejecting(time.monotonic() - began)
         return True
 
     def _pause_listener(self):
@@ -494,6 +553,8 @@
             data = conn.pending[0]
             sent = self._try_send(conn, data)
             conn.pending_size -= sent
+            if sent:
+                conn.progress_at = time.monotonic()
             if sent < len(data):
                 # Copying the rest at each write would take quadratic time.
                 conn.pending[0] = memoryview(data)[sent:]
--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -1,194 +1,93 @@
 """HTTP server: read callers' requests and write answers with bounded buffers."""
 
-import json
 import time
 from collections.abc import Callable
 from typing import NamedTuple
 
 from circuits.core import BaseComponent, handler
 
+from .caller_budget import RECEIVE_BUFFER, CallerBudget
+from .caller_memory import ANSWER, BODY, REQUEST, CallerHolding
 from .exceptions import ChervilwingError, SlowSender
-from .parsers import RequestReader
-from .response_heads import encode_head, encode_problem
-from .sockets import StreamHandlers, Streams
-
-JSON_TYPE = "application/json"
-PROBLEM_TYPE = "application/problem+json"
-EVENTS_TYPE = "text/event-stream"
-CHUNKED_END = b"0\r\n\r\n"
+from .exchanges import UNREADABLE_REQUEST, Exchange
+from .request_reader import DEFAULT_OPTIONS, ReaderOptions, RequestReader
+from .sockets import Acceptance, StreamHandlers, Streams
+from .waiting_callers import (
+    ENDING,
+    READING,
+    STALLED_AFTER,
+    UNUSED,
+    USED,
+    WaitingCallers,
+)
+
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-BODILESS_STATUSES = (204, 304)
 # Seconds within which a caller must close its half of a connection after the last byte
 # of the answer. Callers refused during a large upload would hold their sockets longer.
 LINGER_TIMEOUT = 2.0
 
 
-class WebHandlers(NamedTuple):
-    """Callbacks for a whole request and for a caller that has disconnected."""
+# Bytes that the kernel may receive of a body for which room was reserved.
+BODY_RECEIVE_BUFFER = 65536
+# Bytes that the kernel holds of an answer whose caller doesn't read: twice the buffer
+# of the connection to the upstream.
+UNREAD_UPSTREAM_BYTES = 65536
+# Bytes of an answer that are kept until it is whole, however little memory is left.
+SMALL_ANSWER = 16384
+# Bytes that each unsent piece of an answer takes besides its content.
+BYTES_PER_PIECE = 200
+# Seconds without progress after which an unread answer gives way while callers hold
+# more than there is room for.
+UNREAD_AFTER = 0.1
+# Bytes per second below which a body may have to give way to another one.
+MIN_BODY_RATE = 65536
 
-    requested: Callable[["Exchange"], None]
-    disconnected: Callable[["Exchange"], None]
 
+def is_slow(caller, now):
+    """Return whether a body arrives so slowly that it may give way to another one."""
+    return caller.reader.body_size < MIN_BODY_RATE * (now - caller.waiting_since)
 
-class WebOptions(NamedTuple):
-    """Protocol options of one listener.
 
-    ``accept_chunked_bodies`` accepts chunked request bodies. ``answer_half_closed``
-    still answers a caller that has closed its sending half.
-    """
+def list_unread(conns, now, least_age):
+    """Return the connections whose callers don't read, the longest stalled first.
 
-    accept_chunked_bodies: bool = False
-    answer_half_closed: bool = True
-
-
-class Exchange:
-    """One request and its answer on a caller's connection."""
+    ``least_age`` is the time without progress in seconds.
+    """
+    stalled = [
+        conn
+        for conn in conns
+        if conn.pending_size and now - conn.progress_at >= least_age
+    ]
+    return sorted(stalled, key=lambda conn: conn.progress_at)
 
-    __slots__ = (
-        "req",
-        "started",
-        "disconnected",
-        "finished",
-        "on_drain",
-        "has_length",
-        "bodiless",
-        "_web",
-        "_conn",
-        "tag",
-    )
 
-    def __init__(self, req, web, conn):
-        self.req = req
-        self.started = False
-        self.finished = False
-        self.disconnected = False
-        self.on_drain = None
-        self.has_length = False
-        self.bodiless = req.method == "HEAD"
-        self.tag = None
-        self._web = web
-        self._conn = conn
-
-    @property
-    def congested(self):
-        """Return whether the caller reads more slowly than the answer is written."""
-        return self._conn.congested
-
-    @property
-    def host(self):
-        """Return the IP address of the caller, or of the proxy in front of it."""
-        return self._conn.address.host
-
-    def answer(self, status, body=b"", content_type=JSON_TYPE, headers=None):
-        """Send a whole answer."""
-        fields = {"Content-Type": content_type, "Content-Length": str(len(body))}
-        if status in BODILESS_STATUSES:
-            fields = {}
-        data = encode_head(
-            status, fields | (headers or {}) | self._make_connection_field()
-        )
-        self.started = True
-        bodiless = status in BODILESS_STATUSES or self.bodiless
-        self._write(data if bodiless else data + body)
-        self._end()
-
-    def answer_json(self, status, value, headers=None):
-        """Send a JSON document."""
-        body = json.dumps(value).encode() + b"\n"
-        self.answer(status, body, JSON_TYPE, headers)
-
-    def answer_problem(self, exc, headers=None):
-        """Send a failure as a problem document, or abort an answer already started."""
-        if self.started:
-            self.abort()
-            return
-        value, extra = encode_problem(exc)
-        body = json.dumps(value).encode() + b"\n"
-        self.answer(exc.status, body, PROBLEM_TYPE, extra | (headers or {}))
+def refuse(exchange, exc):
+    """Answer a request that is refused before its body was received."""
+    exchange.answer_problem(exc)
 
-    def start(self, status, content_type, headers=None):
-        """Send the head of an answer whose body is written in pieces.
 
-        An HTTP/1.0 caller can't read chunks: its answer ends with the connection, which
-        is therefore not kept alive.
-        """
-        fields = {"Content-Type": content_type}
-        if self.req.accepts_chunks:
-            fields["Transfer-Encoding"] = "chunked"
-        else:
-            self._end_with_connection()
-        data = encode_head(
-            status, fields | (headers or {}) | self._make_connection_field()
-        )
-        self.started = True
-        self._write(data)
+class WebHandlers(NamedTuple):
+    """Callbacks for a whole request and for a caller that has disconnected.
 
-    def relay_head(self, status, headers, length):
-        """Send the head of an answer with the upstream's own header fields.
+    ``refused`` answers a request that is refused before its body was received.
+    """
 
-        ``length`` is the body's length in bytes, or None if it is not known. Without a
-        body, none is sent of what follows (RFC 9112, section 6.3).
-        """
-        self.has_length = length is not None
-        self.bodiless = self.bodiless or status in BODILESS_STATUSES
-        if status in BODILESS_STATUSES:
-            framing = {}
-        elif self.has_length:
-            framing = {"Content-Length": str(length)}
-        elif self.bodiless:
-            framing = {}
-        elif self.req.accepts_chunks:
-            framing = {"Transfer-Encoding": "chunked"}
-        else:
-            framing = {}
-            self._end_with_connection()
-        self.started = True
-        fields = {**headers, **framing, **self._make_connection_field()}
-        self._write(encode_head(status, fields))
-
-    def write(self, data):
-        """Send one piece of the body."""
-        # An empty chunk would end the body.
-        if data and not self.bodiless:
-            self._write(self._frame(data))
-
-    def finish(self, data=b""):
-        """Send the last piece of the body, if any, and end the answer."""
-        chunked = self.req.accepts_chunks and not self.has_length
-        if not self.bodiless:
-            end = CHUNKED_END if chunked else b""
-            self._write((self._frame(data) if data else b"") + end)
-        self._end()
-
-    def _frame(self, data):
-        if self.has_length or not self.req.accepts_chunks:
-            return data
-        return b"%x\r\n%b\r\n" % (len(data), data)
-
-    def abort(self):
-        """Close the connection; without its end the answer is visibly incomplete."""
-        if self.disconnected or self.finished:
-            return
-        self.finished = True
-        self._web.drop(self._conn)
+    requested: Callable[["Exchange"], None]
+    disconnected: Callable[["Exchange"], None]
+    refused: Callable[["Exchange", ChervilwingError], None] = refuse
 
-    def _end_with_connection(self):
-        self.req = self.req._replace(keep_alive=False)
-        self._web.reset_if_cut(self._conn)
 
-    def _make_connection_field(self):
-        keep = self.req.keep_alive and not self._web.stopping
-        return {"Connection": "keep-alive" if keep else "close"}
+class WebOptions(NamedTuple):
+    """Protocol options of one listener.
 
-    def _write(self, data):
-        if not self.disconnected and not self.finished:
-            self._web.send(self._conn, data)
+    ``answer_half_closed`` still answers a caller that has closed its sending half.
+    ``max_callers`` limits the connections, None for the limit that the budget states.
+    ``reader`` says how requests are read.
+    """
 
-    def _end(self):
-        if self.disconnected or self.finished:
-            return
-        self.finished = True
-        self._web.end_exchange(self._conn, self.req.keep_alive)
+    answer_half_closed: bool = True
+    max_callers: int | None = None
+    reader: ReaderOptions = DEFAULT_OPTIONS
 
 
 class _Caller:
@@ -200,36 +99,50 @@
         "waiting_since",
         "last_sent",
         "serving",
+        "widened",
         "idle_limit",
         "has_sent",
+        "holding",
     )
 
-    def __init__(self, reader, now, idle_limit):
+    def __init__(self, reader, holding, now, idle_limit):
         self.reader = reader
+        self.holding = holding
         self.idle_limit = idle_limit
         self.exchange = None
         self.waiting_since = now
         self.last_sent = 0
         self.serving = False
+        # Whether the kernel may receive more of its bodies.
+        self.widened = False
         # Whether a request was received on the connection.
         self.has_sent = False
 
 
 class Web(BaseComponent):
-    """Serve HTTP/1.1 on one listening address."""
+    """Serve HTTP/1.1 on one listening address.
+
+    All listeners of a process share one CallerBudget.
+    """
 
     channel = "web"
 
-    def __init__(self, cfg, poller, handlers, channel="web", options=None):
+    def __init__(self, cfg, poller, handlers, channel="web", options=None, budget=None):
         super().__init__(channel=channel)
         self._cfg = cfg
         self._options = options or WebOptions()
+        self._budget = budget or CallerBudget()
         self._callbacks = handlers
         self.stopping = False
         self._callers = set()
+        self._waiting = WaitingCallers()
         self._intake = None
         streams = StreamHandlers(
-            self._opened, self._received, self._closed, self._drained, self._half_closed
+            self._opened,
+            self._received,
+            self._closed,
+            self._drained,
+            self._half_closed,
         )
         self._streams = Streams(poller, streams, f"{channel}-streams").register(self)
 
@@ -239,7 +152,8 @@
         With an Intake, callers beyond its limit are rejected before they are read.
         """
         self._intake = intake
-        return self._streams.listen(address, intake)
+        acceptance = Acceptance(intake, receive_buffer=RECEIVE_BUFFER)
+        return self._streams.listen(address, acceptance)
 
     def stop_listening(self):
         """Close the listener and end keep-alive; requests in flight continue.
@@ -255,6 +169,19 @@
     def send(self, conn, data):
         """Write bytes to a caller's connection."""
         self._streams.send(conn, data)
+        if conn.pending_size:
+            self._hold_answer(conn)
+
+    def _hold_answer(self, conn):
+        """Account for what a caller hasn't read, here and in its upstream's socket."""
+        size = conn.pending_size + BYTES_PER_PIECE * len(conn.pending)
+        if conn.congested:
+            size += UNREAD_UPSTREAM_BYTES
+        conn.state.holding.hold(ANSWER, size, force=True)
+
+    def may_buffer(self, conn, size):
+        """Return whether ``size`` bytes of an answer may be kept until it is whole."""
+        return size <= SMALL_ANSWER or conn.state.holding.hold(ANSWER, size)
 
     def drop(self, conn):
         """Close a caller's connection at once."""
@@ -273,9 +200,18 @@
         caller.exchange = None
         caller.waiting_since = time.monotonic()
         caller.idle_limit = self._cfg.idle_timeout
+        caller.holding.release(REQUEST, BODY)
+        if not conn.pending:
+            caller.holding.release(ANSWER)
         if self.stopping or conn.half_closed or not keep_alive:
+            caller.reader.discard()
+            self._hold_answer(conn)
+            self._waiting.add(conn, ENDING, caller.waiting_since)
             self._streams.linger(conn)
             return
+        self._waiting.add(
+            conn, USED if caller.reader.idle else READING, caller.waiting_since
+        )
         self._serve_received(conn)
 
     def count(self):
@@ -294,6 +230,7 @@
         hold a socket and a buffer forever. The limits are settings in seconds.
         """
         now = time.monotonic()
+        self._free_memory(now)
         for conn in list(self._callers):
             if conn.state.exchange is None:
                 self._check_timeouts(conn, now)
@@ -311,19 +248,42 @@
             if waited > max(caller.idle_limit, self._cfg.idle_timeout):
                 self._streams.drop(conn)
         elif waited > self._cfg.head_timeout:
-            self._reject(conn, SlowSender())
+            exc = SlowSender()
+            self._reject(conn, exc)
+
+    def _free_memory(self, now):
+        """Close connections that make no progress while memory is short."""
+        memory = self._budget.memory
+        unread_after = UNREAD_AFTER if memory.excess else STALLED_AFTER
+        shortage = memory.take_shortage()
+        if shortage <= 0:
+            return
+        for conn in self._waiting.list_stalled(now):
+            if shortage > 0 and is_slow(conn.state, now):
+                shortage -= conn.state.holding.get(BODY)
+                self._reject(conn, SlowSender())
+        for conn in list_unread(self._callers, now, unread_after):
+            if shortage <= 0:
+                return
+            shortage -= conn.state.holding.get(ANSWER)
+            self._streams.drop(conn)
 
     def _opened(self, conn):
-        reader = RequestReader(self._cfg, self._options.accept_chunked_bodies)
-        conn.state = _Caller(reader, time.monotonic(), self._cfg.idle_timeout)
+        holding = CallerHolding(self._budget.memory)
+        reader = RequestReader(self._cfg, holding, self._options.reader)
+        conn.state = _Caller(reader, holding, time.monotonic(), self._cfg.idle_timeout)
         self._callers.add(conn)
+        self._waiting.add(conn, UNUSED, conn.state.waiting_since)
 
     def _received(self, conn, data):
         caller = conn.state
+        began = time.monotonic()
         if caller.exchange is None and caller.reader.idle:
-            caller.waiting_since = time.monotonic()
+            caller.waiting_since = began
         caller.reader.feed(data)
         self._serve_received(conn)
+        if conn in self._callers and not (caller.exchange or caller.reader.idle):
+            self._waiting.add_reading(conn, caller.waiting_since)
 
     def _serve_received(self, conn):
         """Serve the received requests one at a time and in order.
@@ -356,7 +316,11 @@
         if req is None:
             if caller.reader.expects_continue:
                 self._streams.send(conn, CONTINUE)
+            if not caller.widened and caller.holding.get(BODY) > BODY_RECEIVE_BUFFER:
+                caller.widened = True
+                self._streams.widen(conn, BODY_RECEIVE_BUFFER)
             return False
+        self._waiting.remove(conn)
         caller.exchange = Exchange(req, self, conn)
         if self._intake is not None:
             self._intake.record_request(time.monotonic(), not caller.has_sent)
@@ -365,11 +329,22 @@
         return True
 
     def _reject(self, conn, exc):
-        conn.state.exchange = Exchange(UNREADABLE_REQUEST, self, conn)
-        conn.state.exchange.answer_problem(exc)
+        """Answer a request that isn't read to its end, and end its connection."""
+        caller = conn.state
+        self._waiting.remove(conn)
+        head = caller.reader.head
+        if head is None:
+            caller.exchange = Exchange(UNREADABLE_REQUEST, self, conn)
+            caller.exchange.answer_problem(exc)
+            return
+        # What follows on the connection may be the rest of the body.
+        caller.exchange = Exchange(head._replace(keep_alive=False), self, conn)
+        self._callbacks.refused(caller.exchange, exc)
 
     def _drained(self, conn):
         exchange = conn.state.exchange
+        if conn.state.holding.get(ANSWER) and (exchange is None or exchange.started):
+            self._hold_answer(conn)
         if exchange is None:
             self._serve_received(conn)
         elif exchange.on_drain is not None:
@@ -391,42 +366,10 @@
 
     def _closed(self, conn, exc):
         self._callers.discard(conn)
+        self._waiting.remove(conn)
+        conn.state.holding.close()
         exchange = conn.state.exchange
         if exchange is None or exchange.finished:
             return
         exchange.disconnected = True
         self._callbacks.disconnected(exchange)
-
-
-class _UnreadableRequest(NamedTuple):
-    method: str = ""
-    keep_alive: bool = False
-    accepts_chunks: bool = True
-
-
-UNREADABLE_REQUEST = _UnreadableRequest()
-
-
-def ignore(exchange, exc):
-    """Take no action on a failure."""
-
-
-def answer_failures(serve, on_failure=ignore):
-    """Return ``serve`` wrapped so that each failure is answered as a problem document.
-
-    ``on_failure`` is called first. Exceptions that are no ChervilwingError are answered
-    as internal failures and raised again.
-    """
-
-    def served(exchange):
-        try:
-            serve(exchange)
-        except ChervilwingError as exc:
-            on_failure(exchange, exc)
-            exchange.answer_problem(exc)
-        except Exception:
-            on_failure(exchange, ChervilwingError())
-            exchange.answer_problem(ChervilwingError())
-            raise
-
-    return served
--- /dev/null
+++ b/tests/test_misbehaving_clients.py
@@ -0,0 +1,117 @@
+"""Crowds of clients that misbehave, against real processes beside ordinary callers."""
+
+import json
+import time
+import unittest
+
+from tests.crowded_gateway import CrowdedGateway
+from tests.crowds import (
+    BODY_BYTES,
+    HEAD_BYTES,
+    make_head,
+    make_short_fields,
+)
+from tests.procs import Caller, call, read_file
+
+CROWD_SECONDS = 3.0
+KEY = b"k1"
+# Part of its machine's memory that a process uses, and of the ordinary requests that
+# are served, each within the deadline of plain requests.
+MEMORY_PART = 0.75
+SERVED_PART = 0.99
+SMALL, USUAL = 160, 300
+# Statuses that promise that a request has not run and never will.
+NOT_RUN = {408, 413, 421, 429, 503}
+DRAIN_TIMEOUT = 8.0
+# Seconds for which callers may read an answer in calm.
+ANSWER_TIMEOUT = 20.0
+
+
+class CrowdCase(unittest.TestCase):
+    make_process = CrowdedGateway
+
+    def start(self, memory_mib):
+        """Start a process on a machine with this much memory."""
+        self.gateway = self.make_process(memory_mib)
+        self.addCleanup(self.gateway.close)
+        return self.gateway
+
+    def play(self, name, count, path="/page/x", port="port", memory_mib=USUAL):
+        """Play one crowd and check the process's memory and its other callers."""
+        gateway = self.start(memory_mib)
+        crowd = self.begin(name, count, path, port)
+        outcomes = gateway.measure(CROWD_SECONDS)
+        self.check(outcomes)
+        return self.read_crowd(crowd)
+
+    def begin(self, name, count, path="/page/x", port="port"):
+        """Start one crowd at a port of the process."""
+        number = getattr(self.gateway, port)
+        return self.gateway.start_crowd(name, count, CROWD_SECONDS, path, number)
+
+    def check(self, outcomes):
+        """Check how ordinary callers fared, and that the process kept its memory."""
+        gateway = self.gateway
+        self.assertTrue(gateway.is_alive(), gateway.read_log())
+        self.assertLess(gateway.watch.peak, MEMORY_PART * gateway.limit)
+        self.assertGreaterEqual(outcomes.served, SERVED_PART, outcomes)
+        self.assertEqual(outcomes.ready, outcomes.checks)
+
+    def read_crowd(self, crowd):
+        """Return the counts and the statuses by request that a crowd has seen."""
+        crowd.popen.wait(CROWD_SECONDS + ANSWER_TIMEOUT)
+        line = read_file(crowd.stdout).splitlines()[-1]
+        return json.loads(line)
+
+    def read_ran(self):
+        """Return the ids of all requests that an upstream ran."""
+        ran = set()
+        for upstream in self.gateway.upstreams:
+            ran |= set(call(upstream.port, "GET", "/ids/").json())
+        return ran
+
+
+class TestCalm(CrowdCase):
+    """A single request inside the limits is served, also on the smallest machine."""
+
+    def setUp(self):
+        self.start(SMALL)
+
+    def ask(self, data):
+        """Send one request and return its answer."""
+        with Caller(self.gateway.port, ANSWER_TIMEOUT) as caller:
+            caller.send(data.replace(b"%KEY%", KEY, 1))
+            return caller.read_answer()
+
+    def test_the_largest_body(self):
+        head = make_head("/page/x", f"Content-Length: {BODY_BYTES}")
+        self.assertEqual(self.ask(head + b"x" * BODY_BYTES).status, 200)
+
+    def test_the_largest_body_in_chunks(self):
+        head = make_head("/page/x", "Transfer-Encoding: chunked")
+        chunk = b"400\r\n" + b"x" * 1024 + b"\r\n"
+        body = chunk * (BODY_BYTES // 1024) + b"0\r\n\r\n"
+        self.assertEqual(self.ask(head + body).status, 200)
+
+    def test_the_largest_head_with_the_most_fields(self):
+        head = make_head("/page/x", *make_short_fields(HEAD_BYTES - 300), method="GET")
+        self.assertEqual(self.ask(head).status, 200)
+
+    def test_a_refused_sender_reads_his_answer(self):
+        """A caller who sent his body first saw a reset in place of the refusal."""
+        head = make_head("/none/x", f"Content-Length: {BODY_BYTES}")
+        self.assertEqual(self.ask(head + b"x" * BODY_BYTES).status, 404)
+
+    def test_a_connection_that_was_idle_for_long_is_served(self):
+        """Idle connections are closed early only when connections run short."""
+        with Caller(self.gateway.port, ANSWER_TIMEOUT) as caller:
+            request = make_head("/page/x", method="GET").replace(b"%KEY%", KEY)
+            caller.send(request)
+            self.assertEqual(caller.read_answer().status, 200)
+            time.sleep(4.0)
+            caller.send(request)
+            self.assertEqual(caller.read_answer().status, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -4,13 +4,15 @@
 import unittest
 from typing import NamedTuple
 
+from chervilwing.caller_memory import CallerHolding, CallerMemory
 from chervilwing.exceptions import (
     BadRequest,
     ChervilwingError,
     LengthRequired,
     TooLarge,
 )
-from chervilwing.parsers import RequestReader, ResponseReader
+from chervilwing.parsers import ResponseReader
+from chervilwing.request_reader import ReaderOptions, RequestReader
 
 SEED, ROUNDS = 20261202, 4000
 SIZED_REQUEST = b"POST /a?b=c HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nxyz"
@@ -28,9 +30,15 @@
     body_limit: int = 50
 
 
+def make_reader(chunked=False):
+    """Return a reader with a megabyte of room."""
+    options = ReaderOptions(chunked=chunked)
+    return RequestReader(Limits(), CallerHolding(CallerMemory(1 << 20)), options)
+
+
 def read_requests(*parts):
     """Return all whole requests in the bytes, fed part by part."""
-    reader, found = RequestReader(Limits()), []
+    reader, found = make_reader(), []
     for part in parts:
         reader.feed(part)
         while (req := reader.pop_request()) is not None:
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -13,6 +13,7 @@
 from chervilwing.settings import read_settings
 from chervilwing.web import Web, WebHandlers
 from tests.deployments import (
+    API_KEY,
     AUTHORISED,
     Deployment,
     Upstreams,
@@ -212,7 +213,9 @@
         self.assertEqual(len(self.service.record()["calls"]), calls)
 
     def test_a_slow_sender_is_answered_and_disconnected(self):
-        starts = (b"G", make_head("POST /x HTTP/1.1", "Content-Length: 9") + b"x")
+        key = f"Authorization: Bearer {API_KEY}"
+        head = make_head(f"POST {COMPLETIONS} HTTP/1.1", key, "Content-Length: 9")
+        starts = (b"G", head + b"x")
         with self.check_other_stream():
             for data in starts:
                 answer = self.send(data)
