Close connections that carry nothing when they run short

What callers saw: beside 4,200 connections that sent nothing, ordinary requests took 6.6 s at the 95th percentile, and 4 of 8 readiness checks were answered; the same if the connections were at the port for readiness checks.

Cause: callers could take all descriptors of the process, also those that it needs for upstreams, the store and readiness checks, and kept them for 15 s.

Beyond it, a new connection takes the place of one that never sent anything, else of an idle one, one that ends, a request that isn't whole after half a second, or an unread answer, the oldest first. While there is room, idle connections stay for the configured time. Tunnels and peers' streams count what they hold unread in the same account, and their ports close the oldest connection that hasn't said who it is.

--- a/src/chervilwing/daemon.py
+++ b/src/chervilwing/daemon.py
@@ -100,7 +100,9 @@
     def _join_peers(self):
         cfg = self.cfg
         # Listen first: the member record contains the bound port.
-        self._peers = Peers(self._poller, self._receive_update).register(self)
+        self._peers = Peers(self._poller, self._receive_update, self._budget).register(
+            self
+        )
         address = self._peers.listen(cfg.peer_listen)
         self._peer_address = Address(*address)
         record = Record(
--- a/src/chervilwing/peers.py
+++ b/src/chervilwing/peers.py
@@ -5,12 +5,14 @@
 import msgpack
 from circuits.core import BaseComponent, handler
 
+from .caller_budget import CallerBudget
+from .caller_memory import INPUT, CallerHolding
 from .exceptions import BadFrame
 from .frames import MAX_FRAME, Decoder, Frame, encode
 from .gossip import Record, from_wire
 from .logs import log_event
 from .membership import Heard, Send
-from .sockets import StreamHandlers, Streams
+from .sockets import RECEIVE_BUFFER_SIZE, Acceptance, StreamHandlers, Streams
 from .wire import decode_value
 
 HELLO = "hello"
@@ -25,6 +27,9 @@
 # to each of hundreds of others, which would keep sockets open at both ends. The gossip
 # probes each of its 6 links about every 6 s, a tenth of this time, so they stay open.
 IDLE_TIMEOUT = 60.0
+# Streams at the same time: two for each of the 320 instances planned, as both ends may
+# have dialled.
+MAX_STREAMS = 640
 # Unsent bytes after which the connection to a peer that doesn't read is closed.
 MAX_PENDING_BYTES = 4 * 1024 * 1024
 
@@ -32,10 +37,20 @@
 class _Stream:
     """Hold the state of one stream, dialled by this instance or by the peer."""
 
-    __slots__ = ("conn", "decoder", "parts", "address", "name", "used_at", "dialled")
-
-    def __init__(self, conn, address, now, dialled):
+    __slots__ = (
+        "conn",
+        "decoder",
+        "parts",
+        "address",
+        "name",
+        "used_at",
+        "dialled",
+        "holding",
+    )
+
+    def __init__(self, conn, address, now, dialled, memory):
         self.conn = conn
+        self.holding = CallerHolding(memory)
         self.decoder = Decoder()
         self.parts = bytearray()
         self.address = address
@@ -54,8 +69,9 @@
 
     channel = "peers"
 
-    def __init__(self, poller, on_item):
+    def __init__(self, poller, on_item, budget=None):
         super().__init__()
+        self._memory = (budget or CallerBudget()).memory
         self._membership = None
         self._on_item = on_item
         self._by_conn = {}
@@ -67,7 +83,22 @@
 
     def listen(self, address):
         """Start to accept peers; return the bound address."""
-        return self._streams.listen(address)
+        acceptance = Acceptance(
+            make_place=self._make_place, receive_buffer=RECEIVE_BUFFER_SIZE
+        )
+        return self._streams.listen(address, acceptance)
+
+    def _make_place(self):
+        """Return whether one more stream may be accepted.
+
+        If there are too many, the oldest without a hello is closed.
+        """
+        if len(self._by_conn) < MAX_STREAMS:
+            return True
+        stream = next((i for i in self._by_conn.values() if i.address is None), None)
+        if stream is not None:
+            self._streams.drop(stream.conn)
+        return stream is not None
 
     def set_membership(self, membership):
         """Set the membership to run, once the bound address is known."""
@@ -132,7 +163,7 @@
 
     def _dial(self, address):
         conn = self._streams.dial(address)
-        stream = _Stream(conn, address, time.monotonic(), dialled=True)
+        stream = _Stream(conn, address, time.monotonic(), True, self._memory)
         self._by_conn[conn] = stream
         self._by_address[address] = stream
         self._streams.send(conn, self._membership.encode_hello())
@@ -141,7 +172,7 @@
     def _on_opened(self, conn):
         if conn in self._by_conn:
             return
-        self._by_conn[conn] = _Stream(conn, None, time.monotonic(), dialled=False)
+        self._by_conn[conn] = _Stream(conn, None, time.monotonic(), False, self._memory)
         self._streams.send(conn, self._membership.encode_hello())
 
     def _on_received(self, conn, data):
@@ -182,12 +213,15 @@
         stream.parts += body
         if len(stream.parts) > MAX_MESSAGE_BYTES:
             raise BadFrame(f"A message in parts is over {MAX_MESSAGE_BYTES} bytes.")
+        if not stream.holding.hold(INPUT, len(stream.parts)):
+            raise BadFrame("There is no memory for a message in parts.")
 
     def _on_message(self, stream, body):
         if not isinstance(body, bytes):
             raise BadFrame("A message carries bytes.")
         message = bytes(stream.parts) + body
         stream.parts.clear()
+        stream.holding.release()
         body = decode_message(message)
         if (
             not isinstance(body, list)
@@ -205,6 +239,7 @@
         stream = self._by_conn.pop(conn, None)
         if stream is None:
             return
+        stream.holding.close()
         if self._by_address.get(stream.address) is stream:
             del self._by_address[stream.address]
         if stream.dialled and exc is not None:
--- a/src/chervilwing/tunnel_server.py
+++ b/src/chervilwing/tunnel_server.py
@@ -4,10 +4,17 @@
 
 from circuits.core import BaseComponent, handler
 
+from .caller_memory import ANSWER, CallerHolding
 from .clocks import read_boottime
 from .exceptions import BadRequest
 from .logs import log_event
-from .sockets import StreamHandlers, Streams, set_path_timeout
+from .sockets import (
+    RECEIVE_BUFFER_SIZE,
+    Acceptance,
+    StreamHandlers,
+    Streams,
+    set_path_timeout,
+)
 from .tunnels import (
     CONNECTED,
     END_FRAME,
@@ -45,6 +52,13 @@
         self.head = b""
         self.began = now
         self.opened = False
+        # What the two ends haven't read, set once the connection is accepted.
+        self.holding = None
+
+    def update_holding(self):
+        """Account for the bytes that wait for either end to read them."""
+        size = self.conn.pending_size + self.upstream_conn.pending_size
+        self.holding.hold(ANSWER, size, force=True)
 
 
 class TunnelServer(BaseComponent):
@@ -62,7 +76,11 @@
         # The port that it listens on, 0 if it helps nobody.
         self.port = 0
         self.stopping = False
-        self._tunnels = set()
+        # In the order in which they were accepted.
+        self._tunnels = {}
+        budget = gateway.budget
+        self._memory = budget.memory
+        self._max_tunnels = min(MAX_TUNNELS, budget.max_callers // 4)
         self._ticked_at = read_boottime()
         self._late = False
         asking = StreamHandlers(
@@ -76,7 +94,10 @@
 
     def listen(self, address):
         """Accept requests for tunnels and return the address that was bound."""
-        address = self._callers.listen(address)
+        acceptance = Acceptance(
+            make_place=self._make_place, receive_buffer=RECEIVE_BUFFER_SIZE
+        )
+        address = self._callers.listen(address, acceptance)
         self.port = address.port
         return address
 
@@ -84,9 +105,21 @@
         """Return the number of open tunnels."""
         return len(self._tunnels)
 
+    def _make_place(self):
+        """Return whether one more connection may be accepted.
+
+        If there are too many, the oldest that hasn't asked for an upstream is closed.
+        """
+        if len(self._tunnels) < self._max_tunnels:
+            return True
+        tunnel = next((i for i in self._tunnels if i.upstream_conn is None), None)
+        if tunnel is not None:
+            self._callers.drop(tunnel.conn)
+        return tunnel is not None
+
     def is_helping(self):
         """Return whether this instance opens tunnels now."""
-        full = len(self._tunnels) >= MAX_TUNNELS
+        full = len(self._tunnels) >= self._max_tunnels
         if not self.port or self.stopping or self._late or full:
             return False
         return not self._gateway.paths.is_doubtful(read_boottime())
@@ -108,7 +141,8 @@
         # An asking instance that loses power must not keep upstreams at work.
         set_path_timeout(conn.sock)
         conn.state = ServedTunnel(conn, read_boottime())
-        self._tunnels.add(conn.state)
+        conn.state.holding = CallerHolding(self._memory)
+        self._tunnels[conn.state] = None
 
     def _received(self, conn, data):
         tunnel = conn.state
@@ -117,6 +151,7 @@
             return
         if tunnel.opened:
             self._upstreams.send(tunnel.upstream_conn, data)
+            tunnel.update_holding()
             if tunnel.upstream_conn.congested:
                 self._callers.pause(conn)
             return
@@ -157,15 +192,18 @@
     def _answered(self, conn, data):
         tunnel = conn.state
         self._callers.send(tunnel.conn, encode_frame(data))
+        tunnel.update_holding()
         if tunnel.conn.congested:
             self._upstreams.pause(conn)
 
     def _drained(self, conn):
         if conn.state.upstream_conn is not None:
+            conn.state.update_holding()
             self._upstreams.resume(conn.state.upstream_conn)
 
     def _sent(self, conn):
         if conn.state is not None:
+            conn.state.update_holding()
             self._callers.resume(conn.state.conn)
 
     def _upstream_closed(self, conn, exc):
@@ -191,6 +229,7 @@
 
     def _closed(self, conn, exc):
         tunnel = conn.state
-        self._tunnels.discard(tunnel)
+        self._tunnels.pop(tunnel, None)
+        tunnel.holding.close()
         if tunnel.upstream_conn is not None:
             self._upstreams.drop(tunnel.upstream_conn, reset=True)
--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -152,7 +152,7 @@
         With an Intake, callers beyond its limit are rejected before they are read.
         """
         self._intake = intake
-        acceptance = Acceptance(intake, receive_buffer=RECEIVE_BUFFER)
+        acceptance = Acceptance(intake, self._make_place, RECEIVE_BUFFER)
         return self._streams.listen(address, acceptance)
 
     def stop_listening(self):
@@ -251,6 +251,24 @@
             exc = SlowSender()
             self._reject(conn, exc)
 
+    def _make_place(self):
+        """Return whether one more connection may be accepted.
+
+        If there are too many, one that carries nothing is closed, else one whose
+        request or whose answer makes no progress.
+        """
+        limit = self._options.max_callers or self._budget.max_callers
+        if len(self._callers) < limit:
+            return True
+        now = time.monotonic()
+        conn = self._waiting.find_replaceable(now)
+        if conn is None:
+            conn = next(iter(list_unread(self._callers, now, STALLED_AFTER)), None)
+        if conn is None:
+            return False
+        self._streams.drop(conn)
+        return True
+
     def _free_memory(self, now):
         """Close connections that make no progress while memory is short."""
         memory = self._budget.memory
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -71,6 +71,19 @@
         return ran
 
 
+class TestConnections(CrowdCase):
+    """Connections that carry nothing took all descriptors, of readiness checks too."""
+
+    def test_silent_connections(self):
+        self.play("silent", 4200)
+
+    def test_silent_connections_to_the_port_for_readiness(self):
+        self.play("silent", 4200, port="ready_port")
+
+    def test_silent_connections_to_the_port_for_tunnels(self):
+        self.play("silent", 4200, port="tunnel_port", memory_mib=SMALL)
+
+
 class TestCalm(CrowdCase):
     """A single request inside the limits is served, also on the smallest machine."""
 
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
+from chervilwing.caller_budget import CallerBudget
 from chervilwing.connections import Call, CallHandlers, Client
 from chervilwing.exceptions import (
     NOT_RUN,
@@ -89,6 +90,7 @@
         address = Address(HOST, self.upstream.port)
         registered = {"u0": Registration("u0", "web", address, "a")}
         self.gateway = SimpleNamespace(
+            budget=CallerBudget(),
             registry=SimpleNamespace(upstreams=registered),
             paths=UpstreamPaths(),
             detours=SimpleNamespace(record_direct=lambda name: None),
