Drop the body of a request that has ended

What was seen: after eight crowds of 120 callers with bodies of 4 MiB, a gateway peaked at 215 MiB, after the first at 125.

Cause: a request, its call and their callbacks refer to each other, and crash detection keeps some for a while. Until the garbage collector found the cycle, the body stayed in memory, though its caller's account was closed; the same for what a closed connection still had to send.

A request's body is dropped when the request ends, unsent data when its connection closes.

--- a/src/chervilwing/exchanges.py
+++ b/src/chervilwing/exchanges.py
@@ -141,6 +141,11 @@
             return data
         return b"%x\r\n%b\r\n" % (len(data), data)
 
+    def discard_body(self):
+        """Drop the request's body, which is no longer needed."""
+        if self.req.body:
+            self.req = self.req._replace(body=b"")
+
     def abort(self):
         """Close the connection; without its end the answer is visibly incomplete."""
         if self.disconnected or self.finished:
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -324,6 +324,7 @@
         self._path.forget(relay)
         self.relays.discard(relay)
         self._log_and_refuse(relay.exchange, exc)
+        relay.exchange.discard_body()
 
     def _get_document_version(self):
         return self.table.document.version if self.table else 0
@@ -411,3 +412,5 @@
             series.record_first_token(relay.first_byte_at - relay.received_at)
         version = self.table.document.version
         log_request(describe_relay(relay, outcome, status, cause, version, now))
+        # Crash detection keeps ended requests for some time.
+        relay.exchange.discard_body()
--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -336,6 +336,8 @@
         if reset:
             conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         conn.sock.close()
+        # Its owner may keep the connection for longer than what it had to send.
+        conn.pending.clear()
         self._callbacks.closed(conn, exc)
 
     def count(self):
