Serve bulk work of callers in a share of the time

What callers saw: 60 callers with 20,000 requests ahead each kept a gateway from 36 of 80 ordinary requests and from all readiness checks; 1,000 callers with 2,300 header fields each from 78 of 79; chunks of one byte made ordinary requests wait for 14 s. In chervilwingd requests sent ahead stopped everything.

Cause: a turn of the event loop had no bound. Each ready connection was read and served as far as its bytes went: hundreds of requests, thousands of chunks, or 20 ms for one head of very many fields, before the next one had its turn.

Change: input beyond 4 KiB, requests sent ahead and bytes that are discarded are bulk work. It has half of the time, in turns of 5 ms, and its connections wait paused; bytes to discard come last. One connection's requests sent ahead are served for 5 ms at most. A connection beyond max_callers waits up to half a second for a place if nothing can be closed at once: 836 callers with unread answers had ordinary ones reset (24 of 30 served). The process counts on 80 MiB for itself, as these callers took a machine of 160 MB to 128 MiB.

--- a/src/chervilwing/caller_budget.py
+++ b/src/chervilwing/caller_budget.py
@@ -1,17 +1,18 @@
-"""What callers of one process may take: memory and connections.
+"""What callers of one process may take: memory, connections and bulk processing time.
 
 docs/design/CALLER-LIMITS.md tells where each byte that a caller sends is accounted for.
 """
 
 from typing import NamedTuple
 
+from .bulk_time import BulkTime
 from .caller_memory import CallerMemory
 
 KIB, MIB = 1024, 1024 * 1024
 # Part of the memory limit that the process uses, and its part without callers. The rest
 # covers what the allocator doesn't give back.
 MEMORY_PART = 0.75
-OWN_MEMORY = 64 * MIB
+OWN_MEMORY = 80 * MIB
 MIN_ROOM_PART = 0.125
 # Part of the room for open connections, and the bytes of each: its objects and what the
 # kernel holds of it unread, twice RECEIVE_BUFFER.
@@ -43,6 +44,7 @@
         room = compute_room(machine.memory)
         self.max_callers = count_callers(room, machine.descriptors)
         self.memory = CallerMemory(int(room * (1 - CONNECTIONS_PART)))
+        self.bulk_time = BulkTime()
 
 
 def compute_room(memory):
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -159,7 +159,9 @@
                 continue
             limits = CurrentLimits(CallerLimits())
             options = WebOptions(
-                max_callers=MAX_CHECKERS, reader=ReaderOptions(skips_bodies=True)
+                max_callers=MAX_CHECKERS,
+                reader=ReaderOptions(skips_bodies=True),
+                urgent=name == "ready",
             )
             web = Web(
                 limits,
--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -45,6 +45,8 @@
 # Bytes of the kernel's receive buffer of a dialled connection. While it isn't read, as
 # its caller reads slowly, that is what this process holds for it.
 RECEIVE_BUFFER_SIZE = 32768
+# Seconds that a new connection waits while there are too many and none can be closed.
+PLACE_WAIT = 0.5
 # Values of SO_LINGER: a reset, which discards what wasn't sent yet; an end in order.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 ORDERLY_CLOSE = struct.pack("ii", 0, 0)
@@ -109,9 +111,9 @@
     """Which connections a listener accepts.
 
     ``intake`` may reject new connections while the processor is busy, None for never.
-    ``make_place`` is called before one is accepted and returns whether there is room
-    for it. ``receive_buffer`` is in bytes: what the kernel may hold of each connection,
-    also before it is accepted.
+    ``make_place`` is called before one is opened and returns whether there is room for
+    it; without room, it waits for PLACE_WAIT and is reset then. ``receive_buffer`` is
+    in bytes: what the kernel may hold of each connection, also before it is accepted.
     """
 
     intake: Any = None
@@ -120,6 +122,16 @@
 
 
 ACCEPT_ALL = Acceptance()
+
+
+class UnplacedSocket(NamedTuple):
+    """A new connection that waits for a place since a time in seconds."""
+
+    sock: socket.socket
+    address: tuple
+    since: float
+
+
 # What is read from closing connections; its content doesn't matter.
 DISCARDED = bytearray(READ_SIZE)
 
@@ -195,13 +207,18 @@
 
     channel = "streams"
 
-    def __init__(self, poller, handlers, channel):
+    def __init__(self, poller, handlers, channel, urgent=False):
         super().__init__(channel=channel)
         self._poller = poller
+        # Whether its sockets don't wait for other roles' ready ones.
+        self._urgent = urgent
         self._callbacks = handlers
         self._conns: dict[socket.socket, Conn] = {}
         self._listener: socket.socket | None = None
         self._listener_paused = False
+        # A new connection that waits for a place, and until when others are reset.
+        self._unplaced = None
+        self._full_until = 0.0
         self._acceptance = ACCEPT_ALL
         self._failed_dials: list[tuple[Conn, OSError]] = []
 
@@ -219,7 +236,7 @@
         sock.bind(address)
         sock.listen(BACKLOG)
         self._listener = sock
-        self._poller.watch(self, sock, reading=True, writing=False)
+        self._watch_listener(True)
         return Address(*sock.getsockname())
 
     def stop_listening(self):
@@ -229,6 +246,9 @@
         self._poller.unwatch(self._listener)
         self._listener.close()
         self._listener = None
+        if self._unplaced is not None:
+            self._reset_new(self._unplaced.sock)
+            self._unplaced = None
 
     def dial(self, address, tunnel=None):
         """Return a new connection; ``opened`` or ``closed`` is called later.
@@ -411,7 +431,7 @@
     def _watch(self, conn, reading, writing):
         conn.reading = reading
         conn.writing = writing
-        self._poller.watch(self, conn.sock, reading, writing)
+        self._poller.watch(self, conn.sock, reading, writing, self._urgent)
 
     def _on_readable(self, conn):
         # A readable event for a paused connection means that the peer has closed it.
@@ -486,25 +506,53 @@
                 if exc.errno not in WOULD_BLOCK:
                     self._pause_listener()
                 return
-            if self._reject_excess(sock):
-                continue
-            configure_socket(sock, self._acceptance.receive_buffer)
-            conn = Conn(sock, Address(*address), connecting=False)
-            self._conns[sock] = conn
-            self._watch(conn, reading=True, writing=False)
-            self._callbacks.opened(conn)
-
-    def _reject_excess(self, sock):
-        """Reset a new connection that isn't accepted; return whether it was reset."""
-        intake, make_place, _ = self._acceptance
-        began = time.monotonic()
-        if (intake is None or intake.accept(began)) and make_place():
-            return False
+            now = time.monotonic()
+            if self._intake_rejects(now):
+                self._reset_new(sock)
+                self._acceptance.intake.record_rejecting(time.monotonic() - now)
+            elif self._acceptance.make_place():
+                self._open(sock, address)
+            elif now < self._full_until:
+                self._reset_new(sock)
+            else:
+                self._unplaced = UnplacedSocket(sock, address, now)
+                self._pause_listener()
+                return
+
+    def _intake_rejects(self, now):
+        intake = self._acceptance.intake
+        return intake is not None and not intake.accept(now)
+
+    def _open(self, sock, address):
+        configure_socket(sock, self._acceptance.receive_buffer)
+        conn = Conn(sock, Address(*address), connecting=False)
+        self._conns[sock] = conn
+        self._watch(conn, reading=True, writing=False)
+        self._callbacks.opened(conn)
+
+    def _reset_new(self, sock):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         sock.close()
-        if intake is not None:
-            intake.record_rejecting(time.monotonic() - began)
-        return True
+
+    def _place_waiting(self, now):
+        """Open the connection that waits for a place, or reset it after a while.
+
+        Return whether it still waits.
+        """
+        sock, address, since = self._unplaced
+        if self._acceptance.make_place():
+            self._open(sock, address)
+        elif now - since < PLACE_WAIT:
+            return True
+        else:
+            self._reset_new(sock)
+            # Others would wait for as long, one after the other.
+            self._full_until = now + PLACE_WAIT
+        self._unplaced = None
+        return False
+
+    def _watch_listener(self, reading):
+        self._poller.watch(self, self._listener, reading, False, self._urgent)
 
     def _pause_listener(self):
         """Accept no connection until the next tick.
@@ -513,16 +561,18 @@
         again at once, so that the loop would spin and delay the open connections.
         """
         self._listener_paused = True
-        self._poller.watch(self, self._listener, reading=False, writing=False)
+        self._watch_listener(False)
 
     @handler("tick", channel="*")
     def _on_tick(self):
         failed, self._failed_dials = self._failed_dials, []
         for conn, exc in failed:
             self._callbacks.closed(conn, exc)
+        if self._unplaced is not None and self._place_waiting(time.monotonic()):
+            return
         if self._listener_paused and self._listener is not None:
             self._listener_paused = False
-            self._poller.watch(self, self._listener, reading=True, writing=False)
+            self._watch_listener(True)
 
     def _finish_connect(self, conn):
         code = conn.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -6,9 +6,10 @@
 
 from circuits.core import BaseComponent, handler
 
+from .bulk_queue import BulkQueue
 from .caller_budget import RECEIVE_BUFFER, CallerBudget
-from .caller_memory import ANSWER, BODY, REQUEST, CallerHolding
-from .exceptions import ChervilwingError, SlowSender
+from .caller_memory import ANSWER, BODY, REQUEST, RETRY_AFTER, CallerHolding
+from .exceptions import ChervilwingError, InstanceFull, SlowSender
 from .exchanges import UNREADABLE_REQUEST, Exchange
 from .request_reader import DEFAULT_OPTIONS, ReaderOptions, RequestReader
 from .sockets import Acceptance, StreamHandlers, Streams
@@ -27,6 +28,15 @@
 LINGER_TIMEOUT = 2.0
 
 
+# Bytes of a request's head and body, or of requests sent ahead, from which on a caller
+# is served in the share of time for bulk work.
+BULK_INPUT = 4096
+# Seconds for which one caller's requests sent ahead are served before others' turn, and
+# the estimated seconds of such a request's call to an upstream.
+MAX_TURN = 0.005
+CALL_TIME = 0.0003
+# Estimated seconds to read and discard bytes once.
+DISCARD_TIME = 0.00002
 # Bytes that the kernel may receive of a body for which room was reserved.
 BODY_RECEIVE_BUFFER = 65536
 # Bytes that the kernel holds of an answer whose caller doesn't read: twice the buffer
@@ -36,8 +46,8 @@
 SMALL_ANSWER = 16384
 # Bytes that each unsent piece of an answer takes besides its content.
 BYTES_PER_PIECE = 200
-# Seconds without progress after which an unread answer gives way while callers hold
-# more than there is room for.
+# Seconds without progress after which an unread answer gives way while callers have too
+# many connections, or hold more than there is room for.
 UNREAD_AFTER = 0.1
 # Bytes per second below which a body may have to give way to another one.
 MIN_BODY_RATE = 65536
@@ -82,12 +92,14 @@
 
     ``answer_half_closed`` still answers a caller that has closed its sending half.
     ``max_callers`` limits the connections, None for the limit that the budget states.
-    ``reader`` says how requests are read.
+    ``reader`` says how requests are read. ``urgent`` serves this listener's callers
+    before those of others.
     """
 
     answer_half_closed: bool = True
     max_callers: int | None = None
     reader: ReaderOptions = DEFAULT_OPTIONS
+    urgent: bool = False
 
 
 class _Caller:
@@ -136,6 +148,9 @@
         self.stopping = False
         self._callers = set()
         self._waiting = WaitingCallers()
+        self._bulk = BulkQueue(
+            self._budget.bulk_time, self._serve_bulk, f"{channel}-bulk"
+        ).register(self)
         self._intake = None
         streams = StreamHandlers(
             self._opened,
@@ -143,8 +158,11 @@
             self._closed,
             self._drained,
             self._half_closed,
+            self._discarded,
         )
-        self._streams = Streams(poller, streams, f"{channel}-streams").register(self)
+        self._streams = Streams(
+            poller, streams, f"{channel}-streams", self._options.urgent
+        ).register(self)
 
     def listen(self, address, intake=None):
         """Accept callers and return the address that was bound.
@@ -212,6 +230,8 @@
         self._waiting.add(
             conn, USED if caller.reader.idle else READING, caller.waiting_since
         )
+        if not caller.reader.idle and not self._budget.bulk_time.spend(CALL_TIME):
+            self._defer(conn)
         self._serve_received(conn)
 
     def count(self):
@@ -230,6 +250,7 @@
         hold a socket and a buffer forever. The limits are settings in seconds.
         """
         now = time.monotonic()
+        self._budget.bulk_time.refill(now)
         self._free_memory(now)
         for conn in list(self._callers):
             if conn.state.exchange is None:
@@ -248,7 +269,8 @@
             if waited > max(caller.idle_limit, self._cfg.idle_timeout):
                 self._streams.drop(conn)
         elif waited > self._cfg.head_timeout:
-            exc = SlowSender()
+            full = self._bulk.is_waiting(conn)
+            exc = InstanceFull(retry_after=RETRY_AFTER) if full else SlowSender()
             self._reject(conn, exc)
 
     def _make_place(self):
@@ -263,7 +285,7 @@
         now = time.monotonic()
         conn = self._waiting.find_replaceable(now)
         if conn is None:
-            conn = next(iter(list_unread(self._callers, now, STALLED_AFTER)), None)
+            conn = next(iter(list_unread(self._callers, now, UNREAD_AFTER)), None)
         if conn is None:
             return False
         self._streams.drop(conn)
@@ -299,10 +321,31 @@
         if caller.exchange is None and caller.reader.idle:
             caller.waiting_since = began
         caller.reader.feed(data)
-        self._serve_received(conn)
+        if caller.reader.size <= BULK_INPUT:
+            self._serve_received(conn)
+        elif self._budget.bulk_time.left <= 0.0:
+            self._defer(conn)
+        else:
+            self._serve_received(conn)
+            self._budget.bulk_time.spend(time.monotonic() - began)
         if conn in self._callers and not (caller.exchange or caller.reader.idle):
             self._waiting.add_reading(conn, caller.waiting_since)
 
+    def _discarded(self, conn, size):
+        if not self._budget.bulk_time.spend(DISCARD_TIME):
+            self._defer(conn)
+
+    def _defer(self, conn):
+        """Serve and read a caller later, in the share of time for bulk work."""
+        self._bulk.add(conn)
+        self._streams.pause(conn)
+
+    def _serve_bulk(self, conn):
+        if conn.closing:
+            self._streams.resume(conn)
+        else:
+            self._serve_received(conn)
+
     def _serve_received(self, conn):
         """Serve the received requests one at a time and in order.
 
@@ -311,17 +354,26 @@
         caller doesn't read its answers, no further request is served or read.
         """
         caller = conn.state
-        if caller.serving:
+        if caller.serving or self._bulk.is_waiting(conn):
             return
         caller.serving = True
+        until = time.monotonic() + MAX_TURN
         while caller.exchange is None and not (conn.congested or conn.closing):
             if not self._serve_next(conn):
                 break
+            if time.monotonic() > until and not caller.reader.idle:
+                self._defer(conn)
+                break
         caller.serving = False
+        if self._bulk.is_waiting(conn):
+            return
         if caller.exchange is None and not conn.congested:
             self._streams.resume(conn)
         elif not caller.reader.idle:
             self._streams.pause(conn)
+        elif caller.exchange is not None:
+            # Otherwise it would not be noticed that the caller leaves.
+            self._streams.resume(conn)
 
     def _serve_next(self, conn):
         """Serve the next whole request and return whether there was one."""
@@ -385,6 +437,7 @@
     def _closed(self, conn, exc):
         self._callers.discard(conn)
         self._waiting.remove(conn)
+        self._bulk.discard(conn)
         conn.state.holding.close()
         exchange = conn.state.exchange
         if exchange is None or exchange.finished:
--- a/tests/crowd_upstream.py
+++ b/tests/crowd_upstream.py
@@ -25,8 +25,8 @@
     pairs = (item.split(":", 1) for item in lines if item)
     fields = {name.lower(): value for name, value in pairs}
     length = int(fields.get("content-length", 0))
-    while length:
-        length -= len(await reader.read(min(length, 65536)))
+    for start in range(0, length, 65536):
+        await reader.readexactly(min(length - start, 65536))
     return line.split(" ")[1], fields.get("x-request-id", "").strip()
 
 
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from chervilwing.bulk_time import MAX_SAVED, PART, BulkTime
 from chervilwing.caller_budget import (
     MIB,
     OTHER_DESCRIPTORS,
@@ -150,6 +151,24 @@
         self.assertEqual(self.memory.used, 0)
 
 
+class TestBulkTime(unittest.TestCase):
+    def test_bulk_work_takes_its_part_of_the_time(self):
+        bulk_time, spent = BulkTime(), 0.0
+        for step in range(1000):
+            bulk_time.refill(step * 0.005)
+            for _ in range(bulk_time.count_pieces()):
+                spent += 0.0005
+                if not bulk_time.spend(0.0005):
+                    break
+        self.assertAlmostEqual(spent, PART * 5.0, delta=0.1)
+
+    def test_time_that_was_not_used_is_not_saved_up(self):
+        bulk_time = BulkTime()
+        bulk_time.refill(0.0)
+        bulk_time.refill(100.0)
+        self.assertEqual(bulk_time.left, MAX_SAVED)
+
+
 class TestWaitingCallers(unittest.TestCase):
     def test_connections_that_carry_nothing_are_closed_first(self):
         waiting = WaitingCallers()
--- a/tests/test_detours.py
+++ b/tests/test_detours.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from types import SimpleNamespace
 
+from chervilwing.caller_budget import CallerBudget
 from chervilwing.clocks import read_boottime
 from chervilwing.models import Address
 from chervilwing.path_checks import PathChecks
@@ -36,6 +37,7 @@
     def __init__(self, name, registry):
         self.loop = Loop()
         gateway = SimpleNamespace(
+            budget=CallerBudget(),
             registry=registry,
             paths=UpstreamPaths(),
             detours=SimpleNamespace(record_direct=lambda name: None),
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -71,6 +71,58 @@
         return ran
 
 
+class TestBodies(CrowdCase):
+    """Large bodies from many callers ended the process: it ran out of memory."""
+
+    def test_whole_bodies(self):
+        seen = self.play("whole bodies", 120)
+        self.assertIn("status 503", seen["counts"])
+        refused = {key for key, status in seen["statuses"].items() if status in NOT_RUN}
+        self.assertFalse(refused & self.read_ran(), "refused requests have run")
+
+    def test_whole_bodies_on_the_smallest_machine(self):
+        self.play("whole bodies", 120, memory_mib=SMALL)
+
+    def test_bodies_to_a_path_without_a_route(self):
+        seen = self.play("whole bodies", 120, path="/none/x")
+        statuses = {name for name in seen["counts"] if name.startswith("status")}
+        self.assertEqual(statuses, {"status 404"})
+
+    def test_bodies_to_the_port_for_readiness(self):
+        self.play("whole bodies", 120, path="/-/ready", port="ready_port")
+
+    def test_bodies_over_the_limit(self):
+        self.play("oversized bodies", 120)
+
+    def test_chunks_without_end(self):
+        self.play("endless chunks", 100)
+
+    def test_chunks_of_one_byte(self):
+        self.play("tiny chunks", 100)
+
+    def test_bodies_in_pieces(self):
+        self.play("bodies in pieces", 100, memory_mib=SMALL)
+
+    def test_bodies_that_stop_half_way(self):
+        self.play("stopped bodies", 120, memory_mib=SMALL)
+
+
+class TestHeads(CrowdCase):
+    """Heads of very many short fields kept the event loop from all other callers."""
+
+    def test_many_fields(self):
+        self.play("many fields", 300)
+
+    def test_many_fields_in_requests_that_take_long(self):
+        self.play("many fields", 1000, path="/slow/x")
+
+    def test_many_entries_in_one_field(self):
+        self.play("many parts", 300)
+
+    def test_heads_sent_slowly(self):
+        self.play("slow heads", 3500)
+
+
 class TestConnections(CrowdCase):
     """Connections that carry nothing took all descriptors, of readiness checks too."""
 
@@ -84,6 +136,28 @@
         self.play("silent", 4200, port="tunnel_port", memory_mib=SMALL)
 
 
+class TestAnswers(CrowdCase):
+    """Answers that nobody reads filled the memory, here and in the kernel."""
+
+    def test_requests_sent_ahead(self):
+        self.play("pipelined", 60)
+
+    def test_refused_requests_sent_ahead(self):
+        self.play("pipelined", 60, path="/none/x")
+
+    def test_large_answers_not_read(self):
+        self.play("answers not read", 1000, path="/large/x")
+
+    def test_large_answers_not_read_on_the_smallest_machine(self):
+        self.play("answers not read", 1000, path="/large/x", memory_mib=SMALL)
+
+    def test_streams_not_read(self):
+        self.play("answers not read", 1500, path="/stream/x")
+
+    def test_large_answers_read_slowly(self):
+        self.play("answers read slowly", 1000, path="/large/x")
+
+
 class TestCalm(CrowdCase):
     """A single request inside the limits is served, also on the smallest machine."""
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -45,9 +45,9 @@
         listener = self.streams._listener = FailingListener()
         self.streams.handle_ready(listener, True, False)
         watch = self.poller.watch
-        watch.assert_called_with(self.streams, listener, reading=False, writing=False)
+        watch.assert_called_with(self.streams, listener, False, False, False)
         self.streams._on_tick()
-        watch.assert_called_with(self.streams, listener, reading=True, writing=False)
+        watch.assert_called_with(self.streams, listener, True, False, False)
 
     def test_dial_without_descriptors_reports_a_failed_connection(self):
         # A request is sent while no file descriptor is free. It must be reported as a
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -25,6 +25,7 @@
 # The modules that use sockets, files, command-line arguments or timers.
 EDGE = {
     "attempts",
+    "bulk_queue",
     "buyer",
     "caches",
     "claimant",
