Return the pages of large blocks when they are freed

Cause: glibc raises the size from which it gives a block its own pages to the largest one that was freed. After the first body of 4 MiB the next ones shared the heap with small objects, and its pages came back late.

The threshold is now fixed at 128 KiB, by mallopt(); other C libraries lack the function and are left alone.

--- a/src/chervilwing/daemon.py
+++ b/src/chervilwing/daemon.py
@@ -28,7 +28,7 @@
 from .gossip_settings import MembershipSettings
 from .loads import LoadPoller
 from .logs import log_event, set_up_logs
-from .machines import read_machine_limits
+from .machines import read_machine_limits, return_large_blocks
 from .membership import Membership
 from .models import Address
 from .notices import Notices
@@ -232,6 +232,7 @@
         return 2
     cfg = result.unwrap()
     set_up_logs(cfg, sys.stderr)
+    return_large_blocks()
     Daemon(cfg).run()
     return 0
 
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -21,6 +21,7 @@
 from .leaving_exchange import LeavingExchange
 from .logs import NonBlockingSink, count_dropped_lines, log_event, set_up_logs
 from .lost_writes import LostWrites
+from .machines import return_large_blocks
 from .path_checks import PathChecks
 from .placement_exchange import Placing
 from .pollers import DirectPoller
@@ -345,5 +346,6 @@
         return 2
     cfg = result.unwrap()
     set_up_logs(cfg, NonBlockingSink(sys.stdout.fileno()))
+    return_large_blocks()
     GatewayDaemon(cfg, adapter, read_settings).run()
     return 0
--- a/src/chervilwing/machines.py
+++ b/src/chervilwing/machines.py
@@ -1,11 +1,27 @@
 """Limits of the machine that a process runs on."""
 
+import ctypes
 import resource
+from contextlib import suppress
 
 from .caller_budget import DEFAULT_MEMORY, MIB, MachineLimits
 
 MEMORY_FILE = "/proc/meminfo"
 KIB = 1024
+# Parameter of glibc's mallopt(), and the bytes from which blocks get their own pages.
+M_MMAP_THRESHOLD = -3
+MMAP_THRESHOLD = 128 * KIB
+
+
+def return_large_blocks():
+    """Make the allocator return the pages of each large block when it is freed.
+
+    By default glibc raises its threshold to the largest block that was freed. Bodies
+    would then share their pages with small objects, and a process would grow with each
+    crowd of callers. Other C libraries have no such function.
+    """
+    with suppress(AttributeError, OSError):
+        ctypes.CDLL(None).mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD)
 
 
 def read_memory():
