End a planned stop in time, whatever callers still read

Cause: a stopping gateway waited until its last request had ended, without a bound. Callers who read nothing of their streams kept it until the route's time limit, far beyond the 8 s after which the platform kills it.

Until then nothing is cut.

TestMixed.test_a_stop_in_a_crowd_ends_in_time plays 300 callers of streams.

--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -49,6 +49,9 @@
 HELP_PART = 0.8
 # Connections to the port for readiness checks, and to that for metrics.
 MAX_CHECKERS = 256
+# Part of the time for a planned stop after which it ends, whatever callers still read.
+# Later the platform kills the process.
+STOP_PART = 0.97
 # Seconds between two reads of the settings file, which may change without a signal.
 RELOAD_INTERVAL = 2.0
 
@@ -301,6 +304,7 @@
         elapsed = now - self._stopping_at
         if elapsed < self.cfg.drain_lag:
             return
+        is_late = elapsed >= self.cfg.drain_timeout * STOP_PART
         if not self.gateway.draining:
             self.gateway.draining = True
             self._usage_parts.write_unstored()
@@ -309,11 +313,11 @@
                 self._store.submit(call, lambda reply: None)
         if self._tunnels.count() and elapsed < self.cfg.drain_timeout * HELP_PART:
             return
-        if self.gateway.relays or not self._usage_parts.is_idle():
+        if not is_late and (self.gateway.relays or not self._usage_parts.is_idle()):
             return
         # A relay ends when its answer is buffered, which its caller may read slowly.
         unread = self.gateway.web.count_unread()
-        if unread and elapsed < self.cfg.drain_timeout:
+        if unread and not is_late:
             return
         log_event("stopped", cut=unread)
         self.root.stop()
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 
-from tests.crowded_gateway import CrowdedGateway
+from tests.crowded_gateway import MIB, CrowdedGateway
 from tests.crowds import (
     BODY_BYTES,
     HEAD_BYTES,
@@ -158,6 +158,41 @@
         self.play("answers read slowly", 1000, path="/large/x")
 
 
+class TestMixed(CrowdCase):
+    def test_several_crowds_at_once(self):
+        """Crowds of several kinds together must not exceed what each one may take."""
+        gateway = self.start(USUAL)
+        crowds = [
+            self.begin("whole bodies", 60),
+            self.begin("many fields", 100, "/slow/x"),
+            self.begin("answers not read", 300, "/large/x"),
+            self.begin("silent", 1500),
+        ]
+        self.check(gateway.measure(CROWD_SECONDS))
+        for crowd in crowds:
+            self.read_crowd(crowd)
+
+    def test_a_stop_in_a_crowd_ends_in_time(self):
+        """Answers that nobody read kept a stopping process until it was killed."""
+        gateway = self.start(USUAL)
+        self.begin("answers not read", 300, "/stream/x")
+        time.sleep(1.0)
+        began = time.monotonic()
+        gateway.process.popen.terminate()
+        self.assertEqual(gateway.process.popen.wait(2 * DRAIN_TIMEOUT), 0)
+        self.assertLess(time.monotonic() - began, DRAIN_TIMEOUT)
+
+    def test_memory_comes_back(self):
+        """A process grew with each crowd, although all its callers had left."""
+        gateway = self.start(USUAL)
+        sizes = []
+        for _ in range(3):
+            gateway.watch.peak = 0
+            self.read_crowd(self.begin("whole bodies", 120))
+            sizes.append(gateway.watch.peak)
+        self.assertLess(sizes[-1], 1.1 * sizes[0], [size // MIB for size in sizes])
+
+
 class TestCalm(CrowdCase):
     """A single request inside the limits is served, also on the smallest machine."""
 
