Keep a running call whose caller left only with room

Cause: chervilwingd goes on with a call whose caller chose its id and left, for 5 s.

Running calls without a caller now count too. Without room the call ends with its connection, as for callers without an id.

--- a/src/chervilwing/held_requests.py
+++ b/src/chervilwing/held_requests.py
@@ -86,6 +86,15 @@
         if held is not None:
             self.size -= held.size
 
+    def detach(self, held, expires_at):
+        """Keep a running request without its caller; return False without room."""
+        size = estimate_size(held.session)
+        if not self.make_room(size - held.size):
+            return False
+        self.size += size - held.size
+        held.expires_at, held.size, held.delivered = expires_at, size, False
+        return True
+
     def finish(self, held, expires_at):
         """Keep a complete answer until ``expires_at``."""
         size = estimate_size(held.session)
--- a/src/chervilwing/reconnects.py
+++ b/src/chervilwing/reconnects.py
@@ -125,13 +125,15 @@
         return True
 
     def detach(self, session):
-        """Keep a request running for a while without its caller; False if not held."""
+        """Keep a request running for a while without its caller.
+
+        Return False if it isn't held, or if there is no room for it.
+        """
         held = self._held.find(session)
-        if held is None:
+        expires_at = time.monotonic() + self._cfg.reconnect_grace
+        if held is None or not self._held.detach(held, expires_at):
             return False
         session.attach(NullExchange())
-        held.expires_at = time.monotonic() + self._cfg.reconnect_grace
-        held.delivered = False
         return True
 
     def end(self, session):
