--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -45,10 +45,10 @@
         self.check(outcomes)
         return self.read_crowd(crowd)
 
-    def begin(self, name, count, path="/page/x", port="port"):
+    def begin(self, name, count, path="/page/x", port="port", seconds=CROWD_SECONDS):
         """Start one crowd at a port of the process."""
         number = getattr(self.gateway, port)
-        return self.gateway.start_crowd(name, count, CROWD_SECONDS, path, number)
+        return self.gateway.start_crowd(name, count, seconds, path, number)
 
     def check(self, outcomes):
         """Check how ordinary callers fared, and that the process kept its memory."""
@@ -176,7 +176,7 @@
     def test_a_stop_in_a_crowd_ends_in_time(self):
         """Answers that nobody read kept a stopping process until it was killed."""
         gateway = self.start(USUAL)
-        self.begin("answers not read", 300, "/stream/x")
+        self.begin("answers not read", 300, "/stream/x", seconds=2 * DRAIN_TIMEOUT)
         time.sleep(1.0)
         began = time.monotonic()
         gateway.process.popen.terminate()
@@ -190,6 +190,7 @@
         for _ in range(3):
             gateway.watch.peak = 0
             self.read_crowd(self.begin("whole bodies", 120))
+            self.assertTrue(gateway.is_alive(), gateway.read_log())
             sizes.append(gateway.watch.peak)
         self.assertLess(sizes[-1], 1.1 * sizes[0], [size // MIB for size in sizes])
 
