Take a placeholder that the platform left for no value

Cause: the settings template asks for the limits on memory and descriptors.

Such a line is ignored like an empty one, and the default applies.

--- a/src/chervilwing/gateway_settings.py
+++ b/src/chervilwing/gateway_settings.py
@@ -27,6 +27,7 @@
 
 MS_PER_SECOND = 1000
 MS_SUFFIX = "ms"
+PLACEHOLDER = "{{"
 # Environment variable with the path of the settings file. Its lines are
 # VARIABLE=value; an environment variable overrides them.
 FILE_VARIABLE = PREFIX + "SETTINGS"
@@ -216,13 +217,16 @@
     """Return a dict of the lines ``VARIABLE=value``; other lines are ignored.
 
     If a platform has no value for a setting, it writes an empty one, possibly with the
-    unit ``ms``. Such a line is ignored too, and the default applies.
+    unit ``ms``, or leaves the template's placeholder. Such a line is ignored too, and
+    the default applies.
     """
     lines = (line.strip() for line in text.splitlines())
     pairs = (line.partition("=") for line in lines if not line.startswith("#"))
     variables = {name.strip(): value.strip() for name, equals, value in pairs if equals}
     return {
-        name: value for name, value in variables.items() if value not in ("", MS_SUFFIX)
+        name: value
+        for name, value in variables.items()
+        if value not in ("", MS_SUFFIX) and not value.startswith(PLACEHOLDER)
     }
 
 
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -54,6 +54,11 @@
         cfg = self.read(text=text)
         self.assertEqual((cfg.lease, cfg.cloud), (3.0, None))
 
+    def test_placeholders_in_the_file_keep_the_default(self):
+        # Guards against a start that fails where the platform lacks a value.
+        text = FILE + "CHERVILWING_MEMORY_LIMIT={{limits.memoryMb}}\n"
+        self.assertIsNone(self.read(text=text).memory_limit)
+
     def test_a_missing_required_setting_is_reported(self):
         text = FILE.replace("CHERVILWING_STORE", "CHERVILWING_STALL")
         self.assertEqual(
