Skip an answer that doesn't say which request it belongs to

What callers saw: after extra bytes of an upstream, a 408 without an id, the caller of the next unsafe request on the connection was told that it hadn't run.

Cause: an answer without X-Request-Id was taken for the present request's.

If the answer before it on the connection stated its id, one without an id now belongs to no request and is skipped. Upstreams that state none are served as before. A first try that asked for the id in each answer made the requests of tests.test_gateway, whose stand-in states none, wait for their deadline; it was given up.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -25,6 +25,7 @@
 from .upstream_pace import is_better_elsewhere
 
 HTTP_OK = 200
+REQUEST_ID = "x-request-id"
 MIN_SERVER_ERROR = 500
 # Longest idle time, in seconds, of a pooled connection that a request may reuse. If the
 # upstream closes the connection as the request arrives, it is unknown whether the
@@ -41,6 +42,11 @@
 MAX_TRIED_UPSTREAMS = 4
 
 
+def is_unmarked(head):
+    """Return whether an answer doesn't state the id of its request."""
+    return REQUEST_ID not in head.headers
+
+
 def drop_hop_by_hop(headers):
     """Return an answer's header fields without the hop-by-hop ones."""
     return {name: value for name, value in headers.items() if name not in HOP_BY_HOP}
@@ -155,6 +161,7 @@
             is_answer=lambda head: self._dialect.belongs_to(
                 head, relay.demand.request_id
             ),
+            is_unmarked=is_unmarked if REQUEST_ID in relay.headers else None,
             body_until_close=True,
             via=peer,
         )
--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -92,7 +92,9 @@
     before a silent call fails. ``host`` replaces the address in the Host field.
     Connections idle for ``max_idle_time`` or longer are not reused, and at most
     ``max_idle`` idle ones are kept for the address. ``is_answer`` returns False for the
-    answer to an earlier call. ``body_until_close`` accepts an orderly close of the
+    answer to an earlier call. ``is_unmarked`` returns True for an answer that doesn't
+    state its call; it belongs to none if the answer before it on the connection did
+    state its own. ``body_until_close`` accepts an orderly close of the
     connection as the end of an answer that has no length. ``via`` is the instance
     through which to connect, None for a direct connection. ``connect_only`` ends the
     call once a new connection is open, without sending anything.
@@ -112,6 +114,7 @@
     max_idle_time: float = float("inf")
     max_idle: int = MAX_IDLE_CONNECTIONS
     is_answer: Callable[[HttpHead], bool] | None = None
+    is_unmarked: Callable[[HttpHead], bool] | None = None
     body_until_close: bool = False
     via: TunnelPeer | None = None
     connect_only: bool = False
@@ -484,8 +487,20 @@
         answer to another request.
         """
         head, is_answer = state.reader.head, state.call.is_answer
+        if head is not None and self._lost_mark(state, head):
+            return True
         return head is not None and is_answer is not None and not is_answer(head)
 
+    def _lost_mark(self, state, head):
+        """Return whether only this answer on a connection doesn't state its call.
+
+        Bytes that a faulty upstream sends after an answer may look like another one.
+        """
+        is_unmarked = state.call.is_unmarked
+        return (
+            state.conn.marks_answers and is_unmarked is not None and is_unmarked(head)
+        )
+
     def _read_next_answer(self, state):
         rest = state.reader.rest
         state.reader = ResponseReader(state.call.method)
@@ -504,6 +519,8 @@
         reusable = state.reader.reusable and not conn.pending
         if reusable and len(idle) < state.call.max_idle:
             conn.idle_limit = read_idle_limit(head.headers)
+            is_unmarked = state.call.is_unmarked
+            conn.marks_answers = is_unmarked is not None and not is_unmarked(head)
             idle.append(conn)
             return
         self._streams.drop(conn)
--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -150,6 +150,7 @@
         "closing",
         "error",
         "lingering",
+        "marks_answers",
         "half_closed",
         "last_activity",
         "idle_limit",
@@ -174,6 +175,8 @@
         self.error = None
         self.lingering = False
         self.half_closed = False
+        # Whether the last answer on it stated to which call it belongs.
+        self.marks_answers = False
         # Monotonic time at which the owner last received data, or connected.
         self.last_activity = 0.0
         # Seconds for which the connection may be reused after its last activity.
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -325,6 +325,22 @@
                 )
                 self.assertEqual(response.body, name.encode())
 
+    def test_an_answer_without_the_requests_id_is_discarded(self):
+        # Guards against relaying a promise that the request has not run though it has.
+        def answer_with_more(conn, method, path, body):
+            name = path.rpartition("/")[2].encode()
+            if name == b"r2":
+                conn.sendall(b"HTTP/1.1 408 Late\r\nContent-Length: 0\r\n\r\n")
+            answer(name, extra=b"X-Request-Id: %b\r\n" % name)(conn, method, path, body)
+
+        run = self.start(answer_with_more)
+        with Caller(run.port) as caller:
+            for name in ("r1", "r2", "r3"):
+                response = run.send(
+                    caller, "POST", f"/note/{name}", headers={"X-Request-Id": name}
+                )
+                self.assertEqual((response.status, response.body), (200, name.encode()))
+
     def test_a_request_past_its_routes_time_limit_is_answered_with_504(self):
         release = threading.Event()
         self.addCleanup(release.set)
--- a/tests/weakened_gateway.py
+++ b/tests/weakened_gateway.py
@@ -432,6 +432,17 @@
         ),
         (FAILURES + "an_answer_to_an_earlier_request_is_discarded",),
     ),
+    Weakness(
+        "an answer that doesn't state its request is taken",
+        (
+            Edit(
+                "connections",
+                "if head is not None and self._lost_mark(state, head):",
+                "if False:",
+            ),
+        ),
+        (FAILURES + "an_answer_without_the_requests_id_is_discarded",),
+    ),
     Weakness(
         "a success without the upstream's signature is accepted",
         (Edit("attempts", "if not answer_status.authentic:", "if False:"),),
