--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -26,8 +26,6 @@
 # Seconds within which a caller must close its half of a connection after the last byte
 # of the answer. Callers refused during a large upload would hold their sockets longer.
 LINGER_TIMEOUT = 2.0
-
-
 # Bytes of a request's head and body, or of requests sent ahead, from which on a caller
 # is served in the share of time for bulk work.
 BULK_INPUT = 4096
@@ -251,7 +249,9 @@
         """
         now = time.monotonic()
         self._budget.bulk_time.refill(now)
-        self._free_memory(now)
+        # Listeners with a limit of their own have nothing large to free.
+        if self._options.max_callers is None:
+            self._free_memory(now)
         for conn in list(self._callers):
             if conn.state.exchange is None:
                 self._check_timeouts(conn, now)
