--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -50,8 +50,8 @@
 # Connections to the port for readiness checks, and to that for metrics.
 MAX_CHECKERS = 256
 # Part of the time for a planned stop after which it ends, whatever callers still read.
-# Later the platform kills the process.
-STOP_PART = 0.97
+# The process needs time to end before the platform kills it.
+STOP_PART = 0.9
 # Seconds between two reads of the settings file, which may change without a signal.
 RELOAD_INTERVAL = 2.0
 
