Cut only requests in flight before the end of a planned stop

Requests in flight whose callers don't read are now cut at 90 %, all in flight at 95 %; answers that only wait to be read keep the whole time again. The line "stopped" counts both.

TestStops and the stop in a crowd pass.

--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -49,9 +49,11 @@
 HELP_PART = 0.8
 # Connections to the port for readiness checks, and to that for metrics.
 MAX_CHECKERS = 256
-# Part of the time for a planned stop after which it ends, whatever callers still read.
-# The process needs time to end before the platform kills it.
-STOP_PART = 0.9
+# Parts of the time for a planned stop after which requests in flight are cut: first
+# those whose callers don't read, then all. The process needs the rest to end before the
+# platform kills it. Answers that only wait to be read keep the whole time.
+CUT_UNREAD_PART = 0.9
+CUT_PART = 0.95
 # Seconds between two reads of the settings file, which may change without a signal.
 RELOAD_INTERVAL = 2.0
 
@@ -71,6 +73,8 @@
         self._read_settings = read_settings
         self._reload_at = 0.0
         self._stopping_at = None
+        # Requests in flight that the planned stop has cut.
+        self._cut = 0
         poller = DirectPoller().register(self)
         upstreams = Client(poller, "upstreams").register(self)
         platform = Client(poller, "platform").register(self)
@@ -304,7 +308,8 @@
         elapsed = now - self._stopping_at
         if elapsed < self.cfg.drain_lag:
             return
-        is_late = elapsed >= self.cfg.drain_timeout * STOP_PART
+        self._cut_late(elapsed / self.cfg.drain_timeout)
+        is_over = elapsed >= self.cfg.drain_timeout
         if not self.gateway.draining:
             self.gateway.draining = True
             self._usage_parts.write_unstored()
@@ -313,15 +318,21 @@
                 self._store.submit(call, lambda reply: None)
         if self._tunnels.count() and elapsed < self.cfg.drain_timeout * HELP_PART:
             return
-        if not is_late and (self.gateway.relays or not self._usage_parts.is_idle()):
+        if not is_over and (self.gateway.relays or not self._usage_parts.is_idle()):
             return
         # A relay ends when its answer is buffered, which its caller may read slowly.
         unread = self.gateway.web.count_unread()
-        if unread and not is_late:
+        if unread and not is_over:
             return
-        log_event("stopped", cut=unread)
+        log_event("stopped", cut=self._cut + unread)
         self.root.stop()
 
+    def _cut_late(self, part):
+        """Cut requests in flight that would outlast the time for a planned stop."""
+        if part >= CUT_UNREAD_PART:
+            unread_only = part < CUT_PART
+            self._cut += self.gateway.web.cut_unfinished(unread_only)
+
 
 PATH_HANDLERS = {
     "/-/ready": GatewayDaemon._serve_ready,
--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -203,6 +203,20 @@
         """Close a caller's connection at once."""
         self._streams.drop(conn)
 
+    def cut_unfinished(self, unread_only=False):
+        """Close the connections whose requests are in flight; return how many.
+
+        With ``unread_only`` only those whose callers don't read their answers.
+        """
+        now = time.monotonic()
+        conns = self._callers
+        if unread_only:
+            conns = list_unread(conns, now, UNREAD_AFTER)
+        unfinished = [conn for conn in conns if conn.state.exchange is not None]
+        for conn in unfinished:
+            self._streams.drop(conn)
+        return len(unfinished)
+
     def reset_if_cut(self, conn):
         """Reset a caller's connection if it closes before the answer's end."""
         self._streams.reset_if_cut(conn)
