--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -66,6 +66,8 @@
     """
 
     channel = "gatewayd"
+    # Requests in flight that the planned stop has cut.
+    _cut = 0
 
     def __init__(self, cfg, adapter, read_settings):
         super().__init__()
@@ -73,8 +75,6 @@
         self._read_settings = read_settings
         self._reload_at = 0.0
         self._stopping_at = None
-        # Requests in flight that the planned stop has cut.
-        self._cut = 0
         poller = DirectPoller().register(self)
         upstreams = Client(poller, "upstreams").register(self)
         platform = Client(poller, "platform").register(self)
