--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -46,7 +46,10 @@
 # its caller reads slowly, that is what this process holds for it.
 RECEIVE_BUFFER_SIZE = 32768
 # Seconds that a new connection waits while there are too many and none can be closed.
-PLACE_WAIT = 0.5
+PLACE_WAIT = 0.8
+# Seconds for which others are reset after that, so that they don't wait for as long one
+# after the other.
+FULL_TIME = 0.05
 # Values of SO_LINGER: a reset, which discards what wasn't sent yet; an end in order.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 ORDERLY_CLOSE = struct.pack("ii", 0, 0)
@@ -549,8 +552,7 @@
             return True
         else:
             self._reset_new(sock)
-            # Others would wait for as long, one after the other.
-            self._full_until = now + PLACE_WAIT
+            self._full_until = now + FULL_TIME
         self._unplaced = None
         return False
 
