Write a large body's beginning together with its head

What callers may have seen: half of an answer without a length as a whole one, where an upstream broke off while it was sent a body over 16 KiB.

An upstream that breaks off before the body has arrived then has no unread bytes, so that its kernel ends the connection in order. A close with unread bytes is a reset, the only sign that such an answer is broken.

The first 16 KiB of a body go out with the head again; the rest isn't copied.

--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -59,7 +59,7 @@
 # event loop busy until its deadline, and new connections would be rejected meanwhile.
 LARGE_ANSWER = 1024 * 1024
 LARGE_ANSWERS_PART = 0.5
-# Bytes of a request's body that are sent in one write with its head.
+# Bytes of a request's body that are written together with its head.
 MAX_JOINED_BODY = 16384
 # Failure types and the outcomes reported to the scheduler; the first match counts.
 FAILURE_OUTCOMES = (
@@ -231,13 +231,14 @@
         return state
 
     def _send(self, conn, call):
-        head = encode_call_head(call)
-        if len(call.body) <= MAX_JOINED_BODY:
-            self._streams.send(conn, head + call.body)
-            return
-        # A copy of each large body would double the memory that it takes.
-        self._streams.send(conn, head)
-        self._streams.send(conn, call.body)
+        # An upstream could answer the head alone and close before the body arrives. Only
+        # a close with unread bytes is a reset, by which a broken answer without a
+        # length is told from a whole one.
+        first = call.body[:MAX_JOINED_BODY]
+        self._streams.send(conn, encode_call_head(call) + first)
+        if len(call.body) > MAX_JOINED_BODY:
+            # A copy of each large body would double the memory that it takes.
+            self._streams.send(conn, memoryview(call.body)[MAX_JOINED_BODY:])
 
     def cancel(self, state):
         """Abort the call, close its connection and run none of its callbacks.
