Check that a crowd has reached the process

A crowd whose callers didn't connect or send would have let each of these tests pass. TestBodies, TestConnections and TestCalm pass with the check.

--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -43,7 +43,12 @@
         crowd = self.begin(name, count, path, port)
         outcomes = gateway.measure(CROWD_SECONDS)
         self.check(outcomes)
-        return self.read_crowd(crowd)
+        seen = self.read_crowd(crowd)
+        # A crowd that didn't reach the process would show nothing.
+        self.assertGreaterEqual(seen["counts"]["connections"], count)
+        if name != "silent":
+            self.assertGreater(seen["counts"]["bytes"], count)
+        return seen
 
     def begin(self, name, count, path="/page/x", port="port", seconds=CROWD_SECONDS):
         """Start one crowd at a port of the process."""
