--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -231,8 +231,8 @@
         return state
 
     def _send(self, conn, call):
-        # An upstream could answer the head alone and close before the body arrives. Only
-        # a close with unread bytes is a reset, by which a broken answer without a
+        # An upstream could answer the head alone and close before the body arrives.
+        # Only a close with unread bytes is a reset, by which a broken answer without a
         # length is told from a whole one.
         first = call.body[:MAX_JOINED_BODY]
         self._streams.send(conn, encode_call_head(call) + first)
