Infer a stream's version only from a read of the store

What callers saw: an instance was cut off from the store and the others for a few seconds while upstreams of a new version took the place of the old ones.

Cause: the instance knew one version and trusted that while its knowledge was up to 2 s old. The age of knowledge never bounds what others know.

Change: a stream goes on at the only known version if a read of the store, begun after the caller came, shows no other one.

--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -40,6 +40,7 @@
 from .usage import SHARED_REPORT
 from .usage_reports import UsageParts, UsageReporter
 from .version_keeper import VersionKeeper
+from .version_reads import VersionReads
 from .web import Web, WebHandlers, WebOptions
 
 # Seconds between ticks. Time limits, scheduled calls and the detection of silent
@@ -113,7 +114,7 @@
         Placing(cfg, datagrams, self._coordinator, self.gateway).register(self)
         LeavingExchange(cfg, datagrams, self._coordinator, self.gateway).register(self)
         self._stream_exchange = StreamExchange(
-            cfg, datagrams, self._coordinator, self.gateway
+            cfg, datagrams, self._coordinator, self.gateway, self._make_reads()
         ).register(self)
         PathChecks(self.gateway, upstreams).register(self)
         tunnels = self._tunnels = TunnelServer(poller, self.gateway).register(self)
@@ -154,6 +155,15 @@
         self._listen(poller)
         Timer(TICK, tick(), "*", persist=True).register(self)
 
+    def _make_reads(self):
+        """Return VersionReads; a gateway with a file of routes is the only one."""
+        if self.cfg.routes:
+            return None
+        coordinator = self._coordinator
+        return VersionReads(
+            self._store, coordinator.documents, coordinator.instance_items
+        )
+
     def _keys_are_fresh(self):
         return self._coordinator.keys_are_fresh()
 
--- a/src/chervilwing/resumptions.py
+++ b/src/chervilwing/resumptions.py
@@ -24,6 +24,8 @@
         gateway.rollouts.is_known = self.streams.is_stored
         self.on_begun = lambda relay, now: None
         self.seek = lambda relay, now: False
+        # Whether other instances may begin streams at versions unknown to this one.
+        self.is_shared = False
 
     def _list_registered(self, pool):
         balancer = self._gateway.pools.get(pool)
@@ -40,12 +42,13 @@
             return True
         is_named = bool(relay.demand.resumes)
         origin = self.streams.find(relay.stream, now) if is_named else None
-        origin = origin or self.streams.infer(relay.route, now)
+        if origin is None and not self.is_shared:
+            origin = self.streams.infer(relay.route, now)
+        if origin is None and self.seek(relay, now):
+            return False
         if origin is None and not is_named:
             # Nobody can know it later.
             raise StreamUnknown()
-        if origin is None and self.seek(relay, now):
-            return False
         self.bind(relay, origin)
         return True
 
--- a/src/chervilwing/stream_versions.py
+++ b/src/chervilwing/stream_versions.py
@@ -177,21 +177,23 @@
         )
         return found
 
-    def infer(self, route, now):
-        """Return the only Origin that a route's streams can have, or None.
+    def find_candidate(self, route, now):
+        """Return the only Origin of a route's streams that is known here, or None.
 
-        A version gets requests only some time after its registration is known, so that
-        an instance whose knowledge is fresh knows each version that is in use.
+        Other instances may know more: a stream goes on there only if the store holds no
+        other version.
         """
         pools, changed_at = self._targets.get((route.host, route.prefix), ((), now))
-        if len(pools) != 1 or not self.are_fresh():
-            return None
-        if now - changed_at < get_life(route):
+        if len(pools) != 1 or now - changed_at < get_life(route):
             return None
         (pool,) = pools
         versions = self.list_possible(pool, now)
         return Origin(pool, *versions) if len(versions) == 1 else None
 
+    def infer(self, route, now):
+        """Return the only Origin that all instances can find out, or None."""
+        return self.find_candidate(route, now) if self.are_fresh() else None
+
     def record(self, stream, origin, until):
         """Remember a stream's Origin until a time.
 
--- a/tests/routed_gateway.py
+++ b/tests/routed_gateway.py
@@ -2,6 +2,7 @@
 
 The JSON file named by ROUTES maps addresses to those dialled instead; it is read at
 each connection, so that a test can cut one instance from upstreams that others reach.
+With LOST_DATAGRAMS in it, datagrams are lost in the directions that it names.
 """
 
 import json
@@ -13,6 +14,13 @@
 from chervilwing.addresses import format_address, parse_address
 
 ROUTES = "TEST_ROUTES"
+LOST_DATAGRAMS = "lost datagrams"
+SENT, RECEIVED = "sent", "received"
+
+
+def read_routes():
+    """Return the present routes."""
+    return json.loads(Path(os.environ[ROUTES]).read_text())
 
 
 class RoutedSocket(socket.socket):
@@ -20,9 +28,21 @@
 
     def connect_ex(self, address):
         """Connect to the address or to the one that stands for it."""
-        routes = json.loads(Path(os.environ[ROUTES]).read_text())
         name = format_address(address)
-        return super().connect_ex(parse_address(routes.get(name, name)))
+        return super().connect_ex(parse_address(read_routes().get(name, name)))
+
+    def sendto(self, data, address):
+        """Send a datagram, or lose it."""
+        if SENT in read_routes().get(LOST_DATAGRAMS, ()):
+            return len(data)
+        return super().sendto(data, address)
+
+    def recvfrom(self, size):
+        """Return the next datagram that isn't lost."""
+        found = super().recvfrom(size)
+        while RECEIVED in read_routes().get(LOST_DATAGRAMS, ()):
+            found = super().recvfrom(size)
+        return found
 
 
 if __name__ == "__main__":
--- a/tests/stream_fleet.py
+++ b/tests/stream_fleet.py
@@ -20,8 +20,16 @@
 from chervilwing.resumptions import Resumptions
 from chervilwing.rollouts import Rollouts
 from chervilwing.routing import STREAM, PoolSpec, Route, Target
+from chervilwing.store_calls import Changes, Item, ListItems, Page, Unavailable
 from chervilwing.stream_exchange import StreamExchange
-from chervilwing.stream_versions import ANNOUNCED, Origin, get_life, make_key
+from chervilwing.stream_versions import (
+    ANNOUNCED,
+    Origin,
+    encode_origin,
+    get_life,
+    make_key,
+)
+from chervilwing.version_reads import VersionReads
 
 CENTRES = ("a", "b", "c")
 ROUTE = Route("q", "h", "/", STREAM, (Target("web"),), time_limit=4.0, resumable=True)
@@ -34,7 +42,11 @@
 STORED_AFTER = 2.5
 ANNOUNCED_AFTER = (0.3, 0.7, 3.5)
 KNOWN_AFTER = (0.01, 0.3, 1.0)
+# Seconds for which an upstream answers after its registration has gone.
+LEAVES_AFTER = 4.0
 MAX_TRIES = 4
+# Seconds until the store's reply, and until a call without a reply has failed.
+REPLY_AFTER, FAILED_AFTER = 0.004, 1.0
 
 
 class Stream:
@@ -59,14 +71,17 @@
         self.pool = PoolBalancer(PoolSpec("web"), fleet.get_centre(name), fleet.rng)
         self.pools = {"web": self.pool}
         self.rollouts = Rollouts()
-        self.table = SimpleNamespace(resumable=(ROUTE,))
+        document = SimpleNamespace(version=1)
+        self.table = SimpleNamespace(resumable=(ROUTE,), document=document)
         self.resumptions = Resumptions(self)
         self.resumptions.streams.are_fresh = self.is_fresh
         self.resumptions.streams.configure((ROUTE,), fleet.now)
         cfg = SimpleNamespace(name=name, data_centre=fleet.get_centre(name))
         self.handlers = {}
         self.coordinator = SimpleNamespace(peers={}, peers_version=0)
-        self.exchange = StreamExchange(cfg, self, self.coordinator, self)
+        mirror = SimpleNamespace(prefix="m", revision=1)
+        reads = VersionReads(self, mirror, mirror)
+        self.exchange = StreamExchange(cfg, self, self.coordinator, self, reads)
         for name in sorted(fleet.upstreams):
             self.put_upstream(name, fleet.upstreams[name])
         self.resumptions.streams.are_announced = True
@@ -78,6 +93,13 @@
     def send(self, kind, fields, address):
         self.fleet.deliver_later(self, kind, fields, address)
 
+    def submit(self, call, reply):
+        """Make a call on the store."""
+        if self.name in self.fleet.blind:
+            self.fleet.call_later(FAILED_AFTER, reply, Unavailable())
+        else:
+            self.fleet.call_later(REPLY_AFTER / 2, self.fleet.answer, call, reply)
+
     def get_or_create_pool(self, name):
         return self.pool
 
@@ -124,17 +146,21 @@
     ``lost`` is the fraction of datagrams that are lost.
     """
 
-    def __init__(self, size, seed, lost=1 / 30):
+    def __init__(self, size, seed, lost=1 / 30, versions=("v1", "v1", "v2", "v2")):
         self.rng = random.Random(seed)
         self.lost = lost
         self.now = 0.0
         self.order = count()
         self._due = []
         self.names = [f"i{number}" for number in range(size)]
-        self.upstreams = {f"u{n}": ("v1", "v1", "v2", "v2")[n] for n in range(4)}
-        origins = (Origin("web", version) for version in ("v1", "v2"))
+        self.upstreams = {f"u{n}": version for n, version in enumerate(versions)}
+        # Those that answer, which they do for a while after they were removed.
+        self.answering = dict(self.upstreams)
+        origins = (Origin("web", version) for version in set(versions))
         self.stored = {make_key(origin): origin for origin in origins}
         self.streams = []
+        # Calls on the store, and datagrams sent.
+        self.reads = self.datagrams = 0
         self.dead, self.frozen, self.cut = set(), set(), set()
         # Instances that don't reach the store.
         self.blind = set()
@@ -166,6 +192,7 @@
         heapq.heappush(self._due, (self.now + delay, next(self.order), action, args))
 
     def deliver_later(self, sender, kind, fields, address):
+        self.datagrams += 1
         if self.rng.random() >= self.lost:
             data = msgpack.packb([kind, *fields])
             delay = self.rng.choice((0.001, 0.003, 0.003, 0.02))
@@ -182,6 +209,15 @@
         kind, *fields = msgpack.unpackb(data)
         self.instances[name].handlers[kind](self.get_address(sender), *fields)
 
+    def answer(self, call, reply):
+        """Answer a call on the store with what it holds now."""
+        self.reads += 1
+        found = Changes((), 1)
+        if isinstance(call, ListItems):
+            items = self.stored.items()
+            found = Page(tuple(Item(k, encode_origin(v), 1) for k, v in items), 1)
+        self.call_later(REPLY_AFTER / 2, reply, found)
+
     def list_serving(self):
         return [n for n in self.names if n not in self.dead and n not in self.frozen]
 
@@ -189,8 +225,9 @@
         """Register an upstream with the store, or remove it."""
         if version is None:
             self.upstreams.pop(name, None)
+            self.call_later(LEAVES_AFTER, self.answering.pop, name, None)
         else:
-            self.upstreams[name] = version
+            self.upstreams[name] = self.answering[name] = version
         for instance in self.names:
             self.behind[instance] += 1
             self.call_later(
@@ -256,10 +293,10 @@
         refused = refused | instance.resumptions.list_unannounced(relay, self.now)
         names = sorted(instance.pool.upstream_states.keys() - refused)
         name = self.rng.choice(names) if names else None
-        if name not in self.upstreams:
+        if name not in self.answering:
             self.call_later(0.1, self.open, stream)
             return
-        version = relay.upstream_version = self.upstreams[name]
+        version = relay.upstream_version = self.answering[name]
         instance.resumptions.begin(relay, self.now)
         stream.gone_on += bool(stream.versions)
         stream.versions.add(version)
@@ -283,7 +320,8 @@
     def run(self, seconds):
         """Run all that is due in some seconds."""
         end, tick_at = self.now + seconds, self.now
-        with mock.patch("chervilwing.stream_exchange.read_boottime", lambda: self.now):
+        read_clock = "chervilwing.stream_exchange.read_boottime"
+        with mock.patch(read_clock, lambda: self.now):
             while tick_at < end:
                 while self._due and self._due[0][0] <= tick_at:
                     self.now, _, action, args = heapq.heappop(self._due)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -69,6 +69,12 @@
         seen.update(*(stream.versions for stream in streams))
         return seen == set(self.versions)
 
+    def list_stored(self):
+        """Return how many versions the store holds as known to all instances."""
+        keys = self.platform.record()["keys"]
+        keys = [key for key in keys if key.startswith(VERSIONS)]
+        return sum(not key.startswith(ANNOUNCED) for key in keys)
+
     def make_stream(self):
         self.count += 1
         return Stream(f"s{self.count}")
@@ -333,12 +339,6 @@
             poll(lambda stream=stream: stream.take_up(three.port) == 200, 3.0)
             self.expect_gone_on(stream)
 
-    def list_stored(self):
-        """Return how many versions the store holds as known to all instances."""
-        keys = self.platform.record()["keys"]
-        keys = [key for key in keys if key.startswith(VERSIONS)]
-        return sum(not key.startswith(ANNOUNCED) for key in keys)
-
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_stream_versions_model.py
+++ b/tests/test_stream_versions_model.py
@@ -33,6 +33,29 @@
     )
 
 
+def isolate(fleet, name):
+    """Cut an instance from the store and from the others."""
+    seconds = fleet.rng.uniform(0.5, 4.0)
+    for apart in (fleet.cut, fleet.blind):
+        apart.add(name)
+        fleet.call_later(seconds, apart.discard, name)
+
+
+def release(fleet, name):
+    """Replace all upstreams while an instance is out of step."""
+    isolate(fleet, name)
+    fleet.call_later(fleet.rng.uniform(0.0, 0.4), replace_all, fleet)
+
+
+def replace_all(fleet):
+    """Let upstreams of a new version take the place of all others."""
+    for upstream in list(fleet.upstreams):
+        fleet.put_upstream(upstream, None)
+    version = f"n{next(fleet.serials)}"
+    for _ in range(2):
+        fleet.put_upstream(f"r{next(fleet.serials)}", version)
+
+
 def kill(fleet, name):
     fleet.kill(name)
     fleet.call_later(fleet.rng.uniform(0.5, 3.0), fleet.start, name)
@@ -60,7 +83,7 @@
         fleet.put_upstream(f"r{next(fleet.serials)}", version)
 
 
-FAULTS = (freeze, cut, blind, kill, kill_all, replace_upstream, unify)
+FAULTS = (freeze, cut, blind, release, kill, kill_all, replace_upstream, unify)
 
 
 def run_faults(size, seed):
@@ -88,6 +111,28 @@
                     self.assertEqual(list_mixed(run_faults(size, seed)), [])
 
 
+def run_release(size, seed):
+    """Replace the only version while an instance, or a tenth, is out of step."""
+    fleet = Fleet(size, seed, versions=("v1", "v1"))
+    for number in range(400):
+        fleet.call_later(number / 100, fleet.ask)
+    apart = fleet.rng.sample(fleet.names, max(1, size // 10))
+    for name in apart:
+        fleet.call_later(1.0 + fleet.rng.uniform(0.0, 0.4), isolate, fleet, name)
+    fleet.call_later(1.4, replace_all, fleet)
+    fleet.run(10.0)
+    return fleet
+
+
+class TestOutOfStep(unittest.TestCase):
+    def test_instances_that_missed_a_release_join_no_versions(self):
+        # Guards against an instance that goes on at the only version it knows.
+        for size in SIZES:
+            for seed in range(2):
+                with self.subTest(size=size, seed=seed):
+                    self.assertEqual(list_mixed(run_release(size, seed)), [])
+
+
 class TestBound(unittest.TestCase):
     def share(self, size, lost, fault):
         """Return the part of the streams taken up that go on after a fault."""
