Refuse a stream of which two origins were reported

Two records that differ cancel each other, but the instance then went on to infer the only version left, as if it had no record: a guess between two streams of one id. It is refused now, without a time to come back. Found by reading; the new test fails without the change.

--- a/src/chervilwing/resumptions.py
+++ b/src/chervilwing/resumptions.py
@@ -41,6 +41,8 @@
         if not relay.takes_up:
             return True
         is_named = bool(relay.demand.resumes)
+        if is_named and self.streams.is_disputed(relay.stream, now):
+            raise StreamUnknown()
         origin = self.streams.find(relay.stream, now) if is_named else None
         if origin is None and not self.is_shared:
             origin = self.streams.infer(relay.route, now)
--- a/src/chervilwing/stream_versions.py
+++ b/src/chervilwing/stream_versions.py
@@ -217,6 +217,11 @@
         entry = self._entries.get(stream)
         return entry.origin if entry is not None and now < entry.until else None
 
+    def is_disputed(self, stream, now):
+        """Return whether two different Origins of a stream were reported."""
+        entry = self._entries.get(stream)
+        return entry is not None and entry.origin is None and now < entry.until
+
     def pop_untold(self, now):
         """Return the streams that no other instance knows, and mark them as told.
 
--- a/tests/test_stream_versions_model.py
+++ b/tests/test_stream_versions_model.py
@@ -6,7 +6,9 @@
 import sys
 import unittest
 
-from tests.stream_fleet import Fleet
+from chervilwing.exceptions import StreamUnknown
+from chervilwing.stream_versions import Origin, make_stream_id
+from tests.stream_fleet import Fleet, Stream
 
 SIZES = (1, 3, 8, 67, 320)
 SECONDS = 20
@@ -133,6 +135,18 @@
                     self.assertEqual(list_mixed(run_release(size, seed)), [])
 
 
+class TestDispute(unittest.TestCase):
+    def test_a_stream_of_two_origins_is_refused_although_one_version_is_left(self):
+        # Guards against a guess where two streams bear one id.
+        fleet, stream = Fleet(3, seed=1, versions=("v1",)), Stream("s")
+        instance, stream.first = fleet.instances["i0"], "s.1"
+        for version in ("v1", "v2"):
+            origin = Origin("web", version)
+            instance.resumptions.streams.record(make_stream_id("s.1"), origin, 99.0)
+        with self.assertRaises(StreamUnknown):
+            instance.resumptions.find_origin(instance.take(stream), fleet.now)
+
+
 class TestBound(unittest.TestCase):
     def share(self, size, lost, fault):
         """Return the part of the streams taken up that go on after a fault."""
