Send no stream on from a backup at a leaving engine

What callers saw: an engine drains, and 2.5 s later another one crashes.

Cause: a request that goes on from a copy was checked only for the engine being the same process. Whether it may still be given work was judged when the backup was chosen, at the start of the stream.

Change: a copy is used only at an engine that isn't leaving, judged when the request is sent. A leaving engine gets only its own run back, which it has stopped for a move. Without a usable backup the request is sent again where that is allowed, or cut.

--- a/src/chervilwing/stream_moves/backups.py
+++ b/src/chervilwing/stream_moves/backups.py
@@ -61,12 +61,19 @@
     def find(self, relay, now):
         """Return the Registration of the engine that has a request's backup, or None.
 
-        A stream without events, or one that has just begun, has none.
+        A stream without events, or one that has just begun, has none. A leaving engine
+        gets no requests.
         """
         if not relay.has_events or relay.first_byte_at is None:
             return None
+        if relay.backup is None or self._is_leaving(relay):
+            return None
         return relay.backup if now - relay.first_byte_at >= MIN_AGE else None
 
+    def _is_leaving(self, relay):
+        state = relay.pool.upstream_states.get(relay.backup.name)
+        return state is not None and state.registration.leaving
+
     def release(self, relay, now):
         """Release a request's backup and learn from its pace."""
         self.budget.release(relay)
--- a/src/chervilwing/stream_moves/move_runner.py
+++ b/src/chervilwing/stream_moves/move_runner.py
@@ -54,6 +54,11 @@
         # The call of the continued request, None before that.
         self.sent_call = None
 
+    @property
+    def is_from_backup(self):
+        """Return whether the engine that keeps a backup is source and target."""
+        return self.source is self.target
+
     @property
     def may_end_stream(self):
         """Return whether the end of the stream is due to the move."""
@@ -222,9 +227,7 @@
         relay.may_have_run = True
         relay.events.restart()
         state = relay.pool.upstream_states.get(registration.name)
-        if state is None or get_process(state.registration) != (
-            get_process(registration)
-        ):
+        if state is None or not self._may_begin(move, registration, state):
             self.record(move, Result.NOT_STARTED)
             return
         estimate = relay.pool.estimate(state, relay.demand, now)
@@ -241,6 +244,17 @@
         relay.attempts -= 1
         relay.copy, move.sent_call = None, relay.call
 
+    def _may_begin(self, move, registration, state):
+        """Return whether an engine may get a request now.
+
+        One that leaves gets only its own run back, which it has stopped.
+        """
+        known = state.registration
+        if get_process(known) != get_process(registration):
+            return False
+        is_own_run = registration is move.source and not move.is_from_backup
+        return is_own_run or not known.leaving
+
     def handle_closed(self, move, exc):
         """Note the end of a stream whose engine was told to stop it."""
         move.closed, move.relay.may_have_run = exc, True
@@ -304,10 +318,9 @@
         if self.moves.get(move.source.name) is move:
             del self.moves[move.source.name]
         state, now = move.state, read_boottime()
-        is_backup = move.source is move.target
-        if state.cause and state.handle and not is_backup:
+        if state.cause and state.handle and not move.is_from_backup:
             self._free_copy(move)
-        if is_backup:
+        if move.is_from_backup:
             return
         if move.after_break:
             self._close_ending(move)
--- a/src/chervilwing/stream_moves/mover.py
+++ b/src/chervilwing/stream_moves/mover.py
@@ -187,8 +187,9 @@
         pool, engine = relay.pool, relay.pool.spec.engine
         if not engine.moves or self._gateway.cfg.stream_moves != AUTO:
             return None
-        if relay.backup is not None and relay.backup.name != source.name:
-            return relay.backup
+        backup = self.backups.find(relay, now)
+        if backup is not None and backup.name != source.name:
+            return backup
         interval = self.backups.pace_of(pool).interval
         stream = make_stream(relay, relay.deadline, interval, now)
         excluded = self._list_excluded(pool, now) | {source.name}
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -263,6 +263,21 @@
         self.expect_whole(streams)
         self.assertGreater(self.gateway.mover.count()["backups_used"], 0)
 
+    def test_no_stream_goes_on_from_its_backup_at_a_leaving_engine(self):
+        # Guards against work for an engine that has been told to end.
+        self.begin(1, length=1)
+        streams = self.begin(12, length=120)
+        time.sleep(MIN_AGE)
+        number = self.find_engine(streams[0])
+        leaving = (number + 1) % self.engines
+        self.put(leaving, leaving=True)
+        poll(lambda: self.gateway.registry.count_leaving())
+        begun = len(self.upstreams[leaving].spans)
+        self.upstreams[number].die()
+        self.finish()
+        self.assertEqual(len(self.upstreams[leaving].spans), begun)
+        self.expect_sound(streams)
+
     def test_a_stream_without_its_backup_is_not_run_again(self):
         # Guards against a second run where the copy is gone.
         self.begin(1, length=1)
