Log where a stream goes on and how many events were out of order

A request's line named its last event only. From whole streams it couldn't be told whether a continuation began after the event that the caller had read, so that a stream of two versions and an upstream that repeats events looked alike.

The line now has resumes_after (the caller's Last-Event-Id), first_event and out_of_order, the number of events whose ids weren't after the one before. Nothing else changes: such events are still relayed.

An event's id is its last id line, wherever that stands.

--- a/src/chervilwing/events.py
+++ b/src/chervilwing/events.py
@@ -11,7 +11,6 @@
 EVENT_END = re.compile(LINE_END + LINE_END)
 # Empty lines and comments, which belong to no event.
 BETWEEN_EVENTS = re.compile(rb"(?:(?::[^\r\n]*)?" + LINE_END + rb")*\Z")
-EVENT_ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 # Bytes of an incomplete event that are kept if nothing is held back; without a limit an
 # upstream that never ends an event would fill the memory.
 MAX_KEPT_BYTES = 65536
@@ -32,22 +31,59 @@
     return max((match.end() for match in EVENT_END.finditer(data)), default=0)
 
 
+def read_ids(events):
+    """Return the id of each whole event that has one or has data, empty without one."""
+    ids, id_, has_data = [], b"", False
+    for line in events.splitlines():
+        if line[:3] == b"id:":
+            id_ = line[3:].removeprefix(b" ")
+        elif line[:4] == b"data":
+            has_data = True
+        elif not line:
+            if id_ or has_data:
+                ids.append(id_)
+            id_, has_data = b"", False
+    return ids
+
+
+def is_after(id_, last_id):
+    """Return whether one event id may follow another.
+
+    Only numbers have an order; of other ids only an equal one is a repeat.
+    """
+    if not (id_.isdigit() and last_id.isdigit()):
+        return id_ != last_id
+    size = len(id_)
+    if size != len(last_id):
+        size = max(size, len(last_id))
+        id_, last_id = id_.rjust(size, b"0"), last_id.rjust(size, b"0")
+    return id_ > last_id
+
+
 class EventReader:
     """Splits a stream into complete events, so that another upstream can resume it.
 
     An upstream may fail in the middle of an event. If the incomplete event were
     relayed, the caller would read it and the next upstream's first event as one, so
     only complete events are relayed. ``last_id`` is the id of the last of them, after
-    which the next upstream resumes, and ``count`` the number of events with an id. With
-    ``resumable`` false, nothing is held back and neither is known.
+    which the next upstream resumes, and ``count`` the number of events with an id.
+    ``first_id`` is the id of the first of them, and ``out_of_order`` counts events that
+    don't follow the one before; ``after`` is the id after which the caller resumes the
+    stream. With ``resumable`` false, nothing is held back and none of these is known.
     """
 
-    def __init__(self, resumable=True):
-        self.last_id = ""
-        self.count = 0
+    def __init__(self, resumable=True, after=""):
+        self.first_id = ""
+        self.count = self.out_of_order = 0
+        self._newest = after.encode("latin-1", "replace")
         self._resumable = resumable
         self._buffer = b""
 
+    @property
+    def last_id(self):
+        """Return the id of the last event, empty before that."""
+        return self._newest.decode("latin-1") if self.count else ""
+
     @property
     def has_partial(self):
         """Return whether the stream ended in the middle of an event or of a line."""
@@ -68,12 +104,22 @@
             return data
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise UpstreamFailed("An event is too long.")
-        ids = EVENT_ID.findall(complete)
-        if ids:
-            self.last_id = ids[-1].decode("latin-1")
-            self.count += len(ids)
+        if complete:
+            self._record(read_ids(complete))
         return complete
 
+    def _record(self, ids):
+        """Record the ids of events that are about to be relayed."""
+        for id_ in ids:
+            if not id_:
+                continue
+            if self._newest and not is_after(id_, self._newest):
+                self.out_of_order += 1
+            if not self.count:
+                self.first_id = id_.decode("latin-1")
+            self._newest = id_
+            self.count += 1
+
     def take_rest(self):
         """Return what was held back: comments, at the end of a whole stream."""
         rest, self._buffer = self._buffer, b""
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -31,8 +31,10 @@
     answer: a length, chunks or the connection's close. ``partial`` is set if a stream
     ended in the middle of an event. ``upstream_version`` is the version of the last
     upstream's software, and ``resumes`` the request that began the stream which this
-    one goes on with. ``parts`` names the shared parts of the prompt, in their order;
-    in the line of a barred request it names what is barred.
+    one goes on with, after the event ``resumes_after``. ``first_event`` and
+    ``last_event`` are the first and last event that were relayed, ``out_of_order`` is
+    how many events didn't follow the one before. ``parts`` names the shared parts of
+    the prompt, in their order; in the line of a barred request it names what is barred.
     """
 
     request: str
@@ -57,6 +59,9 @@
     partial: bool = False
     upstream_version: str = ""
     resumes: str = ""
+    resumes_after: str = ""
+    first_event: str = ""
+    out_of_order: int = 0
     parts: str = ""
 
 
@@ -153,7 +158,7 @@
         self.fallback = None
         self.limit = None
         # Reader of the events of a stream, None for other answers.
-        self.events = EventReader() if route.resumable else None
+        self.events = self._make_reader() if route.resumable else None
         # Origin of the stream: an answer that has begun goes on at its version only.
         self.origin = None
         self.has_events = False
@@ -207,6 +212,10 @@
         """Return whether the answer ended, so far, in the middle of an event."""
         return self.events is not None and self.events.has_partial
 
+    def _make_reader(self):
+        """Return the reader of a stream that a caller may resume."""
+        return EventReader(after=self.demand.last_event)
+
     def start_answer(self, framing, has_events):
         """Prepare for the body of an attempt's answer, which may be a stream."""
         self.framing, self.has_events = framing, has_events
@@ -266,6 +275,9 @@
         partial=relay.has_partial_event,
         upstream_version=relay.upstream_version,
         resumes=relay.demand.resumes,
+        resumes_after=relay.demand.last_event,
+        first_event=relay.events.first_id if relay.events else "",
+        out_of_order=relay.events.out_of_order if relay.events else 0,
         parts=",".join(relay.demand.shared_parts),
     )
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -9,6 +9,7 @@
 from chervilwing.cli import app
 from chervilwing.console import EXIT_HELP
 from chervilwing.logs import RequestLine
+from chervilwing.relays import RequestLogLine
 from chervilwing.shapes import SHAPES
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -62,6 +63,7 @@
         self.assertIn("started", set(find_events()))
         self.check_listed(find_events(), "| `{}` |")
         self.check_listed(RequestLine._fields, "`{}`")
+        self.check_listed(RequestLogLine._fields, "`{}`")
 
     def test_every_command_and_exit_code_is_listed(self):
         commands = [
