End an attempt whose events don't follow those of its stream

Callers saw events twice, or ids that went back, in one whole answer: where an upstream that was asked to go on after event N repeated N or began from 1, where the engine of a moved stream began before the event asked for, or where ids went back within one run.

The instance trusted that the next run begins after Last-Event-Id. EventReader kept the last id, to ask with, but never compared the next one with it.

An event that isn't after the last one now ends the attempt as the upstream's failure (event-out-of-order), before any byte of that read is relayed or counted as relayed. It is logged as a failed attempt, counted in gateway_streams_out_of_order, and the stream goes on elsewhere, from a backup too, or is cut. Numbers have an order; other ids only must not equal the last one. Comments, retry times, events without an id and gaps pass as before.

test_any_split_of_the_bytes_gives_the_same_events drew its events from three with fixed ids, so that ids repeated and went back. It now draws from the same three forms with ids that grow, and also checks the first id, the last id and the count.

The caller's own Last-Event-Id isn't compared yet.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -13,6 +13,7 @@
     NOT_RUN,
     ChervilwingError,
     ConnectionBroken,
+    EventOutOfOrder,
     NoUpstream,
     PoolFull,
     UpstreamFailed,
@@ -197,9 +198,8 @@
             return
         self._gateway.crash_detection.handle_answered(relay)
         if not answer_status.authentic:
-            self._abort_attempt(
-                relay, "The answer was not sent by the upstream itself."
-            )
+            detail = "The answer was not sent by the upstream itself."
+            self._abort_attempt(relay, UpstreamFailed(detail))
             return
         has_events = is_event_stream(status, headers)
         relay.start_answer(relay.call.reader.framing, has_events)
@@ -207,7 +207,8 @@
         if relay.exchange.started and not is_stream:
             # The caller has received part of a stream; the body of another kind of
             # answer would appear in the middle of its events.
-            self._abort_attempt(relay, "The upstream did not resume the stream.")
+            detail = "The upstream did not resume the stream."
+            self._abort_attempt(relay, UpstreamFailed(detail))
         elif is_stream and not relay.exchange.started:
             if relay.route.resumable:
                 self._gateway.resumptions.begin(relay, read_boottime())
@@ -301,7 +302,9 @@
             try:
                 data = relay.events.feed(data)
             except UpstreamFailed as exc:
-                self._abort_attempt(relay, exc.detail)
+                if isinstance(exc, EventOutOfOrder):
+                    self._gateway.resumptions.out_of_order += 1
+                self._abort_attempt(relay, exc)
                 return
         if relay.exchange.started:
             self._forward(relay, data)
@@ -511,9 +514,9 @@
         self.end_attempt(relay, failed=None, cancel=True)
         self._place_again(relay)
 
-    def _abort_attempt(self, relay, detail):
+    def _abort_attempt(self, relay, exc):
         self._client.cancel(relay.call)
-        self._on_failure(relay, UpstreamFailed(detail))
+        self._on_failure(relay, exc)
 
     def end_attempt(self, relay, failed, cancel=False):
         """Record the end of an attempt; ``failed`` is None if its result is unknown."""
--- a/src/chervilwing/events.py
+++ b/src/chervilwing/events.py
@@ -2,7 +2,7 @@
 
 import re
 
-from .exceptions import UpstreamFailed
+from .exceptions import EventOutOfOrder, UpstreamFailed
 
 EVENT_STREAM = "text/event-stream"
 # A line ends with CRLF, LF or CR, and an empty line ends an event (WHATWG HTML, section
@@ -92,7 +92,8 @@
     def feed(self, data):
         """Return the bytes to be relayed: the events that these bytes complete.
 
-        Raise UpstreamFailed if an event that is held back is too long.
+        Raise UpstreamFailed if an event that is held back is too long, EventOutOfOrder
+        if one doesn't follow the last one. No byte of this call counts as relayed then.
         """
         read = self._buffer + data
         end = find_last_end(read)
@@ -110,15 +111,18 @@
 
     def _record(self, ids):
         """Record the ids of events that are about to be relayed."""
+        count, newest = self.count, self._newest
         for id_ in ids:
             if not id_:
                 continue
-            if self._newest and not is_after(id_, self._newest):
+            if count and not is_after(id_, newest):
                 self.out_of_order += 1
-            if not self.count:
-                self.first_id = id_.decode("latin-1")
-            self._newest = id_
-            self.count += 1
+                raise EventOutOfOrder()
+            newest = id_
+            count += 1
+        if count and not self.count:
+            self.first_id = next(filter(None, ids)).decode("latin-1")
+        self.count, self._newest = count, newest
 
     def take_rest(self):
         """Return what was held back: comments, at the end of a whole stream."""
--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -202,6 +202,12 @@
     status, type, title, outcome = 502, "upstream-failed", "Upstream failed", UNKNOWN
 
 
+class EventOutOfOrder(UpstreamFailed):
+    """An upstream sent an event that doesn't follow the last one of its stream."""
+
+    type, title = "event-out-of-order", "Event out of order"
+
+
 class UpstreamSilent(UpstreamFailed):
     """An upstream, or the path to it, was silent for longer than the timeout."""
 
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -235,6 +235,7 @@
             "gateway_tunnels_used": sum(gateway.tunnel_peers.in_use.values()),
             "gateway_tunnels_served": self._tunnels.count(),
             "gateway_streams_known": len(gateway.resumptions.streams),
+            "gateway_streams_out_of_order": gateway.resumptions.out_of_order,
             "gateway_stream_datagrams_sent": datagrams,
             "gateway_stream_bytes_sent": size,
             "gateway_placers": gateway.placing.count_placers(),
--- a/src/chervilwing/resumptions.py
+++ b/src/chervilwing/resumptions.py
@@ -24,6 +24,8 @@
         gateway.rollouts.is_known = self.streams.is_stored
         self.on_begun = lambda relay, now: None
         self.seek = lambda relay, now: False
+        # Attempts that ended with an event out of order.
+        self.out_of_order = 0
         # Whether other instances may begin streams at versions unknown to this one.
         self.is_shared = False
 
--- a/src/chervilwing/stream_moves/mover.py
+++ b/src/chervilwing/stream_moves/mover.py
@@ -4,7 +4,7 @@
 
 from ..bodies import CLOSE_FRAMING
 from ..clocks import read_boottime
-from ..exceptions import ConnectionBroken, UpstreamFailed
+from ..exceptions import ConnectionBroken, EventOutOfOrder, UpstreamFailed
 from ..gateway_settings import AUTO
 from ..logs import log_event
 from ..registrations import get_process
@@ -199,7 +199,8 @@
 
     def may_use_backup(self, relay, exc):
         """Return whether a request may be sent on from its backup after a failure."""
-        broken = isinstance(exc, ConnectionBroken) or type(exc) is UpstreamFailed
+        broken = isinstance(exc, ConnectionBroken | EventOutOfOrder)
+        broken = broken or type(exc) is UpstreamFailed
         has_backup = self.backups.find(relay, read_boottime()) is not None
         return broken and has_backup and self._may_send_on(relay)
 
--- a/tests/moving_upstreams.py
+++ b/tests/moving_upstreams.py
@@ -77,6 +77,8 @@
         # Whether streams are sent in chunks; events after which they end by themselves.
         self.chunked, self.ends_after = True, None
         self.resets_after, self.silent_calls, self.report_lag = None, False, 0.0
+        # Events that the caller has and a stream that goes on from a copy repeats.
+        self.overlap = 0
         self.spans = []
         super().__init__(None)
         self.address = f"{HOST}:{self.port}"
@@ -209,7 +211,9 @@
         try:
             encode = encode_chunk if self.chunked else bytes
             conn.sendall(self.head if self.chunked else self.head.replace(CHUNKED, b""))
-            for number in range(int(fields.get("last-event-id", 0)) + 1, length + 1):
+            after = int(fields.get("last-event-id", 0))
+            after -= self.overlap if "kv-from" in fields else 0
+            for number in range(after + 1, length + 1):
                 if stop.wait(self.pace) or self.dead:
                     return False
                 if number == self.resets_after and "kv-from" not in fields:
--- a/tests/test_event_order.py
+++ b/tests/test_event_order.py
@@ -4,6 +4,7 @@
 from unittest.mock import patch
 
 from chervilwing.events import EventReader, is_after, read_ids
+from chervilwing.exceptions import EventOutOfOrder
 from tests.procs import poll
 from tests.test_gateway import EVENTS, GatewayCase, close_after_sent, encode_chunk
 
@@ -87,13 +88,82 @@
         )
 
 
+class TestJoins(OrderCase):
+    def expect_cut(self, response, *ids):
+        """Expect events with these ids in an answer that is visibly incomplete."""
+        self.assertEqual(response.body, make_events(*ids))
+        self.assertFalse(response.whole)
+        self.assertEqual(self.get_line().out_of_order, 1)
+
+    def expect_joined(self, ids, first, second):
+        """Expect that events are relayed if two upstreams send these."""
+        run = self.start_pair(make_events(*first), make_events(*second))
+        response = run.call("POST", "/quote/x")
+        self.assertEqual(response.body, make_events(*ids))
+        self.assertTrue(response.whole)
+
+    def test_a_run_that_repeats_the_last_event_is_not_relayed(self):
+        # Guards against an upstream that goes on at Last-Event-Id, not after it.
+        run = self.start_pair(make_events(1, 2, 3), make_events(3, 4, 5))
+        self.expect_cut(run.call("POST", "/quote/x"), 1, 2, 3)
+
+    def test_a_run_that_begins_anew_is_not_relayed(self):
+        # Guards against an upstream that ignores Last-Event-Id.
+        run = self.start_pair(make_events(1, 2, 3), make_events(1, 2, 3, 4))
+        self.expect_cut(run.call("POST", "/quote/x"), 1, 2, 3)
+
+    def test_a_run_that_repeats_an_id_that_is_no_number_is_not_relayed(self):
+        # Guards against repeats where ids have no order.
+        run = self.start_pair(make_events("a", "c"), make_events("c", "b"))
+        self.expect_cut(run.call("POST", "/quote/x"), "a", "c")
+
+    def test_sound_runs_are_joined(self):
+        # Guards against cutting streams whose ids have gaps or aren't numbers.
+        self.expect_joined((3, 7, 12, 20), (3, 7), (12, 20))
+        self.expect_joined(("9", "10", "011"), ("9",), ("10", "011"))
+        self.expect_joined(("b", "a", "7"), ("b",), ("a", "7"))
+
+
+class TestOneRun(OrderCase):
+    def test_a_stream_whose_ids_go_back_goes_on_elsewhere(self):
+        # Guards against numbers that go back within one run.
+        def go_back(conn, *request):
+            self.open_second_upstream()
+            conn.sendall(EVENTS + encode_chunk(make_events(1, 2)))
+            conn.sendall(encode_chunk(make_events(3, 2)))
+
+        def end(conn, *request):
+            # Nothing was relayed if both chunks were read at once.
+            after = int(run.upstreams[1].heads[-1][1].get("last-event-id", 0))
+            ids = range(after + 1, LENGTH + 1)
+            conn.sendall(EVENTS + encode_chunk(make_events(*ids)) + END)
+
+        run = self.start_with_second_closed(go_back, end)
+        response = run.call("POST", "/quote/x")
+        self.assertTrue(response.whole)
+        self.assertEqual(response.body, make_events(*range(1, LENGTH + 1)))
+        self.assertEqual(self.get_line().out_of_order, 1)
+        self.assertEqual(run.gateway.resumptions.out_of_order, 1)
+
+    def test_events_that_have_no_place_in_the_order_are_relayed(self):
+        # Guards against cutting streams with comments, retry times or no ids.
+        sent = b": a\n\nretry: 5\n\nid: 1\nid: 1\ndata: x\n\n" + make_events(None, None)
+        run = self.start(
+            lambda conn, *request: conn.sendall(EVENTS + encode_chunk(sent) + END)
+        )
+        response = run.call("POST", "/quote/x")
+        self.assertEqual((response.body, response.whole), (sent, True))
+
+
 class TestReader(unittest.TestCase):
-    def test_events_out_of_order_are_counted(self):
-        # Guards against repeats at the join of two runs that no log shows.
-        reader = EventReader(after="4")
-        for id_ in (4, 5, 6, 6, 7, 3, 4):
-            reader.feed(make_events(id_))
-        self.assertEqual((reader.out_of_order, reader.count), (3, 7))
+    def test_no_event_of_a_chunk_out_of_order_counts_as_relayed(self):
+        # Guards against going on after an event that the caller doesn't have.
+        reader = EventReader()
+        reader.feed(make_events(1, 2))
+        with self.assertRaises(EventOutOfOrder):
+            reader.feed(make_events(3, 4, 3))
+        self.assertEqual((reader.last_id, reader.count), ("2", 2))
+        self.assertEqual((reader.out_of_order, reader.first_id), (1, "1"))
 
 
 if __name__ == "__main__":
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -6,6 +6,11 @@
 from chervilwing.events import EventReader
 
 EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\r\ndata: b\r\n\r\n", b"data: c\rid: 3\r\r")
+FORMS = (
+    b"id: %d\ndata: a\n\n",
+    b"id: %d\r\ndata: b\r\n\r\n",
+    b"data: c\rid: %d\r\r",
+)
 
 
 class TestEnds(unittest.TestCase):
@@ -34,7 +39,8 @@
 
     def test_any_split_of_the_bytes_gives_the_same_events(self):
         rng = random.Random(1)
-        whole = b"".join(rng.choice(EVENTS) for _ in range(40))
+        events = [rng.choice(FORMS) % number for number in range(1, 41)]
+        whole = b"".join(events)
         for resumable in (True, False):
             reader, data, sent = EventReader(resumable), whole, b""
             while data:
@@ -42,6 +48,8 @@
                 sent, data = sent + reader.feed(data[:size]), data[size:]
             self.assertEqual(sent + reader.take_rest(), whole)
             self.assertFalse(reader.has_partial)
+            known = ("1", "40", 40) if resumable else ("", "", 0)
+            self.assertEqual((reader.first_id, reader.last_id, reader.count), known)
 
     def test_an_endless_event_is_tracked_in_bounded_memory(self):
         reader = EventReader(resumable=False)
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -205,6 +205,20 @@
             self.expect_whole([stream])
             self.assertEqual(len(stream.events), ends_after or 250)
 
+    def test_a_target_that_repeats_events(self):
+        # Guards against events that come twice at the join of two runs.
+        for upstream in self.upstreams:
+            upstream.overlap = 2
+        self.assertFalse(self.move_one().whole)
+        self.assertEqual(self.gateway.resumptions.out_of_order, 1)
+
+    def test_a_target_that_repeats_events_of_a_resumable_stream(self):
+        # Guards against cutting a stream that needs no copy to go on.
+        for upstream in self.upstreams:
+            upstream.overlap = 1
+        self.assertTrue(self.move_one(QUOTE).whole)
+        self.assertEqual(self.gateway.resumptions.out_of_order, 1)
+
     def test_a_target_that_refuses_the_copy(self):
         # Guards against giving up after one full engine.
         self.assertTrue(self.move_one(refuse=False).whole)
