Compare the first event of a taken up stream with the caller's last one

A caller that took a stream up after event 3 got 1 2 3 4, or 3 4, as a whole answer, where the upstream ignored Last-Event-Id or began at it: over the caller's tries the numbers went back. The answer's first event was bound by nothing, and one of a second attempt only by the events of the first.

The caller's Last-Event-Id is now where the order of the answer begins, through all attempts and moves.

Evidence: of 13 tests in tests.test_event_order 2 failed before (1 2 3 4 after event 3 as a whole answer; 3 4 from the second attempt) and all pass now. The third new test passes in both: the rest of a sound stream isn't cut.

--- a/src/chervilwing/events.py
+++ b/src/chervilwing/events.py
@@ -115,7 +115,7 @@
         for id_ in ids:
             if not id_:
                 continue
-            if count and not is_after(id_, newest):
+            if newest and not is_after(id_, newest):
                 self.out_of_order += 1
                 raise EventOutOfOrder()
             newest = id_
--- a/tests/test_event_order.py
+++ b/tests/test_event_order.py
@@ -64,10 +64,15 @@
             self.open_second_upstream()
             close_after_sent(conn)
 
-        def end(conn, *request):
-            conn.sendall(EVENTS + encode_chunk(second) + END)
+        return self.start_with_second_closed(break_off, self.make_script(second))
+
+    def make_script(self, body):
+        """Return an upstream's script that answers with a whole stream."""
+        return lambda conn, *request: conn.sendall(EVENTS + encode_chunk(body) + END)
 
-        return self.start_with_second_closed(break_off, end)
+    def make_whole(self, *ids):
+        """Return the script of a whole stream with these ids."""
+        return self.make_script(make_events(*ids))
 
     def get_line(self):
         """Return the log line of the only request."""
@@ -117,6 +122,28 @@
         run = self.start_pair(make_events("a", "c"), make_events("c", "b"))
         self.expect_cut(run.call("POST", "/quote/x"), "a", "c")
 
+    def test_a_run_that_repeats_what_its_caller_has_is_not_relayed(self):
+        # Guards against an upstream that ignores the caller's Last-Event-Id.
+        for ids in ((1, 2, 3, 4), (3, 4)):
+            self.log_request.reset_mock()
+            run = self.start(self.make_whole(*ids))
+            response = run.call("POST", "/quote/x", Last_Event_Id="3", Resumes="r0")
+            self.expect_cut(response)
+
+    def test_what_a_caller_has_bounds_each_attempt(self):
+        # Guards against a second attempt that only the first one's events bound.
+        run = self.start_pair(b": begun\n\n", make_events(3, 4))
+        response = run.call("POST", "/quote/x", Last_Event_Id="3", Resumes="r0")
+        self.assertEqual(response.body, b": begun\n\n")
+        self.assertFalse(response.whole)
+
+    def test_a_caller_that_takes_a_stream_up_gets_the_rest(self):
+        # Guards against cutting sound streams at the first event after a caller's last.
+        run = self.start(self.make_whole(4, 5))
+        response = run.call("POST", "/quote/x", Last_Event_Id="3", Resumes="r0")
+        self.assertEqual(response.body, make_events(4, 5))
+        self.assertTrue(response.whole)
+
     def test_sound_runs_are_joined(self):
         # Guards against cutting streams whose ids have gaps or aren't numbers.
         self.expect_joined((3, 7, 12, 20), (3, 7), (12, 20))
@@ -148,9 +175,7 @@
     def test_events_that_have_no_place_in_the_order_are_relayed(self):
         # Guards against cutting streams with comments, retry times or no ids.
         sent = b": a\n\nretry: 5\n\nid: 1\nid: 1\ndata: x\n\n" + make_events(None, None)
-        run = self.start(
-            lambda conn, *request: conn.sendall(EVENTS + encode_chunk(sent) + END)
-        )
+        run = self.start(self.make_script(sent))
         response = run.call("POST", "/quote/x")
         self.assertEqual((response.body, response.whole), (sent, True))
 
