Don't go on with a stream after an event without an id

Callers saw events twice in one whole answer, or a second run from its first event, where an upstream broke off after events without an id: the next run goes on after the last id and sends what follows that again. A stream without any ids, or whose last id was empty, was begun anew behind what the caller had.

Such a stream is cut instead, unless an event with an id has followed. That holds for attempts, silent paths, moves and backups. Comments, retry times and events without data don't count. The caller may take the stream up itself.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -454,7 +454,7 @@
         """Return whether a request may be sent again after a failed attempt."""
         if not relay.route.repeatable and relay.may_have_run:
             return False
-        if relay.exchange.started and not relay.route.resumable:
+        if relay.exchange.started and not relay.can_resume:
             return False
         return self._may_retry(relay)
 
@@ -463,7 +463,7 @@
 
         Otherwise its answer may still come.
         """
-        started = relay.exchange.started and not relay.route.resumable
+        started = relay.exchange.started and not relay.can_resume
         if not relay.route.repeatable or started:
             return
         name = relay.upstream_state.registration.name
--- a/src/chervilwing/events.py
+++ b/src/chervilwing/events.py
@@ -69,13 +69,16 @@
     which the next upstream resumes, and ``count`` the number of events with an id.
     ``first_id`` is the id of the first of them, and ``out_of_order`` counts events that
     don't follow the one before; ``after`` is the id after which the caller resumes the
-    stream. With ``resumable`` false, nothing is held back and none of these is known.
+    stream. ``can_resume`` is false while the last event has no id: the next upstream
+    would repeat it. With ``resumable`` false, nothing is held back and none of these is
+    known.
     """
 
     def __init__(self, resumable=True, after=""):
         self.first_id = ""
         self.count = self.out_of_order = 0
         self._newest = after.encode("latin-1", "replace")
+        self.can_resume = resumable
         self._resumable = resumable
         self._buffer = b""
 
@@ -123,6 +126,7 @@
         if count and not self.count:
             self.first_id = next(filter(None, ids)).decode("latin-1")
         self.count, self._newest = count, newest
+        self.can_resume = bool(ids[-1]) if ids else self.can_resume
 
     def take_rest(self):
         """Return what was held back: comments, at the end of a whole stream."""
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -202,6 +202,11 @@
         started = self.demand.last_event or self.demand.resumes
         return self.route.resumable and bool(started)
 
+    @property
+    def can_resume(self):
+        """Return whether another attempt may go on with the answer that has begun."""
+        return self.route.resumable and self.events.can_resume
+
     @property
     def stream(self):
         """Return the id of the stream, the same over all tries of the caller."""
--- a/src/chervilwing/stream_moves/move_runner.py
+++ b/src/chervilwing/stream_moves/move_runner.py
@@ -221,6 +221,9 @@
             self._attempts.end_attempt(relay, failed=None, cancel=True)
         relay.may_have_run = True
         relay.events.restart()
+        if not relay.events.can_resume:
+            self.record(move, Result.NOT_STARTED)
+            return
         state = relay.pool.upstream_states.get(registration.name)
         if state is None or get_process(state.registration) != (
             get_process(registration)
--- a/src/chervilwing/stream_moves/mover.py
+++ b/src/chervilwing/stream_moves/mover.py
@@ -176,7 +176,8 @@
         """Return whether a request may go on from a copy of its run."""
         if relay.continued or len(relay.refused_targets) >= MAX_TARGETS:
             return False
-        return relay.events is not None and bool(relay.events.last_id)
+        events = relay.events
+        return events is not None and events.can_resume and bool(events.last_id)
 
     def _choose_copy_target(self, relay, source, now):
         """Return the Registration of an engine to which a run may be copied, or None.
@@ -226,6 +227,8 @@
         now = read_boottime()
         if relay.ended or relay.continued or not relay.continuable:
             return False
+        if not relay.events.can_resume:
+            return False
         if not relay.events.last_id or relay.deadline - now < MIN_TIME_LEFT:
             return False
         planned = len(self._runner.moves)
--- a/tests/moving_upstreams.py
+++ b/tests/moving_upstreams.py
@@ -79,6 +79,8 @@
         self.resets_after, self.silent_calls, self.report_lag = None, False, 0.0
         # Events that the caller has and a stream that goes on from a copy repeats.
         self.overlap = 0
+        # Bytes that follow each event, in the same chunk.
+        self.note = b""
         self.spans = []
         super().__init__(None)
         self.address = f"{HOST}:{self.port}"
@@ -219,7 +221,8 @@
                 if number == self.resets_after and "kv-from" not in fields:
                     reset(conn)
                 if conn.fileno() >= 0:
-                    conn.sendall(encode(b"id: %d\ndata: v1\n\n" % number))
+                    event = b"id: %d\ndata: v1\n\n" % number
+                    conn.sendall(encode(event + self.note))
                 backup = self.shared.engines.get(fields.get("x-kv-backup"))
                 if backup is not None:
                     backup.backups[name] = number
--- a/tests/test_event_order.py
+++ b/tests/test_event_order.py
@@ -151,6 +151,39 @@
         self.expect_joined(("b", "a", "7"), ("b",), ("a", "7"))
 
 
+class TestEventsWithoutIds(OrderCase):
+    """A run that goes on after the last id repeats the events that follow it."""
+
+    def expect_not_resumed(self, body):
+        """Expect that a stream isn't gone on with after these bytes."""
+        self.log_request.reset_mock()
+        run = self.start_pair(body, make_events(None, 3))
+        response = run.call("POST", "/quote/x")
+        self.assertEqual((response.body, response.whole), (body, False))
+        self.assertEqual(self.count_received(), [1, 0])
+
+    def test_a_stream_without_ids_is_not_begun_anew(self):
+        # Guards against a second run whose events follow those of the first.
+        self.expect_not_resumed(make_events(None, None))
+
+    def test_a_stream_does_not_go_on_after_an_event_without_an_id(self):
+        # Guards against an event that the next run sends again.
+        self.expect_not_resumed(make_events(1, 2, None))
+
+    def test_an_empty_id_is_none(self):
+        # Guards against a next run that begins at the first event.
+        self.expect_not_resumed(make_events(1, 2, ""))
+
+    def test_streams_go_on_after_what_is_no_event_and_once_an_id_follows(self):
+        # Guards against cutting streams that have heartbeats.
+        for rest in (b": a\n\n", b"retry: 9\n\n", make_events(None, 2)):
+            self.log_request.reset_mock()
+            run = self.start_pair(make_events(1) + rest, make_events(3))
+            response = run.call("POST", "/quote/x")
+            body = make_events(1) + rest + make_events(3)
+            self.assertEqual((response.body, response.whole), (body, True))
+
+
 class TestOneRun(OrderCase):
     def test_a_stream_whose_ids_go_back_goes_on_elsewhere(self):
         # Guards against numbers that go back within one run.
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -219,6 +219,27 @@
         self.assertTrue(self.move_one(QUOTE).whole)
         self.assertEqual(self.gateway.resumptions.out_of_order, 1)
 
+    def test_a_stream_whose_last_event_has_no_id(self):
+        # Guards against sending on after an event that the next engine sends again.
+        self.move_with_notes(CHAT)
+
+    def test_a_resumable_stream_whose_last_event_has_no_id(self):
+        # Guards against the same where no copy is needed.
+        self.move_with_notes(QUOTE)
+
+    def move_with_notes(self, path):
+        """Move a stream whose events have no id from some time after its begin."""
+        (stream,) = self.begin(1, path=path)
+        number = self.find_engine(stream)
+        self.upstreams[number].copy_time = 0.1
+        self.leave(number)
+        poll(lambda: self.gateway.mover.count()["moves_begun"])
+        self.upstreams[number].note = b"data: note\n\n"
+        self.finish()
+        self.expect_sound([stream])
+        self.assertFalse(stream.whole)
+        self.assertEqual(len(self.shared.runs["s0.1"].served), 1)
+
     def test_a_target_that_refuses_the_copy(self):
         # Guards against giving up after one full engine.
         self.assertTrue(self.move_one(refuse=False).whole)
