Treat events of any success as a stream, not only those of status 200

Callers got a whole answer without its first events: where an upstream answered with events and a 2xx status other than 200 and broke off, its events were held in the buffer and dropped, but the next upstream was asked to go on after them. The version that began such a stream wasn't recorded either, so that one too large for the buffer could go on at another version, and callers got its events only at its end.

Events of any success are now relayed as they come and have an origin. Only an answer with status 200 may go on with a stream that has begun, as before.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -203,13 +203,12 @@
             return
         has_events = is_event_stream(status, headers)
         relay.start_answer(relay.call.reader.framing, has_events)
-        is_stream = has_events and status == HTTP_OK
-        if relay.exchange.started and not is_stream:
+        if relay.exchange.started and not (has_events and status == HTTP_OK):
             # The caller has received part of a stream; the body of another kind of
             # answer would appear in the middle of its events.
             detail = "The upstream did not resume the stream."
             self._abort_attempt(relay, UpstreamFailed(detail))
-        elif is_stream and not relay.exchange.started:
+        elif has_events and not relay.exchange.started:
             if relay.route.resumable:
                 self._gateway.resumptions.begin(relay, read_boottime())
             self.mover.begin_answer(relay, read_boottime())
--- a/tests/test_event_order.py
+++ b/tests/test_event_order.py
@@ -144,6 +144,20 @@
         self.assertEqual(response.body, make_events(4, 5))
         self.assertTrue(response.whole)
 
+    def test_a_stream_of_another_success_misses_no_event(self):
+        # Guards against a next run that begins after events which nobody has read.
+        def break_off(conn, *request):
+            head = EVENTS.replace(b"200 OK", b"201 Created")
+            conn.sendall(head + encode_chunk(make_events(1, 2)))
+            self.open_second_upstream()
+            close_after_sent(conn)
+
+        run = self.start_with_second_closed(break_off, self.make_whole(3))
+        response = run.call("POST", "/quote/x")
+        self.assertEqual((response.status, response.whole), (201, True))
+        self.assertEqual(response.body, make_events(1, 2, 3))
+        self.assertTrue(run.gateway.resumptions.streams)
+
     def test_sound_runs_are_joined(self):
         # Guards against cutting streams whose ids have gaps or aren't numbers.
         self.expect_joined((3, 7, 12, 20), (3, 7), (12, 20))
