Don't place a stream again beside its move when its path is silent

Callers could get the events of two runs in one answer, each number twice (29 29 30 30 31 31 ...): an instance that gave up its silent paths, while a move copied a resumable stream off a leaving engine, cancelled the connection and asked the placer for another engine. The move went on, stopped the run and sent the request on to its target, before the placer's answer came. That answer then sent the request a second time, and both connections wrote to the answer.

A stream whose move is in progress now leaves its path like one whose connection broke off, which ends the move or lets it go on, but never both.

The window is a move in progress, a resumable route and a placer that answers after the move has sent on.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -470,6 +470,11 @@
         if not self._may_retry(relay):
             relay.tried_upstreams.add(name)
             return
+        if self.mover.is_moving(relay):
+            # The move would send the request on as well.
+            relay.tried_upstreams.add(name)
+            self._abort_attempt(relay, ConnectionBroken("The path was silent."))
+            return
         relay.may_have_run = True
         self._count_usage(relay)
         self.end_attempt(relay, failed=None, cancel=True)
--- a/src/chervilwing/stream_moves/mover.py
+++ b/src/chervilwing/stream_moves/mover.py
@@ -92,6 +92,10 @@
                 found = relays[registration.name]
                 self._begin_next(registration, leaves_at, now, found)
 
+    def is_moving(self, relay):
+        """Return whether a move of a request's stream is in progress."""
+        return relay.move is not None and not relay.move.state.has_ended
+
     def is_sent_on(self, relay):
         """Return whether a request's current attempt continues an earlier one."""
         move = relay.move
@@ -273,8 +277,9 @@
             return False
         if len(relay.refused_targets) >= MAX_TARGETS:
             return False
-        has_move = relay.move is not None and not relay.move.state.has_ended
-        return not has_move and relay.has_events and self._may_send_on(relay)
+        return (
+            not self.is_moving(relay) and relay.has_events and self._may_send_on(relay)
+        )
 
     def _begin(self, stream, target, registration, now):
         relay = stream.key
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 
+from chervilwing.clocks import read_boottime
 from chervilwing.platform.headers import DIALECT
 from chervilwing.routing import EngineSpec, PoolSpec
 from chervilwing.stream_moves.backups import MIN_AGE
@@ -284,6 +285,44 @@
         self.expect_sound([stream])
 
 
+class TestSilentPaths(MovesCase):
+    def run_in_loop(self, action):
+        """Call ``action`` in the gateway's thread."""
+        mover = self.gateway.mover
+        advance, done = mover.advance, threading.Event()
+
+        def advance_once(now):
+            mover.advance = advance
+            action()
+            done.set()
+            advance(now)
+
+        mover.advance = advance_once
+        self.assertTrue(done.wait(5))
+
+    def test_a_stream_that_leaves_its_path_while_it_is_moved(self):
+        # Guards against two runs that write to one answer.
+        (stream,) = self.begin(1, path=QUOTE)
+        number = self.find_engine(stream)
+        self.upstreams[number].copy_time = 0.3
+        self.leave(number, notice=4.0)
+        poll(lambda: self.gateway.mover.count()["moves_begun"])
+        placing = self.gateway.placing
+        self.gateway.placing = placing._replace(request_placement=self.place_later)
+        (relay,) = self.gateway.relays
+        self.run_in_loop(lambda: self.gateway.detours.leave_path(relay))
+        self.expect_whole([stream])
+        self.assertEqual(self.gateway.resumptions.out_of_order, 0)
+
+    def place_later(self, relay, now):
+        """Place a request once the move has sent it on, as a slow placer does."""
+        place = lambda: self.gateway.place_locally(relay, read_boottime())
+        timer = threading.Timer(0.8, self.run_in_loop, (place,))
+        timer.start()
+        self.addCleanup(timer.cancel)
+        return True
+
+
 class TestBackups(MovesCase):
     engine = ENGINE._replace(moves=False, backups=True)
 
