--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -13,6 +13,7 @@
     NOT_RUN,
     ChervilwingError,
     ConnectionBroken,
+    EventOutOfOrder,
     NoUpstream,
     PoolFull,
     UpstreamFailed,
@@ -197,18 +198,17 @@
             return
         self._gateway.crash_detection.handle_answered(relay)
         if not answer_status.authentic:
-            self._abort_attempt(
-                relay, "The answer was not sent by the upstream itself."
-            )
+            detail = "The answer was not sent by the upstream itself."
+            self._abort_attempt(relay, UpstreamFailed(detail))
             return
         has_events = is_event_stream(status, headers)
         relay.start_answer(relay.call.reader.framing, has_events)
-        is_stream = has_events and status == HTTP_OK
-        if relay.exchange.started and not is_stream:
+        if relay.exchange.started and not (has_events and status == HTTP_OK):
             # The caller has received part of a stream; the body of another kind of
             # answer would appear in the middle of its events.
-            self._abort_attempt(relay, "The upstream did not resume the stream.")
-        elif is_stream and not relay.exchange.started:
+            detail = "The upstream did not resume the stream."
+            self._abort_attempt(relay, UpstreamFailed(detail))
+        elif has_events and not relay.exchange.started:
             if relay.route.resumable:
                 self._gateway.resumptions.begin(relay, read_boottime())
             self.mover.begin_answer(relay, read_boottime())
@@ -301,7 +301,9 @@
             try:
                 data = relay.events.feed(data)
             except UpstreamFailed as exc:
-                self._abort_attempt(relay, exc.detail)
+                if isinstance(exc, EventOutOfOrder):
+                    self._gateway.resumptions.out_of_order += 1
+                self._abort_attempt(relay, exc)
                 return
         if relay.exchange.started:
             self._forward(relay, data)
@@ -451,7 +453,7 @@
         """Return whether a request may be sent again after a failed attempt."""
         if not relay.route.repeatable and relay.may_have_run:
             return False
-        if relay.exchange.started and not relay.route.resumable:
+        if relay.exchange.started and not relay.can_resume:
             return False
         return self._may_retry(relay)
 
@@ -460,7 +462,7 @@
 
         Otherwise its answer may still come.
         """
-        started = relay.exchange.started and not relay.route.resumable
+        started = relay.exchange.started and not relay.can_resume
         if not relay.route.repeatable or started:
             return
         name = relay.upstream_state.registration.name
@@ -468,6 +470,11 @@
         if not self._may_retry(relay):
             relay.tried_upstreams.add(name)
             return
+        if self.mover.is_moving(relay):
+            # The move would send the request on as well.
+            relay.tried_upstreams.add(name)
+            self._abort_attempt(relay, ConnectionBroken("The path was silent."))
+            return
         relay.may_have_run = True
         self._count_usage(relay)
         self.end_attempt(relay, failed=None, cancel=True)
@@ -511,9 +518,9 @@
         self.end_attempt(relay, failed=None, cancel=True)
         self._place_again(relay)
 
-    def _abort_attempt(self, relay, detail):
+    def _abort_attempt(self, relay, exc):
         self._client.cancel(relay.call)
-        self._on_failure(relay, UpstreamFailed(detail))
+        self._on_failure(relay, exc)
 
     def end_attempt(self, relay, failed, cancel=False):
         """Record the end of an attempt; ``failed`` is None if its result is unknown."""
--- a/src/chervilwing/stream_moves/mover.py
+++ b/src/chervilwing/stream_moves/mover.py
@@ -4,7 +4,7 @@
 
 from ..bodies import CLOSE_FRAMING
 from ..clocks import read_boottime
-from ..exceptions import ConnectionBroken, UpstreamFailed
+from ..exceptions import ConnectionBroken, EventOutOfOrder, UpstreamFailed
 from ..gateway_settings import AUTO
 from ..logs import log_event
 from ..registrations import get_process
@@ -92,6 +92,10 @@
                 found = relays[registration.name]
                 self._begin_next(registration, leaves_at, now, found)
 
+    def is_moving(self, relay):
+        """Return whether a move of a request's stream is in progress."""
+        return relay.move is not None and not relay.move.state.has_ended
+
     def is_sent_on(self, relay):
         """Return whether a request's current attempt continues an earlier one."""
         move = relay.move
@@ -176,7 +180,8 @@
         """Return whether a request may go on from a copy of its run."""
         if relay.continued or len(relay.refused_targets) >= MAX_TARGETS:
             return False
-        return relay.events is not None and bool(relay.events.last_id)
+        events = relay.events
+        return events is not None and events.can_resume and bool(events.last_id)
 
     def _choose_copy_target(self, relay, source, now):
         """Return the Registration of an engine to which a run may be copied, or None.
@@ -200,7 +205,8 @@
 
     def may_use_backup(self, relay, exc):
         """Return whether a request may be sent on from its backup after a failure."""
-        broken = isinstance(exc, ConnectionBroken) or type(exc) is UpstreamFailed
+        broken = isinstance(exc, ConnectionBroken | EventOutOfOrder)
+        broken = broken or type(exc) is UpstreamFailed
         has_backup = self.backups.find(relay, read_boottime()) is not None
         return broken and has_backup and self._may_send_on(relay)
 
@@ -226,6 +232,8 @@
         now = read_boottime()
         if relay.ended or relay.continued or not relay.continuable:
             return False
+        if not relay.events.can_resume:
+            return False
         if not relay.events.last_id or relay.deadline - now < MIN_TIME_LEFT:
             return False
         planned = len(self._runner.moves)
@@ -270,8 +278,9 @@
             return False
         if len(relay.refused_targets) >= MAX_TARGETS:
             return False
-        has_move = relay.move is not None and not relay.move.state.has_ended
-        return not has_move and relay.has_events and self._may_send_on(relay)
+        return (
+            not self.is_moving(relay) and relay.has_events and self._may_send_on(relay)
+        )
 
     def _begin(self, stream, target, registration, now):
         relay = stream.key
