Check whether the upstream lives before a stream ends by closing

What callers saw: a stream without a length or chunks whose upstream crashed between two events ended as complete, short of its last events, on resumable routes too.

Cause: an end that was only seen was taken for an end that was said. The kernel closes a killed process's connections in order, and an end in order outside an event counted as the end of the stream.

Change: EndChecks connects to the upstream before such an end is passed on. A refusal, here and from another instance where one can be asked, shows that the process has ended: the attempt fails with UpstreamEnded, and the stream goes on elsewhere or is cut. Events aren't held back; the end waits for 20 ms and up to one tick. The wait is needed: the kernel closes the connections of a killed process before its listener. A stream that came through a tunnel is checked through the same instance, which now answers 502 only to a refusal and 504 to everything else, so that the asking side can tell them apart.

Ways weighed:

| way | decided | |---|---| | new connection: refused, opened, reset | taken; costs one connection for each close-framed stream, none for others | | no answer to it | proves nothing: whole. In a cut every end would be a false alarm; `stream end not checked` is logged | | refused while other connections from here are open | tried again after 0.1 s, then whole: the upstream is full | | refused, and no other instance can be asked | broken, also while paths are doubtful or the registrations aren't fresh: a short answer that looks whole is worse than a whole one that is cut | | registration says leaving, or is gone | no check: such an upstream ends after its last answer. One that crashes meanwhile passes | | upstreams from a routes file | no check: they announce a planned end to nobody | | an engine's report of its runs | some hundred ms old; an engine that ended sends none | | the announced maximum of output tokens | a whole stream may be shorter, and an event may hold several tokens | | the same for pages and other bodies | not done: it would double their connections and delay whole answers |

Still open: a process restarted at its address within 20 to 70 ms, several processes behind one listener, a host that vanishes right after its processes' connections closed.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -15,6 +15,7 @@
     ConnectionBroken,
     NoUpstream,
     PoolFull,
+    UpstreamEnded,
     UpstreamFailed,
 )
 from .logs import log_event
@@ -347,7 +348,23 @@
         self._gateway.on_usage(relay.organisation_name, now - began)
 
     def _on_done(self, relay):
-        if not self.mover.handle_ended_in_order(relay):
+        if self.mover.handle_ended_in_order(relay):
+            return
+        if relay.has_partial_event or not self._gateway.end_checks.is_needed(relay):
+            self.handle_done(relay)
+            return
+        end = partial(self._handle_checked_end, relay, relay.call)
+        self._gateway.end_checks.check(relay, end)
+
+    def _handle_checked_end(self, relay, call, gone):
+        """Handle whether an upstream ended together with the stream of a call."""
+        if relay.ended or relay.call is not call:
+            return
+        if gone:
+            self._on_failure(
+                relay, UpstreamEnded("The upstream ended with its stream.")
+            )
+        elif not self.mover.handle_ended_in_order(relay):
             self.handle_done(relay)
 
     def handle_done(self, relay):
--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -23,6 +23,7 @@
     PathUnavailable,
     TunnelLost,
     TunnelNotOpened,
+    TunnelRefused,
     TunnelRejected,
     UpstreamFailed,
     UpstreamSilent,
@@ -70,6 +71,7 @@
 # Failure types by the error of a connection through another instance.
 TUNNEL_FAILURES = {
     TunnelNotOpened: PathUnavailable,
+    TunnelRefused: UpstreamUnreachable,
     TunnelRejected: UpstreamUnreachable,
     TunnelLost: PathBroken,
 }
--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -216,6 +216,10 @@
     """Nothing accepts connections at an upstream's address."""
 
 
+class UpstreamEnded(ConnectionBroken):
+    """An upstream's process ended together with a stream that has no other end."""
+
+
 class PathSilent(UpstreamSilent):
     """An upstream is silent on old connections but answers on a new one."""
 
@@ -235,6 +239,10 @@
     """The other instance can't connect to the upstream either."""
 
 
+class TunnelRefused(TunnelRejected):
+    """The upstream refuses connections from the other instance too."""
+
+
 class TunnelLost(TunnelError):
     """A tunnel ended before the upstream's connection did."""
 
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -13,6 +13,7 @@
 from .crash_detection import CrashDetection
 from .crash_records import CrashRecords
 from .detours import Detours
+from .end_checks import EndChecks
 from .exceptions import ChervilwingError, DeadlinePassed
 from .intake import Intake
 from .leaving_upstreams import LeavingUpstreams
@@ -102,6 +103,7 @@
         self.registrations_fresh_since = lambda: float("inf")
         self.draining = False
         self.crash_detection = CrashDetection(poller, self, client).register(self)
+        self.end_checks = EndChecks(poller, self, client).register(self)
         self._attempts = Attempts(self, client, dialect)
         self.mover = self._attempts.mover
         self._dialect = dialect
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -238,6 +238,8 @@
             "gateway_stream_datagrams_sent": datagrams,
             "gateway_stream_bytes_sent": size,
             "gateway_placers": gateway.placing.count_placers(),
+            "gateway_stream_ends_checked": gateway.end_checks.checked,
+            "gateway_stream_ends_broken": gateway.end_checks.broken,
             "gateway_connections_rejected": gateway.intake.rejected,
             "gateway_caller_bytes": gateway.budget.memory.used,
             "gateway_caller_refusals": gateway.budget.memory.refused,
--- a/src/chervilwing/tunnel_server.py
+++ b/src/chervilwing/tunnel_server.py
@@ -211,7 +211,9 @@
         if tunnel is None or tunnel not in self._tunnels:
             return
         if not tunnel.opened:
-            self._refuse_unreached(tunnel, UPSTREAM_REFUSES)
+            refused = isinstance(exc, ConnectionRefusedError)
+            status = UPSTREAM_REFUSES if refused else UPSTREAM_SILENT
+            self._refuse_unreached(tunnel, status)
             return
         self._callers.send(tunnel.conn, RESET_FRAME if exc else END_FRAME)
         self._callers.close(tunnel.conn)
--- a/src/chervilwing/tunnels.py
+++ b/src/chervilwing/tunnels.py
@@ -15,6 +15,7 @@
     BadRequest,
     TunnelLost,
     TunnelNotOpened,
+    TunnelRefused,
     TunnelRejected,
 )
 from .models import Address
@@ -26,7 +27,10 @@
 UPSTREAM_SILENT = 504
 NOT_HELPING = 503
 FORBIDDEN = 403
-UNREACHABLE_STATUSES = (UPSTREAM_REFUSES, UPSTREAM_SILENT)
+UNREACHABLE_STATUSES = {
+    UPSTREAM_REFUSES: TunnelRefused,
+    UPSTREAM_SILENT: TunnelRejected,
+}
 REASONS = {
     CONNECTED: "Connected",
     UPSTREAM_REFUSES: "Bad Gateway",
@@ -141,7 +145,8 @@
         match = ANSWER_HEAD.match(head)
         status = int(match.group(1)) if match else 0
         if status in UNREACHABLE_STATUSES:
-            raise TunnelRejected(f"{self.peer.name} doesn't reach it: {status}.")
+            error = UNREACHABLE_STATUSES[status]
+            raise error(f"{self.peer.name} doesn't reach it: {status}.")
         if status != CONNECTED:
             raise TunnelNotOpened(f"{self.peer.name} opens no tunnel: {status}.")
         self.opened = True
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -44,6 +44,7 @@
     "dispatch",
     "drain",
     "embedded",
+    "end_checks",
     "fleet_commands",
     "follower",
     "forwards",
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -17,6 +17,7 @@
     PathBroken,
     PathUnavailable,
     TunnelNotOpened,
+    TunnelRefused,
     TunnelRejected,
     UpstreamUnreachable,
 )
@@ -69,13 +70,14 @@
 
     def test_an_upstream_out_of_reach_is_told_from_an_instance_that_does_not_help(self):
         for status, error in (
-            (502, TunnelRejected),
+            (502, TunnelRefused),
             (504, TunnelRejected),
             (503, TunnelNotOpened),
             (403, TunnelNotOpened),
         ):
-            with self.assertRaises(error):
+            with self.assertRaises(error) as caught:
                 Tunnel(PEER, TARGET).feed(encode_answer(status))
+            self.assertIs(type(caught.exception), error)
         with self.assertRaises(TunnelNotOpened):
             Tunnel(PEER, TARGET).feed(b"x" * 5000)
 
