Let no other run follow a page that broke off

What callers saw: a page of a resumable route (an error, or any answer that is no stream) of more than 256 KiB, or of any size without memory for it, broke off at its upstream; the caller got one complete answer of the page's first part and the events of another upstream's run.

Cause: an answer without room is passed on as it comes, which starts it. After that, the route alone decided whether another run may follow, not whether what the caller had received was a stream.

Change: a Relay notes that the caller receives a stream; only then another run may follow, after a failed attempt and on leaving a silent path. Other answers that were begun are cut, as on routes that may not be resumed.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -213,6 +213,7 @@
             if relay.route.resumable:
                 self._gateway.resumptions.begin(relay, read_boottime())
             self.mover.begin_answer(relay, read_boottime())
+            relay.streaming = True
             relay.exchange.on_drain = partial(self._on_drain, relay)
             relay.exchange.relay_head(status, drop_hop_by_hop(headers), None)
         else:
@@ -468,16 +469,23 @@
         """Return whether a request may be sent again after a failed attempt."""
         if not relay.route.repeatable and relay.may_have_run:
             return False
-        if relay.exchange.started and not relay.route.resumable:
+        if relay.exchange.started and not self._may_continue(relay):
             return False
         return self._may_retry(relay)
 
+    def _may_continue(self, relay):
+        """Return whether another run may follow what the caller has received.
+
+        A resumable route may also answer with a page, for instance with an error.
+        """
+        return relay.route.resumable and relay.streaming
+
     def leave_path(self, relay):
         """Send a request again whose connection is silent, unless that is unsafe.
 
         Otherwise its answer may still come.
         """
-        started = relay.exchange.started and not relay.route.resumable
+        started = relay.exchange.started and not self._may_continue(relay)
         if not relay.route.repeatable or started:
             return
         name = relay.upstream_state.registration.name
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -105,6 +105,7 @@
         "refused_targets",
         "route",
         "sent_at",
+        "streaming",
         "suspects",
         "upstream_state",
         "upstream_version",
@@ -157,6 +158,8 @@
         # Origin of the stream: an answer that has begun goes on at its version only.
         self.origin = None
         self.has_events = False
+        # Whether the caller receives a stream, which another run may continue.
+        self.streaming = False
         self.framing = ""
         self.may_have_run = False
         self.usage_counted = False
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -193,6 +193,27 @@
                     seen = self.read("/page/x", version, status=None)
                     self.assertFalse(seen and seen[1], (size, head, version))
 
+    def test_no_other_run_follows_part_of_a_page(self):
+        # Guards against a page of a resumable route that breaks off and goes on with
+        # the events of another run.
+        for status, size, has_memory in (
+            (b"200 OK", 400_000, True),
+            (b"500 Failed", 400_000, True),
+            (b"404 Not Found", 1000, False),
+        ):
+            head = SIGNED.replace(b"200 OK", status) + CHUNKED + b"\r\n"
+            data = head + encode_chunk(bytes(size))
+            run = self.start_with_second_closed(None, end_in_order(FINAL))
+            run.upstreams[0].script = lambda conn, *rest, data=data: (
+                self.open_second_upstream(),
+                self.cut(conn, data),
+            )
+            if not has_memory:
+                run.gateway.web.may_buffer = lambda conn, size: False
+            seen = self.read("/quote/x", status=int(status[:3]))
+            self.assertEqual(seen, (bytes(size), False), status)
+            self.assertEqual(self.count_received(), [1, 0])
+
     def cut(self, conn, data):
         """Send bytes, and reset the connection once they were received."""
         conn.sendall(data)
