--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -16,6 +16,7 @@
     EventOutOfOrder,
     NoUpstream,
     PoolFull,
+    UpstreamEnded,
     UpstreamFailed,
 )
 from .logs import log_event
@@ -212,6 +213,7 @@
             if relay.route.resumable:
                 self._gateway.resumptions.begin(relay, read_boottime())
             self.mover.begin_answer(relay, read_boottime())
+            relay.streaming = True
             relay.exchange.on_drain = partial(self._on_drain, relay)
             relay.exchange.relay_head(status, drop_hop_by_hop(headers), None)
         else:
@@ -349,7 +351,23 @@
         self._gateway.on_usage(relay.organisation_name, now - began)
 
     def _on_done(self, relay):
-        if not self.mover.handle_ended_in_order(relay):
+        if self.mover.handle_ended_in_order(relay):
+            return
+        if relay.has_partial_event or not self._gateway.end_checks.is_needed(relay):
+            self.handle_done(relay)
+            return
+        end = partial(self._handle_checked_end, relay, relay.call)
+        self._gateway.end_checks.check(relay, end)
+
+    def _handle_checked_end(self, relay, call, gone):
+        """Handle whether an upstream ended together with the stream of a call."""
+        if relay.ended or relay.call is not call:
+            return
+        if gone:
+            self._on_failure(
+                relay, UpstreamEnded("The upstream ended with its stream.")
+            )
+        elif not self.mover.handle_ended_in_order(relay):
             self.handle_done(relay)
 
     def handle_done(self, relay):
--- a/src/chervilwing/relays.py
+++ b/src/chervilwing/relays.py
@@ -110,6 +110,7 @@
         "refused_targets",
         "route",
         "sent_at",
+        "streaming",
         "suspects",
         "upstream_state",
         "upstream_version",
@@ -162,6 +163,8 @@
         # Origin of the stream: an answer that has begun goes on at its version only.
         self.origin = None
         self.has_events = False
+        # Whether the caller receives a stream, which another run may continue.
+        self.streaming = False
         self.framing = ""
         self.may_have_run = False
         self.usage_counted = False
@@ -204,8 +207,12 @@
 
     @property
     def can_resume(self):
-        """Return whether another attempt may go on with the answer that has begun."""
-        return self.route.resumable and self.events.can_resume
+        """Return whether another attempt may go on with the answer that has begun.
+
+        A resumable route may also answer with a page, for instance with an error.
+        """
+        is_stream = self.route.resumable and self.streaming
+        return is_stream and self.events.can_resume
 
     @property
     def stream(self):
