Blame no upstream for what a caller says that it has read

The order of a taken up stream begins with the caller's Last-Event-Id.

An event out of order counts against its upstream only after the upstream's own events.

--- a/src/chervilwing/detours.py
+++ b/src/chervilwing/detours.py
@@ -9,6 +9,7 @@
     NOT_RUN,
     RETRY_AFTER,
     ConnectionBroken,
+    EventOutOfOrder,
     NoUpstream,
     PathBroken,
     Scope,
@@ -148,6 +149,9 @@
         elif isinstance(exc, ConnectionBroken) and exc.outcome != NOT_RUN:
             self._broken.append((now + VERDICT_DELAY, copy.copy(relay)))
             relay.placement_id = relay.call = None
+        elif isinstance(exc, EventOutOfOrder) and not relay.events.count:
+            # The order begins with what the caller says that it has read.
+            self.end_attempt(relay, failed=None)
         else:
             self.end_attempt(relay, failed=self._judge(now))
 
--- a/tests/test_event_order.py
+++ b/tests/test_event_order.py
@@ -3,6 +3,7 @@
 import unittest
 from unittest.mock import patch
 
+from chervilwing.clocks import read_boottime
 from chervilwing.events import EventReader, is_after, read_ids
 from chervilwing.exceptions import EventOutOfOrder
 from tests.procs import poll
@@ -130,6 +131,14 @@
             response = run.call("POST", "/quote/x", Last_Event_Id="3", Resumes="r0")
             self.expect_cut(response)
 
+    def test_a_caller_that_has_read_nothing_makes_no_upstream_fail(self):
+        # Guards against a sound upstream that is left for what a caller claims.
+        run = self.start(self.make_whole(1, 2))
+        for _ in range(6):
+            run.call("POST", "/quote/x", Last_Event_Id="99", Resumes="r0")
+        (state,) = run.gateway.pools["web"].upstream_states.values()
+        self.assertEqual(state.get_failure_rate(read_boottime()), 0.0)
+
     def test_what_a_caller_has_bounds_each_attempt(self):
         # Guards against a second attempt that only the first one's events bound.
         run = self.start_pair(b": begun\n\n", make_events(3, 4))
