--- a/tests/test_event_order.py
+++ b/tests/test_event_order.py
@@ -1,5 +1,7 @@
 """Tests that callers get the events of a stream in order, each once."""
 
+import copy
+import threading
 import unittest
 from unittest.mock import patch
 
@@ -7,8 +9,9 @@
 from chervilwing.exceptions import EventOutOfOrder
 from tests.procs import poll
 from tests.test_gateway import EVENTS, GatewayCase, close_after_sent, encode_chunk
+from tests.versioned_upstreams import LENGTH, Stream, VersionedUpstream
 
-LENGTH = 6
+WHOLE = list(range(1, LENGTH + 1))
 END = b"0\r\n\r\n"
 
 
@@ -165,6 +168,34 @@
         self.expect_joined(("b", "a", "7"), ("b",), ("a", "7"))
 
 
+class TestSeveralTries(OrderCase):
+    def test_a_stream_that_is_taken_up_while_its_answers_run(self):
+        # Guards against answers of one stream that share what was relayed.
+        run, upstream = self.start(), VersionedUpstream("v1", hold_after=2)
+        self.addCleanup(upstream.close)
+        run.gateway.put_upstream(run.make_registration("u0", upstream.port))
+        upstream.release.clear()
+        stream = Stream("s1")
+        with stream.open(run.port) as first:
+            stream.read(first, 2)
+            upstream.pace = 0.01
+            tries = [copy.deepcopy(stream) for _ in range(2)]
+            tasks = [
+                threading.Thread(target=t.take_up, args=(run.port,)) for t in tries
+            ]
+            for task in tasks:
+                task.start()
+            upstream.release.set()
+            rest = b""
+            while chunk := first.read_chunk():
+                rest += chunk
+            for task in tasks:
+                task.join()
+        self.assertEqual(read_ids(rest), [b"%d" % number for number in WHOLE[2:]])
+        for item in tries:
+            self.assertEqual((item.numbers, item.whole), (WHOLE, True))
+
+
 class TestEventsWithoutIds(OrderCase):
     """A run that goes on after the last id repeats the events that follow it."""
 
@@ -215,7 +246,7 @@
         run = self.start_with_second_closed(go_back, end)
         response = run.call("POST", "/quote/x")
         self.assertTrue(response.whole)
-        self.assertEqual(response.body, make_events(*range(1, LENGTH + 1)))
+        self.assertEqual(response.body, make_events(*WHOLE))
         self.assertEqual(self.get_line().out_of_order, 1)
         self.assertEqual(run.gateway.resumptions.out_of_order, 1)
 
