Test a killed upstream before two gateway processes

Guards the whole path of the check of a stream's end: an upstream process that is killed between two events, a gateway process that asks another one about the refusal, and the figures.

--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -8,10 +8,11 @@
 
 from chervilwing.end_checks import CONNECT_TIMEOUT
 from tests.gateways import KEY
-from tests.procs import HOST, Caller, Processes, poll
+from tests.procs import HOST, Caller, Processes, call, poll
 from tests.test_broken_answers import EVENT, BrokenCase, end_in_order, frame_close
 from tests.test_detours import DetourCase
 from tests.test_gateway import reset
+from tests.test_platform import PlatformCase
 from tests.unframed_upstream import make_events
 from tests.upstreams import RawUpstream
 
@@ -89,6 +90,39 @@
         return checks.checked, checks.broken
 
 
+class TestGateways(PlatformCase):
+    def test_a_killed_upstreams_stream_is_cut_and_its_refusal_is_checked(self):
+        # Guards against a short stream that looks whole to the callers of a gateway
+        # process that asks another one about the upstream.
+        upstream = self.procs.start(
+            [sys.executable, "-m", "tests.unframed_upstream", f"--hold-after={HELD}"]
+        )
+        self.upstream.port = upstream.port
+        self.register("i-1")
+        self.document["routes"][0]["kind"] = "streaming"
+        self.publish()
+        gateway, _ = self.start("one"), self.start("two")
+        with Caller(gateway.port) as caller:
+            caller.send(
+                b"GET /page/x HTTP/1.1\r\nHost: a.example\r\n"
+                b"Authorization: Bearer k1\r\n\r\n"
+            )
+            caller.read_head()
+            self.assertEqual(caller.read_chunk(), make_events(1, HELD))
+            upstream.kill()
+            with self.assertRaises(EOFError):
+                caller.read_chunk()
+        figures = self.read_figures(gateway)
+        self.assertEqual(figures["chervilwing_gateway_stream_ends_checked"], "1")
+        self.assertEqual(figures["chervilwing_gateway_stream_ends_broken"], "1")
+
+    def read_figures(self, gateway):
+        """Return a gateway's figures by name."""
+        answer = call(gateway.info["ready_port"], "GET", "/-/metrics")
+        lines = answer.body.decode().splitlines()
+        return dict(line.rsplit(" ", 1) for line in lines if line[0] != "#")
+
+
 class StalledUpstream(RawUpstream):
     """Accepts one connection; later ones get no answer once its queue is full."""
 
