Limit the bytes and the time of replies of the store and the API

Cause: collect() appends each byte of a body, and only silence ends a call, so that a reply of one byte a second never ended either. The limits on heads, trailers and skipped answers don't cover a body that is kept.

Change: Call.bound limits the bytes, framing included, and the time of each reply: 5 MiB, and 10 s beyond the silence timeout, unless a call names another limit; 8 MiB for all such replies of a client. A length or chunk beyond the limit is refused with its head. A refused reply is a failed call like any other: what was known stays in force, and the call is repeated as usual. Beyond 128 KiB a kept reply takes its turn with the large answers. attempts.py names STREAMED_REPLY, its only change.

Why it works: memory is at most the sum of what the clients may keep, whoever answers; the time runs from the start of a call and no byte extends it.

tests/test_tunnels.py names STREAMED_REPLY too, as attempts.py does: its calls stand for answers that are passed on, one of them of 6 MiB.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -20,6 +20,7 @@
 from .logs import log_event
 from .parsers import read_length
 from .registrations import get_process
+from .reply_bounds import STREAMED_REPLY
 from .routing import IDEMPOTENT, STREAM
 from .stream_moves.mover import Mover
 from .upstream_pace import is_better_elsewhere
@@ -164,6 +165,7 @@
             is_unmarked=is_unmarked if REQUEST_ID in relay.headers else None,
             body_until_close=True,
             via=peer,
+            bound=STREAMED_REPLY,
         )
 
     def withdraw_unsent(self, process):
--- a/src/chervilwing/bodies.py
+++ b/src/chervilwing/bodies.py
@@ -52,6 +52,11 @@
         """Return whether the body ends only when the connection closes."""
         return self._remaining == math.inf
 
+    @property
+    def missing(self):
+        """Return the bytes that must still follow, 0 if their number is unknown."""
+        return 0 if self.until_close else self._remaining
+
     @property
     def has_excess(self):
         """Return whether bytes were received after the end."""
@@ -80,6 +85,11 @@
         self._step = self._read_size
         self.complete = False
 
+    @property
+    def missing(self):
+        """Return the bytes that must still follow in the present chunk."""
+        return self._remaining
+
     @property
     def has_excess(self):
         """Return whether bytes were received after the last chunk."""
--- a/src/chervilwing/caches.py
+++ b/src/chervilwing/caches.py
@@ -8,6 +8,7 @@
 
 from .connections import Call, CallHandlers
 from .exceptions import DECODE_ERRORS
+from .reply_bounds import ReplyBound
 
 EXPORT_PATH = "/v1/kv/export"
 IMPORT_PATH = "/v1/kv/import"
@@ -25,6 +26,8 @@
 # node. A request whose cache doesn't fit is resumed from its tokens alone.
 MAX_CACHE_BYTES = 8 * 1024 * 1024
 BUFFER_LIMIT = 32 * 1024 * 1024
+# Room for a cache with its framing; submit_bounded() limits the cache itself.
+CACHE_REPLY = ReplyBound(2 * MAX_CACHE_BYTES, 1.0, shared=False)
 
 
 class Exported(TypedDict):
@@ -74,7 +77,9 @@
     """Return the call for an export or import; ``limit`` is its timeout in seconds."""
     connect = min(cfg.connect_timeout, limit)
     data = json.dumps(body).encode()
-    return Call(address, "POST", path, JSON_HEADERS, data, connect, limit)
+    return Call(
+        address, "POST", path, JSON_HEADERS, data, connect, limit, bound=CACHE_REPLY
+    )
 
 
 def export_cache(client, cfg, address, attempt, reply, limit=TRANSFER_TIMEOUT):
--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -21,6 +21,8 @@
     PathBroken,
     PathSilent,
     PathUnavailable,
+    ReplyTooLarge,
+    ReplyTooSlow,
     TunnelLost,
     TunnelNotOpened,
     TunnelRejected,
@@ -28,9 +30,17 @@
     UpstreamSilent,
     UpstreamUnreachable,
 )
-from .logs import log_failure
+from .logs import log_event, log_failure
 from .models import Address
 from .parsers import HttpHead, ResponseReader
+from .reply_bounds import (
+    KEPT_REPLY,
+    MAX_SHARED_BYTES,
+    RefusedReplies,
+    ReplyBound,
+    check_size,
+    check_time,
+)
 from .sockets import StreamHandlers, Streams
 from .tunnels import Tunnel, TunnelPeer
 from .work import FAILED, PATH_SILENT, SILENT
@@ -59,6 +69,8 @@
 # event loop busy until its deadline, and new connections would be rejected meanwhile.
 LARGE_ANSWER = 1024 * 1024
 LARGE_ANSWERS_PART = 0.5
+# The same for a shared reply, which nobody waits for.
+LARGE_REPLY = 128 * 1024
 # Bytes of a request's body that are written together with its head.
 MAX_JOINED_BODY = 16384
 # Failure types and the outcomes reported to the scheduler; the first match counts.
@@ -97,7 +109,8 @@
     state its own. ``body_until_close`` accepts an orderly close of the
     connection as the end of an answer that has no length. ``via`` is the instance
     through which to connect, None for a direct connection. ``connect_only`` ends the
-    call once a new connection is open, without sending anything.
+    call once a new connection is open, without sending anything. A reply beyond
+    ``bound`` fails with ReplyTooLarge or ReplyTooSlow.
     """
 
     address: Address
@@ -118,6 +131,7 @@
     body_until_close: bool = False
     via: TunnelPeer | None = None
     connect_only: bool = False
+    bound: ReplyBound = KEPT_REPLY
 
 
 class CallHandlers(NamedTuple):
@@ -138,6 +152,7 @@
         "call",
         "handlers",
         "reader",
+        "began",
         "conn",
         "finished",
         "head_delivered",
@@ -155,7 +170,7 @@
         self.conn = None
         self.finished = False
         self.head_delivered = False
-        self.last_activity = now
+        self.began = self.last_activity = now
         self.paused = False
         self.received = 0
         self.skipped_answers = 0
@@ -180,6 +195,15 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
+def log_refused(address, method, path, exc):
+    """Log that replies to a call are refused, or no longer if ``exc`` is None."""
+    fields = {"address": format_address(address), "call": f"{method} {path}"}
+    if exc is None:
+        log_event("replies accepted again", **fields)
+        return
+    log_event("reply refused", **fields, cause=exc.type, detail=exc.detail)
+
+
 def read_idle_limit(headers):
     """Return for how many seconds an idle connection to an upstream may be reused.
 
@@ -209,6 +233,8 @@
         self._deferred: set[CallState] = set()
         self._large_time_left = 0.0
         self._ticked_at = time.monotonic()
+        self._shared_bytes = 0
+        self.refused_replies = RefusedReplies(log_refused)
         # When bytes last arrived over a direct connection, by read_boottime().
         self.received_at = float("-inf")
         handlers = StreamHandlers(self._opened, self._received, self._closed)
@@ -311,7 +337,9 @@
         now = time.monotonic()
         self._resume_large(now)
         for state in list(self._active):
-            if state.finished or not self._is_silent(state, now):
+            if state.finished or self._end_slow(state, now):
+                continue
+            if not self._is_silent(state, now):
                 continue
             if state.conn.tunnel is None:
                 self.close_idle(state.call.address)
@@ -332,6 +360,21 @@
             if not state.paused:
                 self._streams.resume(state.conn)
 
+    def _end_slow(self, state, now):
+        """Return whether a call ended because its reply takes too long.
+
+        A reply of single bytes never ends by the silence timeout. Without any byte, the
+        call is left to that.
+        """
+        if not state.received:
+            return False
+        call = state.call
+        try:
+            check_time(call.bound, call.silence_timeout, now - state.began)
+        except ReplyTooSlow as exc:
+            self._refuse(state, exc)
+        return state.finished
+
     def _is_silent(self, state, now):
         call = state.call
         connecting = state.conn.connecting
@@ -422,19 +465,37 @@
             return
         state.last_activity = conn.last_activity = time.monotonic()
         state.received += len(data)
-        self._read(state, data)
-        if state.received > LARGE_ANSWER and not state.finished:
+        if state.call.bound.shared:
+            self._count_shared(len(data))
+        if not state.finished:
+            self._read(state, data)
+        large = LARGE_REPLY if state.call.bound.shared else LARGE_ANSWER
+        if state.received > large and not state.finished:
             self._large_time_left -= time.monotonic() - state.last_activity
             if self._large_time_left <= 0.0:
                 self._deferred.add(state)
                 self._streams.pause(conn)
 
+    def _count_shared(self, size):
+        """Count bytes of shared replies; beyond the limit, refuse the largest reply."""
+        self._shared_bytes += size
+        if self._shared_bytes <= MAX_SHARED_BYTES:
+            return
+        shared = [state for state in self._active if state.call.bound.shared]
+        largest = max(shared, key=lambda state: state.received)
+        detail = f"All replies together are larger than {MAX_SHARED_BYTES} bytes."
+        self._refuse(largest, ReplyTooLarge(detail))
+
     def _read(self, state, data):
         try:
             body = self._skip_earlier_answers(state, state.reader.feed(data))
+            check_size(state.call.bound, state.received, state.reader.missing)
         except BadRequest as exc:
             self._fail(state, str(exc))
             return
+        except ReplyTooLarge as exc:
+            self._refuse(state, exc)
+            return
         if body is None:
             return
         try:
@@ -478,6 +539,7 @@
             state.handlers.data(body)
         if state.reader.complete and not state.finished:
             self._release(state)
+            self.refused_replies.record_whole(state.call)
             state.handlers.done()
 
     def _is_for_earlier_call(self, state):
@@ -546,6 +608,11 @@
         exc_type = ConnectionRefused if refused else ConnectionBroken
         self._fail(state, f"The connection broke off{reason}.", exc_type)
 
+    def _refuse(self, state, exc):
+        """Close a call's connection and fail it because its reply exceeds a bound."""
+        self.refused_replies.record_refused(state.call, exc)
+        self._fail(state, exc.detail, type(exc))
+
     def _fail(self, state, detail, exc_type=UpstreamFailed):
         conn = state.conn
         # The request certainly did not run only if no byte of it was sent.
@@ -557,6 +624,8 @@
     def _end(self, state):
         state.finished = True
         state.conn.state = None
+        if state in self._active and state.call.bound.shared:
+            self._shared_bytes -= state.received
         self._active.discard(state)
         if state in self._deferred:
             # The next call on the connection must be read at once.
--- a/src/chervilwing/exceptions.py
+++ b/src/chervilwing/exceptions.py
@@ -208,6 +208,18 @@
     type, title = "upstream-silent", "Upstream silent"
 
 
+class ReplyTooLarge(UpstreamFailed):
+    """A reply has more bytes than its call allows."""
+
+    type, title = "reply-too-large", "Reply too large"
+
+
+class ReplyTooSlow(UpstreamFailed):
+    """A reply wasn't whole in the time that its call allows."""
+
+    type, title = "reply-too-slow", "Reply too slow"
+
+
 class ConnectionBroken(UpstreamFailed):
     """The connection to an upstream closed before the answer was complete."""
 
--- a/src/chervilwing/forwards.py
+++ b/src/chervilwing/forwards.py
@@ -10,6 +10,7 @@
     Scope,
     UpstreamFailed,
 )
+from .reply_bounds import STREAMED_REPLY
 from .work import BUSY, CANCELLED, FAILED, OK
 
 # Bytes of one answer. An answer is buffered until it has ended, so that no caller gets
@@ -85,6 +86,7 @@
             cfg.silence_timeout,
             new_connection=not session.target.idempotent,
             body_until_close=True,
+            bound=STREAMED_REPLY,
         )
         handlers = CallHandlers(
             self._handle_headers,
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -77,8 +77,10 @@
         self._reload_at = 0.0
         self._stopping_at = None
         poller = DirectPoller().register(self)
-        upstreams = Client(poller, "upstreams").register(self)
-        platform = Client(poller, "platform").register(self)
+        self._clients = upstreams, platform = [
+            Client(poller, channel).register(self)
+            for channel in ("upstreams", "platform")
+        ]
         self.gateway = Gateway(
             cfg, poller, upstreams, adapter.dialect, self._keys_are_fresh
         ).register(self)
@@ -222,6 +224,9 @@
             "gateway_store_revision": min(get_number(item or 0) for item in revisions),
             "gateway_store_items_ignored": self._coordinator.ignored_items,
             "gateway_store_items_failed": self._coordinator.failed_items,
+            "gateway_replies_refused": sum(
+                client.refused_replies.count for client in self._clients
+            ),
             "gateway_lease_seconds": round(self._coordinator.duty_lease.terms.ttl, 3),
             "gateway_fence": self._coordinator.duty_lease.fence(now) or 0,
             "gateway_usage_heard": self._usage_parts.count_reported(),
--- a/src/chervilwing/generations.py
+++ b/src/chervilwing/generations.py
@@ -9,6 +9,7 @@
 from .exceptions import NOT_RUN, Scope, UpstreamFailed
 from .exchanges import EVENTS_TYPE
 from .handoffs import State
+from .reply_bounds import STREAMED_REPLY
 from .work import BUSY, CANCELLED, FAILED, OK
 
 COMPLETIONS_PATH = "/v1/completions"
@@ -232,6 +233,7 @@
             json.dumps(body).encode(),
             cfg.connect_timeout,
             cfg.silence_timeout,
+            bound=STREAMED_REPLY,
         )
 
     def _handle_headers(self, status, headers):
--- a/src/chervilwing/parsers.py
+++ b/src/chervilwing/parsers.py
@@ -259,6 +259,11 @@
         """Return what tells the end of the answer, or an empty text before its head."""
         return "" if self._body is None else self._body.framing
 
+    @property
+    def missing(self):
+        """Return the bytes that are known to follow, without the framing."""
+        return 0 if self._body is None else self._body.missing
+
     @property
     def rest(self):
         """Return the bytes received after the end of a complete answer."""
--- a/tests/fakes/relay.py
+++ b/tests/fakes/relay.py
@@ -3,8 +3,10 @@
 import asyncio
 import socket
 import struct
+from contextlib import suppress
 
 from tests.fakes.control import HOST, Switches, build_app
+from tests.fakes.endless import KINDS, send
 
 CHUNK = 65536
 QUEUE_LIMIT = 64
@@ -22,9 +24,11 @@
     """The state of the network and the connections through it."""
 
     def __init__(self, options):
+        # ``endless``: a kind of reply without end that each connection gets.
         self.switches = Switches(
-            cut=False, silent=False, hold=False, delay=0, to=options.to
+            cut=False, silent=False, hold=False, delay=0, to=options.to, endless=""
         )
+        self.endless_writers = []
         self.links = []
         self.server = None
         self.released = asyncio.Event()
@@ -107,6 +111,11 @@
 
 async def connect(network, reader, writer):
     """Connect an accepted caller to the target and relay until either end closes."""
+    if kind := network.switches["endless"]:
+        network.endless_writers.append(writer)
+        with suppress(OSError):
+            await send(KINDS[kind], writer)
+        return
     link = Link(writer)
     network.links.append(link)
     try:
@@ -139,6 +148,11 @@
 async def cut(network):
     """Refuse new connections and reset the open ones."""
     network.server.close()
+    reset_all(network)
+
+
+def reset_all(network):
+    """Reset the open connections."""
     for link in network.links:
         if link.open:
             reset(link)
@@ -157,6 +171,10 @@
     async def react():
         if network.switches["silent"]:
             silence(network)
+        for writer in network.endless_writers:
+            writer.transport.abort()
+        if network.switches["endless"]:
+            reset_all(network)
         (network.released.clear if network.switches["hold"] else network.released.set)()
         if network.switches["cut"] == network.server.is_serving():
             await (cut if network.switches["cut"] else start)(network)
@@ -170,7 +188,11 @@
         {"open": link.open, "silent": link.silent, "sent": link.sent}
         for link in network.links
     ]
-    return {"serving": network.server.is_serving(), "links": links}
+    return {
+        "serving": network.server.is_serving(),
+        "links": links,
+        "endless_replies": len(network.endless_writers),
+    }
 
 
 async def build(options):
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -84,6 +84,34 @@
     "version_keeper",
     "web",
 }
+READING = re.compile(
+    r"[ .](recv\w*|makefile|HTTPConnection|urlopen|open_connection|Streams)\("
+)
+# The modules that read sockets. Connections limit replies by Call.bound, web and
+# tunnel_server what callers send by CallerBudget, peers frames by MAX_FRAME, clients
+# replies by MAX_RESPONSE_BYTES, datagrams are of READ_SIZE.
+READERS = {
+    "sockets": {"recv", "recv_into", "Streams"},
+    "connections": {"Streams"},
+    "web": {"Streams"},
+    "crash_detection": {"Streams"},
+    "peers": {"Streams"},
+    "tunnel_server": {"Streams"},
+    "datagrams": {"recvfrom"},
+    "clients": {"HTTPConnection"},
+}
+OTHER_BOUNDS = re.compile(r"\b(?:STREAMED_REPLY|ReplyBound)\b")
+# The modules that limit replies otherwise than KEPT_REPLY does: answers that are passed
+# on, for which callers' memory is reserved; tokens, by answers.EVENT_LIMIT; answers of
+# plain services, by forwards.ANSWER_LIMIT; caches, by caches.MAX_CACHE_BYTES.
+OTHER_REPLIES = {
+    "attempts",
+    "caches",
+    "connections",
+    "forwards",
+    "generations",
+    "reply_bounds",
+}
 ALLOWED_OVERRIDES = {"__init__"}
 IO_MODULES = {"circuits", "socket", "select", "os", "time", "threading", "typer"}
 
@@ -102,6 +130,24 @@
 
 
 class TestStructure(unittest.TestCase):
+    def test_bytes_are_received_only_by_readers_with_a_bound(self):
+        """Guards against a new reader of a socket that keeps all that it is sent.
+
+        Replies to calls are limited by default. The others are in READERS, with what
+        limits them.
+        """
+        for path in list_modules():
+            found = READING.findall(path.read_text())
+            with self.subTest(module=get_name(path)):
+                self.assertEqual(set(found), READERS.get(get_name(path), set()))
+
+    def test_replies_without_a_limit_are_only_those_passed_on(self):
+        """Guards against a call whose reply is kept but not limited."""
+        for path in list_modules():
+            found = OTHER_BOUNDS.findall(path.read_text())
+            with self.subTest(module=get_name(path)):
+                self.assertEqual(bool(found), get_name(path) in OTHER_REPLIES)
+
     def test_core_imports_no_io_modules(self):
         edge = {name.rpartition("/")[2] for name in EDGE}
         for path in list_modules():
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -22,6 +22,7 @@
 )
 from chervilwing.models import Address
 from chervilwing.registrations import Registration
+from chervilwing.reply_bounds import STREAMED_REPLY
 from chervilwing.tunnel_server import TunnelServer
 from chervilwing.tunnels import (
     END_FRAME,
@@ -116,7 +117,15 @@
             lambda: self.results.append(None),
             self.results.append,
         )
-        call = Call(address, "GET", "/x", {}, via=self.peer, body_until_close=True)
+        call = Call(
+            address,
+            "GET",
+            "/x",
+            {},
+            via=self.peer,
+            body_until_close=True,
+            bound=STREAMED_REPLY,
+        )
         return self.client.submit(call._replace(**changes), handlers)
 
     def call(self, address, **changes):
