Limit the frames of tunnels

Callers saw: nothing yet; found by the table in docs/design/BORDERS.md. An instance through which others reach upstreams could state a frame of 4 GiB and send it without end. The asking instance kept the bytes until the frame was whole, and nothing of them counted toward the limits of the call.

Change: a frame has at most 64 KiB, what is read from an upstream at a time. A longer one ends the tunnel as TunnelLost, before its bytes are read.

Evidence: tests.test_tunnels.TestProtocol is red without the limit ("TunnelLost not raised") and green with it; a frame of the limit is read. Not measured on processes.

--- a/src/chervilwing/tunnels.py
+++ b/src/chervilwing/tunnels.py
@@ -43,6 +43,8 @@
 )
 ANSWER_HEAD = re.compile(rb"HTTP/1\.1 ([0-9]{3}) ")
 LENGTH_BYTES = 4
+# Bytes of a frame, which carries what was read from an upstream at a time.
+MAX_FRAME = 65536
 # Lengths of the frames that end a tunnel.
 END = 0
 RESET = 0xFFFFFFFF
@@ -156,6 +158,8 @@
         if size in (END, RESET):
             self.ended, self.was_reset = size == END, size == RESET
             return b""
+        if size > MAX_FRAME:
+            raise TunnelLost(f"A frame from {self.peer.name} is too long.")
         end = LENGTH_BYTES + size
         if len(self._buffer) < end:
             return None
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -16,6 +16,7 @@
     ConnectionBroken,
     PathBroken,
     PathUnavailable,
+    TunnelLost,
     TunnelNotOpened,
     TunnelRejected,
     UpstreamUnreachable,
@@ -23,9 +24,11 @@
 from chervilwing.models import Address
 from chervilwing.registrations import Registration
 from chervilwing.reply_bounds import STREAMED_REPLY
+from chervilwing.sockets import READ_SIZE
 from chervilwing.tunnel_server import TunnelServer
 from chervilwing.tunnels import (
     END_FRAME,
+    MAX_FRAME,
     RESET_FRAME,
     Tunnel,
     TunnelPeer,
@@ -68,6 +71,15 @@
             flags = (tunnel.ended, tunnel.was_reset)
             self.assertEqual(flags, (end == END_FRAME, end == RESET_FRAME))
 
+    def test_a_frame_beyond_the_limit_ends_the_tunnel(self):
+        """Guards against an instance whose frames fill the memory of another."""
+        data = encode_frame(b"x" * MAX_FRAME)
+        self.assertGreaterEqual(MAX_FRAME, READ_SIZE)
+        tunnel = Tunnel(PEER, TARGET)
+        self.assertEqual(len(tunnel.feed(encode_answer(200) + data)), MAX_FRAME)
+        with self.assertRaises(TunnelLost):
+            tunnel.feed((MAX_FRAME + 1).to_bytes(4, "big"))
+
     def test_an_upstream_out_of_reach_is_told_from_an_instance_that_does_not_help(self):
         for status, error in (
             (502, TunnelRejected),
