Check that the limits of replies hold for chervilwingd

The drills of the gateway are split from what they share, and play the store, the cloud, one of two engines and one of two services of chervilwingd.

--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -3,7 +3,15 @@
 import time
 import unittest
 
-from tests.crowded_gateway import MIB, REQUEST, MemoryWatch, OrdinaryCallers, Ports
+from tests.crowded_gateway import (
+    MIB,
+    REQUEST,
+    CrowdedEntry,
+    MemoryWatch,
+    OrdinaryCallers,
+    Ports,
+)
+from tests.deployments import Deployment, Upstreams, make_configuration
 from tests.fakes.control import HOST
 from tests.fakes.endless import KINDS
 from tests.procs import poll
@@ -17,36 +25,31 @@
 SERVED_PART = 0.99
 
 
-class TestPlatformReplies(PlatformCase):
-    def start_behind_relay(self, *names):
-        """Start a gateway that reaches the named services through a relay."""
-        target = f"{HOST}:{self.platform.port}"
-        self.relay = self.procs.start_fake("relay", "--to", target)
-        address = f"{HOST}:{self.relay.port}"
-        options = dict.fromkeys(names, address)
-        gateway = self.start("one", revoke_bound="30", **options)
-        peers = {self.relay.port, self.upstream.port}
-        ports = Ports({gateway.port, gateway.info["ready_port"]}, peers)
-        self.watch = MemoryWatch(gateway, ports, MAX_MEMORY)
+class Play:
+    """Play kinds of replies at a relay before a process, and check the process."""
+
+    def watch_process(self, process, ready_port, request):
+        """Watch the memory of a process that calls servers through the relay."""
+        self.ports, self.request = (process.port, ready_port), request
+        ports = Ports(set(self.ports), {self.relay.port})
+        self.watch = MemoryWatch(process, ports, MAX_MEMORY)
         self.addCleanup(self.watch.close)
-        return gateway
 
-    def measure(self, gateway, kind):
+    def measure(self, kind):
         """Return the Outcomes of ordinary callers during one kind of reply."""
-        callers = OrdinaryCallers(gateway.port, gateway.info["ready_port"], REQUEST)
+        callers = OrdinaryCallers(*self.ports, self.request)
         self.relay.fault(endless=kind)
         time.sleep(SECONDS)
         return callers.stop()
 
-    def check(self, kinds, *names):
-        """Play kinds of replies of the named services one after another."""
-        gateway = self.start_behind_relay(*names)
-        self.measure(gateway, "")
+    def check(self, kinds):
+        """Play kinds of replies one after another, and then none."""
+        self.measure("")
         calm = self.watch.peak
         for kind in kinds:
             begun = self.relay.record()["endless_replies"]
             with self.subTest(kind):
-                outcomes = self.measure(gateway, kind)
+                outcomes = self.measure(kind)
                 self.assertFalse(self.watch.exceeded)
                 self.assertLess(self.watch.peak, MEMORY_FACTOR * calm)
                 self.assertGreaterEqual(outcomes.served, SERVED_PART, outcomes)
@@ -54,7 +57,17 @@
                 replies = self.relay.record()["endless_replies"]
                 self.assertGreater(replies, begun, "no reply without end was begun")
         self.relay.fault(endless="")
-        self.check_recovery(gateway)
+
+
+class TestPlatformReplies(Play, PlatformCase):
+    def start_behind_relay(self, *names):
+        """Start a gateway that reaches the named services through a relay."""
+        target = f"{HOST}:{self.platform.port}"
+        self.relay = self.procs.start_fake("relay", "--to", target)
+        options = dict.fromkeys(names, f"{HOST}:{self.relay.port}")
+        gateway = self.start("one", revoke_bound="30", **options)
+        self.watch_process(gateway, gateway.info["ready_port"], REQUEST)
+        return gateway
 
     def check_recovery(self, gateway):
         """Check that a change comes into force once replies end again."""
@@ -66,11 +79,65 @@
 
     def test_replies_of_the_platform_without_end(self):
         """Guards against replies of the store that fill the memory."""
-        self.check(KINDS, "store", "cloud")
+        gateway = self.start_behind_relay("store", "cloud")
+        self.check(KINDS)
+        self.check_recovery(gateway)
 
     def test_replies_of_the_api_without_end(self):
         """Guards against replies to the holder of the duties that fill the memory."""
-        self.check(("chunks", "length", "until close"), "cloud")
+        gateway = self.start_behind_relay("cloud")
+        self.check(("chunks", "length", "until close"))
+        self.check_recovery(gateway)
+
+
+class TestEntryReplies(Play, unittest.TestCase):
+    kinds = ("chunks", "length")
+
+    def setUp(self):
+        self.deployment = Deployment()
+        self.addCleanup(self.deployment.close)
+        self.deployment.start_upstreams(2, 2)
+
+    def start_relay(self, process):
+        """Start the relay before a process and return it."""
+        options = ("--to", f"{HOST}:{process.port}")
+        self.relay = self.deployment.processes.start_fake("relay", *options)
+        return self.relay
+
+    def start_entry(self, **options):
+        """Start the entry instance and watch it."""
+        entry = self.deployment.start_entry("one", **options)
+        self.watch_process(entry, entry.port, CrowdedEntry.request)
+
+    def configure(self, engines, services):
+        """Put a configuration with these upstreams into force."""
+        found = make_configuration(Upstreams(engines, services), revision=2)
+        self.deployment.put_configuration(found, expect=1)
+        self.deployment.list_instances(found)
+
+    def test_replies_of_the_key_value_service_without_end(self):
+        """Guards against replies of the key-value service that fill the memory."""
+        self.start_entry(store=self.start_relay(self.deployment.store))
+        self.check(self.kinds)
+
+    def test_replies_of_the_cloud_without_end(self):
+        """Guards against notices and lists of the cloud that fill the memory."""
+        self.start_entry(cloud=self.start_relay(self.deployment.cloud))
+        self.check(self.kinds)
+
+    def test_load_reports_of_engines_without_end(self):
+        """Guards against one engine whose load reports fill the memory."""
+        (first, *others), services = self.deployment.upstreams
+        self.configure((self.start_relay(first), *others), services)
+        self.start_entry()
+        self.check(self.kinds)
+
+    def test_answers_of_services_without_end(self):
+        """Guards against one service whose answers and reports fill the memory."""
+        engines, (first, *others) = self.deployment.upstreams
+        self.configure(engines, (self.start_relay(first), *others))
+        self.start_entry()
+        self.check(self.kinds)
 
 
 if __name__ == "__main__":
