Keep a version in the store while its removal may come late

What callers could see: a version without upstreams for twice the longest time limit returned just as a leader removed it. The removal took effect up to seconds later (a call without a reply may), or came from a leader that hadn't seen the return. Streams began there although the store held the version no longer, and an instance out of step that knew one other version read nothing of it and went on there (ORDER).

Cause: Commit(deletes=...) was unconditional, and a condition on the item's revision wouldn't help: nothing writes it again when the version returns.

Change: a removal moves the version under retired/ in the same write. The store shows it there and no stream begins; it is announced anew. It is deleted after as long again, so that a late removal never hides a version in use.

Price: a take-up beside a version that left needs witnesses for twice as long, and one more write for each version that is removed.

--- a/src/chervilwing/stream_versions.py
+++ b/src/chervilwing/stream_versions.py
@@ -19,6 +19,8 @@
 # The same for versions that some instances may not know yet. They are written before
 # the first stream begins there.
 ANNOUNCED = VERSIONS + "announced/"
+# The same for versions at which no stream begins any more.
+RETIRED = VERSIONS + "retired/"
 # Bytes of the digests of versions and of requests' ids, which may be long.
 DIGEST_SIZE = 12
 # A caller's tries take at most this many times the time limit of its route.
--- a/src/chervilwing/version_keeper.py
+++ b/src/chervilwing/version_keeper.py
@@ -5,7 +5,14 @@
 from .clocks import read_boottime
 from .logs import log_event
 from .store_calls import Commit, Committed, Conflict
-from .stream_versions import ANNOUNCED, Origin, encode_origin, get_life, make_key
+from .stream_versions import (
+    ANNOUNCED,
+    RETIRED,
+    Origin,
+    encode_origin,
+    get_life,
+    make_key,
+)
 
 # Seconds between two checks. A version usually gets requests two seconds after it is
 # known, and is announced before that.
@@ -15,13 +22,25 @@
 MAX_KEYS = 8
 
 
+def make_removal(keys, stored):
+    """Return the Commit that retires versions, and deletes those retired before.
+
+    It may take effect late, when streams begin at a version again, so that a version in
+    use must not disappear from the store.
+    """
+    origins = {stored[key] for key in keys if not key.startswith(RETIRED)}
+    retired = {make_key(origin, RETIRED): origin for origin in sorted(origins)}
+    puts = tuple((key, encode_origin(origin), 0) for key, origin in retired.items())
+    return Commit(puts=puts, deletes=tuple(key for key in keys if key not in retired))
+
+
 class VersionKeeper(BaseComponent):
     """Write the versions in use, one call at a time, on the leaders of groups.
 
-    A version is deleted when none of its streams can be taken up again. ``leads``
-    returns whether this instance leads its group. Without the stored versions, an
-    instance that starts could not tell whether a stream that it doesn't know was begun
-    by a version that is gone.
+    A version is retired when none of its streams can be taken up again, and deleted as
+    long after that. ``leads`` returns whether this instance leads its group. Without
+    the stored versions, an instance that starts could not tell whether a stream that it
+    doesn't know was begun by a version that is gone.
     """
 
     channel = "version-keeper"
@@ -83,9 +102,10 @@
             key: self._unused_since.get(key, now) for key in stored.keys() - used.keys()
         }
         expired = [key for key, at in self._unused_since.items() if now - at >= life]
-        for key in expired[:MAX_KEYS]:
+        del expired[MAX_KEYS:]
+        for key in expired:
             del self._unused_since[key]
-        return Commit(deletes=tuple(expired[:MAX_KEYS])) if expired else None
+        return make_removal(expired, stored) if expired else None
 
     def _finish(self, reply):
         self._busy = False
