Play an ordered roll-out beside an instance out of step

The old upstreams stay and a trial sends one stream in twenty to the new version. The test runs for 4 s so that more are taken up.

--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -16,7 +16,9 @@
 # Seconds for which an instance is cut off.
 CUT_TIME = 2.5
 # Callers at once, and seconds between them.
-CALLERS, PAUSE = 16, 0.04
+CALLERS, PAUSE = 32, 0.04
+# The same where a trial sends one stream in twenty to the new version.
+TRIAL_TIME, TRIAL_PAUSE = 4.0, 0.005
 # Events that callers read before their streams break off.
 READ = 2
 
@@ -71,14 +73,14 @@
             self.upstreams.append(new)
             self.register_version(len(self.upstreams) - 1)
 
-    def take_up_begun(self, seconds):
+    def take_up_begun(self, seconds, pause=PAUSE):
         """Begin streams at one gateway, take them up at another; return them."""
         until, begun = time.monotonic() + seconds, []
         with ThreadPoolExecutor(CALLERS) as callers:
             while time.monotonic() < until:
                 begun.append(stream := self.make_stream())
                 callers.submit(self.take_up_elsewhere, stream)
-                time.sleep(PAUSE)
+                time.sleep(pause)
         return [stream for stream in begun if stream.tries > 1]
 
     def take_up_elsewhere(self, stream):
@@ -89,9 +91,9 @@
             if stream.versions == {"v2"}:
                 stream.take_up(self.gateways["three"].port)
 
-    def expect_separate(self, streams):
+    def expect_separate(self, streams, least=20):
         """Expect streams that nobody joined from two versions."""
-        self.assertGreater(len(streams), 20)
+        self.assertGreater(len(streams), least)
         mixed = [stream.events for stream in streams if len(stream.versions) > 1]
         self.assertEqual(mixed, [])
 
@@ -128,5 +130,17 @@
         return self.gateways["three"].port
 
 
+class TestOrderedRollOut(OutOfStepCase):
+    def test_an_instance_that_missed_an_order_joins_no_versions(self):
+        # Guards against the same where a trial sends a few streams to a new version.
+        self.cut("three")
+        order = {"service": "web", "target": "v2", "durationS": 10}
+        self.operate({"op/rollout/web": order})
+        self.add_version("v2")
+        streams = self.take_up_begun(TRIAL_TIME, TRIAL_PAUSE)
+        self.heal("three")
+        self.expect_separate(streams, least=5)
+
+
 if __name__ == "__main__":
     unittest.main()
