List the reader of connections that only show a living upstream

The check that every reader of a socket has a bound was written beside the check of ends of streams, whose connections are closed once they open or at their first byte.

--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -90,12 +90,14 @@
 )
 # The modules that read sockets. Connections limit replies by Call.bound, web and
 # tunnel_server what callers send by CallerBudget, peers frames by MAX_FRAME, clients
-# replies by MAX_RESPONSE_BYTES, datagrams are of READ_SIZE.
+# replies by MAX_RESPONSE_BYTES, datagrams are of READ_SIZE, and end_checks and
+# crash_detection close a connection at its first byte.
 READERS = {
     "sockets": {"recv", "recv_into", "Streams"},
     "connections": {"Streams"},
     "web": {"Streams"},
     "crash_detection": {"Streams"},
+    "end_checks": {"Streams"},
     "peers": {"Streams"},
     "tunnel_server": {"Streams"},
     "datagrams": {"recvfrom"},
