Count a moved stream's silent path as a broken path, not a broken connection

A connection that the instance itself gives up as silent says nothing about the engine. As a broken connection it made the request a suspect of a crash, and the engine was asked over the same silent path whether it still worked, for up to 1.5 s, before the stream went on.

A second test leaves the path once the run was told to stop. Evidence: both pass, 3 of 3 runs; with is_moving taken out the first one is red and the second one passes: there the move has the stream already.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -15,6 +15,7 @@
     ConnectionBroken,
     EventOutOfOrder,
     NoUpstream,
+    PathBroken,
     PoolFull,
     UpstreamFailed,
 )
@@ -472,8 +473,7 @@
             return
         if self.mover.is_moving(relay):
             # The move would send the request on as well.
-            relay.tried_upstreams.add(name)
-            self._abort_attempt(relay, ConnectionBroken("The path was silent."))
+            self._abort_attempt(relay, PathBroken("The path was silent."))
             return
         relay.may_have_run = True
         self._count_usage(relay)
--- a/tests/test_stream_moves.py
+++ b/tests/test_stream_moves.py
@@ -307,6 +307,20 @@
         self.upstreams[number].copy_time = 0.3
         self.leave(number, notice=4.0)
         poll(lambda: self.gateway.mover.count()["moves_begun"])
+        self.leave_path(stream)
+
+    def test_a_stream_that_leaves_its_path_once_its_run_was_told_to_stop(self):
+        # Guards against the same, and against losing the stream.
+        (stream,) = self.begin(1, path=QUOTE)
+        number = self.find_engine(stream)
+        self.upstreams[number].faults = {"last": "hang"}
+        self.leave(number, notice=4.0)
+        (relay,) = self.gateway.relays
+        poll(lambda: relay.move and relay.move.state.is_stopping)
+        self.leave_path(stream)
+
+    def leave_path(self, stream):
+        """Leave the path of a stream, with a placer that answers late."""
         placing = self.gateway.placing
         self.gateway.placing = placing._replace(request_placement=self.place_later)
         (relay,) = self.gateway.relays
