Ignore tokens beyond those a request asked for

Callers saw: an engine of chervilwingd that sent valid tokens without end filled the memory of the entry instance until the deadlines of its requests.

Cause: Answer limits each event, but keeps every token that continues the answer, also beyond max_tokens.

Ruled out: failing the attempt at the first token too many.

Change: tokens beyond max_tokens are ignored, and the text of an answer has at most 4 MiB. The usage at the end must still match, so that such an answer isn't taken for a whole one.

Evidence: tests.test_endless_replies.TestEntryReplies .test_tokens_of_engines_without_end: 342 MiB before, limit 1.5 times of calm; 37 MiB after, 37 in calm.

The test checks the memory and the readiness only.

--- a/src/chervilwing/answers.py
+++ b/src/chervilwing/answers.py
@@ -1,5 +1,6 @@
 """Assemble one answer, token by token, from the attempts of a request."""
 
+import math
 from typing import TypedDict
 
 import msgspec
@@ -12,6 +13,8 @@
 # Bytes of one event. Without a limit, an engine that never ends an event would fill the
 # memory. The event of a token has about a hundred bytes.
 EVENT_LIMIT = 1024 * 1024
+# Characters of all tokens of one answer. A token usually has fewer than ten.
+TEXT_LIMIT = 4 * 1024 * 1024
 
 
 class Usage(TypedDict, total=False):
@@ -45,10 +48,12 @@
     late or crossed answers add nothing. Each token has an index, and only the next
     index is appended, so that a resumed answer has no gaps or repeats. An answer is
     complete only after the usage of the current attempt and the end mark; a closed
-    connection doesn't complete it.
+    connection doesn't complete it. Tokens beyond ``max_tokens`` are ignored.
     """
 
-    def __init__(self):
+    def __init__(self, max_tokens=math.inf):
+        self._max_tokens = max_tokens
+        self._text_size = 0
         self.tokens: list[str] = []
         self.complete = False
         self.usage = {}
@@ -79,6 +84,7 @@
     def restore(self, state):
         """Restore the answer from another entry instance's state."""
         self.tokens = list(state.tokens)
+        self._text_size = sum(map(len, self.tokens))
         self.recomputed = state.recomputed
         self.complete = state.complete
         self.finish_reason = state.finish_reason
@@ -116,10 +122,17 @@
 
     def _add(self, event):
         index = event.get("index", -1)
+        if index >= self._max_tokens:
+            return
         if index < 0 or index > len(self.tokens):
             raise UpstreamFailed("A token is missing.")
-        if index == len(self.tokens):
-            self.tokens.append(event["token"])
+        if index < len(self.tokens):
+            return
+        token = event["token"]
+        self._text_size += len(token)
+        if self._text_size > TEXT_LIMIT:
+            raise UpstreamFailed("The answer is too long.")
+        self.tokens.append(token)
 
     def _finish(self):
         if self._usage_event is None:
--- a/src/chervilwing/generations.py
+++ b/src/chervilwing/generations.py
@@ -37,7 +37,7 @@
         self.session = session
         self.completion = completion
         self.version = version
-        self.answer = Answer()
+        self.answer = Answer(completion.max_tokens)
         self._call = None
         self._export = None
         self._export_began = 0.0
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -3,7 +3,7 @@
 import json
 import unittest
 
-from chervilwing.answers import EVENT_LIMIT, Answer
+from chervilwing.answers import EVENT_LIMIT, TEXT_LIMIT, Answer
 from chervilwing.exceptions import UpstreamFailed
 
 DONE = b"data: [DONE]\n\n"
@@ -58,6 +58,28 @@
                 self.setUp()
                 self.check_failure(data)
 
+    def test_tokens_beyond_the_requested_number_are_ignored(self):
+        """Guards against an engine whose tokens fill the memory."""
+        self.answer = Answer(max_tokens=2)
+        self.answer.begin("a")
+        self.assertEqual(self.answer.feed(token(0) + token(1)), [" 0", " 1"])
+        for index in (2, 3, 9):
+            self.assertEqual(self.answer.feed(token(index)), [])
+        self.check_failure(usage_event(5) + DONE)
+        # The next attempt goes on with the tokens before.
+        self.answer.begin("b")
+        self.answer.feed(usage_event(0, "b") + DONE)
+        self.assertEqual((self.answer.text, self.answer.complete), (" 0 1", True))
+
+    def test_a_text_without_end_raises_upstream_failed(self):
+        """Guards against an engine whose few tokens fill the memory."""
+        text = "x" * (EVENT_LIMIT // 2)
+        allowed = TEXT_LIMIT // len(text)
+        for index in range(allowed):
+            self.answer.feed(event(index=index, token=text))
+        self.check_failure(event(index=allowed, token=text))
+        self.assertEqual(len(self.answer.tokens), allowed)
+
     def test_events_of_other_attempts_are_ignored(self):
         self.answer.feed(token(0) + token(1, "late") + token(1))
         self.answer.begin("b")
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -1,5 +1,7 @@
 """Servers other than upstreams whose replies have no end, beside ordinary callers."""
 
+import itertools
+import json
 import time
 import unittest
 
@@ -11,11 +13,12 @@
     OrdinaryCallers,
     Ports,
 )
-from tests.deployments import Deployment, Upstreams, make_configuration
+from tests.deployments import API_KEY, Deployment, Upstreams, make_configuration
 from tests.fakes.control import HOST
 from tests.fakes.endless import KINDS
 from tests.procs import poll
 from tests.test_platform import PlatformCase
+from tests.upstreams import CHUNKED_HEAD, RawUpstream, make_chunk, send_load
 
 SECONDS = 2.0
 # Bytes at which a process is stopped, long before the machine is harmed.
@@ -24,6 +27,29 @@
 MEMORY_FACTOR = 1.5
 SERVED_PART = 0.99
 
+COMPLETION_BODY = b'{"model": "memo", "prompt": "hello", "max_tokens": 8}'
+COMPLETION = (
+    b"POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %b\r\n"
+    b"Content-Length: %d\r\n\r\n%b"
+    % (API_KEY.encode(), len(COMPLETION_BODY), COMPLETION_BODY)
+)
+TOKEN = "x" * 4000
+
+
+def send_tokens(conn, method, path, body):
+    """Answer as an engine whose tokens don't end."""
+    if path == "/v1/load":
+        send_load(conn)
+        return
+    if path != "/v1/completions":
+        conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        return
+    attempt = json.loads(body)["attempt"]
+    conn.sendall(CHUNKED_HEAD)
+    for index in itertools.count():
+        event = {"attempt": attempt, "index": index, "token": TOKEN}
+        conn.sendall(make_chunk(event))
+
 
 class Play:
     """Play kinds of replies at a relay before a process, and check the process."""
@@ -132,6 +158,24 @@
         self.start_entry()
         self.check(self.kinds)
 
+    def test_tokens_of_engines_without_end(self):
+        """Guards against one engine whose tokens fill the memory.
+
+        A request that reaches it still waits until its deadline.
+        """
+        endless = RawUpstream(send_tokens)
+        self.addCleanup(endless.close)
+        engines, services = self.deployment.upstreams
+        self.configure((endless, *engines), services)
+        self.relay = self.start_relay(self.deployment.cloud)
+        self.start_entry()
+        calm = self.watch.read()
+        self.request = COMPLETION
+        outcomes = self.measure("")
+        self.assertGreater(endless.count("/v1/completions"), 0)
+        self.assertLess(self.watch.peak, MEMORY_FACTOR * calm)
+        self.assertEqual(outcomes.ready, outcomes.checks)
+
     def test_answers_of_services_without_end(self):
         """Guards against one service whose answers and reports fill the memory."""
         engines, (first, *others) = self.deployment.upstreams
