Refuse what a stop would cut, and answer what reaches it

With a lag longer than the time for the stop, requests sent 9.0 s after the signal were passed on and cut.

Cause: the end of the requests in flight was taken for the end of the requests. The process ended while others waited unread in the kernel; kept connections closed without notice; an open tunnel was reused as soon as its request ended, whatever its instance had replied; the lag had no bound.

Requests are refused from the lag on, and what is cut was sent earlier.

Change: the stop of a gateway is a module of its own. The lag takes a third of the time at most. Each send is checked against the time of the cut, by the pool's estimate and, for requests that can't be sent again, by the longest recent time of their route. Requests received in part are refused when the lag ends, unsent ones at 90 % of the time. The listener closes first, connections once no request came for 0.3 s, so that each request finds a process that answers. Tunnels of an instance that doesn't help take no further requests, and have the time of other requests. The lease ends with the process.

Evidence: tests.test_planned_stops, 14 tests, pass; on the former code 8 fail and 5 end with an error, 3 of these as they call what is new.

An existing test found that the lease was taken again while the process waited for quiet; so it had been before whenever requests outlasted the lag.

--- a/src/chervilwing/attempts.py
+++ b/src/chervilwing/attempts.py
@@ -289,6 +289,8 @@
             return False
         if relay.deadline - now < CONNECT_TIMEOUT / 2:
             return False
+        if self._gateway.stop_deadline.is_late(relay, relay.estimate, now):
+            return False
         unavailable = self._gateway.list_unavailable_upstreams(relay, now)
         if not relay.pool.list_accepting(unavailable):
             return False
@@ -527,6 +529,16 @@
             self._client.cancel(relay.call)
         relay.call = None
 
+    def give_up_unsent(self, relay, exc):
+        """Give a request up unless an upstream may be working on it."""
+        if relay.call is not None and not relay.call.conn.connecting:
+            return
+        if relay.exchange.started or self.mover.is_sent_on(relay):
+            return
+        if relay.call is not None:
+            self.end_attempt(relay, failed=None, cancel=True)
+        self.give_up(relay, exc)
+
     def give_up(self, relay, exc):
         """Answer with an error that states whether the request may have run."""
         if relay.fallback is not None and not relay.exchange.started:
--- a/src/chervilwing/connections.py
+++ b/src/chervilwing/connections.py
@@ -518,6 +518,8 @@
         # An answer may arrive before the whole request was sent. The upstream would
         # take the next request's bytes for the rest of this request's body.
         reusable = state.reader.reusable and not conn.pending
+        if conn.tunnel is not None and not conn.tunnel.reusable:
+            reusable = False
         if reusable and len(idle) < state.call.max_idle:
             conn.idle_limit = read_idle_limit(head.headers)
             is_unmarked = state.call.is_unmarked
--- a/src/chervilwing/detours.py
+++ b/src/chervilwing/detours.py
@@ -163,6 +163,14 @@
             lambda conn: conn.tunnel and name in (None, conn.tunnel.peer.name)
         )
 
+    def retire_tunnels(self, name):
+        """Send no more requests through an instance's open tunnels."""
+        self.close_idle_tunnels(name)
+        for relay in self._list_sent():
+            tunnel = get_tunnel(relay)
+            if tunnel is not None and tunnel.peer.name == name:
+                tunnel.reusable = False
+
     def leave_silent_paths(self):
         """Give up the direct connections, which hang, and send again what may be."""
         self._client.close_idle_matching(lambda conn: conn.tunnel is None)
--- a/src/chervilwing/drain.py
+++ b/src/chervilwing/drain.py
@@ -5,6 +5,7 @@
 from circuits.core import BaseComponent, handler
 
 from .logs import log_event
+from .planned_stops import QUIET_TIME
 
 # Seconds before the deadline at which running requests are handed over to peers: time
 # for three offers of half a second. Later they could be lost; earlier, some would be
@@ -47,6 +48,7 @@
         self._began = now
         self._deadline = min(self._deadline, now + self._cfg.drain_timeout)
         self._dispatch.draining = True
+        self._web.stopping = True
         self._leave()
         log_event("draining", in_flight=len(self._dispatch.sessions))
 
@@ -60,8 +62,9 @@
         waited = now - self._began
         if waited < self._cfg.drain_lag:
             return
-        if not self._web.stopping:
-            self._web.stop_listening()
+        self._web.stop_listening()
+        if waited >= self._cfg.drain_lag + QUIET_TIME:
+            self._web.close_idle()
         if self._is_empty() or waited > self._cfg.drain_timeout:
             log_event("stopped", cut=self._web.count())
             self.root.stop()
--- a/src/chervilwing/exchanges.py
+++ b/src/chervilwing/exchanges.py
@@ -158,8 +158,9 @@
         self._web.reset_if_cut(self._conn)
 
     def _make_connection_field(self):
-        keep = self.req.keep_alive and not self._web.stopping
-        return {"Connection": "keep-alive" if keep else "close"}
+        if self.req.keep_alive and self._web.stopping:
+            self.req = self.req._replace(keep_alive=False)
+        return {"Connection": "keep-alive" if self.req.keep_alive else "close"}
 
     def _write(self, data):
         if not self.disconnected and not self.finished:
--- a/src/chervilwing/gateway.py
+++ b/src/chervilwing/gateway.py
@@ -5,6 +5,7 @@
 from circuits.core import BaseComponent, handler
 
 from .allowances import Allowances
+from .answer_times import LongestTimes
 from .attempts import Attempts
 from .balancing import PoolBalancer
 from .brittle_upstreams import BrittleUpstreams
@@ -19,6 +20,7 @@
 from .logs import log_event, log_request
 from .machines import read_machine_limits
 from .placer_selection import PlacementHooks
+from .planned_stops import StopDeadline
 from .pool_admission import AdmissionControl, Capacity, RequestPath, UpstreamChecks
 from .registrations import Registry, get_process
 from .relays import describe_refusal, describe_relay
@@ -101,6 +103,9 @@
         # been up to date without interruption.
         self.registrations_fresh_since = lambda: float("inf")
         self.draining = False
+        # How long requests of each route took until their answers were read.
+        self._longest = LongestTimes()
+        self.stop_deadline = StopDeadline(self._longest)
         self.crash_detection = CrashDetection(poller, self, client).register(self)
         self._attempts = Attempts(self, client, dialect)
         self.mover = self._attempts.mover
@@ -292,6 +297,11 @@
         exchange.tag = relay
         self.relays.add(relay)
 
+    def refuse_unsent(self, exc):
+        """Refuse the requests that wait and that no upstream has received."""
+        for relay in list(self.relays):
+            self._attempts.give_up_unsent(relay, exc)
+
     def resume_stream(self, relay, origin, now):
         """Go on with a caller's stream, of which ``origin`` is None if unknown."""
         if relay.ended:
@@ -408,6 +418,8 @@
         )
         series.record_outcome(outcome, cause)
         series.record_answer(now - relay.received_at)
+        if relay.attempts:
+            self._longest.record(relay.route.name, now - relay.sent_at, now)
         if relay.first_byte_at is not None:
             series.record_first_token(relay.first_byte_at - relay.received_at)
         version = self.table.document.version
--- a/src/chervilwing/gatewayd.py
+++ b/src/chervilwing/gatewayd.py
@@ -24,6 +24,7 @@
 from .machines import return_large_blocks
 from .path_checks import PathChecks
 from .placement_exchange import Placing
+from .planned_stops import PlannedStop
 from .pollers import DirectPoller
 from .report_exchange import ReportExchange
 from .reports import CONTENT_TYPE, render_metrics
@@ -46,15 +47,8 @@
 # Seconds between ticks. Time limits, scheduled calls and the detection of silent
 # connections are late by at most this.
 TICK = 0.05
-# Part of the time for a planned stop in which other instances' tunnels may end.
-HELP_PART = 0.8
 # Connections to the port for readiness checks, and to that for metrics.
 MAX_CHECKERS = 256
-# Parts of the time for a planned stop after which requests in flight are cut: first
-# those whose callers don't read, then all. The process needs the rest to end before the
-# platform kills it. Answers that only wait to be read keep the whole time.
-CUT_UNREAD_PART = 0.9
-CUT_PART = 0.95
 # Seconds between two reads of the settings file, which may change without a signal.
 RELOAD_INTERVAL = 2.0
 
@@ -67,15 +61,13 @@
     """
 
     channel = "gatewayd"
-    # Requests in flight that the planned stop has cut.
-    _cut = 0
 
     def __init__(self, cfg, adapter, read_settings):
         super().__init__()
         cfg = self.cfg = cfg._replace(incarnation=time.time_ns())
         self._read_settings = read_settings
         self._reload_at = 0.0
-        self._stopping_at = None
+        self._planned_stop = None
         poller = DirectPoller().register(self)
         upstreams = Client(poller, "upstreams").register(self)
         platform = Client(poller, "platform").register(self)
@@ -199,7 +191,7 @@
         handle(self, exchange)
 
     def _serve_ready(self, exchange):
-        ready = self._stopping_at is None and self._coordinator.ready
+        ready = self._planned_stop is None and self._coordinator.ready
         exchange.answer_json(200 if ready else 503, {"ready": ready})
 
     def _serve_metrics(self, exchange):
@@ -299,11 +291,25 @@
 
     def _stop(self):
         """Begin a planned stop: report not ready, but finish all requests."""
-        if self._stopping_at is None:
-            self._stopping_at = read_boottime()
-            self.gateway.web.stopping = True
-            self._tunnels.stopping = True
-            log_event("draining", in_flight=len(self.gateway.relays))
+        if self._planned_stop is not None:
+            return
+        self._planned_stop = PlannedStop(
+            self.cfg,
+            self.gateway,
+            self._tunnels,
+            self._usage_parts.is_idle,
+            self._usage_parts.write_unstored,
+            read_boottime(),
+        )
+        log_event("draining", in_flight=len(self.gateway.relays))
+
+    def _end(self, cut):
+        """End the lease and the process."""
+        if self._coordinator.lease is not None:
+            call = EndLease(self._coordinator.lease)
+            self._store.submit(call, lambda reply: None)
+        log_event("stopped", cut=cut)
+        self.root.stop()
 
     @handler("tick", channel="*")
     def _on_tick(self):
@@ -311,37 +317,11 @@
         if now >= self._reload_at:
             self._reload_at = now + RELOAD_INTERVAL
             self._reload()
-        if self._stopping_at is not None:
-            self._advance_stop(now)
-
-    def _advance_stop(self, now):
-        elapsed = now - self._stopping_at
-        if elapsed < self.cfg.drain_lag:
+        if self._planned_stop is None:
             return
-        self._cut_late(elapsed / self.cfg.drain_timeout)
-        is_over = elapsed >= self.cfg.drain_timeout
-        if not self.gateway.draining:
-            self.gateway.draining = True
-            self._usage_parts.write_unstored()
-            if self._coordinator.lease is not None:
-                call = EndLease(self._coordinator.lease)
-                self._store.submit(call, lambda reply: None)
-        if self._tunnels.count() and elapsed < self.cfg.drain_timeout * HELP_PART:
-            return
-        if not is_over and (self.gateway.relays or not self._usage_parts.is_idle()):
-            return
-        # A relay ends when its answer is buffered, which its caller may read slowly.
-        unread = self.gateway.web.count_unread()
-        if unread and not is_over:
-            return
-        log_event("stopped", cut=self._cut + unread)
-        self.root.stop()
-
-    def _cut_late(self, part):
-        """Cut requests in flight that would outlast the time for a planned stop."""
-        if part >= CUT_UNREAD_PART:
-            unread_only = part < CUT_PART
-            self._cut += self.gateway.web.cut_unfinished(unread_only)
+        cut = self._planned_stop.advance(now)
+        if cut is not None:
+            self._end(cut)
 
 
 PATH_HANDLERS = {
--- a/src/chervilwing/pool_admission/request_path.py
+++ b/src/chervilwing/pool_admission/request_path.py
@@ -12,19 +12,17 @@
     RETRY_AFTER,
     ChervilwingError,
     NoConfiguration,
-    NotReady,
     PoolOverloaded,
     Scope,
     StaleKeys,
 )
+from ..planned_stops import make_stopping_error
 from ..relays import Relay
 from ..routing import pick_target
 from .bands import find_band
 from .credit_queue import CreditQueue
 from .decisions import ADMIT, WAIT, AdmissionRequest, Refuse
 
-# Seconds after which a caller that reached a stopping instance may try another one.
-STOPPING_RETRY_AFTER = 0.1
 # A request waits for its customer's credit at most this many seconds, and at most this
 # part of its latency target. The instances that grant credit answer in milliseconds,
 # also when a second instance has to be asked.
@@ -75,9 +73,7 @@
         """
         gateway = self._gateway
         if gateway.draining:
-            raise NotReady(
-                "This instance is stopping.", retry_after=STOPPING_RETRY_AFTER
-            )
+            raise make_stopping_error()
         if gateway.table is None:
             raise NoConfiguration(retry_after=RETRY_AFTER)
         route = gateway.table.find_route(req.headers.get("host", ""), req.path)
--- a/src/chervilwing/pool_admission/upstream_checks.py
+++ b/src/chervilwing/pool_admission/upstream_checks.py
@@ -8,6 +8,7 @@
     PoolPaused,
     Scope,
 )
+from ..planned_stops import make_stopping_error
 from .pool import MAX_DEADLINE_PART
 
 
@@ -45,6 +46,8 @@
             raise self.make_unavailable_error(relay.pool, now)
         self._gateway.detours.raise_if_unreachable(relay.pool, now)
         upstream_state, estimate = choice
+        if self._gateway.stop_deadline.is_late(relay, estimate, now):
+            raise make_stopping_error()
         if relay.upstream_state is None and not relay.admitted:
             self._check_capacity(relay, estimate, now)
         if estimate.charged:
--- a/src/chervilwing/sockets.py
+++ b/src/chervilwing/sockets.py
@@ -246,9 +246,11 @@
         return Address(*sock.getsockname())
 
     def stop_listening(self):
-        """Close the listener; open connections continue."""
+        """Close the listener; open connections and those in its queue continue."""
         if self._listener is None:
             return
+        # The kernel resets what it still holds for a closed listener.
+        self._accept()
         self._poller.unwatch(self._listener)
         self._listener.close()
         self._listener = None
--- a/src/chervilwing/tunnel_exchange.py
+++ b/src/chervilwing/tunnel_exchange.py
@@ -99,4 +99,4 @@
         self._peers.record_reply(peer, bool(helps), int(load), read_boottime())
         if not helps:
             # An instance that is stopping waits for its tunnels to end.
-            self._gateway.detours.close_idle_tunnels(name)
+            self._gateway.detours.retire_tunnels(name)
--- a/src/chervilwing/tunnel_peers.py
+++ b/src/chervilwing/tunnel_peers.py
@@ -87,6 +87,9 @@
         far = self._list_askable(self._far, missing, now)
         half = max(count // 2, count - len(far))
         names = (near[:half] + far)[:count]
+        # Those in use may begin to stop, which must be known before the next request.
+        known = {*self._near, *self._far}
+        names += [n for n in self.in_use if n in known and n not in names]
         for name in names:
             self._asked.setdefault(name, now)
         return names
--- a/src/chervilwing/tunnels.py
+++ b/src/chervilwing/tunnels.py
@@ -109,6 +109,8 @@
         self.opened = False
         self.ended = False
         self.was_reset = False
+        # Whether another request may be sent through it.
+        self.reusable = True
         self._buffer = bytearray()
 
     @property
--- a/src/chervilwing/web.py
+++ b/src/chervilwing/web.py
@@ -143,7 +143,12 @@
         self._options = options or WebOptions()
         self._budget = budget or CallerBudget()
         self._callbacks = handlers
+        # Whether answers announce the close of their connections, and whether those are
+        # closed of which that wasn't announced.
         self.stopping = False
+        self._closes_idle = False
+        # Requests received whole so far.
+        self.requests = 0
         self._callers = set()
         self._waiting = WaitingCallers()
         self._bulk = BulkQueue(
@@ -172,16 +177,25 @@
         return self._streams.listen(address, acceptance)
 
     def stop_listening(self):
-        """Close the listener and end keep-alive; requests in flight continue.
-
-        A partly received request is in flight too.
-        """
+        """Close the listener and end keep-alive; open connections continue."""
         self.stopping = True
         self._streams.stop_listening()
+
+    def close_idle(self):
+        """Close the connections on which no byte of a request has been received."""
+        self._closes_idle = True
         for conn in list(self._callers):
             if conn.state.exchange is None and conn.state.reader.idle:
                 self._streams.close(conn)
 
+    def refuse_partial(self, exc):
+        """Refuse the requests that were received in part, or wait to be served."""
+        for conn in list(self._callers):
+            caller = conn.state
+            if caller.exchange is None and not (caller.reader.idle or conn.closing):
+                self._bulk.discard(conn)
+                self._reject(conn, exc)
+
     def send(self, conn, data):
         """Write bytes to a caller's connection."""
         self._streams.send(conn, data)
@@ -233,7 +247,7 @@
         caller.holding.release(REQUEST, BODY)
         if not conn.pending:
             caller.holding.release(ANSWER)
-        if self.stopping or conn.half_closed or not keep_alive:
+        if not keep_alive or conn.half_closed or self._ends(caller):
             caller.reader.discard()
             self._hold_answer(conn)
             self._waiting.add(conn, ENDING, caller.waiting_since)
@@ -246,6 +260,10 @@
             self._defer(conn)
         self._serve_received(conn)
 
+    def _ends(self, caller):
+        """Return whether a kept connection is closed after an answer."""
+        return self._closes_idle and caller.reader.idle
+
     def count(self):
         """Return the number of connected callers."""
         return len(self._callers)
@@ -405,6 +423,7 @@
                 self._streams.widen(conn, BODY_RECEIVE_BUFFER)
             return False
         self._waiting.remove(conn)
+        self.requests += 1
         caller.exchange = Exchange(req, self, conn)
         if self._intake is not None:
             self._intake.record_request(time.monotonic(), not caller.has_sent)
