Space the reads of the stored versions

Reads followed each other without a pause while callers waited: some hundred a second from each instance if thousands of streams break at once, beyond what the store takes from all of them. Found in the review, by reading.

The next read of an instance begins 0.02 s after the last one at the earliest, on a tick. A caller that comes alone is served as before. Its peers are asked beside the read after 0.1 s instead of 0.05 s, since a read may now begin a tick late.

--- a/src/chervilwing/stream_exchange.py
+++ b/src/chervilwing/stream_exchange.py
@@ -32,7 +32,7 @@
 # The same while the store is read, which answers in milliseconds but may be slow, and
 # until instances are asked meanwhile.
 GIVE_UP_READ_AFTER = 0.5
-ASK_BESIDE_READ_AFTER = 0.05
+ASK_BESIDE_READ_AFTER = 0.1
 # Instances that are asked to read the store for one that doesn't reach it.
 READERS = 2
 # Callers whose streams are being asked for. Without a limit, made-up ids would multiply
--- a/src/chervilwing/version_reads.py
+++ b/src/chervilwing/version_reads.py
@@ -5,6 +5,7 @@
 stream back shows the version that began it.
 """
 
+from math import inf
 from typing import NamedTuple
 
 from .exceptions import BadConfiguration
@@ -15,6 +16,9 @@
 # Seconds after which another read begins although one still runs: a lost connection
 # must not hold up the callers that come after its repair.
 MAX_READ_TIME = 0.25
+# Seconds between the beginnings of two reads while each is answered. Thousands of
+# streams may break within a second, at all instances.
+MIN_INTERVAL = 0.02
 # Callers that wait for a read. Without a limit, they would pile up while the store is
 # silent.
 MAX_WAITING = 512
@@ -52,7 +56,7 @@
         self._instances = instances
         self._waiting = []
         self._running = 0
-        self._began_at = 0.0
+        self._began_at = -inf
 
     def request(self, reply, now):
         """Call ``reply`` with StoredVersions, or with None if they can't be read.
@@ -62,13 +66,13 @@
         if len(self._waiting) >= MAX_WAITING:
             return False
         self._waiting.append(reply)
-        if not self._running or now - self._began_at >= MAX_READ_TIME:
-            self._start(now)
+        self.advance(now)
         return True
 
     def advance(self, now):
-        """Begin the read that callers wait for, if the present one takes long."""
-        if self._waiting and now - self._began_at >= MAX_READ_TIME:
+        """Begin the read that callers wait for, if it is due."""
+        interval = MAX_READ_TIME if self._running else MIN_INTERVAL
+        if self._waiting and now - self._began_at >= interval:
             self._start(now)
 
     def _start(self, now):
@@ -96,8 +100,6 @@
         stored = self._combine(answers, revision)
         for reply in replies:
             reply(stored)
-        if self._waiting and not self._running:
-            self._start(self._began_at)
 
     def _combine(self, answers, revision):
         page = next((item for item in answers if isinstance(item, Page)), None)
